--- /dev/null
+++ b/crates/config/src/keys.rs
@@ -0,0 +1,55 @@
+//! Workspace keys: `wk_`, the public name, `_` and the secret.
+
+use rand::Rng as _;
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq as _;
+use wasabi_core::{
+    errors::{Code, Error, Result},
+    units::KeyId,
+};
+
+const PREFIX: &str = "wk_";
+const SECRET_BYTES: usize = 32;
+
+/// A key as it is shown once to the operator.
+pub struct Fresh {
+    /// The public part.
+    pub name: KeyId,
+    /// The whole key, which the caller sends.
+    pub secret: String,
+    /// The digest that goes into a release note.
+    pub digest: String,
+}
+
+/// Gets a new key with 256 random bits.
+pub fn fresh() -> Fresh {
+    let mut rng = rand::rng();
+    let name = format!("k{:016x}", rng.random::<u64>());
+    let random: [u8; SECRET_BYTES] = rng.random();
+    let secret = format!("{PREFIX}{name}_{}", hex::encode(random));
+    let digest = digest(&secret);
+    Fresh { name: name.parse().expect("hexadecimal digits are a name"), secret, digest }
+}
+
+/// Returns the SHA-256 of a whole key as hexadecimal digits.
+pub fn digest(secret: &str) -> String {
+    hex::encode(Sha256::digest(secret.as_bytes()))
+}
+
+/// Returns the public part of a whole key.
+pub fn name(secret: &str) -> Result<KeyId> {
+    let unknown = || Error::new(Code::KeyUnknown, "");
+    let rest = secret.strip_prefix(PREFIX).ok_or_else(unknown)?;
+    let (name, _) = rest.rsplit_once('_').ok_or_else(unknown)?;
+    name.parse().map_err(|_| unknown())
+}
+
+/// Returns whether a whole key has this digest, in time that does not depend on either.
+pub fn matches(secret: &str, expected: &str) -> bool {
+    digest(secret).as_bytes().ct_eq(expected.as_bytes()).into()
+}
+
+/// Returns whether `text` has the form of a digest.
+pub fn is_digest(text: &str) -> bool {
+    hex::decode(text).is_ok_and(|bytes| bytes.len() == SECRET_BYTES) && text == text.to_lowercase()
+}
--- /dev/null
+++ b/crates/config/src/snapshot.rs
@@ -0,0 +1,104 @@
+//! Snapshots of the state, in parts that the object API can hold.
+//!
+//! The parts are written first and the head last, so a head never names a part that is missing.
+//! The head only ever moves to a higher revision.
+
+use wasabi_core::{
+    data,
+    errors::{self, Result},
+    io::{self, Condition, Store},
+    units::Revision,
+};
+
+use crate::{log, state::State};
+
+const HEAD: &str = "snapshot/head";
+const PART_BYTES: usize = 900_000;
+/// Entries that stay in the log behind the snapshot, for hosts that lag.
+const KEPT_ENTRIES: u64 = 200;
+
+data! {
+    /// Names the newest whole snapshot.
+    pub struct Head {
+        /// The revision that it holds.
+        pub revision: Revision,
+        /// How many parts it has.
+        pub parts: usize,
+    }
+}
+
+fn part_key(revision: Revision, part: usize) -> String {
+    format!("snapshot/part/{:012}/{part:04}", revision.0)
+}
+
+/// Gets the newest snapshot, if there is one.
+pub fn read(store: &dyn Store) -> Result<Option<State>> {
+    let Some(object) = store.get(HEAD)? else { return Ok(None) };
+    let head: Head = io::parse(&object)?;
+    let mut text = String::new();
+    for part in 0..head.parts {
+        let key = part_key(head.revision, part);
+        let Some(object) = store.get(&key)? else { return Err(errors::conflict(&key)) };
+        text.push_str(&object.value);
+    }
+    let state = serde_json::from_str(&text).map_err(|e| errors::internal(e.to_string()))?;
+    Ok(Some(state))
+}
+
+/// Writes `state` as the newest snapshot, unless a newer one is there, and trims what it replaces.
+pub fn write(store: &dyn Store, state: &State) -> Result<()> {
+    let head = store.get(HEAD)?;
+    let old: Option<Head> = head.as_ref().map(io::parse).transpose()?;
+    if old.as_ref().is_some_and(|old| old.revision >= state.revision) {
+        return Ok(());
+    }
+    let text = io::render(state);
+    let parts = split(&text);
+    for (i, part) in parts.iter().enumerate() {
+        write_part(store, &part_key(state.revision, i), part)?;
+    }
+    let new = Head { revision: state.revision, parts: parts.len() };
+    let condition = head.map_or(Condition::Absent, |object| Condition::At(object.version));
+    store.put(HEAD, &io::render(&new), condition)?;
+    if let Some(old) = old {
+        remove_parts(store, old)?;
+    }
+    trim(store, state.revision)
+}
+
+/// The text of a revision is always the same, so a part that is already there is left as it is.
+fn write_part(store: &dyn Store, key: &str, part: &str) -> Result<()> {
+    io::put_certain(store, key, part, Condition::Absent, |found| found.value == part).map(|_| ())
+}
+
+fn split(text: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while rest.len() > PART_BYTES {
+        let (part, after) = rest.split_at(rest.floor_char_boundary(PART_BYTES));
+        parts.push(part);
+        rest = after;
+    }
+    parts.push(rest);
+    parts
+}
+
+fn remove_parts(store: &dyn Store, old: Head) -> Result<()> {
+    for part in 0..old.parts {
+        if let Some(object) = store.get(&part_key(old.revision, part))? {
+            store.delete(&object.key, object.version)?;
+        }
+    }
+    Ok(())
+}
+
+fn trim(store: &dyn Store, snapshot: Revision) -> Result<()> {
+    let end = log::key(Revision(snapshot.0.saturating_sub(KEPT_ENTRIES)));
+    for object in store.list(log::PREFIX, "", KEPT_ENTRIES as usize)? {
+        if object.key >= end {
+            break;
+        }
+        store.delete(&object.key, object.version)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/state.rs
@@ -0,0 +1,286 @@
+//! The configuration in force, and how a release note changes it.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use wasabi_core::{
+    data,
+    errors::{Code, Error, Result},
+    note::{Class, Key, MAX_TIER, Note, Pool, Route, Target, Workspace},
+    units::{ClassId, KeyId, NoteId, PoolId, Revision, RouteId, WorkspaceId},
+};
+
+use crate::keys;
+
+/// How many accepted notes are remembered by their identity.
+const REMEMBERED_NOTES: u64 = 20_000;
+
+data! {
+    /// One object with the revision that last wrote it.
+    pub struct Slot<T> {
+        /// The revision that last wrote the object.
+        pub revision: Revision,
+        /// The object.
+        pub object: Arc<T>,
+    }
+
+    /// The note that was accepted under an identity.
+    pub struct Accepted {
+        /// The revision that it became.
+        pub revision: Revision,
+        /// The digest of its whole text.
+        pub digest: String,
+    }
+
+    /// The configuration at one revision.
+    #[derive(Default)]
+    pub struct State {
+        /// The number of the last entry applied.
+        pub revision: Revision,
+        /// Request classes.
+        pub classes: BTreeMap<ClassId, Slot<Class>>,
+        /// Workspaces.
+        pub workspaces: BTreeMap<WorkspaceId, Slot<Workspace>>,
+        /// Workspace keys.
+        pub keys: BTreeMap<KeyId, Slot<Key>>,
+        /// Pools of backend servers.
+        pub pools: BTreeMap<PoolId, Slot<Pool>>,
+        /// Routes.
+        pub routes: BTreeMap<RouteId, Slot<Route>>,
+        /// The last accepted notes by identity.
+        pub notes: BTreeMap<NoteId, Accepted>,
+    }
+
+    /// One thing wrong with a note or a settings file.
+    pub struct Problem {
+        /// Where, as a path of field names and positions.
+        pub path: String,
+        /// The kind of problem.
+        pub code: Code,
+        /// What is wrong.
+        pub text: String,
+    }
+}
+
+impl std::fmt::Display for Problem {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "E{} {}: {}", self.code.number(), self.path, self.text)
+    }
+}
+
+impl Problem {
+    /// Gets a problem of an invalid note at `path`.
+    pub fn invalid(path: impl Into<String>, text: impl Into<String>) -> Self {
+        Self { path: path.into(), code: Code::NoteInvalid, text: text.into() }
+    }
+
+    fn conflict(path: String, text: impl Into<String>) -> Self {
+        Self { path, code: Code::NoteConflict, text: text.into() }
+    }
+}
+
+impl State {
+    /// Returns every problem that keeps `note` from being accepted as the next revision.
+    pub fn check(&self, note: &Note) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        if note.base > self.revision {
+            let text = format!("the last revision is {}", self.revision);
+            problems.push(Problem::invalid("base", text));
+        }
+        self.check_existence(note, &mut problems);
+        if !problems.is_empty() {
+            return problems;
+        }
+        let mut after = self.clone();
+        after.write(note);
+        after.check_whole(&mut problems);
+        problems
+    }
+
+    /// Applies an accepted note as `revision`, which must follow the present one.
+    pub fn apply(&mut self, revision: Revision, note: &Note, digest: String) -> Result<()> {
+        if revision != self.revision.next() {
+            let detail = format!("entry {revision} does not follow {}", self.revision);
+            return Err(Error::new(Code::Internal, detail));
+        }
+        self.write(note);
+        self.revision = revision;
+        self.notes.insert(note.id.clone(), Accepted { revision, digest });
+        let oldest = revision.0.saturating_sub(REMEMBERED_NOTES);
+        if self.notes.len() as u64 > 2 * REMEMBERED_NOTES {
+            self.notes.retain(|_, accepted| accepted.revision.0 > oldest);
+        }
+        Ok(())
+    }
+
+    /// Returns the workspace key that a caller's whole key proves.
+    pub fn key(&self, secret: &str) -> Result<Arc<Key>> {
+        let unknown = || Error::new(Code::KeyUnknown, "");
+        let slot = self.keys.get(&keys::name(secret)?).ok_or_else(unknown)?;
+        if !keys::matches(secret, &slot.object.digest) {
+            return Err(unknown());
+        }
+        Ok(slot.object.clone())
+    }
+
+    /// Returns whether `key` is in force in the form given.
+    pub fn has_key(&self, key: &Key) -> bool {
+        self.keys.get(&key.name).is_some_and(|slot| *slot.object == *key)
+    }
+
+    /// Returns the route whose path is the longest prefix of `path` by whole segments.
+    pub fn route(&self, path: &str) -> Option<Arc<Route>> {
+        let routes = self.routes.values().map(|slot| &slot.object);
+        let matching = routes.filter(|route| covers(&route.path, path));
+        matching.max_by_key(|route| route.path.len()).cloned()
+    }
+
+    /// Returns the pools of `route`, of those that exist.
+    pub fn pools_of(&self, route: &Route) -> Vec<Arc<Pool>> {
+        route.pools.iter().filter_map(|name| Some(self.pools.get(name)?.object.clone())).collect()
+    }
+
+    fn check_existence(&self, note: &Note, problems: &mut Vec<Problem>) {
+        let base = note.base;
+        macro_rules! kinds {
+            ($($kind:ident),*) => {$(
+                let mut seen = std::collections::BTreeSet::new();
+                for (i, item) in note.added.$kind.iter().enumerate() {
+                    let path = format!("added.{}[{i}]", stringify!($kind));
+                    if !seen.insert(&item.name) {
+                        problems.push(Problem::invalid(path, format!("{} is listed twice", item.name)));
+                    } else if self.$kind.contains_key(&item.name) {
+                        problems.push(Problem::conflict(path, format!("{} already exists", item.name)));
+                    }
+                }
+                let changed = note.changed.$kind.iter().map(|item| &item.name);
+                let changed = changed.enumerate().map(|(i, name)| ("changed", i, name));
+                let withdrawn = note.withdrawn.$kind.iter();
+                let withdrawn = withdrawn.enumerate().map(|(i, name)| ("withdrawn", i, name));
+                for (section, i, name) in changed.chain(withdrawn) {
+                    let path = format!("{section}.{}[{i}]", stringify!($kind));
+                    if !seen.insert(name) {
+                        problems.push(Problem::invalid(path, format!("{name} is listed twice")));
+                        continue;
+                    }
+                    match self.$kind.get(name) {
+                        None => problems.push(Problem::conflict(path, format!("{name} does not exist"))),
+                        Some(slot) if slot.revision > base => {
+                            let text = format!("{name} was written by revision {}", slot.revision);
+                            problems.push(Problem::conflict(path, text));
+                        }
+                        Some(_) => {}
+                    }
+                }
+            )*};
+        }
+        kinds!(classes, workspaces, keys, pools, routes);
+    }
+
+    fn write(&mut self, note: &Note) {
+        let revision = self.revision.next();
+        macro_rules! kinds {
+            ($($kind:ident),*) => {$(
+                for item in note.added.$kind.iter().chain(&note.changed.$kind) {
+                    let slot = Slot { revision, object: Arc::new(item.clone()) };
+                    self.$kind.insert(item.name.clone(), slot);
+                }
+                for name in &note.withdrawn.$kind {
+                    self.$kind.remove(name);
+                }
+            )*};
+        }
+        kinds!(classes, workspaces, keys, pools, routes);
+    }
+
+    fn check_whole(&self, problems: &mut Vec<Problem>) {
+        self.classes.values().for_each(|slot| check_class(&slot.object, problems));
+        self.pools.values().for_each(|slot| check_pool(&slot.object, problems));
+        for slot in self.keys.values() {
+            self.check_key(&slot.object, problems);
+        }
+        for slot in self.routes.values() {
+            self.check_route(&slot.object, problems);
+        }
+        for slot in self.workspaces.values().filter(|slot| slot.object.weight == 0) {
+            let path = format!("workspaces.{}.weight", slot.object.name);
+            problems.push(Problem::invalid(path, "must be at least 1"));
+        }
+    }
+
+    fn check_key(&self, key: &Key, problems: &mut Vec<Problem>) {
+        if !self.workspaces.contains_key(&key.workspace) {
+            let text = format!("{} does not exist", key.workspace);
+            problems.push(Problem::invalid(format!("keys.{}.workspace", key.name), text));
+        }
+        if !keys::is_digest(&key.digest) {
+            let path = format!("keys.{}.digest", key.name);
+            problems.push(Problem::invalid(path, "must be 64 lower-case hexadecimal digits"));
+        }
+    }
+
+    fn check_route(&self, route: &Route, problems: &mut Vec<Problem>) {
+        let path = |field: &str| format!("routes.{}.{field}", route.name);
+        if !is_normal(&route.path) {
+            let text = "must begin with a slash and have no empty, `.` or `..` segment";
+            problems.push(Problem::invalid(path("path"), text));
+        }
+        if !self.classes.contains_key(&route.class) {
+            let text = format!("{} does not exist", route.class);
+            problems.push(Problem::invalid(path("class"), text));
+        }
+        if route.pools.is_empty() {
+            problems.push(Problem::invalid(path("pools"), "must name at least one pool"));
+        }
+        for name in route.pools.iter().filter(|name| !self.pools.contains_key(name)) {
+            problems.push(Problem::invalid(path("pools"), format!("{name} does not exist")));
+        }
+        let twin =
+            |slot: &&Slot<Route>| slot.object.path == route.path && slot.object.name < route.name;
+        if let Some(other) = self.routes.values().find(twin) {
+            let text = format!("{} has the same path", other.object.name);
+            problems.push(Problem::invalid(path("path"), text));
+        }
+    }
+}
+
+/// Returns whether `path` is absolute and in normal form.
+pub fn is_normal(path: &str) -> bool {
+    let Some(rest) = path.strip_prefix('/') else { return false };
+    let rest = rest.strip_suffix('/').unwrap_or(rest);
+    rest.is_empty() || rest.split('/').all(|segment| !matches!(segment, "" | "." | ".."))
+}
+
+fn covers(prefix: &str, path: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+fn check_class(class: &Class, problems: &mut Vec<Problem>) {
+    let path = |field: &str| format!("classes.{}.{field}", class.name);
+    if class.tier > MAX_TIER {
+        problems.push(Problem::invalid(path("tier"), format!("must be at most {MAX_TIER}")));
+    }
+    if class.max_gap_ms == 0 {
+        problems.push(Problem::invalid(path("max_gap_ms"), "must be at least 1"));
+    }
+    let zero = match class.target {
+        Target::Stream { first_token_ms, inter_token_ms } => first_token_ms * inter_token_ms == 0,
+        Target::Whole { answer_ms } => answer_ms == 0,
+    };
+    if zero {
+        problems.push(Problem::invalid(path("target"), "must be at least 1 ms"));
+    }
+}
+
+fn check_pool(pool: &Pool, problems: &mut Vec<Problem>) {
+    let mut names = std::collections::BTreeSet::new();
+    for server in &pool.servers {
+        let path = format!("pools.{}.servers.{}", pool.name, server.name);
+        if !names.insert(&server.name) {
+            problems.push(Problem::invalid(&path, "is listed twice"));
+        }
+        if server.slots == 0 {
+            problems.push(Problem::invalid(format!("{path}.slots"), "must be at least 1"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/errors.rs
@@ -0,0 +1,211 @@
+//! The numbered errors that callers and operators see, and the `Result` that carries them.
+
+use std::{fmt, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// The result of an operation that fails with a numbered error.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Whether the request that an error answers was run by a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ran {
+    /// No byte of the request reached a backend server.
+    #[serde(rename = "not run")]
+    No,
+    /// A backend server ran the request.
+    #[serde(rename = "ran")]
+    Yes,
+    /// A backend server may have run the request.
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+
+macro_rules! codes {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal, $status:literal;)*) => {
+        /// The kind of an error; `docs/ERRORS.md` lists them all.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        pub enum Code {
+            $($(#[doc = $doc])* $name,)*
+        }
+
+        impl Code {
+            /// Every code, in the order of its number.
+            pub const ALL: &[Code] = &[$(Code::$name),*];
+
+            /// Returns the number that stands for the code everywhere outside the program.
+            pub fn number(self) -> u16 {
+                match self { $(Code::$name => $number,)* }
+            }
+
+            /// Returns the HTTP status of an answer with this code.
+            pub fn status(self) -> u16 {
+                match self { $(Code::$name => $status,)* }
+            }
+
+            /// Returns the meaning of the code.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Code::$name => concat!($($doc),*).trim_ascii(),)* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The request carries no key and its route needs one.
+    KeyMissing = 1001, 401;
+    /// The key is not known, or has been withdrawn.
+    KeyUnknown = 1002, 401;
+    /// The request carries different keys in different places.
+    KeyConflict = 1003, 400;
+    /// The key was withdrawn while the request ran.
+    KeyWithdrawn = 1004, 401;
+    /// No route matches the path.
+    RouteUnknown = 1101, 404;
+    /// The path is not in normal form.
+    PathInvalid = 1102, 400;
+    /// The model is not served on this route.
+    ModelUnknown = 1103, 404;
+    /// The head of the request is malformed.
+    HeadInvalid = 1104, 400;
+    /// The body is not the JSON that the route takes.
+    BodyInvalid = 1105, 400;
+    /// The body is larger than the limit.
+    BodyTooLarge = 1106, 413;
+    /// The request was not received within the time limit.
+    ReceiveTimeout = 1107, 408;
+    /// The workspace has reached its limit.
+    LimitReached = 1201, 429;
+    /// The class could not be served within its target.
+    Overloaded = 1202, 503;
+    /// The host is stopping and takes no new requests.
+    Stopping = 1203, 503;
+    /// The host has no configuration yet.
+    NotReady = 1204, 503;
+    /// The host has lost contact with the store and every peer.
+    Isolated = 1205, 503;
+    /// No backend server could be reached.
+    ServerUnavailable = 1301, 503;
+    /// The backend server broke off its answer.
+    AnswerBroken = 1302, 502;
+    /// The backend server answered with the identity of another request.
+    AnswerCrossed = 1303, 502;
+    /// The backend server did not answer within the time limit.
+    AnswerTimeout = 1304, 504;
+    /// The route needs an idempotency key.
+    OnceKeyMissing = 1401, 400;
+    /// The idempotency key was used with another request.
+    OnceKeyReused = 1402, 422;
+    /// The first request with this idempotency key has not ended.
+    OnceRunning = 1403, 409;
+    /// The outcome of the first request with this idempotency key is not known.
+    OnceUnknown = 1404, 502;
+    /// The request ran, but its answer was too large to keep.
+    OnceTooLarge = 1405, 410;
+    /// The store could not record the claim.
+    OnceUnavailable = 1406, 503;
+    /// A name has characters or a length that names cannot have.
+    NameInvalid = 2001, 400;
+    /// A number could not be read.
+    NumberInvalid = 2002, 400;
+    /// A release note or settings file is not valid.
+    NoteInvalid = 2101, 400;
+    /// A release note conflicts with one accepted after its base.
+    NoteConflict = 2102, 409;
+    /// The identity of the release note belongs to another note.
+    NoteReused = 2103, 409;
+    /// The settings are not valid.
+    SettingsInvalid = 2201, 400;
+    /// The object is not there.
+    ObjectMissing = 3001, 404;
+    /// The object has changed, so the conditional write took no effect.
+    StoreConflict = 3002, 409;
+    /// The store refused the call, and it took no effect.
+    StoreBusy = 3003, 429;
+    /// The store did not answer; a write may have taken effect.
+    StoreUnavailable = 3004, 503;
+    /// Another process holds the lease.
+    LeaseHeld = 3101, 409;
+    /// The lease has ended, so its holder may not act.
+    LeaseLost = 3102, 409;
+    /// A peer did not answer.
+    PeerUnavailable = 3201, 503;
+    /// The outside system refused the call.
+    PlatformRefused = 3301, 502;
+    /// The router met a state it should never be in.
+    Internal = 9001, 500;
+}
+
+/// A numbered error.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Error {
+    /// What kind of error it is.
+    pub code: Code,
+    /// Whether the request ran; `Ran::No` is stated only when no byte of it has left.
+    pub ran: Ran,
+    /// What went wrong, without keys, prompts or addresses.
+    pub detail: String,
+    /// When it helps to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// Gets an error of `code` for a request that did not run.
+    pub fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self { code, ran: Ran::No, detail: detail.into(), retry_after: None }
+    }
+
+    /// Returns the error with `ran` stated.
+    pub fn ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+
+    /// Returns the error with the time to come back.
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Returns whether a write that failed so may still have taken effect.
+    pub fn may_have_written(&self) -> bool {
+        self.code == Code::StoreUnavailable
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{}: {}", self.code.number(), self.code.meaning())?;
+        if !self.detail.is_empty() {
+            write!(f, " ({})", self.detail)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Gets the error for a text that cannot be a name.
+pub fn bad_name(text: &str) -> Error {
+    Error::new(Code::NameInvalid, format!("{text:?}"))
+}
+
+/// Gets the error for a text that is not a number.
+pub fn bad_number(text: &str) -> Error {
+    Error::new(Code::NumberInvalid, format!("{text:?}"))
+}
+
+/// Gets the error for a conditional write that found another version.
+pub fn conflict(key: &str) -> Error {
+    Error::new(Code::StoreConflict, key)
+}
+
+/// Gets the error for a store that did not answer.
+pub fn unavailable(detail: impl Into<String>) -> Error {
+    Error::new(Code::StoreUnavailable, detail)
+}
+
+/// Gets the error for a state that should not occur.
+pub fn internal(detail: impl Into<String>) -> Error {
+    Error::new(Code::Internal, detail)
+}
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,138 @@
+//! The parts of the language-model protocol that the router reads and writes.
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use wasabi_core::{
+    errors::{Code, Error, Result},
+    units::{RequestId, Tokens},
+};
+
+use crate::key;
+
+/// The data of the event that ends a stream.
+pub const DONE: &str = "[DONE]";
+/// Bytes of prompt that make about one token, where the engine does not say.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Bytes of the prompt whose hash stands for its prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// A request for a model.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The body as the caller sent it.
+    pub body: Value,
+    /// The model that it names.
+    pub model: String,
+    /// Whether the caller wants a stream.
+    pub stream: bool,
+    /// Stands for the beginning of the prompt.
+    pub prefix: u64,
+    /// The prompt's length as estimated from its bytes.
+    pub prompt: Tokens,
+}
+
+/// The figures that an engine states.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    #[serde(default)]
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    #[serde(default)]
+    pub completion_tokens: u64,
+}
+
+/// What the router reads of an engine's answer or of one event of it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Chunk {
+    /// The identity of the request that it answers.
+    pub id: String,
+    /// Figures, if stated.
+    #[serde(default)]
+    pub usage: Option<Usage>,
+    #[serde(default)]
+    choices: Vec<Value>,
+}
+
+impl Chunk {
+    /// Returns how many tokens the event carries: one for each choice that has text.
+    pub fn tokens(&self) -> Tokens {
+        Tokens(self.choices.iter().filter(|choice| has_text(choice)).count() as u64)
+    }
+}
+
+fn has_text(choice: &Value) -> bool {
+    let delta = choice.get("delta").and_then(|delta| delta.get("content"));
+    let text = delta.or_else(|| choice.get("text")).and_then(Value::as_str);
+    text.is_some_and(|text| !text.is_empty())
+}
+
+/// Reads a request body.
+pub fn parse(body: &[u8], secret: Option<&str>) -> Result<Call> {
+    let invalid = |detail: &str| Error::new(Code::BodyInvalid, detail);
+    let value: Value = serde_json::from_slice(body).map_err(|e| invalid(&e.to_string()))?;
+    if !value.is_object() {
+        return Err(invalid("the body must be an object"));
+    }
+    if secret.is_some_and(|secret| holds(&value, secret)) {
+        return Err(invalid("the body holds the key"));
+    }
+    let model = value.get("model").and_then(Value::as_str);
+    let model = model.ok_or_else(|| invalid("model must be a string"))?.to_string();
+    let stream = match value.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(stream)) => *stream,
+        Some(_) => return Err(invalid("stream must be true or false")),
+    };
+    let prompt = prompt_text(&value);
+    let prefix = hash(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)]);
+    let prompt = Tokens((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN));
+    Ok(Call { body: value, model, stream, prefix, prompt })
+}
+
+/// Returns the body that goes to an engine, which goes on after `delivered` tokens.
+pub fn outgoing(call: &Call, request: &RequestId, tier: u8, delivered: Tokens) -> Vec<u8> {
+    let mut body = call.body.clone();
+    body["request_id"] = json!(request);
+    body["priority"] = json!(tier);
+    if delivered > Tokens(0) {
+        body["resume_from"] = json!(delivered);
+    }
+    body.to_string().into_bytes()
+}
+
+/// Reads an answer or an event's data, and checks that it answers `request`.
+pub fn check(data: &[u8], request: &RequestId) -> Result<Chunk> {
+    let chunk: Chunk = serde_json::from_slice(data)
+        .map_err(|_| Error::new(Code::AnswerBroken, "not an answer"))?;
+    if chunk.id != request.as_str() {
+        return Err(Error::new(Code::AnswerCrossed, ""));
+    }
+    Ok(chunk)
+}
+
+fn prompt_text(value: &Value) -> String {
+    match value.get("messages").or_else(|| value.get("prompt")) {
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+        None => String::new(),
+    }
+}
+
+fn holds(value: &Value, secret: &str) -> bool {
+    match value {
+        Value::String(text) => key::contains(text.as_bytes(), secret),
+        Value::Array(items) => items.iter().any(|item| holds(item, secret)),
+        Value::Object(fields) => fields
+            .iter()
+            .any(|(name, item)| key::contains(name.as_bytes(), secret) || holds(item, secret)),
+        _ => false,
+    }
+}
+
+fn hash(bytes: &[u8]) -> u64 {
+    use std::hash::{DefaultHasher, Hasher as _};
+    let mut hasher = DefaultHasher::new();
+    hasher.write(bytes);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The caller border: takes requests over HTTP, gets them a server, and relays the answer.
+#![forbid(unsafe_code)]
+
+pub mod answer;
+pub mod body;
+pub mod chat;
+pub mod context;
+pub mod dispatch;
+pub mod head;
+pub mod key;
+pub mod limits;
+pub mod once;
+pub mod relay;
+pub mod running;
+pub mod serve;
+pub mod server;
+pub mod sse;
+pub mod stream;
+pub mod whole;
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,120 @@
+//! One call to a backend server, on a connection of its own.
+//!
+//! A connection carries one request and is closed after it, so no late answer can meet another
+//! request.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, body::Incoming, client::conn::http1, header};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle, time};
+use wasabi_core::{
+    errors::{Code, Error, Ran, Result},
+    note::Server,
+    units::RequestId,
+};
+
+use crate::{context::Options, head};
+
+/// Why a call has no answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// Whether a byte of the request may have left.
+    pub sent: bool,
+    /// What happened.
+    pub error: Error,
+}
+
+/// The beginning of an answer; dropping it closes the connection.
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type, if stated.
+    pub content_type: Option<String>,
+    /// The identity that the server echoed, if any.
+    pub echoed: Option<String>,
+    body: Incoming,
+    _connection: Connection,
+}
+
+struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Sends `request` to `server` and waits at most `limit` for the head of the answer.
+pub async fn send(
+    options: &Options,
+    server: &Server,
+    mut request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Reply, Failure> {
+    let not_sent =
+        |detail: &str| Failure { sent: false, error: Error::new(Code::ServerUnavailable, detail) };
+    let connecting = time::timeout(options.connect_time, TcpStream::connect(server.address));
+    let socket = connecting.await.map_err(|_| not_sent("connect timeout"))?;
+    let socket = socket.map_err(|_| not_sent("connect failed"))?;
+    let _ = socket.set_nodelay(true);
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(socket)).await.map_err(|_| not_sent("handshake failed"))?;
+    let connection = Connection(tokio::spawn(connection).abort_handle());
+    let host = server.address.to_string().parse().expect("an address is a header value");
+    request.headers_mut().insert(header::HOST, host);
+    let failed = |code: Code| Failure { sent: true, error: Error::new(code, "").ran(Ran::Unknown) };
+    let answering = time::timeout(limit, sender.send_request(request));
+    let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
+    let response = response.map_err(|_| failed(Code::AnswerBroken))?;
+    let text = |name: &str| head::text(response.headers(), name).ok().flatten();
+    Ok(Reply {
+        status: response.status().as_u16(),
+        content_type: text("content-type"),
+        echoed: text("x-request-id"),
+        body: response.into_body(),
+        _connection: connection,
+    })
+}
+
+impl Reply {
+    /// Gets the next bytes of the body; `None` at its end.
+    pub async fn next(&mut self, limit: Duration) -> Result<Option<Bytes>> {
+        loop {
+            let frame = time::timeout(limit, self.body.frame()).await;
+            let frame = frame.map_err(|_| Error::new(Code::AnswerTimeout, "").ran(Ran::Unknown))?;
+            let Some(frame) = frame else { return Ok(None) };
+            let frame = frame.map_err(|_| Error::new(Code::AnswerBroken, "").ran(Ran::Unknown))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Gets the whole body within `limit` and at most `max` bytes.
+    pub async fn whole(&mut self, limit: Duration, max: usize) -> Result<Bytes> {
+        let end = time::Instant::now() + limit;
+        let mut whole = BytesMut::new();
+        while let Some(data) =
+            self.next(end.saturating_duration_since(time::Instant::now())).await?
+        {
+            if whole.len() + data.len() > max {
+                return Err(Error::new(Code::AnswerBroken, "too large").ran(Ran::Unknown));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Checks that the answer does not bear another request's identity.
+    pub fn check_echo(&self, request: &RequestId) -> Result<()> {
+        match &self.echoed {
+            Some(echoed) if echoed != request.as_str() => {
+                Err(Error::new(Code::AnswerCrossed, "").ran(Ran::Unknown))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,75 @@
+//! Accepts callers' connections.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{context::Context, serve};
+
+/// After an accept error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until `stop` is set, and then waits until the last one has ended.
+///
+/// After `stop`, requests that run go on, and each connection closes after its present request.
+pub async fn run(ctx: Arc<Context>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let permits = Arc::new(Semaphore::new(ctx.options.max_connections));
+    let mut stopping = stop.clone();
+    loop {
+        let permit = tokio::select! {
+            permit = permits.clone().acquire_owned() => permit,
+            _ = stopping.wait_for(|stop| *stop) => break,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stop| *stop) => break,
+        };
+        let Ok((socket, _)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let ctx = ctx.clone();
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            connection(ctx, socket, stop).await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    let all = u32::try_from(ctx.options.max_connections).unwrap_or(u32::MAX);
+    let _ = permits.acquire_many(all).await;
+}
+
+async fn connection(ctx: Arc<Context>, socket: TcpStream, mut stop: watch::Receiver<bool>) {
+    let _ = socket.set_nodelay(true);
+    let close = CancellationToken::new();
+    let head_time = ctx.options.head_time;
+    let max_head = ctx.options.max_head;
+    let closing = close.clone();
+    let service = service_fn(move |request| {
+        let answering = serve::serve(ctx.clone(), request, closing.clone());
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_time)
+        .max_buf_size(max_head)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut serving = std::pin::pin!(serving);
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        () = close.cancelled() => return,
+        _ = stop.wait_for(|stop| *stop) => serving.as_mut().graceful_shutdown(),
+    }
+    tokio::select! {
+        _ = serving.as_mut() => {}
+        () = close.cancelled() => {}
+    }
+}
--- /dev/null
+++ b/crates/entry/src/whole.rs
@@ -0,0 +1,122 @@
+//! Whole answers of calls that may be repeated.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::{Method, Response};
+use wasabi_core::{
+    errors::{Code, Error, Ran, Result},
+    io::Figures,
+    units::{ServerId, Tokens},
+};
+use wasabi_policy::ticket::Outcome;
+
+use crate::{
+    answer,
+    body::Outgoing,
+    chat::{self, Chunk},
+    context::Context,
+    dispatch::Grant,
+    relay::{self, Failure},
+    serve::{self, Job},
+};
+
+/// A whole answer of a backend server.
+pub struct Answered {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type, if stated.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Runs a request that may be repeated and is not streamed.
+pub async fn run(ctx: Arc<Context>, job: Job) -> Result<Response<Outgoing>> {
+    ctx.budget.lock().deposit();
+    let cut = job.running.cut.clone();
+    let mut sent = false;
+    let result = tokio::select! {
+        () = cut.cancelled() => Err(Error::new(Code::KeyWithdrawn, "")),
+        result = attempts(&ctx, &job, &mut sent) => result,
+    };
+    let ran = if sent { Ran::Unknown } else { Ran::No };
+    let result = result.map_err(|e| e.ran(ran));
+    let code = result.as_ref().err().map(|e| e.code);
+    serve::record(&ctx, Some(&job), &job.request, code, job.since);
+    let answered = match result {
+        Ok(answered) => answered,
+        Err(e) => return Ok(answer::error(&e, &job.request)),
+    };
+    bill(&ctx, &job, &answered);
+    let content_type = answered.content_type.as_deref();
+    Ok(answer::whole(answered.status, content_type, answered.body, &job.request))
+}
+
+async fn attempts(ctx: &Arc<Context>, job: &Job, sent: &mut bool) -> Result<Answered> {
+    let mut avoid: Option<ServerId> = None;
+    let mut retries = 0;
+    loop {
+        let ticket = job.ticket(ctx, retries > 0, avoid.take());
+        let grant = ctx.dispatch.ask(ticket).await?;
+        let server = grant.server.name.clone();
+        let failure = match attempt(ctx, job, &grant).await {
+            Ok(answered) => {
+                grant.end(Outcome::Done);
+                return Ok(answered);
+            }
+            Err(failure) => failure,
+        };
+        grant.end(Outcome::Failed);
+        *sent |= failure.sent;
+        retries += 1;
+        let allowed = retries <= ctx.options.max_retries;
+        if !allowed || !ctx.budget.lock().withdraw() {
+            return Err(failure.error);
+        }
+        avoid = Some(server);
+    }
+}
+
+/// Sends the request once and gets the whole answer.
+pub async fn attempt(ctx: &Context, job: &Job, grant: &Grant) -> Result<Answered, Failure> {
+    let granted = ctx.clock.now();
+    let options = &ctx.options;
+    let request = job.outgoing(Tokens(0));
+    let mut reply = relay::send(options, &grant.server, request, options.whole_time).await?;
+    let failed = |error: Error| Failure { sent: true, error };
+    reply.check_echo(&job.request).map_err(failed)?;
+    // An answer to HEAD has no body, whatever it states of its length.
+    let body = match job.method {
+        Method::HEAD => Bytes::new(),
+        _ => reply.whole(options.whole_time, options.max_answer).await.map_err(failed)?,
+    };
+    if job.call.is_some() && reply.status == 200 {
+        let chunk = chat::check(&body, &job.request).map_err(failed)?;
+        grant.progress(generated(&chunk));
+    }
+    if job.call.is_some() && matches!(reply.status, 429 | 500..) {
+        let detail = format!("status {}", reply.status);
+        return Err(failed(Error::new(Code::AnswerBroken, detail).ran(Ran::Unknown)));
+    }
+    let took = ctx.clock.now().saturating_duration_since(granted);
+    ctx.whole.lock().observe(job.route.name.clone(), took.as_secs_f64());
+    Ok(Answered { status: reply.status, content_type: reply.content_type.take(), body })
+}
+
+/// Counts an answer that goes to the caller.
+pub fn bill(ctx: &Context, job: &Job, answered: &Answered) {
+    let chunk = job.call.as_ref().and_then(|_| chat::check(&answered.body, &job.request).ok());
+    let usage = chunk.and_then(|chunk| chunk.usage).unwrap_or_default();
+    let completion = Tokens(usage.completion_tokens);
+    let figures = Figures { requests: 1, prompt: Tokens(usage.prompt_tokens), completion };
+    ctx.counter.add(job.workspace_id(), &figures);
+    ctx.limits.spend(job.workspace_id(), completion);
+    if job.call.is_some() {
+        job.observe_length(ctx, completion);
+    }
+}
+
+fn generated(chunk: &Chunk) -> Tokens {
+    Tokens(chunk.usage.unwrap_or_default().completion_tokens)
+}
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,136 @@
+//! The operator port: health, metrics and a dump of the process's state.
+
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde_json::{Value, json};
+use tiny_http::{Header, Response, Server};
+use wasabi_core::errors::{self, Result};
+
+use crate::{registry::Parts, tasks::Ending};
+
+const POLL: Duration = Duration::from_millis(200);
+
+/// The operator port, bound.
+pub struct Port {
+    server: Server,
+    metrics: PrometheusHandle,
+}
+
+impl Port {
+    /// Binds `address` and begins to collect metrics.
+    pub fn bind(address: SocketAddr) -> Result<Self> {
+        let metrics = PrometheusBuilder::new()
+            .install_recorder()
+            .map_err(|e| errors::internal(format!("metrics: {e}")))?;
+        let server =
+            Server::http(address).map_err(|e| errors::internal(format!("operator port: {e}")))?;
+        Ok(Self { server, metrics })
+    }
+
+    /// Returns the address in use.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.server.server_addr().to_ip()
+    }
+
+    /// Answers until `ending`.
+    pub fn serve(self, parts: Arc<Parts>, ending: Arc<Ending>) -> thread::JoinHandle<()> {
+        thread::spawn(move || {
+            while !ending.is_over() {
+                let Ok(Some(request)) = self.server.recv_timeout(POLL) else { continue };
+                let (status, kind, body) = self.answer(&parts, request.url());
+                let kind = Header::from_bytes("content-type", kind).expect("the type is valid");
+                let response =
+                    Response::from_string(body).with_status_code(status).with_header(kind);
+                let _ = request.respond(response);
+            }
+        })
+    }
+
+    fn answer(&self, parts: &Parts, path: &str) -> (u16, &'static str, String) {
+        match path {
+            "/health" => health(parts),
+            "/metrics" => {
+                gauges(parts);
+                self.metrics.run_upkeep();
+                (200, "text/plain; version=0.0.4", self.metrics.render())
+            }
+            "/dump" => (200, "application/json", dump(parts).to_string()),
+            _ => (404, "text/plain", "try /health, /metrics or /dump\n".to_string()),
+        }
+    }
+}
+
+fn health(parts: &Parts) -> (u16, &'static str, String) {
+    let contact = &parts.context.contact;
+    let state = match (parts.cell.is_ready(), contact.is_leaving(), contact.is_isolated()) {
+        (_, true, _) => "leaving",
+        (false, _, _) => "not ready",
+        (_, _, true) => "isolated",
+        _ => return (200, "text/plain", "ready\n".to_string()),
+    };
+    (503, "text/plain", format!("{state}\n"))
+}
+
+fn gauges(parts: &Parts) {
+    metrics::gauge!("wasabi_config_revision").set(parts.cell.get().revision.0 as f64);
+    metrics::gauge!("wasabi_requests_running").set(parts.context.running.len() as f64);
+    for lease in [&parts.usage_lease, &parts.upkeep_lease] {
+        let held = f64::from(u8::from(lease.epoch().is_some()));
+        metrics::gauge!("wasabi_lease_held", "role" => lease.role().to_string()).set(held);
+    }
+    for (class, tier, waiting) in parts.desk.with_desk(|desk| {
+        desk.pools().iter().flat_map(|pool| desk.waiting(pool)).collect::<Vec<_>>()
+    }) {
+        let labels = [("class", class.to_string()), ("tier", tier.to_string())];
+        metrics::gauge!("wasabi_requests_waiting", &labels).set(waiting as f64);
+    }
+}
+
+/// Returns the state of the process; it holds no key and no prompt.
+fn dump(parts: &Parts) -> Value {
+    let state = parts.cell.get();
+    let pools = parts.desk.with_desk(|desk| {
+        let pool = |name| {
+            let servers: Vec<Value> = desk
+                .servers(name)
+                .into_iter()
+                .map(|(server, running, slots, fit)| {
+                    json!({"server": server, "running": running, "slots": slots, "fit": fit})
+                })
+                .collect();
+            let waiting: Vec<Value> = desk
+                .waiting(name)
+                .into_iter()
+                .map(|(class, tier, waiting)| json!({"class": class, "tier": tier, "waiting": waiting}))
+                .collect();
+            json!({"pool": name, "servers": servers, "classes": waiting})
+        };
+        desk.pools().iter().map(pool).collect::<Vec<_>>()
+    });
+    let leases: Vec<Value> = [&parts.usage_lease, &parts.upkeep_lease]
+        .map(|lease| json!({"role": lease.role(), "epoch": lease.epoch()}))
+        .to_vec();
+    json!({
+        "host": parts.settings.host,
+        "domain": parts.settings.domain,
+        "incarnation": parts.me.incarnation,
+        "ready": parts.cell.is_ready(),
+        "isolated": parts.context.contact.is_isolated(),
+        "leaving": parts.context.contact.is_leaving(),
+        "revision": state.revision,
+        "objects": {
+            "classes": state.classes.len(),
+            "workspaces": state.workspaces.len(),
+            "keys": state.keys.len(),
+            "pools": state.pools.len(),
+            "routes": state.routes.len(),
+        },
+        "running": parts.context.running.len(),
+        "pools": pools,
+        "leases": leases,
+        "hosts": parts.roster.hosts(),
+        "once_waiting": parts.context.once.waiting(),
+        "usage_flushed": parts.flusher.is_done(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/registry.rs
@@ -0,0 +1,168 @@
+//! Joins the parts of a host from its settings.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+use wasabi_config::cell::Cell;
+use wasabi_core::{
+    io::{Billing, Roster, Store},
+    time::{Clock, System},
+    units::{Incarnation, Role},
+};
+use wasabi_entry::{
+    context::{Contact, Context, Options},
+    dispatch::Local,
+    limits::Limits,
+    running::Registry as Running,
+};
+use wasabi_lease::{
+    holder::{self, Lease},
+    witness::{Process, Witness},
+};
+use wasabi_once::table::Table;
+use wasabi_peer::{link::Links, spread::Spread};
+use wasabi_platform::{billing, http::Endpoint, roster, store};
+use wasabi_policy::{budget::Budget, desk, estimate};
+use wasabi_usage::{counter::Counter, flush::Flusher, window::Reporter};
+
+use crate::{
+    evidence::Evidence,
+    roster::Known,
+    settings::{Settings, Times},
+    status,
+};
+
+/// Tokens that an answer is expected to have before any was seen.
+const DEFAULT_LENGTH: f64 = 200.0;
+const DEFAULT_FIRST_TOKEN_SECONDS: f64 = 0.2;
+const DEFAULT_WHOLE_SECONDS: f64 = 1.0;
+
+/// The parts of one host.
+pub struct Parts {
+    /// The settings.
+    pub settings: Settings,
+    /// This process.
+    pub me: Process,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The object API.
+    pub store: Arc<dyn Store>,
+    /// The configuration in force.
+    pub cell: Arc<Cell>,
+    /// The desk.
+    pub desk: Arc<Local>,
+    /// What requests need.
+    pub context: Arc<Context>,
+    /// The host list.
+    pub roster: Arc<Known>,
+    /// Spreads the configuration.
+    pub spread: Arc<Spread>,
+    /// Flushes usage.
+    pub flusher: Arc<Flusher>,
+    /// Seals and reports usage windows.
+    pub reporter: Arc<Reporter>,
+    /// The role of sealing usage windows.
+    pub usage_lease: Arc<Lease>,
+    /// The role of writing snapshots and cleaning up.
+    pub upkeep_lease: Arc<Lease>,
+    /// Writes the host's status.
+    pub status: Arc<status::Writer>,
+}
+
+impl Parts {
+    /// Joins the parts of the host `me`.
+    pub fn new(settings: Settings, me: Process, cell: Arc<Cell>, runtime: Handle) -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(System);
+        let times = settings.times.clone();
+        let endpoint = |url: &str| Endpoint::new(url, times.platform_call);
+        let store: Arc<dyn Store> = Arc::new(store::Remote::new(endpoint(&settings.objects)));
+        let billing: Arc<dyn Billing> = Arc::new(billing::Remote::new(endpoint(&settings.usage)));
+        let source: Arc<dyn Roster> = Arc::new(roster::Remote::new(endpoint(&settings.hosts)));
+        let roster = Arc::new(Known::new(source, clock.clone()));
+        let links = Arc::new(Links::new(times.peer_call));
+        let witness: Arc<dyn Witness> = Arc::new(Evidence {
+            runtime,
+            links: links.clone(),
+            roster: roster.clone(),
+            me: me.incarnation.clone(),
+            settle: times.host_settle,
+        });
+        let incarnation = me.incarnation.clone();
+        let lease = |role: &str| {
+            let role: Role = role.parse().expect("the role is a name");
+            let options =
+                holder::Options { length: times.lease, margin: times.lease_margin, exact: false };
+            let (store, clock) = (store.clone(), clock.clone());
+            Arc::new(Lease::new(store, clock, witness.clone(), role, me.clone(), options))
+        };
+        let counter = Arc::new(Counter::default());
+        let desk = Arc::new(Local::new(clock.clone(), desk::Desk::new(desk::Options::default())));
+        let once = Table::new(store.clone(), clock.clone(), witness.clone(), me.clone());
+        let context = Arc::new(context(&times, &clock, &cell, &desk, &counter, Arc::new(once)));
+        let flusher = Flusher::new(store.clone(), clock.clone(), counter, incarnation.clone());
+        let reporter = Reporter::new(
+            store.clone(),
+            clock.clone(),
+            billing,
+            witness.clone(),
+            me.clone(),
+            times.usage_window,
+        );
+        Self {
+            usage_lease: lease("usage"),
+            upkeep_lease: lease("upkeep"),
+            spread: Arc::new(Spread::new(links, cell.clone(), incarnation)),
+            flusher: Arc::new(flusher),
+            reporter: Arc::new(reporter),
+            status: Arc::new(status::Writer::new(store.clone())),
+            settings,
+            me,
+            clock,
+            store,
+            cell,
+            desk,
+            context,
+            roster,
+        }
+    }
+
+    /// Returns a new life of the host that `settings` name.
+    pub fn incarnation(settings: &Settings) -> Incarnation {
+        Incarnation::fresh(&settings.host)
+    }
+}
+
+fn context(
+    times: &Times,
+    clock: &Arc<dyn Clock>,
+    cell: &Arc<Cell>,
+    desk: &Arc<Local>,
+    counter: &Arc<Counter>,
+    once: Arc<Table>,
+) -> Context {
+    let options = Options {
+        head_time: times.receive_head,
+        body_time: times.receive_body,
+        write_time: times.write,
+        first_time: times.first_part,
+        part_time: times.part,
+        whole_time: times.whole,
+        ..Options::default()
+    };
+    Context {
+        budget: Mutex::new(Budget::new(options.retry_share)),
+        options,
+        cell: cell.clone(),
+        dispatch: desk.clone(),
+        counter: counter.clone(),
+        once,
+        running: Arc::new(Running::default()),
+        limits: Limits::default(),
+        contact: Arc::new(Contact::default()),
+        clock: clock.clone(),
+        lengths: Mutex::new(estimate::Table::new(DEFAULT_LENGTH)),
+        first_token: Mutex::new(estimate::Table::new(DEFAULT_FIRST_TOKEN_SECONDS)),
+        whole: Mutex::new(estimate::Table::new(DEFAULT_WHOLE_SECONDS)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/tasks.rs
@@ -0,0 +1,271 @@
+//! The work that a host does beside its requests, a thread for each kind.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use parking_lot::{Condvar, Mutex};
+use rand::Rng as _;
+use wasabi_config::{follow::Follower, snapshot};
+use wasabi_core::{
+    errors::Result,
+    time,
+    units::{Revision, Version},
+};
+
+use crate::{registry::Parts, status::Status};
+
+/// The longest pause after failures.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Entries after which a new snapshot is written.
+const SNAPSHOT_ENTRIES: u64 = 500;
+/// A status is written this often when nothing changes.
+const STATUS_LIFE: Duration = Duration::from_secs(30);
+const ONCE_PAUSE: Duration = Duration::from_millis(500);
+const CLEAN_PAUSE: Duration = Duration::from_secs(10);
+const CONTACT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Tells all tasks to end.
+#[derive(Default)]
+pub struct Ending {
+    ended: AtomicBool,
+    lock: Mutex<()>,
+    changed: Condvar,
+}
+
+impl Ending {
+    /// Tells all tasks to end.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let _lock = self.lock.lock();
+        self.changed.notify_all();
+    }
+
+    /// Returns whether the tasks are to end.
+    pub fn is_over(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
+
+    /// Waits for `pause`, or less if the tasks are to end.
+    pub fn pause(&self, pause: Duration) {
+        let mut lock = self.lock.lock();
+        if !self.is_over() {
+            self.changed.wait_for(&mut lock, pause);
+        }
+    }
+}
+
+/// The time of the last contact with the store.
+pub struct Contact {
+    last: Mutex<Instant>,
+}
+
+impl Contact {
+    /// Gets a contact that was made at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self { last: Mutex::new(now) }
+    }
+
+    /// Notes contact at `now`.
+    pub fn made(&self, now: Instant) {
+        *self.last.lock() = now;
+    }
+
+    /// Returns the time since the last contact.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(*self.last.lock())
+    }
+}
+
+/// Starts every task; they end after `ending`.
+pub fn start(
+    parts: &Arc<Parts>,
+    addresses: &Status,
+    ending: &Arc<Ending>,
+    contact: &Arc<Contact>,
+) -> Vec<thread::JoinHandle<()>> {
+    let times = &parts.settings.times;
+    let mut threads = vec![follow(parts, ending, contact)];
+    let mut every = |name: &'static str, pause: Duration, step: Step| {
+        threads.push(repeat(name, pause, parts, ending, step));
+    };
+    let role_pause = times.lease / 4;
+    every("hosts", times.host_list, Box::new(|parts| parts.roster.refresh()));
+    every("flush", times.usage_flush, Box::new(|parts| parts.flusher.step()));
+    every("usage", role_pause.min(times.usage_window / 4), Box::new(usage));
+    every("upkeep", role_pause, upkeep());
+    every("once", ONCE_PAUSE, Box::new(|parts| parts.context.once.step()));
+    every("status", times.status, status(addresses.clone()));
+    let desk_tick = |parts: &Parts| {
+        parts.desk.tick();
+        Ok(())
+    };
+    every("desk", times.desk_tick, Box::new(desk_tick));
+    every("contact", CONTACT_PAUSE, isolation(contact.clone()));
+    threads
+}
+
+type Step = Box<dyn FnMut(&Parts) -> Result<()> + Send>;
+
+/// Runs `step` every `pause`, and after failures with growing pauses of random length, so that
+/// hosts do not all come back at once.
+fn repeat(
+    name: &'static str,
+    pause: Duration,
+    parts: &Arc<Parts>,
+    ending: &Arc<Ending>,
+    mut step: Step,
+) -> thread::JoinHandle<()> {
+    let (parts, ending) = (parts.clone(), ending.clone());
+    spawn(name, move || {
+        let mut backoff = Backoff::default();
+        while !ending.is_over() {
+            let wait = match step(&parts) {
+                Ok(()) => {
+                    backoff = Backoff::default();
+                    pause
+                }
+                Err(e) => {
+                    warn!(task = name, code = e.code.number(); "{e}");
+                    pause.max(backoff.next_pause())
+                }
+            };
+            ending.pause(wait);
+        }
+    })
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
+    thread::Builder::new().name(name.to_string()).spawn(work).expect("a thread can be started")
+}
+
+/// Growing pauses with jitter.
+#[derive(Default)]
+struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    fn next_pause(&mut self) -> Duration {
+        self.failures = (self.failures + 1).min(10);
+        let longest = (FIRST_PAUSE * 2_u32.pow(self.failures)).min(MAX_PAUSE);
+        rand::rng().random_range(FIRST_PAUSE..=longest)
+    }
+}
+
+fn follow(
+    parts: &Arc<Parts>,
+    ending: &Arc<Ending>,
+    contact: &Arc<Contact>,
+) -> thread::JoinHandle<()> {
+    let (parts, ending, contact) = (parts.clone(), ending.clone(), contact.clone());
+    spawn("config", move || {
+        let mut follower = Follower::new(parts.store.clone(), parts.cell.clone());
+        let mut backoff = Backoff::default();
+        let times = &parts.settings.times;
+        while !ending.is_over() {
+            match follower.step(times.watch) {
+                Ok(()) => {
+                    contact.made(parts.clock.now());
+                    backoff = Backoff::default();
+                    ending.pause(times.watch_pause);
+                }
+                Err(e) => {
+                    warn!(task = "config", code = e.code.number(); "{e}");
+                    ending.pause(backoff.next_pause());
+                }
+            }
+        }
+    })
+}
+
+fn usage(parts: &Parts) -> Result<()> {
+    parts.usage_lease.step()?;
+    if parts.usage_lease.epoch().is_some() {
+        parts.reporter.seal()?;
+    }
+    // A window is sent by the process that it names, lease or not.
+    parts.reporter.send()
+}
+
+fn upkeep() -> Step {
+    let mut written = Revision(0);
+    let mut cleaned = None;
+    let mut after = String::new();
+    Box::new(move |parts| {
+        parts.upkeep_lease.step()?;
+        if parts.upkeep_lease.epoch().is_none() {
+            return Ok(());
+        }
+        let state = parts.cell.get();
+        if state.revision.0 >= written.0 + SNAPSHOT_ENTRIES {
+            snapshot::write(&*parts.store, &state)?;
+            written = state.revision;
+        }
+        let now = parts.clock.now();
+        if cleaned.is_none_or(|last| now.saturating_duration_since(last) >= CLEAN_PAUSE) {
+            after = parts.context.once.clean(&after)?;
+            cleaned = Some(now);
+        }
+        Ok(())
+    })
+}
+
+fn status(mut status: Status) -> Step {
+    let mut written: Option<(Revision, bool, Instant)> = None;
+    Box::new(move |parts| {
+        let revision = parts.cell.get().revision;
+        let leaving = parts.context.contact.is_leaving();
+        let now = parts.clock.now();
+        let fresh = written.is_some_and(|(r, l, at)| {
+            (r, l) == (revision, leaving) && now.saturating_duration_since(at) < STATUS_LIFE
+        });
+        if fresh {
+            return Ok(());
+        }
+        status.revision = revision;
+        status.leaving = leaving;
+        status.written_ms = time::unix_ms(parts.clock.wall());
+        parts.status.write(&status)?;
+        written = Some((revision, leaving, now));
+        Ok(())
+    })
+}
+
+/// Without the store, and with most peers silent, a withdrawn key could not be noticed; so keyed
+/// requests are refused until there is contact again.
+fn isolation(contact: Arc<Contact>) -> Step {
+    let mut probed = None;
+    Box::new(move |parts| {
+        let now = parts.clock.now();
+        let times = &parts.settings.times;
+        let age = contact.age(now);
+        // A quiet watch says nothing for a long time; ask before giving up.
+        let probe_due =
+            probed.is_none_or(|last| now.saturating_duration_since(last) >= times.isolation / 4);
+        if age > times.isolation / 2 && probe_due {
+            probed = Some(now);
+            if parts.store.watch("live/none/", Version(0), Duration::ZERO).is_ok() {
+                contact.made(parts.clock.now());
+            }
+        }
+        let isolated = contact.age(parts.clock.now()) > times.isolation && parts.spread.is_alone();
+        let before = parts.context.contact.is_isolated();
+        parts.context.contact.set_isolated(isolated);
+        if isolated && !before {
+            let cut = parts.context.running.cut_keyed();
+            warn!(cut = cut; "no contact with the store and most peers; keyed requests refused");
+        }
+        if before && !isolated {
+            info!("contact is back");
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,7 @@
+//! What hosts say to each other.
+#![forbid(unsafe_code)]
+
+pub mod link;
+pub mod rpc;
+pub mod server;
+pub mod spread;
--- /dev/null
+++ b/crates/platform/src/provider.rs
@@ -0,0 +1,46 @@
+//! The interface for ordering backend servers, over HTTP.
+
+use std::time::Duration;
+
+use minreq::Method;
+use wasabi_core::{
+    errors::{Code, Error, Result},
+    io::{self, Order, Provider},
+};
+
+use crate::http::Endpoint;
+
+/// The ordering interface at an endpoint.
+pub struct Remote {
+    endpoint: Endpoint,
+}
+
+impl Remote {
+    /// Gets the ordering interface at `endpoint`.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint }
+    }
+}
+
+impl Provider for Remote {
+    fn order(&self, order: &Order) -> Result<()> {
+        let body = io::render(order);
+        let endpoint = &self.endpoint;
+        let answer =
+            endpoint.call("order", Method::Post, "/orders", Some(&body), Duration::ZERO)?;
+        match answer.status {
+            200 => Ok(()),
+            status => Err(Error::new(Code::PlatformRefused, format!("order: status {status}"))),
+        }
+    }
+
+    fn taken(&self, intent: &str) -> Result<bool> {
+        let path = format!("/orders?intent={intent}");
+        let answer = self.endpoint.call("order_look", Method::Get, &path, None, Duration::ZERO)?;
+        match answer.status {
+            200 => Ok(true),
+            404 => Ok(false),
+            status => Err(Error::new(Code::PlatformRefused, format!("order: status {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/roster.rs
@@ -0,0 +1,31 @@
+//! The platform's list of hosts, over HTTP.
+
+use std::time::Duration;
+
+use minreq::Method;
+use wasabi_core::{
+    errors::Result,
+    io::{Host, Roster},
+};
+
+use crate::http::{self, Endpoint};
+
+/// The host list at an endpoint.
+pub struct Remote {
+    endpoint: Endpoint,
+}
+
+impl Remote {
+    /// Gets the host list at `endpoint`.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint }
+    }
+}
+
+impl Roster for Remote {
+    fn hosts(&self) -> Result<Vec<Host>> {
+        let answer =
+            self.endpoint.call("host_list", Method::Get, "/hosts", None, Duration::ZERO)?;
+        http::read(&answer)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,98 @@
+//! The object API over HTTP.
+
+use std::time::Duration;
+
+use minreq::Method;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use wasabi_core::{
+    data,
+    errors::{self, Code, Error, Result},
+    io::{Batch, Condition, Object, Store},
+    units::Version,
+};
+
+use crate::http::{self, Answer, Endpoint};
+
+/// The object API at an endpoint.
+pub struct Remote {
+    endpoint: Endpoint,
+}
+
+data! {
+    /// The answer to a write.
+    pub struct Written {
+        /// The object's new version.
+        pub version: Version,
+    }
+}
+
+impl Remote {
+    /// Gets the object API at `endpoint`.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint }
+    }
+
+    fn call(&self, kind: &'static str, method: Method, path: &str) -> Result<Answer> {
+        self.endpoint.call(kind, method, path, None, Duration::ZERO)
+    }
+}
+
+fn encode(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
+
+fn refused(key: &str, answer: &Answer) -> Error {
+    match answer.status {
+        409 => errors::conflict(key),
+        404 => Error::new(Code::ObjectMissing, key),
+        status => Error::new(Code::PlatformRefused, format!("{key}: status {status}")),
+    }
+}
+
+impl Store for Remote {
+    fn get(&self, key: &str) -> Result<Option<Object>> {
+        let path = format!("/objects?key={}", encode(key));
+        let answer = self.call("store_get", Method::Get, &path)?;
+        match answer.status {
+            200 => http::read(&answer).map(Some),
+            404 => Ok(None),
+            _ => Err(refused(key, &answer)),
+        }
+    }
+
+    fn put(&self, key: &str, value: &str, condition: Condition) -> Result<Version> {
+        let condition = match condition {
+            Condition::Absent => "absent".to_string(),
+            Condition::At(version) => version.to_string(),
+        };
+        let path = format!("/objects?key={}&if={condition}", encode(key));
+        let endpoint = &self.endpoint;
+        let answer = endpoint.call("store_put", Method::Put, &path, Some(value), Duration::ZERO)?;
+        if answer.status != 200 {
+            return Err(refused(key, &answer));
+        }
+        http::read::<Written>(&answer).map(|written| written.version)
+    }
+
+    fn delete(&self, key: &str, version: Version) -> Result<()> {
+        let path = format!("/objects?key={}&if={version}", encode(key));
+        let answer = self.call("store_delete", Method::Delete, &path)?;
+        match answer.status {
+            200 | 404 => Ok(()),
+            _ => Err(refused(key, &answer)),
+        }
+    }
+
+    fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Object>> {
+        let path = format!("/list?prefix={}&after={}&limit={limit}", encode(prefix), encode(after));
+        let answer = self.call("store_list", Method::Get, &path)?;
+        http::read(&answer)
+    }
+
+    fn watch(&self, prefix: &str, since: Version, wait: Duration) -> Result<Batch> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/watch?prefix={}&since={since}&wait_ms={wait_ms}", encode(prefix));
+        let answer = self.endpoint.call("store_watch", Method::Get, &path, None, wait)?;
+        http::read(&answer)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/servers.rs
@@ -0,0 +1,205 @@
+//! The backend servers of one pool: what runs on them, and which are fit for new work.
+
+use std::{
+    collections::{BTreeMap, hash_map::DefaultHasher},
+    hash::{Hash as _, Hasher as _},
+    time::{Duration, Instant},
+};
+
+use wasabi_core::{
+    note::Server,
+    units::{ServerId, Tokens},
+};
+
+use crate::estimate::Average;
+
+/// A server is a straggler if its token interval is this many times the median's.
+const STRAGGLER_FACTOR: f64 = 2.5;
+/// Observations that a server needs before it is compared.
+const MIN_SAMPLES: u64 = 8;
+/// At most one server in this many is ejected at a time for slowness.
+const EJECTED_SHARE: usize = 3;
+/// How long a failed or slow server is left alone the first time.
+const FIRST_EJECTION: Duration = Duration::from_secs(2);
+const MAX_EJECTION: Duration = Duration::from_secs(60);
+
+/// The servers of one pool.
+#[derive(Debug, Default)]
+pub struct Servers {
+    entries: BTreeMap<ServerId, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    server: Server,
+    /// Exact: counts the grants that this desk gave and that have not ended.
+    running: u32,
+    /// Whether it may get new work by configuration.
+    listed: bool,
+    /// Seconds between tokens.
+    interval: Average,
+    health: Health,
+    /// How often it was ejected without a success in between.
+    strikes: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Health {
+    Fit,
+    /// Gets no work before that time.
+    Ejected(Instant),
+    /// Gets one request at a time until one succeeds.
+    Probing,
+}
+
+impl Servers {
+    /// Takes a new list; a server that is left out gets no new work.
+    pub fn set(&mut self, servers: &[Server]) {
+        self.entries.values_mut().for_each(|entry| entry.listed = false);
+        for server in servers {
+            let entry = self.entries.entry(server.name.clone()).or_insert_with(|| Entry {
+                server: server.clone(),
+                running: 0,
+                listed: true,
+                interval: Average::default(),
+                health: Health::Fit,
+                strikes: 0,
+            });
+            if entry.server.address != server.address {
+                entry.health = Health::Fit;
+                entry.interval = Average::default();
+            }
+            entry.server = server.clone();
+            entry.listed = true;
+        }
+        self.entries.retain(|_, entry| entry.listed || entry.running > 0);
+    }
+
+    /// Returns how many requests the listed servers run at a time when all are fit.
+    pub fn slots(&self) -> u32 {
+        self.listed().map(|entry| entry.server.slots).sum()
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> u32 {
+        self.entries.values().map(|entry| entry.running).sum()
+    }
+
+    /// Picks a server with a free slot and takes the slot.
+    ///
+    /// The server that the prefix falls on is taken unless it is clearly busier than the least
+    /// busy one; `avoid` is taken only if no other is free.
+    pub fn take(&mut self, now: Instant, prefix: u64, avoid: Option<&ServerId>) -> Option<Server> {
+        self.end_ejections(now);
+        let free = || self.entries.values().filter(|entry| entry.is_free());
+        let others = free().any(|entry| Some(&entry.server.name) != avoid);
+        let allowed = |entry: &&Entry| !others || Some(&entry.server.name) != avoid;
+        let least = free().filter(allowed).map(Entry::load).min_by(f64::total_cmp)?;
+        let near = |entry: &&Entry| entry.load() <= least + 1.0 / f64::from(entry.server.slots);
+        let chosen = free().filter(allowed).filter(near);
+        let chosen = chosen.max_by_key(|entry| rendezvous(prefix, &entry.server.name))?;
+        let name = chosen.server.name.clone();
+        let entry = self.entries.get_mut(&name)?;
+        entry.running += 1;
+        Some(entry.server.clone())
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, name: &ServerId) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        entry.running = entry.running.saturating_sub(1);
+        if !entry.listed && entry.running == 0 {
+            self.entries.remove(name);
+        }
+    }
+
+    /// Takes in the pace of a request that ended well.
+    pub fn succeeded(&mut self, now: Instant, name: &ServerId, tokens: Tokens, took: Duration) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            if tokens.0 > 0 {
+                entry.interval.observe(took.as_secs_f64() / tokens.0 as f64);
+            }
+            if entry.health == Health::Probing {
+                entry.health = Health::Fit;
+            }
+        }
+        if self.is_straggler(name) {
+            self.eject(now, name);
+        } else if let Some(entry) = self.entries.get_mut(name) {
+            entry.strikes = 0;
+        }
+    }
+
+    /// Takes in the failure of a server.
+    pub fn failed(&mut self, now: Instant, name: &ServerId) {
+        self.eject(now, name);
+    }
+
+    /// Returns the seconds that a token takes on a typical server.
+    pub fn typical_interval(&self, default: f64) -> f64 {
+        let mut intervals: Vec<f64> =
+            self.listed().map(|entry| entry.interval.or(default)).collect();
+        intervals.sort_by(f64::total_cmp);
+        intervals.get(intervals.len() / 2).copied().unwrap_or(default)
+    }
+
+    /// Returns name, running and slots of each server, and whether it is fit.
+    pub fn view(&self) -> Vec<(ServerId, u32, u32, bool)> {
+        let view =
+            |e: &Entry| (e.server.name.clone(), e.running, e.server.slots, e.health == Health::Fit);
+        self.entries.values().map(view).collect()
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().filter(|entry| entry.listed)
+    }
+
+    fn end_ejections(&mut self, now: Instant) {
+        for entry in self.entries.values_mut() {
+            if matches!(entry.health, Health::Ejected(until) if until <= now) {
+                entry.health = Health::Probing;
+            }
+        }
+    }
+
+    fn is_straggler(&self, name: &ServerId) -> bool {
+        let Some(entry) = self.entries.get(name) else { return false };
+        if entry.interval.count() < MIN_SAMPLES {
+            return false;
+        }
+        let ejected = self.listed().filter(|e| e.health != Health::Fit).count();
+        if (ejected + 1) * EJECTED_SHARE > self.listed().count() {
+            return false;
+        }
+        entry.interval.or(0.0) > STRAGGLER_FACTOR * self.typical_interval(0.0)
+    }
+
+    fn eject(&mut self, now: Instant, name: &ServerId) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        let wait = FIRST_EJECTION * 2_u32.saturating_pow(entry.strikes);
+        entry.strikes = (entry.strikes + 1).min(8);
+        entry.health = Health::Ejected(now + wait.min(MAX_EJECTION));
+        entry.interval = Average::default();
+    }
+}
+
+impl Entry {
+    fn is_free(&self) -> bool {
+        let limit = match self.health {
+            Health::Fit => self.server.slots,
+            Health::Ejected(_) => 0,
+            Health::Probing => 1,
+        };
+        self.listed && self.running < limit
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.running) / f64::from(self.server.slots.max(1))
+    }
+}
+
+fn rendezvous(prefix: u64, name: &ServerId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (prefix, name).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the outside systems, for tests, examples and benchmarks; never shipped.
+#![forbid(unsafe_code)]
+
+pub mod caller;
+pub mod engine;
+pub mod http;
+pub mod objects;
+pub mod platform;
+pub mod process;
+pub mod proxy;
+pub mod rig;
+pub mod sample;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,149 @@
+//! A fault-injecting proxy between any two processes that talk over TCP.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use parking_lot::{Condvar, Mutex};
+
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// What the proxy does with what passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Hands everything on.
+    Pass,
+    /// Hands everything on after a time.
+    Delay(Duration),
+    /// Closes every connection, and new ones at once.
+    Cut,
+    /// Keeps what clients send until the mode changes.
+    Hold,
+    /// Keeps connections open and loses what passes.
+    Swallow,
+    /// Hands on what clients send and closes instead of handing on an answer.
+    DropAnswers,
+}
+
+/// A running proxy.
+pub struct Proxy {
+    address: SocketAddr,
+    control: Arc<Control>,
+}
+
+struct Control {
+    mode: Mutex<Mode>,
+    changed: Condvar,
+}
+
+impl Proxy {
+    /// Starts a proxy before `target` on a port of the system's choice.
+    pub fn start(target: SocketAddr) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let control = Arc::new(Control { mode: Mutex::new(Mode::Pass), changed: Condvar::new() });
+        let accepting = control.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let control = accepting.clone();
+                thread::spawn(move || connect(client, target, control));
+            }
+        });
+        Ok(Self { address, control })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the base address of the service behind it.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Changes what it does, also with connections that are open.
+    pub fn set(&self, mode: Mode) {
+        *self.control.mode.lock() = mode;
+        self.control.changed.notify_all();
+    }
+}
+
+impl Control {
+    fn mode(&self) -> Mode {
+        *self.mode.lock()
+    }
+
+    fn wait_while_held(&self) {
+        let mut mode = self.mode.lock();
+        while *mode == Mode::Hold {
+            self.changed.wait(&mut mode);
+        }
+    }
+
+    /// Waits for `Cut`, then closes both ends.
+    fn close_when_cut(&self, ends: [TcpStream; 2]) {
+        let mut mode = self.mode.lock();
+        while *mode != Mode::Cut && ends.iter().all(is_open) {
+            self.changed.wait_for(&mut mode, Duration::from_millis(100));
+        }
+        drop(mode);
+        for end in ends {
+            let _ = end.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// A closed socket has no peer.
+fn is_open(socket: &TcpStream) -> bool {
+    socket.peer_addr().is_ok()
+}
+
+fn connect(client: TcpStream, target: SocketAddr, control: Arc<Control>) {
+    if control.mode() == Mode::Cut {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(target) else { return };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let clones = || Some((client.try_clone().ok()?, server.try_clone().ok()?));
+    let (Some((client_in, server_out)), Some((client_end, server_end))) = (clones(), clones())
+    else {
+        return;
+    };
+    let forward = control.clone();
+    thread::spawn(move || copy(client_in, server_out, &forward, false));
+    let cutter = control.clone();
+    thread::spawn(move || cutter.close_when_cut([client_end, server_end]));
+    copy(server, client, &control, true);
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, control: &Control, is_answer: bool) {
+    let mut buffer = [0; BUFFER_BYTES];
+    while let Ok(count) = from.read(&mut buffer) {
+        if count == 0 {
+            break;
+        }
+        if !is_answer {
+            control.wait_while_held();
+        }
+        match control.mode() {
+            Mode::Swallow => continue,
+            Mode::DropAnswers if is_answer => {
+                let _ = from.shutdown(Shutdown::Both);
+                break;
+            }
+            Mode::Delay(delay) => thread::sleep(delay),
+            _ => {}
+        }
+        if to.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/crates/standin/src/rig.rs
@@ -0,0 +1,184 @@
+//! A small deployment: the platform, some engines and services, and host processes.
+
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+use wasabi_core::io::Host;
+
+use crate::{
+    engine::{Engine, Pace},
+    platform::Platform,
+    process::{self, Daemon},
+    sample::{self, Sample},
+    service::Plain,
+};
+
+/// The programs under test.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The daemon.
+    pub router: PathBuf,
+    /// The operators' client.
+    pub ctl: PathBuf,
+}
+
+/// A deployment.
+pub struct Rig {
+    /// The programs.
+    pub programs: Programs,
+    /// The platform.
+    pub platform: Platform,
+    /// The engines.
+    pub engines: Vec<Engine>,
+    /// The plain services.
+    pub services: Vec<Plain>,
+    /// The configuration that was applied.
+    pub sample: Sample,
+    /// The host processes.
+    pub hosts: Vec<Daemon>,
+}
+
+/// How large a deployment is.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// Host processes.
+    pub hosts: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+    /// How the engines work.
+    pub pace: Pace,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self { hosts: 1, engines: 1, services: 1, pace: Pace::default() }
+    }
+}
+
+impl Rig {
+    /// Starts a deployment with the sample configuration in force on every host.
+    pub fn start(programs: Programs, size: &Size) -> anyhow::Result<Self> {
+        let platform = Platform::start()?;
+        let domain = "tn-north-a".parse()?;
+        let engines = (0..size.engines)
+            .map(|i| Engine::start(&format!("engine-{i}"), size.pace.clone()))
+            .collect::<anyhow::Result<Vec<Engine>>>()?;
+        let services = (0..size.services)
+            .map(|i| Plain::start(&format!("service-{i}")))
+            .collect::<anyhow::Result<Vec<Plain>>>()?;
+        let servers: Vec<_> = engines.iter().map(|engine| engine.server(&domain, false)).collect();
+        let plain: Vec<_> = services.iter().map(|service| service.server(&domain)).collect();
+        let sample = sample::note(&servers, &plain);
+        let mut rig = Self { programs, platform, engines, services, sample, hosts: Vec::new() };
+        rig.apply(&rig.sample.note)?;
+        for i in 0..size.hosts {
+            rig.add_host(&format!("host-{i}"))?;
+        }
+        for host in &rig.hosts {
+            rig.wait_revision(host, 1)?;
+        }
+        Ok(rig)
+    }
+
+    /// Starts one more host, with the platform reached directly.
+    pub fn add_host(&mut self, name: &str) -> anyhow::Result<()> {
+        let settings = self.settings(name);
+        self.add_host_with(name, &settings)
+    }
+
+    /// Starts one more host with settings of its own.
+    pub fn add_host_with(&mut self, name: &str, settings: &Value) -> anyhow::Result<()> {
+        let daemon = Daemon::start(&self.programs.router, settings)?;
+        self.list_host(name, &daemon)?;
+        self.hosts.push(daemon);
+        Ok(())
+    }
+
+    /// Puts a host onto the platform's list, in place of one of the same name.
+    pub fn list_host(&self, name: &str, daemon: &Daemon) -> anyhow::Result<()> {
+        let domain = "tn-north-a".parse()?;
+        let host = Host { name: name.parse()?, domain, peer: daemon.peers, leaving: false };
+        let mut hosts = self.platform.state().hosts.lock();
+        hosts.retain(|listed| listed.name != host.name);
+        hosts.push(host);
+        Ok(())
+    }
+
+    /// Takes a host off the platform's list.
+    pub fn unlist_host(&self, name: &str) {
+        self.platform.state().hosts.lock().retain(|host| host.name.as_str() != name);
+    }
+
+    /// Returns settings with times that suit tests.
+    pub fn settings(&self, name: &str) -> Value {
+        settings(name, &self.platform.url())
+    }
+
+    /// Applies a note with the operators' client.
+    pub fn apply(&self, note: &Value) -> anyhow::Result<()> {
+        let (code, output) = self.ctl_note("apply", note)?;
+        anyhow::ensure!(code == Some(0), "the note is refused: {output}");
+        Ok(())
+    }
+
+    /// Runs `wasabictl note COMMAND FILE`; returns its exit code and output.
+    pub fn ctl_note(&self, command: &str, note: &Value) -> anyhow::Result<(Option<i32>, String)> {
+        let path = process::scratch_file("note", &note.to_string())?;
+        let file = path.to_string_lossy().into_owned();
+        let result = self.ctl(&["note", command, &file]);
+        std::fs::remove_file(path)?;
+        result
+    }
+
+    /// Runs the operators' client; returns its exit code and output.
+    pub fn ctl(&self, args: &[&str]) -> anyhow::Result<(Option<i32>, String)> {
+        ctl(&self.programs.ctl, &self.platform.url(), args)
+    }
+
+    /// Waits until a host has `revision` in force.
+    pub fn wait_revision(&self, host: &Daemon, revision: u64) -> anyhow::Result<()> {
+        process::wait_until("the revision is in force", || {
+            host.dump().is_ok_and(|dump| dump["revision"].as_u64() >= Some(revision))
+        })
+    }
+}
+
+/// Runs the operators' client; returns its exit code and output.
+pub fn ctl(program: &Path, platform: &str, args: &[&str]) -> anyhow::Result<(Option<i32>, String)> {
+    let all: Vec<&str> = ["--platform", platform].iter().chain(args).copied().collect();
+    let output = process::run(program, &all)?;
+    let text = [output.stdout, output.stderr].concat();
+    Ok((output.status.code(), String::from_utf8_lossy(&text).into_owned()))
+}
+
+/// Returns a host's settings with times that suit tests.
+pub fn settings(name: &str, platform: &str) -> Value {
+    json!({
+        "host": name,
+        "domain": "tn-north-a",
+        "callers": "127.0.0.1:0",
+        "operators": "127.0.0.1:0",
+        "peers": "127.0.0.1:0",
+        "objects": platform,
+        "usage": platform,
+        "orders": platform,
+        "hosts": platform,
+        "times": {
+            "platform_call_ms": 2_000,
+            "watch_ms": 1_000,
+            "watch_pause_ms": 10,
+            "peer_round_ms": 100,
+            "peer_call_ms": 1_000,
+            "host_list_ms": 100,
+            "host_settle_ms": 1_000,
+            "usage_flush_ms": 100,
+            "usage_window_ms": 500,
+            "lease_ms": 1_000,
+            "lease_margin_ms": 200,
+            "status_ms": 100,
+            "stop_notice_ms": 200,
+        },
+    })
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,102 @@
+//! A plain service whose calls may not be repeated: it records every execution.
+
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+
+use parking_lot::Mutex;
+use serde_json::json;
+use tiny_http::Request;
+use wasabi_core::{
+    note::Server,
+    units::{Domain, ServerId},
+};
+
+use crate::http::{self, Listening, Service};
+
+/// How a service misbehaves.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Executes and breaks the connection instead of answering.
+    pub lose_answer: bool,
+    /// Answers this long after executing.
+    pub late: Duration,
+}
+
+/// One execution.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// The caller's idempotency key.
+    pub key: String,
+    /// Everything that was received: URL, headers and body.
+    pub bytes: String,
+}
+
+/// A running service.
+pub struct Plain {
+    /// Its name.
+    pub name: ServerId,
+    state: Arc<State>,
+    listening: Listening,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Mutex<Faults>,
+    executions: Mutex<Vec<Execution>>,
+}
+
+impl Plain {
+    /// Starts a service on a port of the system's choice.
+    pub fn start(name: &str) -> anyhow::Result<Self> {
+        let state = Arc::new(State::default());
+        let listening = http::listen(http::any_port(), state.clone())?;
+        Ok(Self { name: name.parse()?, state, listening })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listening.address
+    }
+
+    /// Returns the service as a release note lists it.
+    pub fn server(&self, domain: &Domain) -> Server {
+        Server {
+            name: self.name.clone(),
+            address: self.address(),
+            domain: domain.clone(),
+            cheap: false,
+            slots: 16,
+        }
+    }
+
+    /// Changes how it misbehaves.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.state.faults.lock());
+    }
+
+    /// Returns every execution.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.state.executions.lock().clone()
+    }
+}
+
+impl Service for State {
+    fn serve(&self, mut request: Request) {
+        let text = http::body(&mut request);
+        let headers = request.headers().iter().map(|header| format!("{header}\n"));
+        let bytes = format!("{}\n{}\n{text}", request.url(), headers.collect::<String>());
+        let key = request.headers().iter().find(|header| header.field.equiv("idempotency-key"));
+        let key = key.map_or_else(String::new, |header| header.value.to_string());
+        let receipt = {
+            let mut executions = self.executions.lock();
+            executions.push(Execution { key, bytes });
+            executions.len()
+        };
+        let faults = self.faults.lock().clone();
+        thread::sleep(faults.late);
+        if faults.lose_answer {
+            drop(request.into_writer());
+            return;
+        }
+        http::respond(request, 200, json!({"receipt": receipt}).to_string());
+    }
+}
--- /dev/null
+++ b/crates/usage/src/counter.rs
@@ -0,0 +1,44 @@
+//! Counts that have not been flushed.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+use wasabi_core::{
+    io::{Figures, Line},
+    units::WorkspaceId,
+};
+
+/// Counts by workspace.
+#[derive(Debug, Default)]
+pub struct Counter {
+    counts: Mutex<BTreeMap<WorkspaceId, Figures>>,
+}
+
+impl Counter {
+    /// Adds figures to a workspace.
+    pub fn add(&self, workspace: &WorkspaceId, figures: &Figures) {
+        let mut counts = self.counts.lock();
+        match counts.get_mut(workspace) {
+            Some(sum) => sum.add(figures),
+            None => {
+                counts.insert(workspace.clone(), *figures);
+            }
+        }
+    }
+
+    /// Takes at most `limit` lines out.
+    pub fn take(&self, limit: usize) -> Vec<Line> {
+        let mut counts = self.counts.lock();
+        let mut lines = Vec::new();
+        while lines.len() < limit {
+            let Some((workspace, figures)) = counts.pop_first() else { break };
+            lines.push(Line { workspace, figures });
+        }
+        lines
+    }
+
+    /// Returns whether nothing is left to flush.
+    pub fn is_empty(&self) -> bool {
+        self.counts.lock().is_empty()
+    }
+}
--- /dev/null
+++ b/src/bin/wasabictl/flags.rs
@@ -0,0 +1,61 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Operates a wasabirouter deployment.
+    ///
+    /// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 the note is not valid, 4 the note
+    /// conflicts with an accepted one, 5 the platform did not answer, 6 there is no such object.
+    ///
+    /// Example: wasabictl --platform http://127.0.0.1:7000 note apply note.json
+    cmd wasabictl {
+        /// The base address of the platform's object API.
+        optional --platform url: String
+        /// Prints JSON for scripts in place of tables.
+        optional --json
+
+        /// Checks, applies and lists release notes.
+        cmd note {
+            /// Checks a note against the configuration in force, and changes nothing.
+            cmd check {
+                /// The note, a JSON file.
+                required file: PathBuf
+            }
+            /// Applies a note; applying the same note again changes nothing.
+            cmd apply {
+                /// The note, a JSON file.
+                required file: PathBuf
+            }
+            /// Lists the notes in the log.
+            cmd log {}
+        }
+        /// Shows which hosts have which revision, and who holds which lease.
+        cmd status {}
+        /// Shows objects of a kind: classes, workspaces, keys, pools or routes.
+        cmd get {
+            /// The kind.
+            required kind: String
+            /// The name of one object.
+            optional name: String
+        }
+        /// Makes keys.
+        cmd key {
+            /// Prints a new key once, and the entry for a note's `added.keys`.
+            cmd new {
+                /// The workspace that the key is for.
+                required workspace: String
+            }
+        }
+        /// Shows the state of a host's process.
+        cmd dump {
+            /// The host's name.
+            required host: String
+        }
+        /// Shows a sealed usage window.
+        cmd usage {
+            /// The window's number.
+            required window: u64
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/wasabictl/main.rs
@@ -0,0 +1,19 @@
+//! The operators' client.
+#![forbid(unsafe_code)]
+
+mod commands;
+mod flags;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = flags::Wasabictl::from_env_or_exit();
+    match commands::run(&flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            output::failure(&failure, flags.json);
+            ExitCode::from(failure.exit())
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/wasabictl/output.rs
@@ -0,0 +1,91 @@
+//! What operators see.
+
+use serde_json::{Value, json};
+use wasabi_config::{log::Refusal, state::Problem};
+use wasabi_core::errors::{Code, Error};
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum Failure {
+    /// The arguments cannot be used.
+    Arguments(String),
+    /// A note is at fault.
+    Problems(Vec<Problem>),
+    /// Something else failed.
+    Error(Error),
+}
+
+impl Failure {
+    /// Returns the exit code; `flags` lists their meanings.
+    pub fn exit(&self) -> u8 {
+        match self {
+            Self::Arguments(_) => 2,
+            Self::Problems(problems) => {
+                let conflict =
+                    |p: &Problem| matches!(p.code, Code::NoteConflict | Code::NoteReused);
+                if problems.iter().all(conflict) { 4 } else { 3 }
+            }
+            Self::Error(e) => match e.code {
+                Code::StoreUnavailable | Code::StoreBusy | Code::PeerUnavailable => 5,
+                Code::ObjectMissing => 6,
+                _ => 1,
+            },
+        }
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(e: Error) -> Self {
+        Self::Error(e)
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Problems(problems) => Self::Problems(problems),
+            Refusal::Store(e) => Self::Error(e),
+        }
+    }
+}
+
+/// Prints a failure.
+pub fn failure(failure: &Failure, as_json: bool) {
+    if as_json {
+        println!("{}", failure_json(failure));
+        return;
+    }
+    match failure {
+        Failure::Arguments(text) => eprintln!("{text}"),
+        Failure::Problems(problems) => problems.iter().for_each(|p| eprintln!("{p}")),
+        Failure::Error(e) => eprintln!("{e}"),
+    }
+}
+
+fn failure_json(failure: &Failure) -> Value {
+    let problem = |p: &Problem| json!({"code": p.code.number(), "path": p.path, "text": p.text});
+    match failure {
+        Failure::Arguments(text) => json!({"problems": [{"text": text}]}),
+        Failure::Problems(problems) => {
+            json!({"problems": problems.iter().map(problem).collect::<Vec<_>>()})
+        }
+        Failure::Error(e) => {
+            json!({"problems": [{"code": e.code.number(), "text": e.to_string()}]})
+        }
+    }
+}
+
+/// Prints rows under headings, each column as wide as its widest cell.
+pub fn table(headings: &[&str], rows: &[Vec<String>]) {
+    let width = |column: usize| {
+        let cells = rows.iter().map(|row| row[column].chars().count());
+        cells.chain([headings[column].len()]).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..headings.len()).map(width).collect();
+    let line = |cells: &[String]| {
+        let padded = cells.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        println!("{}", padded.collect::<Vec<_>>().join("  ").trim_end());
+    };
+    line(&headings.iter().map(ToString::to_string).collect::<Vec<_>>());
+    rows.iter().for_each(|row| line(row));
+}
