--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,22 @@
+//! The documents agree with the code.
+
+use wasabi_core::errors::Code;
+
+const ERRORS: &str = include_str!("../docs/ERRORS.md");
+
+fn row(code: Code) -> String {
+    format!("| {} | {:?} | {} | {} |", code.number(), code, code.status(), code.meaning())
+}
+
+#[test]
+fn the_table_of_errors_is_the_code() {
+    let expected: Vec<String> = Code::ALL.iter().map(|code| row(*code)).collect();
+    let found: Vec<&str> = ERRORS.lines().filter(|line| line.starts_with("| ")).skip(2).collect();
+    assert_eq!(found, expected, "the table should be:\n{}", expected.join("\n"));
+}
+
+#[test]
+fn numbers_of_errors_are_unique_and_grow() {
+    let numbers: Vec<u16> = Code::ALL.iter().map(|code| code.number()).collect();
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
+}
