--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -93,16 +93,17 @@
 
 /// Gets the present state from the snapshot and the entries that follow it.
 pub fn load(store: &dyn Store) -> Result<State> {
-    let state = snapshot::read(store)?.unwrap_or_default();
-    catch_up(store, state)
+    let mut state = snapshot::read(store)?.unwrap_or_default();
+    catch_up(store, &mut state)?;
+    Ok(state)
 }
 
 /// Applies the entries that follow `state`.
-pub fn catch_up(store: &dyn Store, mut state: State) -> Result<State> {
+pub fn catch_up(store: &dyn Store, state: &mut State) -> Result<()> {
     loop {
         let entries = after(store, state.revision)?;
         if entries.is_empty() {
-            return Ok(state);
+            return Ok(());
         }
         for entry in &entries {
             state.apply(entry.revision, &entry.note, digest(&entry.note))?;
@@ -119,7 +120,17 @@
     token: &str,
     accepted_ms: u64,
 ) -> Result<Receipt, Refusal> {
-    let mut state = load(store)?;
+    accept_after(store, &mut load(store)?, note, token, accepted_ms)
+}
+
+/// Does as `accept`, from a state that was loaded before and may lag; brings it up to date.
+pub fn accept_after(
+    store: &dyn Store,
+    state: &mut State,
+    note: &Note,
+    token: &str,
+    accepted_ms: u64,
+) -> Result<Receipt, Refusal> {
     loop {
         if let Some(found) = state.notes.get(&note.id) {
             return repeated(note, found.revision, &found.digest);
@@ -134,7 +145,7 @@
         let text = io::render(&entry);
         match io::put_certain(store, &key(revision), &text, Condition::Absent, mine) {
             Ok(_) => return Ok(Receipt { revision, repeated: false }),
-            Err(e) if e.code == Code::StoreConflict => state = catch_up(store, state)?,
+            Err(e) if e.code == Code::StoreConflict => catch_up(store, state)?,
             Err(e) => return Err(e.into()),
         }
     }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -56,6 +56,8 @@
 pub struct Streamed {
     parts: RecvStream<'static, Part>,
     taken: Box<dyn Fn(Tokens) + Send>,
+    /// Set once the answer has broken off; what was handed on before is flushed first.
+    broken: bool,
     _cancel: DropGuard,
 }
 
@@ -67,7 +69,7 @@
         taken: impl Fn(Tokens) + Send + 'static,
     ) -> Outgoing {
         let parts = parts.into_stream();
-        Self { parts, taken: Box::new(taken), _cancel: cancel }.boxed_unsync()
+        Self { parts, taken: Box::new(taken), broken: false, _cancel: cancel }.boxed_unsync()
     }
 }
 
@@ -80,11 +82,16 @@
         task: &mut Task<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         use futures_core::Stream as _;
+        if self.broken {
+            return Poll::Ready(Some(Err(io::Error::other("the answer broke off"))));
+        }
         match Pin::new(&mut self.parts).poll_next(task) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(None) => Poll::Ready(None),
             Poll::Ready(Some(Part::Broken)) => {
-                Poll::Ready(Some(Err(io::Error::other("the answer broke off"))))
+                self.broken = true;
+                task.waker().wake_by_ref();
+                Poll::Pending
             }
             Poll::Ready(Some(Part::Data(data, tokens))) => {
                 (self.taken)(tokens);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -65,6 +65,7 @@
     let connection = Connection(tokio::spawn(connection).abort_handle());
     let host = server.address.to_string().parse().expect("an address is a header value");
     request.headers_mut().insert(header::HOST, host);
+    request.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     let failed = |code: Code| Failure { sent: true, error: Error::new(code, "").ran(Ran::Unknown) };
     let answering = time::timeout(limit, sender.send_request(request));
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -30,7 +30,7 @@
     evidence::Evidence,
     roster::Known,
     settings::{Settings, Times},
-    status,
+    status, tasks,
 };
 
 /// Tokens that an answer is expected to have before any was seen.
@@ -66,6 +66,8 @@
     pub usage_lease: Arc<Lease>,
     /// The role of writing snapshots and cleaning up.
     pub upkeep_lease: Arc<Lease>,
+    /// The last contact with the store.
+    pub contact: tasks::Contact,
     /// Writes the host's status.
     pub status: Arc<status::Writer>,
 }
@@ -115,6 +117,7 @@
             spread: Arc::new(Spread::new(links, cell.clone(), incarnation)),
             flusher: Arc::new(flusher),
             reporter: Arc::new(reporter),
+            contact: tasks::Contact::new(clock.now()),
             status: Arc::new(status::Writer::new(store.clone())),
             settings,
             me,
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -27,7 +27,7 @@
     registry::Parts,
     settings::Settings,
     status::Status,
-    tasks::{self, Contact, Ending},
+    tasks::{self, Ending},
 };
 
 const WORKERS: usize = 2;
@@ -101,8 +101,7 @@
     listener: TcpListener,
 ) -> anyhow::Result<()> {
     let ending = Arc::new(Ending::default());
-    let contact = Arc::new(Contact::new(parts.clock.now()));
-    let mut threads = tasks::start(&parts, status, &ending, &contact);
+    let mut threads = tasks::start(&parts, status, &ending);
     threads.push(operator.serve(parts.clone(), ending.clone()));
     let spreading = parts.clone();
     let spread = runtime.spawn(async move {
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -89,10 +89,9 @@
     parts: &Arc<Parts>,
     addresses: &Status,
     ending: &Arc<Ending>,
-    contact: &Arc<Contact>,
 ) -> Vec<thread::JoinHandle<()>> {
     let times = &parts.settings.times;
-    let mut threads = vec![follow(parts, ending, contact)];
+    let mut threads = vec![follow(parts, ending)];
     let mut every = |name: &'static str, pause: Duration, step: Step| {
         threads.push(repeat(name, pause, parts, ending, step));
     };
@@ -108,7 +107,7 @@
         Ok(())
     };
     every("desk", times.desk_tick, Box::new(desk_tick));
-    every("contact", CONTACT_PAUSE, isolation(contact.clone()));
+    every("contact", CONTACT_PAUSE, isolation());
     threads
 }
 
@@ -160,12 +159,8 @@
     }
 }
 
-fn follow(
-    parts: &Arc<Parts>,
-    ending: &Arc<Ending>,
-    contact: &Arc<Contact>,
-) -> thread::JoinHandle<()> {
-    let (parts, ending, contact) = (parts.clone(), ending.clone(), contact.clone());
+fn follow(parts: &Arc<Parts>, ending: &Arc<Ending>) -> thread::JoinHandle<()> {
+    let (parts, ending) = (parts.clone(), ending.clone());
     spawn("config", move || {
         let mut follower = Follower::new(parts.store.clone(), parts.cell.clone());
         let mut backoff = Backoff::default();
@@ -173,7 +168,7 @@
         while !ending.is_over() {
             match follower.step(times.watch) {
                 Ok(()) => {
-                    contact.made(parts.clock.now());
+                    parts.contact.made(parts.clock.now());
                     backoff = Backoff::default();
                     ending.pause(times.watch_pause);
                 }
@@ -241,22 +236,23 @@
 
 /// Without the store, and with most peers silent, a withdrawn key could not be noticed; so keyed
 /// requests are refused until there is contact again.
-fn isolation(contact: Arc<Contact>) -> Step {
+fn isolation() -> Step {
     let mut probed = None;
     Box::new(move |parts| {
         let now = parts.clock.now();
         let times = &parts.settings.times;
-        let age = contact.age(now);
+        let age = parts.contact.age(now);
         // A quiet watch says nothing for a long time; ask before giving up.
         let probe_due =
             probed.is_none_or(|last| now.saturating_duration_since(last) >= times.isolation / 4);
         if age > times.isolation / 2 && probe_due {
             probed = Some(now);
             if parts.store.watch("live/none/", Version(0), Duration::ZERO).is_ok() {
-                contact.made(parts.clock.now());
+                parts.contact.made(parts.clock.now());
             }
         }
-        let isolated = contact.age(parts.clock.now()) > times.isolation && parts.spread.is_alone();
+        let isolated =
+            parts.contact.age(parts.clock.now()) > times.isolation && parts.spread.is_alone();
         let before = parts.context.contact.is_isolated();
         parts.context.contact.set_isolated(isolated);
         if isolated && !before {
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashSet, VecDeque},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
@@ -28,6 +28,8 @@
 const MAX_WAITING: usize = 1_000;
 const WHEN_RUNNING: Duration = Duration::from_secs(2);
 const WHEN_AWAY: Duration = Duration::from_secs(5);
+/// How long a write whose answer was lost may still arrive.
+const LATE: Duration = Duration::from_secs(60);
 const PAGE: usize = 100;
 
 /// What to do with a call.
@@ -67,6 +69,8 @@
     me: Process,
     /// Outcomes not yet known to be recorded; bounded.
     waiting: Mutex<VecDeque<Claim>>,
+    /// Claims that were given up when their answer was lost; they may reach the store late.
+    withdrawn: Mutex<VecDeque<(Instant, Claim)>>,
     /// The tokens of this process's claims that may still be sent or are not yet recorded.
     active: Mutex<HashSet<String>>,
 }
@@ -79,8 +83,8 @@
         witness: Arc<dyn Witness>,
         me: Process,
     ) -> Self {
-        let waiting = Mutex::new(VecDeque::new());
-        Self { store, clock, witness, me, waiting, active: Mutex::new(HashSet::new()) }
+        let (waiting, withdrawn, active) = Default::default();
+        Self { store, clock, witness, me, waiting, withdrawn, active }
     }
 
     /// Claims a call, or finds what became of it. Blocks.
@@ -122,7 +126,7 @@
             let Some(claim) = self.waiting.lock().pop_front() else { break };
             self.settle(claim)?;
         }
-        Ok(())
+        self.clear_withdrawn()
     }
 
     /// Returns how many outcomes wait to be recorded.
@@ -247,7 +251,11 @@
         self.forget(&record);
         if lost.may_have_written() {
             record.progress = Progress::NotRun;
-            self.keep(Claim { key, version: Version(0), record });
+            let claim = Claim { key, version: Version(0), record };
+            let mut withdrawn = self.withdrawn.lock();
+            withdrawn.push_back((self.clock.now(), claim));
+            let excess = withdrawn.len().saturating_sub(MAX_WAITING);
+            withdrawn.drain(..excess);
         }
         away(lost)
     }
@@ -263,19 +271,34 @@
         }
     }
 
+    /// Writes `NotRun` over withdrawn claims that stand in the store.
+    fn clear_withdrawn(&self) -> Result<()> {
+        let count = self.withdrawn.lock().len();
+        for _ in 0..count {
+            let Some((since, mut claim)) = self.withdrawn.lock().pop_front() else { break };
+            match self.store.get(&claim.key) {
+                Ok(Some(object)) if is_claim(&object, &claim.record.token) => {
+                    claim.version = object.version;
+                    self.settle(claim)?;
+                }
+                found => {
+                    let age = self.clock.now().saturating_duration_since(since);
+                    if age < LATE {
+                        self.withdrawn.lock().push_back((since, claim));
+                    }
+                    found?;
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Writes the outcome over the claim, if the claim still stands.
     fn write(&self, claim: &Claim) -> Result<()> {
         let text = io::render(&claim.record);
-        let mut version = claim.version;
-        if version == Version(0) {
-            let found = self.store.get(&claim.key)?;
-            let Some(object) = found.filter(|o| is_claim(o, &claim.record.token)) else {
-                return Ok(());
-            };
-            version = object.version;
-        }
         let mine = |found: &Object| found.value == text;
-        io::put_certain(&*self.store, &claim.key, &text, Condition::At(version), mine).map(|_| ())
+        let condition = Condition::At(claim.version);
+        io::put_certain(&*self.store, &claim.key, &text, condition, mine).map(|_| ())
     }
 }
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -43,7 +43,8 @@
     }
 
     async fn news(&self, revision: Revision) -> RpcResult<News> {
-        Ok(match self.cell.after(revision) {
+        let entries = self.cell.after(revision).filter(|_| revision > Revision(0));
+        Ok(match entries {
             Some(entries) => News::Entries(entries),
             None => News::Whole(Box::new((*self.cell.get()).clone())),
         })
--- a/crates/peer/src/spread.rs
+++ b/crates/peer/src/spread.rs
@@ -8,13 +8,19 @@
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom as _;
 use wasabi_config::cell::Cell;
-use wasabi_core::{errors::Result, io::Host, units::Incarnation};
+use wasabi_core::{
+    errors::Result,
+    io::Host,
+    units::{Incarnation, Revision},
+};
 
 use crate::{
     link::Links,
     rpc::{Greeting, News},
 };
 
+/// Hosts that a starting host asks for the newest state.
+const FIRST_PEERS: usize = 5;
 /// Rounds whose outcome is remembered.
 const ROUNDS: usize = 6;
 
@@ -37,11 +43,16 @@
     pub async fn round(&self, hosts: &[Host]) {
         let others: Vec<&Host> =
             hosts.iter().filter(|host| host.name.as_str() != self.incarnation.host()).collect();
-        let Some(host) = others.choose(&mut rand::rng()).copied() else {
+        let count = if self.cell.is_ready() { 1 } else { FIRST_PEERS };
+        let chosen: Vec<&Host> = others.choose_multiple(&mut rand::rng(), count).copied().collect();
+        if chosen.is_empty() {
             self.answered.lock().clear();
             return;
-        };
-        let answered = self.greet(host.peer).await.is_ok();
+        }
+        if !self.cell.is_ready() {
+            return self.join(&chosen).await;
+        }
+        let answered = self.greet(chosen[0].peer).await.is_ok();
         let mut rounds = self.answered.lock();
         rounds.push_back(answered);
         if rounds.len() > ROUNDS {
@@ -56,11 +67,32 @@
         !rounds.is_empty() && answered * 2 < rounds.len()
     }
 
-    async fn greet(&self, peer: SocketAddr) -> Result<()> {
+    /// Takes the newest state that one of `hosts` has, so that one that lags does not set back a
+    /// host that starts while the store is away.
+    async fn join(&self, hosts: &[&Host]) {
+        let mut newest: Option<(SocketAddr, Revision)> = None;
+        for host in hosts {
+            let Ok(theirs) = self.hello(host.peer).await else { continue };
+            if theirs.revision > newest.map_or(Revision(0), |(_, revision)| revision) {
+                newest = Some((host.peer, theirs.revision));
+            }
+        }
+        let Some((peer, _)) = newest else { return };
+        if let Ok(News::Whole(state)) = self.links.news(peer, Revision(0)).await {
+            self.cell.replace(*state);
+        }
+    }
+
+    async fn hello(&self, peer: SocketAddr) -> Result<Greeting> {
         let revision = self.cell.get().revision;
         let incarnation = self.incarnation.clone();
-        let theirs = self.links.hello(peer, Greeting { incarnation, revision }).await?;
-        if theirs.revision <= revision && self.cell.is_ready() {
+        self.links.hello(peer, Greeting { incarnation, revision }).await
+    }
+
+    async fn greet(&self, peer: SocketAddr) -> Result<()> {
+        let revision = self.cell.get().revision;
+        let theirs = self.hello(peer).await?;
+        if theirs.revision <= revision {
             return Ok(());
         }
         match self.links.news(peer, revision).await? {
