Ordering backend servers: exact leases, intents, drains

Change: crates/fleet (plan without I/O, intents before orders, listings for all hosts in the same watch as the log), an exact lease that changes hands only on release or evidence, and drains that order a stop only when every host says that nothing runs there. tests/orders.rs (9 tests) pauses, kills, restarts and stops the holder, loses answers, holds an order back past its holder's death, empties the cheap servers, and lets a server leave with the store up and down.

--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -11,6 +11,9 @@
 
 use crate::keys;
 
+/// The workspace of requests on routes open to all.
+pub const RESERVED_WORKSPACE: &str = "open";
+
 /// How many accepted notes are remembered by their identity.
 const REMEMBERED_NOTES: u64 = 20_000;
 
@@ -201,6 +204,10 @@
         for slot in self.routes.values() {
             self.check_route(&slot.object, problems);
         }
+        if self.workspaces.keys().any(|name| name.as_str() == RESERVED_WORKSPACE) {
+            let path = format!("workspaces.{RESERVED_WORKSPACE}.name");
+            problems.push(Problem::invalid(path, "is reserved for routes open to all"));
+        }
         for slot in self.workspaces.values().filter(|slot| slot.object.weight == 0) {
             let path = format!("workspaces.{}.weight", slot.object.name);
             problems.push(Problem::invalid(path, "must be at least 1"));
@@ -273,6 +280,15 @@
 }
 
 fn check_pool(pool: &Pool, problems: &mut Vec<Problem>) {
+    if let Some(elastic) = &pool.elastic {
+        let path = |field: &str| format!("pools.{}.elastic.{field}", pool.name);
+        if elastic.min > elastic.max {
+            problems.push(Problem::invalid(path("min"), "must be at most max"));
+        }
+        if elastic.domains.is_empty() {
+            problems.push(Problem::invalid(path("domains"), "must name at least one domain"));
+        }
+    }
     let mut names = std::collections::BTreeSet::new();
     for server in &pool.servers {
         let path = format!("pools.{}.servers.{}", pool.name, server.name);
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -7,6 +7,7 @@
 use crate::{
     data,
     errors::{self, Code, Result},
+    note::Server,
     units::{
         Domain, Epoch, HostId, Incarnation, PoolId, ServerId, Tokens, Version, Window, WorkspaceId,
     },
@@ -95,6 +96,31 @@
         pub action: Action,
     }
 
+    /// How far an ordered server has come.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Phase {
+        /// Not ready yet.
+        Booting,
+        /// Ready for work.
+        Live,
+        /// About to be taken away; it gets no new work.
+        Leaving,
+    }
+
+    /// A backend server that the platform runs for us.
+    pub struct Rented {
+        /// The server.
+        pub server: Server,
+        /// The pool that it was ordered for.
+        pub pool: PoolId,
+        /// How far it has come.
+        pub phase: Phase,
+        /// The intent of the order that it came from, if the platform kept it.
+        #[serde(default)]
+        pub intent: Option<String>,
+    }
+
     /// What an order asks for.
     pub enum Action {
         /// Start one backend server.
@@ -160,6 +186,9 @@
 
     /// Returns whether the platform has taken the order of this intent.
     fn taken(&self, intent: &str) -> Result<bool>;
+
+    /// Gets the servers that the platform runs for us; the list lags.
+    fn servers(&self) -> Result<Vec<Rented>>;
 }
 
 /// Reads an object's JSON value.
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -127,7 +127,25 @@
         #[serde(default)]
         pub model: Option<String>,
         /// The servers; one that is left out gets no new work.
+        #[serde(default)]
         pub servers: Vec<Server>,
+        /// How many more servers may be ordered; none means that none are.
+        #[serde(default)]
+        pub elastic: Option<Elastic>,
+    }
+
+    /// The bounds within which a pool's servers are ordered and given back.
+    #[serde(deny_unknown_fields)]
+    pub struct Elastic {
+        /// The least number of ordered servers.
+        pub min: u32,
+        /// The greatest number of ordered servers.
+        pub max: u32,
+        /// Where they may stand.
+        pub domains: Vec<Domain>,
+        /// Whether cheap servers, which can vanish at any time, may be ordered.
+        #[serde(default)]
+        pub cheap: bool,
     }
 
     /// A backend server.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod body;
+pub mod busy;
 pub mod chat;
 pub mod context;
 pub mod dispatch;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -14,7 +14,7 @@
 };
 use log::info;
 use tokio_util::sync::CancellationToken;
-use wasabi_config::state::State;
+use wasabi_config::state::{RESERVED_WORKSPACE, State};
 use wasabi_core::{
     errors::{Code, Error, Result},
     note::{Class, Key, Pool, Route, Workspace},
@@ -33,8 +33,6 @@
 };
 
 const MODELS_PATH: &str = "/v1/models";
-/// The workspace of requests on routes open to all.
-pub const OPEN_WORKSPACE: &str = "open";
 const PREFIX_OF_SERVICES: u64 = 0;
 
 /// A request that was checked and may be run.
@@ -205,7 +203,7 @@
 }
 
 fn open_workspace() -> Workspace {
-    let name = OPEN_WORKSPACE.parse().expect("the name is valid");
+    let name = RESERVED_WORKSPACE.parse().expect("the name is valid");
     Workspace { name, weight: 1, max_running: None, token_rate: None }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod operator;
 pub mod registry;
 pub mod roster;
+pub mod servers;
 pub mod settings;
 pub mod status;
 pub mod stop;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -75,7 +75,7 @@
 fn gauges(parts: &Parts) {
     metrics::gauge!("wasabi_config_revision").set(parts.cell.get().revision.0 as f64);
     metrics::gauge!("wasabi_requests_running").set(parts.context.running.len() as f64);
-    for lease in [&parts.usage_lease, &parts.upkeep_lease] {
+    for lease in [&parts.usage_lease, &parts.upkeep_lease, &parts.order_lease] {
         let held = f64::from(u8::from(lease.epoch().is_some()));
         metrics::gauge!("wasabi_lease_held", "role" => lease.role().to_string()).set(held);
     }
@@ -108,7 +108,7 @@
         };
         desk.pools().iter().map(pool).collect::<Vec<_>>()
     });
-    let leases: Vec<Value> = [&parts.usage_lease, &parts.upkeep_lease]
+    let leases: Vec<Value> = [&parts.usage_lease, &parts.upkeep_lease, &parts.order_lease]
         .map(|lease| json!({"role": lease.role(), "epoch": lease.epoch()}))
         .to_vec();
     json!({
@@ -131,6 +131,7 @@
         "pools": pools,
         "leases": leases,
         "hosts": parts.roster.hosts(),
+        "draining": parts.view.draining(),
         "once_waiting": parts.context.once.waiting(),
         "usage_flushed": parts.flusher.is_done(),
     })
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -6,23 +6,25 @@
 use tokio::runtime::Handle;
 use wasabi_config::cell::Cell;
 use wasabi_core::{
-    io::{Billing, Roster, Store},
+    io::{Billing, Provider, Roster, Store},
     time::{Clock, System},
     units::{Incarnation, Role},
 };
 use wasabi_entry::{
+    busy::{Busy, Counted},
     context::{Contact, Context, Options},
-    dispatch::Local,
+    dispatch::{Dispatch, Local},
     limits::Limits,
     running::Registry as Running,
 };
+use wasabi_fleet::{commander::Commander, plan, view::View};
 use wasabi_lease::{
     holder::{self, Lease},
     witness::{Process, Witness},
 };
 use wasabi_once::table::Table;
 use wasabi_peer::{link::Links, spread::Spread};
-use wasabi_platform::{billing, http::Endpoint, roster, store};
+use wasabi_platform::{billing, http::Endpoint, provider, roster, store};
 use wasabi_policy::{budget::Budget, desk, estimate};
 use wasabi_usage::{counter::Counter, flush::Flusher, window::Reporter};
 
@@ -64,6 +66,16 @@
     pub reporter: Arc<Reporter>,
     /// The role of sealing usage windows.
     pub usage_lease: Arc<Lease>,
+    /// The role of ordering servers.
+    pub order_lease: Arc<Lease>,
+    /// Orders servers.
+    pub commander: Arc<Commander>,
+    /// The ordering interface.
+    pub provider: Arc<dyn Provider>,
+    /// The ordered servers.
+    pub view: Arc<View>,
+    /// Requests by server.
+    pub busy: Arc<Busy>,
     /// The role of writing snapshots and cleaning up.
     pub upkeep_lease: Arc<Lease>,
     /// The last contact with the store.
@@ -91,17 +103,31 @@
             settle: times.host_settle,
         });
         let incarnation = me.incarnation.clone();
-        let lease = |role: &str| {
+        let provider: Arc<dyn Provider> =
+            Arc::new(provider::Remote::new(endpoint(&settings.orders)));
+        let lease = |role: &str, exact: bool| {
             let role: Role = role.parse().expect("the role is a name");
             let options =
-                holder::Options { length: times.lease, margin: times.lease_margin, exact: false };
+                holder::Options { length: times.lease, margin: times.lease_margin, exact };
             let (store, clock) = (store.clone(), clock.clone());
             Arc::new(Lease::new(store, clock, witness.clone(), role, me.clone(), options))
         };
         let counter = Arc::new(Counter::default());
         let desk = Arc::new(Local::new(clock.clone(), desk::Desk::new(desk::Options::default())));
         let once = Table::new(store.clone(), clock.clone(), witness.clone(), me.clone());
-        let context = Arc::new(context(&times, &clock, &cell, &desk, &counter, Arc::new(once)));
+        let busy = Arc::new(Busy::default());
+        let dispatch = Arc::new(Counted::new(desk.clone(), busy.clone()));
+        let order_lease = lease("orders", true);
+        let commander = Commander::new(
+            store.clone(),
+            provider.clone(),
+            clock.clone(),
+            order_lease.clone(),
+            me.clone(),
+            2 * times.platform_call,
+            plan::Options { memory: times.demand_memory, ..plan::Options::default() },
+        );
+        let context = Arc::new(context(&times, &clock, &cell, dispatch, &counter, Arc::new(once)));
         let flusher = Flusher::new(store.clone(), clock.clone(), counter, incarnation.clone());
         let reporter = Reporter::new(
             store.clone(),
@@ -112,11 +138,16 @@
             times.usage_window,
         );
         Self {
-            usage_lease: lease("usage"),
-            upkeep_lease: lease("upkeep"),
+            usage_lease: lease("usage", false),
+            upkeep_lease: lease("upkeep", false),
             spread: Arc::new(Spread::new(links, cell.clone(), incarnation)),
             flusher: Arc::new(flusher),
             reporter: Arc::new(reporter),
+            order_lease,
+            commander: Arc::new(commander),
+            provider,
+            view: Arc::new(View::default()),
+            busy,
             contact: tasks::Contact::new(clock.now()),
             status: Arc::new(status::Writer::new(store.clone())),
             settings,
@@ -140,7 +171,7 @@
     times: &Times,
     clock: &Arc<dyn Clock>,
     cell: &Arc<Cell>,
-    desk: &Arc<Local>,
+    dispatch: Arc<dyn Dispatch>,
     counter: &Arc<Counter>,
     once: Arc<Table>,
 ) -> Context {
@@ -157,7 +188,7 @@
         budget: Mutex::new(Budget::new(options.retry_share)),
         options,
         cell: cell.clone(),
-        dispatch: desk.clone(),
+        dispatch,
         counter: counter.clone(),
         once,
         running: Arc::new(Running::default()),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -82,6 +82,10 @@
     peer_call = 1_000;
     /// Between two reads of the host list.
     host_list = 5_000;
+    /// Between two reads of the list of backend servers, and between two orders.
+    server_list = 1_000;
+    /// Servers are given back when the highest demand of this time needs fewer.
+    demand_memory = 300_000;
     /// How long a host must be missing from the list to count as gone.
     host_settle = 60_000;
     /// Without the store and most peers, keyed requests are refused after this time.
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,14 +1,15 @@
 //! What a host tells the operators through the object API.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use parking_lot::Mutex;
 use wasabi_core::{
     data,
     errors::{Code, Result},
     io::{self, Condition, Store},
-    units::{Domain, HostId, Incarnation, Revision, Version},
+    units::{Domain, HostId, Incarnation, PoolId, Revision, ServerId, Version},
 };
+use wasabi_fleet::plan::Demand;
 
 /// The prefix of the keys of status objects.
 pub const PREFIX: &str = "host/";
@@ -34,6 +35,10 @@
         pub written_ms: u64,
         /// Whether the host is stopping.
         pub leaving: bool,
+        /// The demand that its desk sees.
+        pub demand: BTreeMap<PoolId, Demand>,
+        /// How many of its requests run on each server that is being drained.
+        pub draining: BTreeMap<ServerId, u32>,
     }
 }
 
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,6 +1,7 @@
 //! Runs a host from its start to its orderly stop.
 
 use std::{
+    collections::BTreeMap,
     process,
     sync::Arc,
     time::{Duration, Instant},
@@ -13,18 +14,16 @@
     iterator::Signals,
 };
 use tokio::{net::TcpListener, runtime::Runtime, sync::watch};
-use wasabi_config::{cell::Cell, state::State};
-use wasabi_core::{
-    time,
-    units::{PoolId, Revision},
-};
-use wasabi_entry::{dispatch::Local, server};
+use wasabi_config::cell::Cell;
+use wasabi_core::{time, units::Revision};
+use wasabi_entry::server;
 use wasabi_lease::witness::Process;
 use wasabi_peer::server::Host;
 
 use crate::{
     operator::Port,
     registry::Parts,
+    servers,
     settings::Settings,
     status::Status,
     tasks::{self, Ending},
@@ -59,6 +58,8 @@
         revision: Revision(0),
         written_ms: time::unix_ms(std::time::SystemTime::now()),
         leaving: false,
+        demand: BTreeMap::new(),
+        draining: BTreeMap::new(),
     };
     let parts = Arc::new(Parts::new(settings, me, cell, runtime.handle().clone()));
     connect(&parts);
@@ -75,24 +76,14 @@
 /// Makes the parts follow the configuration.
 fn connect(parts: &Arc<Parts>) {
     let running = parts.context.running.clone();
-    let desk = parts.desk.clone();
+    let (desk, view) = (parts.desk.clone(), parts.view.clone());
     parts.cell.listen(move |state| {
-        set_servers(&desk, state);
+        servers::set(&desk, &view, state);
         let cut = running.enforce(state);
         info!(revision = state.revision.0, cut = cut; "configuration in force");
     });
 }
 
-fn set_servers(desk: &Local, state: &State) {
-    let known: Vec<PoolId> = desk.with_desk(|desk| desk.pools());
-    for pool in known.iter().filter(|pool| !state.pools.contains_key(pool)) {
-        desk.set_servers(pool, &[]);
-    }
-    for slot in state.pools.values() {
-        desk.set_servers(&slot.object.name, &slot.object.servers);
-    }
-}
-
 fn serve(
     runtime: &Runtime,
     parts: Arc<Parts>,
@@ -142,6 +133,9 @@
     if !is_settled(parts) {
         warn!(outcomes = parts.context.once.waiting(); "the store is away; figures are lost");
     }
+    if let Err(e) = parts.commander.release() {
+        warn!(code = e.code.number(); "the role of ordering was not given back");
+    }
     for lease in [&parts.usage_lease, &parts.upkeep_lease] {
         if let Err(e) = lease.release() {
             warn!(role = lease.role().as_str(), code = e.code.number(); "the lease was not given back");
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -12,14 +12,15 @@
 use log::{info, warn};
 use parking_lot::{Condvar, Mutex};
 use rand::Rng as _;
-use wasabi_config::{follow::Follower, snapshot};
-use wasabi_core::{
-    errors::Result,
-    time,
-    units::{Revision, Version},
+use wasabi_config::{
+    follow::{Follower, Others},
+    snapshot,
 };
+use wasabi_core::{errors::Result, time, units::Version};
 
-use crate::{registry::Parts, status::Status};
+use wasabi_fleet::publish;
+
+use crate::{registry::Parts, servers, status::Status};
 
 /// The longest pause after failures.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
@@ -100,6 +101,8 @@
     every("flush", times.usage_flush, Box::new(|parts| parts.flusher.step()));
     every("usage", role_pause.min(times.usage_window / 4), Box::new(usage));
     every("upkeep", role_pause, upkeep());
+    every("servers", times.server_list, Box::new(servers::refresh));
+    every("orders", times.server_list, Box::new(servers::command));
     every("once", ONCE_PAUSE, Box::new(|parts| parts.context.once.step()));
     every("status", times.status, status(addresses.clone()));
     let desk_tick = |parts: &Parts| {
@@ -162,7 +165,14 @@
 fn follow(parts: &Arc<Parts>, ending: &Arc<Ending>) -> thread::JoinHandle<()> {
     let (parts, ending) = (parts.clone(), ending.clone());
     spawn("config", move || {
-        let mut follower = Follower::new(parts.store.clone(), parts.cell.clone());
+        let taking = parts.clone();
+        let others: Others = Box::new(move |object| {
+            if let Err(e) = servers::take(&taking, object) {
+                warn!(task = "config", code = e.code.number(); "{e}");
+            }
+        });
+        let (store, cell) = (parts.store.clone(), parts.cell.clone());
+        let mut follower = Follower::new(store, cell, publish::PREFIX, others);
         let mut backoff = Backoff::default();
         let times = &parts.settings.times;
         while !ending.is_over() {
@@ -191,7 +201,7 @@
 }
 
 fn upkeep() -> Step {
-    let mut written = Revision(0);
+    let mut written = 0;
     let mut cleaned = None;
     let mut after = String::new();
     Box::new(move |parts| {
@@ -200,9 +210,9 @@
             return Ok(());
         }
         let state = parts.cell.get();
-        if state.revision.0 >= written.0 + SNAPSHOT_ENTRIES {
+        if state.revision.0 >= written + SNAPSHOT_ENTRIES {
             snapshot::write(&*parts.store, &state)?;
-            written = state.revision;
+            written = state.revision.0;
         }
         let now = parts.clock.now();
         if cleaned.is_none_or(|last| now.saturating_duration_since(last) >= CLEAN_PAUSE) {
@@ -214,22 +224,22 @@
 }
 
 fn status(mut status: Status) -> Step {
-    let mut written: Option<(Revision, bool, Instant)> = None;
+    let mut written: Option<(Status, Instant)> = None;
     Box::new(move |parts| {
-        let revision = parts.cell.get().revision;
-        let leaving = parts.context.contact.is_leaving();
+        status.revision = parts.cell.get().revision;
+        status.leaving = parts.context.contact.is_leaving();
+        status.demand = servers::demand(parts);
+        status.draining = servers::draining(parts);
         let now = parts.clock.now();
-        let fresh = written.is_some_and(|(r, l, at)| {
-            (r, l) == (revision, leaving) && now.saturating_duration_since(at) < STATUS_LIFE
+        let fresh = written.as_ref().is_some_and(|(before, at)| {
+            *before == status && now.saturating_duration_since(*at) < STATUS_LIFE
         });
         if fresh {
             return Ok(());
         }
-        status.revision = revision;
-        status.leaving = leaving;
-        status.written_ms = time::unix_ms(parts.clock.wall());
-        parts.status.write(&status)?;
-        written = Some((revision, leaving, now));
+        let written_ms = time::unix_ms(parts.clock.wall());
+        parts.status.write(&Status { written_ms, ..status.clone() })?;
+        written = Some((status.clone(), now));
         Ok(())
     })
 }
--- a/crates/platform/src/provider.rs
+++ b/crates/platform/src/provider.rs
@@ -5,10 +5,10 @@
 use minreq::Method;
 use wasabi_core::{
     errors::{Code, Error, Result},
-    io::{self, Order, Provider},
+    io::{self, Order, Provider, Rented},
 };
 
-use crate::http::Endpoint;
+use crate::http::{self, Endpoint};
 
 /// The ordering interface at an endpoint.
 pub struct Remote {
@@ -43,4 +43,10 @@
             status => Err(Error::new(Code::PlatformRefused, format!("order: status {status}"))),
         }
     }
+
+    fn servers(&self) -> Result<Vec<Rented>> {
+        let endpoint = &self.endpoint;
+        let answer = endpoint.call("server_list", Method::Get, "/servers", None, Duration::ZERO)?;
+        http::read(&answer)
+    }
 }
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -23,6 +23,7 @@
     ticket::{Decision, Outcome, Ticket, TicketId, Waiting},
 };
 
+const TIERS: usize = wasabi_core::note::MAX_TIER as usize + 1;
 const MAX_WAIT_SECONDS: f64 = 86_400.0;
 
 /// What a desk may be told about itself.
@@ -152,6 +153,19 @@
         pool.classes.values().map(|class| (class.name.clone(), class.tier, class.len())).collect()
     }
 
+    /// Returns the tickets of `pool` that run or wait, by tier from the highest.
+    pub fn demand(&self, pool: &PoolId) -> [u32; TIERS] {
+        let mut tiers = [0; TIERS];
+        let Some(pool) = self.pools.get(pool) else { return tiers };
+        for class in pool.classes.values() {
+            tiers[usize::from(class.tier).min(TIERS - 1)] += class.len() as u32;
+        }
+        for running in pool.running.values() {
+            tiers[usize::from(running.ticket.tier).min(TIERS - 1)] += 1;
+        }
+        tiers
+    }
+
     /// Returns name, running, slots and fitness of each server of `pool`.
     pub fn servers(&self, pool: &PoolId) -> Vec<(ServerId, u32, u32, bool)> {
         self.pools.get(pool).map_or_else(Vec::new, |pool| pool.servers.view())
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tiny_http::{Method, Request};
 use wasabi_core::{
-    io::{self, Condition, Host, Order, Report},
+    io::{self, Action, Condition, Host, Order, Rented, Report},
     units::Version,
 };
 
@@ -32,6 +32,8 @@
     pub lose_answers: u32,
     /// How many of the next reports and orders take effect without their answer arriving.
     pub lose_reports: u32,
+    /// Orders of cheap servers are refused.
+    pub no_cheap: bool,
     /// Writes a second that are taken; none means any number.
     pub write_rate: Option<u32>,
 }
@@ -51,6 +53,9 @@
     listening: Listening,
 }
 
+/// Starts a server for a taken order.
+pub type Factory = Box<dyn Fn(&Order) -> Rented + Send + Sync>;
+
 /// What the platform holds.
 #[derive(Default)]
 pub struct State {
@@ -62,6 +67,10 @@
     pub reports: Mutex<Vec<Taken<Report>>>,
     /// Every order taken.
     pub orders: Mutex<Vec<Taken<Order>>>,
+    /// The servers that run for us.
+    pub servers: Mutex<Vec<Rented>>,
+    /// Starts a server for an order; none if servers are only listed.
+    pub factory: Mutex<Option<Factory>>,
     /// The host list.
     pub hosts: Mutex<Vec<Host>>,
     /// Calls by kind.
@@ -134,6 +143,25 @@
         writes.1 > rate
     }
 
+    fn order(&self, body: &str) -> (u16, String) {
+        let Ok(order) = serde_json::from_str::<Order>(body) else { return (400, String::new()) };
+        let cheap = matches!(order.action, Action::Start { cheap: true, .. });
+        if cheap && self.faults.lock().no_cheap {
+            return (409, String::new());
+        }
+        match &order.action {
+            Action::Start { .. } => {
+                if let Some(factory) = &*self.factory.lock() {
+                    self.servers.lock().push(factory(&order));
+                }
+            }
+            Action::Stop { server } => {
+                self.servers.lock().retain(|rented| rented.server.name != *server);
+            }
+        }
+        take(&self.orders, body)
+    }
+
     fn put(&self, query: &BTreeMap<String, String>, body: &str) -> (u16, String) {
         let condition = match query["if"].as_str() {
             "absent" => Condition::Absent,
@@ -165,7 +193,8 @@
                 (200, io::render(&self.objects.watch(&text("prefix"), since, wait)))
             }
             (Method::Post, "/usage") => take(&self.reports, body),
-            (Method::Post, "/orders") => take(&self.orders, body),
+            (Method::Post, "/orders") => self.order(body),
+            (Method::Get, "/servers") => (200, io::render(&*self.servers.lock())),
             (Method::Get, "/orders") => {
                 let intent = text("intent");
                 let taken = self.orders.lock().iter().any(|order| order.item.intent == intent);
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -23,6 +23,8 @@
     Cut,
     /// Keeps what clients send until the mode changes.
     Hold,
+    /// Keeps the POST requests of clients until the mode changes.
+    HoldPosts,
     /// Keeps connections open and loses what passes.
     Swallow,
     /// Hands on what clients send and closes instead of handing on an answer.
@@ -78,9 +80,10 @@
         *self.mode.lock()
     }
 
-    fn wait_while_held(&self) {
+    fn wait_while_held(&self, data: &[u8]) {
         let mut mode = self.mode.lock();
-        while *mode == Mode::Hold {
+        let is_post = data.starts_with(b"POST ");
+        while *mode == Mode::Hold || (is_post && *mode == Mode::HoldPosts) {
             self.changed.wait(&mut mode);
         }
     }
@@ -129,7 +132,7 @@
             break;
         }
         if !is_answer {
-            control.wait_while_held();
+            control.wait_while_held(&buffer[..count]);
         }
         match control.mode() {
             Mode::Swallow => continue,
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -178,6 +178,7 @@
             "lease_ms": 1_000,
             "lease_margin_ms": 200,
             "status_ms": 100,
+            "server_list_ms": 100,
             "stop_notice_ms": 200,
         },
     })
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,350 @@
+//! Backend servers that come and go: orders from one holder at a time, drains that cut nothing.
+
+mod common;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use common::{key_of, programs};
+use serde_json::{Value, json};
+use wasabi_core::{
+    io::{Action, Order, Phase, Rented},
+    note::Server,
+    units::ServerId,
+};
+use wasabi_standin::{
+    caller::Call,
+    engine::{Engine, Pace},
+    platform::Platform,
+    process::wait_until,
+    proxy::{Mode, Proxy},
+    rig::{Rig, Size},
+};
+
+/// Engines that the platform starts when they are ordered.
+#[derive(Clone, Default)]
+struct Fleet {
+    engines: Arc<std::sync::Mutex<Vec<Engine>>>,
+}
+
+impl Fleet {
+    /// Makes `platform` start an engine for each order.
+    fn install(platform: &Platform) -> Self {
+        let fleet = Self::default();
+        let engines = fleet.engines.clone();
+        *platform.state().factory.lock() = Some(Box::new(move |order: &Order| {
+            let Action::Start { domain, cheap } = &order.action else {
+                unreachable!("only starts are made")
+            };
+            let mut engines = engines.lock().expect("no panic");
+            let name = format!("rented-{}", engines.len());
+            let engine = Engine::start(&name, Pace::default()).expect("an engine starts");
+            let server = engine.server(domain, *cheap);
+            engines.push(engine);
+            let (pool, intent) = (order.pool.clone(), Some(order.intent.clone()));
+            Rented { server, pool, phase: Phase::Live, intent }
+        }));
+        fleet
+    }
+
+    fn running(&self, server: &ServerId) -> u32 {
+        let engines = self.engines.lock().expect("no panic");
+        engines.iter().filter(|engine| engine.name == *server).map(Engine::running).sum()
+    }
+
+    /// Counts the requests that the server ordered first has received.
+    fn count_first(&self) -> usize {
+        let engines = self.engines.lock().expect("no panic");
+        engines.first().map_or(0, |engine| engine.records().len())
+    }
+}
+
+fn elastic(rig: &Rig, id: &str, base: u64, min: u32, max: u32) -> Value {
+    let domain = "tn-north-a".parse().expect("a name");
+    let servers: Vec<Server> =
+        rig.engines.iter().map(|engine| engine.server(&domain, false)).collect();
+    let elastic = json!({"min": min, "max": max, "cheap": true,
+                         "domains": ["tn-north-a", "tn-north-b"]});
+    let pool = json!({"name": "costing", "model": "costing", "servers": servers,
+                      "elastic": elastic});
+    json!({"id": id, "base": base, "changed": {"pools": [pool]}})
+}
+
+fn orders(rig: &Rig) -> Vec<Order> {
+    rig.platform.state().orders.lock().iter().map(|taken| taken.item.clone()).collect()
+}
+
+/// Checks the platform's record: epochs never go back, each has one holder, no order comes twice.
+fn check_orders(orders: &[Order]) {
+    let mut holders = BTreeMap::new();
+    let mut last = 0;
+    let mut intents = std::collections::BTreeSet::new();
+    for order in orders {
+        assert!(order.epoch.0 >= last, "an order of epoch {} came after {last}", order.epoch);
+        last = order.epoch.0;
+        let holder = holders.entry(order.epoch).or_insert_with(|| order.holder.clone());
+        assert_eq!(*holder, order.holder, "epoch {} has two holders", order.epoch);
+        assert!(intents.insert(order.intent.clone()), "order {} came twice", order.intent);
+    }
+}
+
+fn starts(orders: &[Order]) -> usize {
+    orders.iter().filter(|order| matches!(order.action, Action::Start { .. })).count()
+}
+
+fn holder(rig: &Rig) -> String {
+    let object = rig.platform.state().objects.get("lease/orders");
+    let record: Value =
+        object.map_or(Value::Null, |o| serde_json::from_str(&o.value).unwrap_or_default());
+    record["holder"]["incarnation"].as_str().unwrap_or_default().to_string()
+}
+
+fn holder_index(rig: &Rig) -> anyhow::Result<usize> {
+    wait_until("a host holds the role", || !holder(rig).is_empty())?;
+    let name = holder(rig);
+    let number = name.trim_start_matches("host-").split(':').next().unwrap_or_default();
+    Ok(number.parse()?)
+}
+
+#[test]
+fn servers_are_ordered_serve_and_are_given_back_without_a_cut() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 0, engines: 0, ..Size::default() })?;
+    let fleet = Fleet::install(&rig.platform);
+    for i in 0..2 {
+        let name = format!("host-{i}");
+        let mut settings = rig.settings(&name);
+        settings["times"]["demand_memory_ms"] = json!(500);
+        rig.add_host_with(&name, &settings)?;
+    }
+    rig.apply(&elastic(&rig, "elastic", 1, 3, 6))?;
+    wait_until("three are ordered", || starts(&orders(&rig)) == 3)?;
+    let key = key_of(&rig.sample.lab);
+    let call = |prompt: &str, tokens| Call::chat(key, "costing", prompt, tokens);
+    wait_until("an ordered server serves", || {
+        call("hello", 3).stream(rig.hosts[0].callers).is_ok_and(|stream| stream.complete)
+    })?;
+    let streams = (0..6)
+        .map(|i| call(&format!("s{i}"), 300).send(rig.hosts[i % 2].callers))
+        .collect::<Result<Vec<_>, _>>()?;
+    wait_until("all run", || {
+        let engines = fleet.engines.lock().expect("no panic");
+        engines.iter().map(Engine::running).sum::<u32>() == 6
+    })?;
+    rig.apply(&elastic(&rig, "less", 2, 1, 6))?;
+    let mut busy_at_stop = 0;
+    let mut seen = 0;
+    wait_until("two are given back", || {
+        let orders = orders(&rig);
+        for order in &orders[seen..] {
+            if let Action::Stop { server } = &order.action {
+                busy_at_stop += fleet.running(server);
+            }
+        }
+        seen = orders.len();
+        orders.len() - starts(&orders) == 2
+    })?;
+    assert_eq!(busy_at_stop, 0, "a server is given back only when nothing runs on it");
+    for stream in streams {
+        assert!(stream.stream()?.complete);
+    }
+    check_orders(&orders(&rig));
+    Ok(())
+}
+
+/// The holder is paused past its lease. Another may not order, since a paused process goes on.
+#[test]
+fn a_paused_holder_is_never_doubled() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 3, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    rig.apply(&elastic(&rig, "one", 1, 1, 8))?;
+    wait_until("one is ordered", || starts(&orders(&rig)) == 1)?;
+    let first = holder_index(&rig)?;
+    rig.hosts[first].pause();
+    rig.apply(&elastic(&rig, "four", 2, 4, 8))?;
+    let others: Vec<usize> = (0..3).filter(|i| *i != first).collect();
+    for i in &others {
+        rig.wait_revision(&rig.hosts[*i], 3)?;
+    }
+    let usage_moved = || {
+        let object = rig.platform.state().objects.get("lease/usage");
+        object.is_some_and(|object| !object.value.contains(&format!("host-{first}:")))
+    };
+    wait_until("a lease that needs no evidence has moved on", usage_moved)?;
+    assert_eq!(starts(&orders(&rig)), 1, "no order without evidence");
+    rig.hosts[first].resume();
+    wait_until("four are ordered", || starts(&orders(&rig)) == 4)?;
+    let orders = orders(&rig);
+    assert!(orders.iter().all(|order| order.holder.host() == format!("host-{first}")));
+    check_orders(&orders);
+    Ok(())
+}
+
+#[test]
+fn a_killed_holder_is_followed_on_evidence() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 3, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    rig.apply(&elastic(&rig, "one", 1, 1, 8))?;
+    wait_until("one is ordered", || starts(&orders(&rig)) == 1)?;
+    let first = holder_index(&rig)?;
+    let name = format!("host-{first}");
+    rig.hosts[first].kill();
+    rig.apply(&elastic(&rig, "three", 2, 3, 8))?;
+    rig.unlist_host(&name);
+    rig.hosts.remove(first);
+    wait_until("another orders", || starts(&orders(&rig)) == 3)?;
+    let orders = orders(&rig);
+    assert!(orders[1..].iter().all(|order| order.holder.host() != name));
+    check_orders(&orders);
+    Ok(())
+}
+
+/// A host that is restarted answers with a new incarnation, which is evidence too.
+#[test]
+fn a_restarted_holder_is_followed_at_once() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 1, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    rig.apply(&elastic(&rig, "one", 1, 1, 8))?;
+    wait_until("one is ordered", || starts(&orders(&rig)) == 1)?;
+    let mut settings = rig.settings("host-0");
+    settings["peers"] = json!(rig.hosts[0].peers);
+    rig.hosts[0].kill();
+    rig.hosts.clear();
+    rig.add_host_with("host-0", &settings)?;
+    rig.add_host("host-1")?;
+    rig.apply(&elastic(&rig, "two", 2, 2, 8))?;
+    wait_until("the next is ordered", || starts(&orders(&rig)) == 2)?;
+    check_orders(&orders(&rig));
+    Ok(())
+}
+
+#[test]
+fn an_order_whose_answer_is_lost_is_given_once() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 2, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    for round in 0..3 {
+        rig.platform.fault(|faults| (faults.lose_answers, faults.lose_reports) = (round, 1));
+        let wanted = round + 1;
+        rig.apply(&elastic(&rig, &format!("n{round}"), u64::from(wanted), wanted, 8))?;
+        wait_until("it is ordered", || starts(&orders(&rig)) >= wanted as usize)?;
+        wait_until("the intent is settled", || {
+            let intents = rig.platform.state().objects.list("fleet/intent/", "", 100);
+            intents.iter().all(|intent| !intent.value.contains("\"open\""))
+        })?;
+    }
+    assert_eq!(starts(&orders(&rig)), 3);
+    check_orders(&orders(&rig));
+    Ok(())
+}
+
+/// The first holder's order is held back in the network; the holder is killed; the next one takes
+/// over on evidence and orders; then the old message arrives. The surplus is drained.
+#[test]
+fn a_held_back_order_of_a_dead_holder_ends_as_surplus() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 0, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    let way = Proxy::start(rig.platform.address())?;
+    for i in 0..2 {
+        let name = format!("host-{i}");
+        let mut settings = rig.settings(&name);
+        settings["times"]["demand_memory_ms"] = json!(500);
+        if i == 0 {
+            settings["orders"] = json!(way.url());
+        }
+        rig.add_host_with(&name, &settings)?;
+        rig.wait_revision(&rig.hosts[i], 1)?;
+        assert_eq!(holder_index(&rig)?, 0);
+    }
+    way.set(Mode::HoldPosts);
+    rig.apply(&elastic(&rig, "two", 1, 2, 4))?;
+    wait_until("an intent stands open", || {
+        let intents = rig.platform.state().objects.list("fleet/intent/", "", 100);
+        intents.iter().any(|intent| intent.value.contains("\"open\""))
+    })?;
+    rig.hosts[0].kill();
+    rig.unlist_host("host-0");
+    rig.hosts.remove(0);
+    wait_until("the next holder orders", || starts(&orders(&rig)) == 2)?;
+    check_orders(&orders(&rig));
+    way.set(Mode::Pass);
+    wait_until("the surplus is given back", || {
+        let orders = orders(&rig);
+        let live = rig.platform.state().servers.lock().len();
+        live == 2 && starts(&orders) >= 2
+    })?;
+    let late = orders(&rig).iter().filter(|order| order.holder.host() == "host-0").count();
+    assert!(late <= 1, "the dead holder sent one order at most");
+    Ok(())
+}
+
+#[test]
+fn a_holder_that_stops_hands_over_at_once() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 2, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    rig.apply(&elastic(&rig, "one", 1, 1, 8))?;
+    wait_until("one is ordered", || starts(&orders(&rig)) == 1)?;
+    let first = holder_index(&rig)?;
+    rig.hosts[first].terminate();
+    assert_eq!(rig.hosts[first].wait()?, Some(0));
+    rig.apply(&elastic(&rig, "three", 2, 3, 8))?;
+    wait_until("the other orders", || starts(&orders(&rig)) == 3)?;
+    check_orders(&orders(&rig));
+    Ok(())
+}
+
+#[test]
+fn without_cheap_servers_dear_ones_are_ordered() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 1, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    rig.apply(&elastic(&rig, "two", 1, 2, 8))?;
+    wait_until("two are ordered", || starts(&orders(&rig)) == 2)?;
+    let is_cheap = |order: &Order| matches!(order.action, Action::Start { cheap: true, .. });
+    assert!(orders(&rig).iter().all(is_cheap));
+    rig.platform.fault(|faults| faults.no_cheap = true);
+    rig.apply(&elastic(&rig, "four", 2, 4, 8))?;
+    wait_until("four are ordered", || starts(&orders(&rig)) == 4)?;
+    assert!(orders(&rig)[2..].iter().all(|order| !is_cheap(order)));
+    Ok(())
+}
+
+/// The platform says that a server is leaving; within seconds it gets no new work, also when the
+/// store is down at the same time.
+#[test]
+fn a_leaving_server_gets_no_new_work() -> anyhow::Result<()> {
+    for store_down in [false, true] {
+        let mut rig = Rig::start(programs(), &Size { hosts: 0, ..Size::default() })?;
+        let fleet = Fleet::install(&rig.platform);
+        let way = Proxy::start(rig.platform.address())?;
+        for i in 0..2 {
+            let name = format!("host-{i}");
+            let mut settings = rig.settings(&name);
+            settings["objects"] = json!(way.url());
+            rig.add_host_with(&name, &settings)?;
+        }
+        rig.apply(&elastic(&rig, "one", 1, 1, 1))?;
+        let key = key_of(&rig.sample.lab);
+        let serve = |i: usize| -> anyhow::Result<()> {
+            let call = Call::chat(key, "costing", &format!("c{i}"), 2);
+            anyhow::ensure!(call.stream(rig.hosts[i % 2].callers)?.complete);
+            Ok(())
+        };
+        let fit = |host: &wasabi_standin::process::Daemon| {
+            let dump = host.dump().unwrap_or_default().to_string();
+            dump.contains("rented-0")
+        };
+        wait_until("the ordered server is known", || rig.hosts.iter().all(fit))?;
+        for i in 0..16 {
+            serve(i)?;
+        }
+        assert!(fleet.count_first() > 0);
+        if store_down {
+            way.set(Mode::Cut);
+        }
+        rig.platform.state().servers.lock()[0].phase = Phase::Leaving;
+        wait_until("no host gives it work", || !rig.hosts.iter().any(fit))?;
+        let before = fleet.count_first();
+        for i in 0..16 {
+            serve(i)?;
+        }
+        assert_eq!(fleet.count_first(), before);
+    }
+    Ok(())
+}
