Homes: one host dispatches each cell of servers, the others ask it

Cause: every host dispatched to every server by its own counts, so slots were overrun by the number of hosts and tiers held only within one host. Change: crates/home (cells, homes by rendezvous hashing, grants over jsonrpsee with beats, expiry, preemption and refusals), an order of giving up that protects a tier also while a lower one is stopping for it.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -114,6 +114,11 @@
         self.shared.apply(|inner| inner.desk.set_servers(now, pool, servers));
     }
 
+    /// Stops dispatching a pool; what waits is refused with `PeerUnavailable`.
+    pub fn give_up_pool(&self, pool: &PoolId) {
+        self.shared.apply(|inner| inner.desk.give_up_pool(pool));
+    }
+
     /// Looks again at what waits; to be called several times a second.
     pub fn tick(&self) {
         let now = self.shared.clock.now();
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -131,6 +131,7 @@
         "pools": pools,
         "leases": leases,
         "hosts": parts.roster.hosts(),
+        "grants_held_here": parts.desks.held(),
         "draining": parts.view.draining(),
         "once_waiting": parts.context.once.waiting(),
         "usage_flushed": parts.flusher.is_done(),
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -18,6 +18,7 @@
     running::Registry as Running,
 };
 use wasabi_fleet::{commander::Commander, plan, view::View};
+use wasabi_home::{self as home, ask::Asker, desk::Desks, live::Live};
 use wasabi_lease::{
     holder::{self, Lease},
     witness::{Process, Witness},
@@ -52,6 +53,12 @@
     pub store: Arc<dyn Store>,
     /// The configuration in force.
     pub cell: Arc<Cell>,
+    /// The cells that this host dispatches.
+    pub desks: Arc<Desks>,
+    /// Dealings with the homes on other hosts.
+    pub homes: Arc<home::link::Links>,
+    /// The hosts taken for live.
+    pub live: Arc<Live>,
     /// The desk.
     pub desk: Arc<Local>,
     /// What requests need.
@@ -96,7 +103,7 @@
         let roster = Arc::new(Known::new(source, clock.clone()));
         let links = Arc::new(Links::new(times.peer_call));
         let witness: Arc<dyn Witness> = Arc::new(Evidence {
-            runtime,
+            runtime: runtime.clone(),
             links: links.clone(),
             roster: roster.clone(),
             me: me.incarnation.clone(),
@@ -116,7 +123,19 @@
         let desk = Arc::new(Local::new(clock.clone(), desk::Desk::new(desk::Options::default())));
         let once = Table::new(store.clone(), clock.clone(), witness.clone(), me.clone());
         let busy = Arc::new(Busy::default());
-        let dispatch = Arc::new(Counted::new(desk.clone(), busy.clone()));
+        let view = Arc::new(View::default());
+        let live = Arc::new(Live::new(clock.clone(), incarnation.clone()));
+        let desks = Arc::new(Desks::new(
+            clock.clone(),
+            cell.clone(),
+            view.clone(),
+            live.clone(),
+            desk.clone(),
+            settings.cell_servers,
+        ));
+        let homes = home::link::Links::new(runtime, incarnation.clone(), links.clone());
+        let asker = Asker::new(clock.clone(), desks.clone(), homes.clone(), live.clone());
+        let dispatch = Arc::new(Counted::new(Arc::new(asker), busy.clone()));
         let order_lease = lease("orders", true);
         let commander = Commander::new(
             store.clone(),
@@ -146,7 +165,10 @@
             order_lease,
             commander: Arc::new(commander),
             provider,
-            view: Arc::new(View::default()),
+            view,
+            desks,
+            homes,
+            live,
             busy,
             contact: tasks::Contact::new(clock.now()),
             status: Arc::new(status::Writer::new(store.clone())),
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,18 +1,17 @@
-//! The servers that the desk may use, and what the hosts say of them together.
+//! The servers that desks may use, and what the hosts say of them together.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use wasabi_config::state::State;
 use wasabi_core::{
     errors::Result,
     io::{self, Object},
+    note::Pool,
     units::{PoolId, ServerId},
 };
-use wasabi_entry::dispatch::Local;
-use wasabi_fleet::{commander::Reports, plan::Demand, publish, view::View};
+use wasabi_fleet::{commander::Reports, plan::Demand, publish};
 
 use crate::{
     registry::Parts,
@@ -23,22 +22,11 @@
 const STORE_SILENCE: Duration = Duration::from_secs(2);
 const MAX_HOSTS: usize = 1_000;
 
-/// Gives the desk the servers of every pool.
-pub fn set(desk: &Local, view: &View, state: &State) {
-    let known: Vec<PoolId> = desk.with_desk(|desk| desk.pools());
-    for pool in known.iter().filter(|pool| !state.pools.contains_key(pool)) {
-        desk.set_servers(pool, &[]);
-    }
-    for slot in state.pools.values() {
-        desk.set_servers(&slot.object.name, &view.servers(&slot.object));
-    }
-}
-
 /// Takes a listing that the store holds.
 pub fn take(parts: &Parts, object: &Object) -> Result<()> {
     let pool = publish::pool_of(&object.key)?;
     if parts.view.offer(&pool, object.version, io::parse(object)?) {
-        set(&parts.desk, &parts.view, &parts.cell.get());
+        parts.desks.refresh();
     }
     Ok(())
 }
@@ -48,7 +36,7 @@
 pub fn refresh(parts: &Parts) -> Result<()> {
     if parts.contact.age(parts.clock.now()) > STORE_SILENCE.max(2 * parts.settings.times.watch) {
         if parts.view.overlay(&parts.provider.servers()?) {
-            set(&parts.desk, &parts.view, &parts.cell.get());
+            parts.desks.refresh();
         }
         return Ok(());
     }
@@ -72,10 +60,17 @@
 
 /// Returns the demand that this host's desk sees.
 pub fn demand(parts: &Parts) -> BTreeMap<PoolId, Demand> {
-    parts.desk.with_desk(|desk| {
-        let pools = desk.pools().into_iter();
-        pools.map(|pool| (pool.clone(), Demand { tiers: desk.demand(&pool) })).collect()
-    })
+    let state = parts.cell.get();
+    let demand = |pool: &Pool| {
+        let mut sum = Demand::default();
+        for cell in parts.desks.cells(pool) {
+            let tiers = parts.desk.with_desk(|desk| desk.demand(&cell.name));
+            sum.add(&Demand { tiers });
+        }
+        sum
+    };
+    let pools = state.pools.iter();
+    pools.map(|(name, slot)| (name.clone(), demand(&slot.object))).collect()
 }
 
 /// Returns how many of this host's requests run on each server that is being drained.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -31,10 +31,14 @@
     pub orders: String,
     /// The base address of the host list.
     pub hosts: String,
+    /// Pools of at most this many servers are dispatched whole by one host.
+    pub cell_servers: usize,
     /// Times, each with a default.
     pub times: Times,
 }
 
+const DEFAULT_CELL_SERVERS: usize = 24;
+
 macro_rules! times {
     ($($(#[doc = $doc:literal])* $name:ident = $default:literal;)*) => {
         /// Times of a host; in the file each ends in `_ms` and is a number of milliseconds.
@@ -104,6 +108,8 @@
     stop_notice = 5_000;
     /// How long a stopping host waits for its requests.
     stop_limit = 900_000;
+    /// Between two signs of life for grants held at other hosts.
+    grant_beat = 250;
     /// Between two looks at waiting requests.
     desk_tick = 20;
     /// For a backend server's first part of an answer.
@@ -134,6 +140,13 @@
     let peers = required(&mut fields, "peers", &mut problems);
     let urls =
         ["objects", "usage", "orders", "hosts"].map(|name| url(&mut fields, name, &mut problems));
+    let cell_servers = match fields.remove("cell_servers") {
+        None => DEFAULT_CELL_SERVERS,
+        Some(value) => read(value, "cell_servers", &mut problems).unwrap_or(DEFAULT_CELL_SERVERS),
+    };
+    if cell_servers == 0 {
+        problems.push(problem("cell_servers", "must be at least 1"));
+    }
     let times = times(&mut fields, &mut problems);
     problems.extend(fields.keys().map(|name| problem(name, "is not a setting")));
     if !problems.is_empty() {
@@ -151,6 +164,7 @@
             usage: usage?,
             orders: orders?,
             hosts: hosts?,
+            cell_servers,
             times,
         })
     };
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -23,7 +23,6 @@
 use crate::{
     operator::Port,
     registry::Parts,
-    servers,
     settings::Settings,
     status::Status,
     tasks::{self, Ending},
@@ -41,8 +40,10 @@
         .context("the runtime does not start")?;
     let cell = Arc::new(Cell::default());
     let incarnation = Parts::incarnation(&settings);
-    let host = Host::new(incarnation.clone(), cell.clone());
-    let (peer, _peer_port) = runtime.block_on(wasabi_peer::server::listen(settings.peers, host))?;
+    let peers = std::net::TcpListener::bind(settings.peers)
+        .with_context(|| format!("the peer port {} cannot be bound", settings.peers))?;
+    peers.set_nonblocking(true)?;
+    let peer = peers.local_addr()?;
     let operator = Port::bind(settings.operators)?;
     let listener = runtime
         .block_on(TcpListener::bind(settings.callers))
@@ -63,6 +64,11 @@
     };
     let parts = Arc::new(Parts::new(settings, me, cell, runtime.handle().clone()));
     connect(&parts);
+    let host = Host::new(parts.me.incarnation.clone(), parts.cell.clone(), parts.desks.clone());
+    let _peer_port = {
+        let _context = runtime.enter();
+        wasabi_peer::server::listen(peers, host)?
+    };
     info!(
         callers = status.callers.to_string().as_str(),
         operators = status.operators.to_string().as_str(),
@@ -76,9 +82,9 @@
 /// Makes the parts follow the configuration.
 fn connect(parts: &Arc<Parts>) {
     let running = parts.context.running.clone();
-    let (desk, view) = (parts.desk.clone(), parts.view.clone());
+    let desks = parts.desks.clone();
     parts.cell.listen(move |state| {
-        servers::set(&desk, &view, state);
+        desks.refresh();
         let cut = running.enforce(state);
         info!(revision = state.revision.0, cut = cut; "configuration in force");
     });
@@ -101,6 +107,13 @@
             spreading.spread.round(&spreading.roster.hosts()).await;
         }
     });
+    let beating = parts.clone();
+    let beats = runtime.spawn(async move {
+        loop {
+            tokio::time::sleep(beating.settings.times.grant_beat).await;
+            beating.homes.beat().await;
+        }
+    });
     let (stop_sender, stop) = watch::channel(false);
     let callers = runtime.spawn(server::run(parts.context.clone(), listener, stop));
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals cannot be taken")?;
@@ -108,11 +121,14 @@
     info!(running = parts.context.running.len(); "stopping");
     end_on_second_signal(signals, parts.clone());
     parts.context.contact.set_leaving();
+    parts.live.leave();
+    parts.desks.refresh();
     std::thread::sleep(parts.settings.times.stop_notice);
     let _ = stop_sender.send(true);
     finish(runtime, &parts, callers);
     ending.end();
     spread.abort();
+    beats.abort();
     for thread in threads {
         let _ = thread.join();
     }
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -97,7 +97,7 @@
         threads.push(repeat(name, pause, parts, ending, step));
     };
     let role_pause = times.lease / 4;
-    every("hosts", times.host_list, Box::new(|parts| parts.roster.refresh()));
+    every("hosts", times.host_list, Box::new(hosts));
     every("flush", times.usage_flush, Box::new(|parts| parts.flusher.step()));
     every("usage", role_pause.min(times.usage_window / 4), Box::new(usage));
     every("upkeep", role_pause, upkeep());
@@ -107,6 +107,7 @@
     every("status", times.status, status(addresses.clone()));
     let desk_tick = |parts: &Parts| {
         parts.desk.tick();
+        parts.desks.expire();
         Ok(())
     };
     every("desk", times.desk_tick, Box::new(desk_tick));
@@ -191,6 +192,13 @@
     })
 }
 
+fn hosts(parts: &Parts) -> Result<()> {
+    let read = parts.roster.refresh();
+    parts.live.set(parts.roster.hosts());
+    parts.desks.refresh();
+    read
+}
+
 fn usage(parts: &Parts) -> Result<()> {
     parts.usage_lease.step()?;
     if parts.usage_lease.epoch().is_some() {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,6 +1,7 @@
 //! What hosts say to each other.
 #![forbid(unsafe_code)]
 
+pub mod homes;
 pub mod link;
 pub mod rpc;
 pub mod server;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -9,16 +9,18 @@
     units::Revision,
 };
 
-use crate::rpc::{Greeting, News, PeerClient};
+use crate::rpc::{Ask, Beat, BeatAnswer, Decided, Done, Greeting, News, PeerClient};
 
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+/// A ticket never waits longer.
+const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
 /// Clients kept for hosts that were called lately.
 const MAX_CLIENTS: usize = 64;
 
 /// Links to other hosts, opened when needed.
 pub struct Links {
     timeout: Duration,
-    clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+    clients: Mutex<HashMap<(SocketAddr, Duration), Arc<HttpClient>>>,
 }
 
 impl Links {
@@ -29,34 +31,52 @@
 
     /// Greets the host at `peer`.
     pub async fn hello(&self, peer: SocketAddr, from: Greeting) -> Result<Greeting> {
-        self.client(peer)?.hello(from).await.map_err(|e| self.failed(peer, &e))
+        self.client(peer, self.timeout)?.hello(from).await.map_err(|e| self.failed(peer, &e))
     }
 
     /// Gets what follows `revision` from the host at `peer`.
     pub async fn news(&self, peer: SocketAddr, revision: Revision) -> Result<News> {
-        self.client(peer)?.news(revision).await.map_err(|e| self.failed(peer, &e))
+        self.client(peer, self.timeout)?.news(revision).await.map_err(|e| self.failed(peer, &e))
     }
 
-    fn client(&self, peer: SocketAddr) -> Result<Arc<HttpClient>> {
+    /// Asks the home at `peer`; takes as long as the home needs to decide.
+    pub async fn ask(&self, peer: SocketAddr, ask: Ask) -> Result<Decided> {
+        self.client(peer, LONGEST_WAIT)?.ask(ask).await.map_err(|e| self.failed(peer, &e))
+    }
+
+    /// Tells the home at `peer` that grants are still held.
+    pub async fn beat(&self, peer: SocketAddr, beat: Beat) -> Result<BeatAnswer> {
+        self.client(peer, self.timeout)?.beat(beat).await.map_err(|e| self.failed(peer, &e))
+    }
+
+    /// Gives a grant back to the home at `peer`.
+    pub async fn done(&self, peer: SocketAddr, done: Done) -> Result<()> {
+        self.client(peer, self.timeout)?.done(done).await.map_err(|e| self.failed(peer, &e))
+    }
+
+    fn client(&self, peer: SocketAddr, timeout: Duration) -> Result<Arc<HttpClient>> {
         let mut clients = self.clients.lock();
-        if let Some(client) = clients.get(&peer) {
+        if let Some(client) = clients.get(&(peer, timeout)) {
             return Ok(client.clone());
         }
         if clients.len() >= MAX_CLIENTS {
             clients.clear();
         }
-        let client = HttpClientBuilder::default()
-            .request_timeout(self.timeout)
+        let client = Arc::new(self.build(peer, timeout)?);
+        clients.insert((peer, timeout), client.clone());
+        Ok(client)
+    }
+
+    fn build(&self, peer: SocketAddr, timeout: Duration) -> Result<HttpClient> {
+        HttpClientBuilder::default()
+            .request_timeout(timeout)
             .max_response_size(MAX_MESSAGE_BYTES)
             .build(format!("http://{peer}"))
-            .map_err(|e| Error::new(Code::PeerUnavailable, e.to_string()))?;
-        let client = Arc::new(client);
-        clients.insert(peer, client.clone());
-        Ok(client)
+            .map_err(|e| Error::new(Code::PeerUnavailable, e.to_string()))
     }
 
     fn failed(&self, peer: SocketAddr, e: &jsonrpsee::core::ClientError) -> Error {
-        self.clients.lock().remove(&peer);
+        self.clients.lock().retain(|(known, _), _| *known != peer);
         Error::new(Code::PeerUnavailable, e.to_string())
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,6 @@
 //! Answers the calls of other hosts.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::TcpListener, sync::Arc};
 
 use jsonrpsee::{
     core::{RpcResult, async_trait},
@@ -12,21 +12,25 @@
     units::{Incarnation, Revision},
 };
 
-use crate::rpc::{Greeting, News, PeerServer};
+use crate::{
+    homes::Homes,
+    rpc::{Ask, Beat, BeatAnswer, Decided, Done, Greeting, News, PeerServer},
+};
 
-const MAX_CONNECTIONS: u32 = 512;
+const MAX_CONNECTIONS: u32 = 4_096;
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
 
 /// This host, as its peers see it.
 pub struct Host {
     incarnation: Incarnation,
     cell: Arc<Cell>,
+    homes: Arc<dyn Homes>,
 }
 
 impl Host {
     /// Gets the host's side of the calls.
-    pub fn new(incarnation: Incarnation, cell: Arc<Cell>) -> Self {
-        Self { incarnation, cell }
+    pub fn new(incarnation: Incarnation, cell: Arc<Cell>, homes: Arc<dyn Homes>) -> Self {
+        Self { incarnation, cell, homes }
     }
 
     /// Returns how the host stands.
@@ -49,16 +53,28 @@
             None => News::Whole(Box::new((*self.cell.get()).clone())),
         })
     }
+
+    async fn ask(&self, ask: Ask) -> RpcResult<Decided> {
+        Ok(self.homes.ask(ask).await)
+    }
+
+    async fn beat(&self, beat: Beat) -> RpcResult<BeatAnswer> {
+        Ok(self.homes.beat(beat))
+    }
+
+    async fn done(&self, done: Done) -> RpcResult<()> {
+        self.homes.done(done);
+        Ok(())
+    }
 }
 
-/// Listens at `address`; returns the address in use and the handle that keeps it open.
-pub async fn listen(address: SocketAddr, host: Host) -> Result<(SocketAddr, ServerHandle)> {
+/// Answers on `listener` as long as the handle that is returned is kept.
+pub fn listen(listener: TcpListener, host: Host) -> Result<ServerHandle> {
     let config = jsonrpsee::server::ServerConfig::builder()
         .max_connections(MAX_CONNECTIONS)
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .build();
-    let server = Server::builder().set_config(config).build(address).await;
+    let server = Server::builder().set_config(config).build_from_tcp(listener);
     let server = server.map_err(|e| errors::internal(format!("peer port: {e}")))?;
-    let local = server.local_addr().map_err(|e| errors::internal(e.to_string()))?;
-    Ok((local, server.start(host.into_rpc())))
+    Ok(server.start(host.into_rpc()))
 }
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -88,6 +88,28 @@
         pool.dispatch(now, self.options)
     }
 
+    /// Stops dispatching a pool: what waits is refused as moved, what runs goes on.
+    pub fn give_up_pool(&mut self, name: &PoolId) -> Vec<Decision> {
+        let Some(pool) = self.pools.get_mut(name) else { return Vec::new() };
+        pool.servers.set(&[]);
+        let mut decisions = Vec::new();
+        for class in pool.classes.values_mut() {
+            while let Some(waiting) = class.pop_worst() {
+                let (ticket, retry_after) = (waiting.id, Duration::ZERO);
+                decisions.push(Decision::Refuse {
+                    ticket,
+                    code: Code::PeerUnavailable,
+                    retry_after,
+                });
+            }
+        }
+        if pool.running.is_empty() {
+            self.pools.remove(name);
+        }
+        self.forget_refused(&decisions);
+        decisions
+    }
+
     /// Returns the pools that have servers or tickets.
     pub fn pools(&self) -> Vec<PoolId> {
         self.pools.keys().cloned().collect()
@@ -288,10 +310,11 @@
         decisions
     }
 
-    /// Returns whether tickets of `tier` wait or could be preempted, which protects higher tiers.
+    /// Returns whether tickets of `tier` wait, or run and can stop or are stopping; that protects
+    /// higher tiers.
     fn holds_back(&self, tier: u8) -> bool {
         let waits = self.classes.values().any(|class| class.tier == tier && !class.is_empty());
-        let runs = self.running.values().any(|r| r.ticket.tier == tier && r.is_preemptible());
+        let runs = self.running.values().any(|r| r.ticket.tier == tier && r.ticket.preemptible);
         waits || runs
     }
 
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -71,15 +71,17 @@
     },
 }
 
-/// How a granted ticket ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The answer is complete, or the caller went away.
-    Done,
-    /// It was stopped for a higher tier.
-    Preempted,
-    /// The server failed it.
-    Failed,
+data! {
+    /// How a granted ticket ended.
+    #[derive(Copy, Eq)]
+    pub enum Outcome {
+        /// The answer is complete, or the caller went away.
+        Done,
+        /// It was stopped for a higher tier.
+        Preempted,
+        /// The server failed it.
+        Failed,
+    }
 }
 
 /// A ticket while it waits.
--- /dev/null
+++ b/crates/policy/tests/schedules.rs
@@ -0,0 +1,329 @@
+//! Properties of a desk over generated schedules.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use wasabi_core::{
+    note::Server,
+    units::{PoolId, Tokens},
+};
+use wasabi_policy::{
+    desk::{Desk, Options},
+    ticket::{Decision, Outcome, Ticket, TicketId},
+};
+
+const TIERS: u8 = 4;
+const MAX_GAP: Duration = Duration::from_millis(500);
+const TICK: Duration = Duration::from_millis(10);
+/// The longest that a request runs.
+const MAX_RUN: Duration = Duration::from_millis(200);
+
+/// What happens in one step.
+#[derive(Clone, Debug)]
+struct Step {
+    tier: u8,
+    workspace: u8,
+    tokens: u8,
+    arrives: bool,
+    streamed: bool,
+    patience_ms: u16,
+    cancels: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Schedule {
+    slots: u8,
+    steps: Vec<Step>,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        Self {
+            tier: u8::arbitrary(source) % TIERS,
+            workspace: u8::arbitrary(source) % 3,
+            tokens: u8::arbitrary(source) % 20,
+            arrives: u8::arbitrary(source) % 4 > 0,
+            streamed: bool::arbitrary(source),
+            patience_ms: u16::arbitrary(source) % 2_000,
+            cancels: u8::arbitrary(source) % 16 == 0,
+        }
+    }
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let slots = u8::arbitrary(source) % 4 + 1;
+        Self { slots, steps: Vec::arbitrary(source) }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let slots = self.slots;
+        Box::new(self.steps.shrink().map(move |steps| Self { slots, steps }))
+    }
+}
+
+struct Run {
+    desk: Desk,
+    now: Instant,
+    slots: u32,
+    /// Every ticket that waits.
+    waiting: HashMap<TicketId, Ticket>,
+    /// Every ticket that runs, and when it ends.
+    running: HashMap<TicketId, (Ticket, Instant)>,
+    /// When each tier was last served, or began to wait.
+    served: BTreeMap<u8, Instant>,
+    fault: Option<String>,
+}
+
+fn pool() -> PoolId {
+    "pool".parse().expect("a name")
+}
+
+impl Run {
+    fn new(slots: u32, ageing: bool) -> Self {
+        let mut desk = Desk::new(Options { ageing, ..Options::default() });
+        let now = Instant::now();
+        let server = Server {
+            name: "s".parse().expect("a name"),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            domain: "d".parse().expect("a name"),
+            cheap: false,
+            slots,
+        };
+        desk.set_servers(now, &pool(), &[server]);
+        let (waiting, running, served, fault) = Default::default();
+        Self { desk, now, slots, waiting, running, served, fault }
+    }
+
+    fn fail(&mut self, text: String) {
+        self.fault.get_or_insert(text);
+    }
+
+    fn arrive(&mut self, step: &Step) {
+        let ticket = Ticket {
+            pool: pool(),
+            class: format!("c{}", step.tier).parse().expect("a name"),
+            tier: step.tier,
+            workspace: format!("w{}", step.workspace).parse().expect("a name"),
+            weight: 1,
+            max_gap: MAX_GAP,
+            patience: Duration::from_millis(u64::from(step.patience_ms)),
+            expected: Tokens(u64::from(step.tokens) + 1),
+            preemptible: step.streamed,
+            avoid: None,
+            prefix: 0,
+            resumed: false,
+        };
+        if !self.waiting.values().any(|waiting| waiting.tier == step.tier) {
+            self.served.insert(step.tier, self.now);
+        }
+        let (id, decisions) = self.desk.arrive(self.now, ticket.clone());
+        self.waiting.insert(id, ticket);
+        self.obey(decisions);
+    }
+
+    fn obey(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            match decision {
+                Decision::Grant { ticket, .. } => self.granted(ticket),
+                Decision::Refuse { ticket, .. } => self.refused(ticket),
+                Decision::Preempt { ticket } => self.preempted(ticket),
+            }
+        }
+    }
+
+    fn granted(&mut self, id: TicketId) {
+        let Some(ticket) = self.waiting.remove(&id) else {
+            return self.fail(format!("{id} is granted and does not wait"));
+        };
+        self.served.insert(ticket.tier, self.now);
+        let length = Duration::from_millis(10 * ticket.expected.0).min(MAX_RUN);
+        self.running.insert(id, (ticket, self.now + length));
+        if self.running.len() as u32 > self.slots {
+            self.fail(format!("{} run on {} slots", self.running.len(), self.slots));
+        }
+    }
+
+    fn refused(&mut self, id: TicketId) {
+        let Some(ticket) = self.waiting.remove(&id) else {
+            return self.fail(format!("{id} is refused and does not wait"));
+        };
+        let lower_waits = self.waiting.values().find(|waiting| waiting.tier > ticket.tier);
+        if let Some(lower) = lower_waits {
+            let text = format!("tier {} is shed while tier {} waits", ticket.tier, lower.tier);
+            self.fail(text);
+        }
+        let running = self.running.values().map(|(ticket, _)| ticket);
+        let lower_runs = running.filter(|r| r.preemptible && r.tier > ticket.tier).count();
+        if lower_runs > 0 {
+            self.fail(format!("tier {} is shed while a lower one could stop", ticket.tier));
+        }
+    }
+
+    fn preempted(&mut self, id: TicketId) {
+        let Some((ticket, _)) = self.running.remove(&id) else {
+            return self.fail(format!("{id} is preempted and does not run"));
+        };
+        if !ticket.preemptible {
+            self.fail(format!("{id} cannot be preempted"));
+        }
+        if !self.waiting.values().any(|waiting| waiting.tier < ticket.tier) {
+            self.fail(format!("tier {} is preempted for no higher one", ticket.tier));
+        }
+        let decisions = self.desk.finish(self.now, id, Outcome::Preempted);
+        self.obey(decisions);
+        if !self.waiting.values().any(|waiting| waiting.tier == ticket.tier) {
+            self.served.insert(ticket.tier, self.now);
+        }
+        let again = Ticket { resumed: true, ..ticket };
+        let (id, decisions) = self.desk.arrive(self.now, again.clone());
+        self.waiting.insert(id, again);
+        self.obey(decisions);
+    }
+
+    fn pass(&mut self) {
+        self.now += TICK;
+        let ended: Vec<TicketId> = self
+            .running
+            .iter()
+            .filter(|(_, (_, end))| *end <= self.now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            // A preemption that an earlier end caused may have taken it already.
+            if let Some((ticket, _)) = self.running.remove(&id) {
+                self.desk.progress(id, ticket.expected);
+                let decisions = self.desk.finish(self.now, id, Outcome::Done);
+                self.obey(decisions);
+            }
+        }
+        let decisions = self.desk.tick(self.now);
+        self.obey(decisions);
+        self.check_gaps();
+    }
+
+    /// A class is served within its bound, one service of each other overdue class, and the time
+    /// until a slot is free.
+    fn check_gaps(&mut self) {
+        let bound = MAX_GAP + MAX_RUN * u32::from(TIERS) + 2 * TICK;
+        let tiers: Vec<u8> = self.waiting.values().map(|waiting| waiting.tier).collect();
+        for tier in tiers {
+            let gap = self.now - self.served[&tier];
+            if gap > bound {
+                self.fail(format!("tier {tier} starves for {gap:?}"));
+            }
+        }
+    }
+
+    fn cancel_one(&mut self) {
+        let Some(id) = self.waiting.keys().min().copied() else { return };
+        self.waiting.remove(&id);
+        let decisions = self.desk.finish(self.now, id, Outcome::Done);
+        self.obey(decisions);
+    }
+
+    /// At the end everything that waits is served or refused.
+    fn drain(&mut self) {
+        for _ in 0..100_000 {
+            if self.waiting.is_empty() && self.running.is_empty() {
+                return;
+            }
+            self.pass();
+        }
+        self.fail("the desk does not come to rest".to_string());
+    }
+}
+
+fn run(schedule: &Schedule, ageing: bool) -> Option<String> {
+    let mut run = Run::new(u32::from(schedule.slots), ageing);
+    for step in &schedule.steps {
+        if step.arrives {
+            run.arrive(step);
+        }
+        if step.cancels {
+            run.cancel_one();
+        }
+        run.pass();
+    }
+    run.drain();
+    run.fault
+}
+
+fn holds(schedule: Schedule) -> TestResult {
+    match run(&schedule, true) {
+        None => TestResult::passed(),
+        Some(fault) => TestResult::error(fault),
+    }
+}
+
+#[test]
+fn tiers_hold_and_nobody_starves() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 11))
+        .tests(300)
+        .quickcheck(holds as fn(Schedule) -> TestResult);
+}
+
+/// Every slot is taken and the highest tier floods: the lowest is still served in time, and without
+/// ageing it is not, so the check can fail.
+#[test]
+fn a_flood_of_the_highest_tier_starves_nobody() {
+    let step = |tier| Step {
+        tier,
+        workspace: 0,
+        tokens: 19,
+        arrives: true,
+        streamed: false,
+        patience_ms: 60_000,
+        cancels: false,
+    };
+    let mut steps = vec![step(0), step(3)];
+    steps.extend((0..200).map(|_| step(0)));
+    let schedule = Schedule { slots: 1, steps };
+    assert_eq!(run(&schedule, true), None);
+    let without = run(&schedule, false).expect("strict priority starves the lowest tier");
+    assert!(without.contains("tier 3 starves"), "{without}");
+}
+
+/// A workspace that floods gets no more than its share, by tokens.
+#[test]
+fn a_flooding_workspace_gets_its_share_only() {
+    let mut run = Run::new(2, true);
+    let step = |workspace| Step {
+        tier: 1,
+        workspace,
+        tokens: 9,
+        arrives: true,
+        streamed: false,
+        patience_ms: 60_000,
+        cancels: false,
+    };
+    let mut finished: BTreeMap<u8, u32> = BTreeMap::new();
+    for round in 0..600 {
+        for _ in 0..3 {
+            run.arrive(&step(0));
+        }
+        if round % 8 == 0 {
+            run.arrive(&step(1));
+        }
+        let before: Vec<Ticket> = run.running.values().map(|(ticket, _)| ticket.clone()).collect();
+        run.pass();
+        let after: Vec<&Ticket> = run.running.values().map(|(ticket, _)| ticket).collect();
+        let count = |tickets: &[&Ticket], name: &str| {
+            tickets.iter().filter(|ticket| ticket.workspace.as_str() == name).count()
+        };
+        let before: Vec<&Ticket> = before.iter().collect();
+        for (workspace, name) in [(0, "w0"), (1, "w1")] {
+            let ended = count(&before, name).saturating_sub(count(&after, name)) as u32;
+            *finished.entry(workspace).or_default() += ended;
+        }
+    }
+    // 600 rounds of 10 ms on 2 slots serve 120 requests of 100 ms; workspace 1 asks for 75, more
+    // than its half of them.
+    let left = run.waiting.values().filter(|ticket| ticket.workspace.as_str() == "w1").count();
+    assert!(left <= 75 - 54, "workspace 1 got {} of its 60", 75 - left);
+    assert_eq!(run.fault, None);
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -107,6 +107,8 @@
     /// Waiting requests by priority, then by arrival.
     waiting: BTreeMap<(u64, u64), ()>,
     arrivals: u64,
+    /// The most requests that ran or waited here at once.
+    peak: usize,
     cached: VecDeque<String>,
 }
 
@@ -151,6 +153,11 @@
         self.state.records.lock().clone()
     }
 
+    /// Returns the most requests that it had at once, running or waiting.
+    pub fn peak(&self) -> usize {
+        self.state.busy.lock().peak
+    }
+
     /// Returns how many requests it runs now.
     pub fn running(&self) -> u32 {
         self.state.busy.lock().running
@@ -209,6 +216,7 @@
         busy.arrivals += 1;
         let place = (priority, busy.arrivals);
         busy.waiting.insert(place, ());
+        busy.peak = busy.peak.max(busy.waiting.len() + busy.running as usize);
         loop {
             let first = busy.waiting.keys().next() == Some(&place);
             if first && busy.running < self.pace.lock().slots {
--- /dev/null
+++ b/tests/homes.rs
@@ -0,0 +1,167 @@
+//! Homes: several hosts before the same backend servers act as one.
+
+mod common;
+
+use std::thread;
+
+use common::{key_of, programs};
+use serde_json::json;
+use wasabi_standin::{
+    caller::{Call, Stream},
+    engine::{self, Pace},
+    process::wait_until,
+    rig::{Rig, Size},
+};
+
+fn three_hosts(engines: usize) -> Size {
+    Size { hosts: 3, engines, ..Size::default() }
+}
+
+fn costing(rig: &Rig, prompt: &str, tokens: u64) -> Call {
+    Call::chat(key_of(&rig.sample.lab), "costing", prompt, tokens)
+}
+
+fn check(rig: &Rig, prompt: &str) -> Call {
+    let call = Call::chat(key_of(&rig.sample.office), "costing", prompt, 3);
+    Call { target: "/check/v1/chat/completions".to_string(), ..call }
+}
+
+/// Waits until every host knows every other, so that all agree on the homes.
+fn wait_agreed(rig: &Rig) -> anyhow::Result<()> {
+    wait_until("the hosts know each other", || {
+        rig.hosts.iter().all(|host| {
+            let dump = host.dump().unwrap_or_default();
+            dump["hosts"].as_array().is_some_and(|hosts| hosts.len() == rig.hosts.len())
+        })
+    })
+}
+
+/// Returns the index of the home of the pool `costing`.
+fn home(rig: &Rig) -> Option<usize> {
+    rig.hosts.iter().position(|host| {
+        let dump = host.dump().unwrap_or_default();
+        let pools = dump["pools"].as_array().cloned().unwrap_or_default();
+        let with = |pool: &serde_json::Value| {
+            pool["pool"] == "costing" && pool["servers"].as_array().is_some_and(|s| !s.is_empty())
+        };
+        pools.iter().any(with)
+    })
+}
+
+fn run_all(rig: &Rig, calls: Vec<Call>) -> anyhow::Result<Vec<Stream>> {
+    thread::scope(|scope| {
+        let calling = |(i, call): (usize, Call)| {
+            let address = rig.hosts[i % rig.hosts.len()].callers;
+            scope.spawn(move || call.stream(address))
+        };
+        let callers: Vec<_> = calls.into_iter().enumerate().map(calling).collect();
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect()
+    })
+}
+
+#[test]
+fn hosts_together_never_give_a_server_more_than_its_slots() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &three_hosts(2))?;
+    wait_agreed(&rig)?;
+    let calls = (0..30).map(|i| costing(&rig, &format!("c{i}"), 10)).collect();
+    for (i, stream) in run_all(&rig, calls)?.into_iter().enumerate() {
+        assert!(stream.complete, "{:?}", stream.error);
+        assert_eq!(stream.text, engine::answer(&format!("c{i}"), 10));
+    }
+    for engine in &rig.engines {
+        assert!(engine.peak() <= Pace::default().slots as usize, "{}", engine.peak());
+    }
+    Ok(())
+}
+
+#[test]
+fn the_loss_of_a_home_cuts_no_stream_of_other_hosts() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &three_hosts(2))?;
+    wait_agreed(&rig)?;
+    let lost = home(&rig).expect("the pool has a home");
+    let others: Vec<usize> = (0..3).filter(|i| *i != lost).collect();
+    let streams = (0..6)
+        .map(|i| {
+            let call = costing(&rig, &format!("s{i}"), 200);
+            call.send(rig.hosts[others[i % 2]].callers)
+        })
+        .collect::<Result<Vec<_>, _>>()?;
+    wait_until("the streams run", || rig.engines.iter().map(|e| e.running()).sum::<u32>() == 6)?;
+    rig.hosts[lost].kill();
+    for host in &others {
+        let during = costing(&rig, "during", 3).stream(rig.hosts[*host].callers)?;
+        assert!(during.complete, "{:?}", during.error);
+    }
+    for (i, stream) in streams.into_iter().enumerate() {
+        let stream = stream.stream()?;
+        assert!(stream.complete, "{:?}", stream.error);
+        assert_eq!(stream.text, engine::answer(&format!("s{i}"), 200));
+    }
+    Ok(())
+}
+
+/// A paused home is silent; those who wait for it turn to the next one.
+#[test]
+fn a_paused_home_is_passed_over() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &three_hosts(1))?;
+    wait_agreed(&rig)?;
+    let paused = home(&rig).expect("the pool has a home");
+    let other = (paused + 1) % 3;
+    rig.hosts[paused].pause();
+    let stream = costing(&rig, "patient", 3).stream(rig.hosts[other].callers)?;
+    assert!(stream.complete, "{:?}", stream.error);
+    rig.hosts[paused].resume();
+    Ok(())
+}
+
+/// All slots run the lowest tier, through every host; a request of the highest tier preempts, is
+/// served, and the preempted answers still arrive whole.
+#[test]
+fn a_higher_tier_preempts_and_nothing_is_lost() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &three_hosts(1))?;
+    wait_agreed(&rig)?;
+    let streams = (0..6)
+        .map(|i| costing(&rig, &format!("low{i}"), 150).send(rig.hosts[i % 3].callers))
+        .collect::<Result<Vec<_>, _>>()?;
+    wait_until("all slots are taken", || rig.engines[0].running() == 4)?;
+    let high = check(&rig, "now").stream(rig.hosts[0].callers)?;
+    assert!(high.complete, "{:?}", high.error);
+    let unfinished = rig.engines[0].records().iter().filter(|record| record.complete).count();
+    assert!(unfinished <= 1, "the request did not wait for a free slot");
+    for (i, stream) in streams.into_iter().enumerate() {
+        let stream = stream.stream()?;
+        assert!(stream.complete, "{:?}", stream.error);
+        assert_eq!(stream.text, engine::answer(&format!("low{i}"), 150));
+    }
+    let resumed = rig.engines[0].records().iter().filter(|r| r.resume_from > 0).count();
+    assert!(resumed >= 1, "a preempted request went on where it was");
+    Ok(())
+}
+
+/// The tier that the highest one floods past capacity: the lowest is given up first, with the time
+/// to come back, and no request of the highest is refused while one of the lowest waits.
+#[test]
+fn the_lowest_tier_is_given_up_first() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &three_hosts(1))?;
+    wait_agreed(&rig)?;
+    let class = json!({"name": "costing", "tier": 2, "max_gap_ms": 60_000,
+        "target": {"stream": {"first_token_ms": 300, "inter_token_ms": 200}}});
+    rig.apply(&json!({"id": "short", "base": 1, "changed": {"classes": [class]}}))?;
+    for host in &rig.hosts {
+        rig.wait_revision(host, 2)?;
+    }
+    let mut calls: Vec<Call> = (0..30).map(|i| check(&rig, &format!("h{i}"))).collect();
+    calls.extend((0..30).map(|i| costing(&rig, &format!("l{i}"), 40)));
+    let streams = run_all(&rig, calls)?;
+    let (high, low) = streams.split_at(30);
+    assert!(high.iter().all(|stream| stream.complete), "no request of the highest tier is shed");
+    let refused: Vec<&Stream> = low.iter().filter(|stream| !stream.complete).collect();
+    assert!(!refused.is_empty());
+    for stream in refused {
+        assert_eq!(stream.code(), Some(1202), "{:?}", stream.error);
+        let error = stream.error.as_ref().expect("it is stated")["error"].clone();
+        assert_eq!(error["ran"], "not run");
+        assert!(error["retry_after_s"].as_u64() >= Some(1));
+    }
+    Ok(())
+}
