Load tool, slopes and mutants

examples/load drives real host processes with the users' workloads under four policies and measures what a host adds; examples/slopes fits costs against sizes for the capacity page; examples/mutants switches mechanisms off in a copy of the tree and expects the test of their property to fail.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -26,7 +26,7 @@
 use wasabi_once::table::Table;
 use wasabi_peer::{link::Links, spread::Spread};
 use wasabi_platform::{billing, http::Endpoint, provider, roster, store};
-use wasabi_policy::{budget::Budget, desk, estimate};
+use wasabi_policy::{budget::Budget, desk::Desk, estimate};
 use wasabi_usage::{counter::Counter, flush::Flusher, window::Reporter};
 
 use crate::{
@@ -120,7 +120,7 @@
             Arc::new(Lease::new(store, clock, witness.clone(), role, me.clone(), options))
         };
         let counter = Arc::new(Counter::default());
-        let desk = Arc::new(Local::new(clock.clone(), desk::Desk::new(desk::Options::default())));
+        let desk = Arc::new(Local::new(clock.clone(), Desk::new(settings.policy.options())));
         let once = Table::new(store.clone(), clock.clone(), witness.clone(), me.clone());
         let busy = Arc::new(Busy::default());
         let view = Arc::new(View::default());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,13 +2,14 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::{Map, Value};
 use wasabi_config::state::Problem;
 use wasabi_core::{
     errors::Code,
     units::{Domain, HostId},
 };
+use wasabi_policy::{desk, servers::Pick};
 
 /// What a host is told at its start.
 #[derive(Clone, Debug)]
@@ -33,10 +34,41 @@
     pub hosts: String,
     /// Pools of at most this many servers are dispatched whole by one host.
     pub cell_servers: usize,
+    /// How requests are ordered; others than `tiers` are there to be compared with.
+    pub policy: Policy,
     /// Times, each with a default.
     pub times: Times,
 }
 
+/// How requests are ordered and servers picked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// By tier, class and workspace.
+    #[default]
+    Tiers,
+    /// In order of arrival, servers in turn.
+    FifoRoundRobin,
+    /// In order of arrival, to the least busy server.
+    FifoLeastInFlight,
+    /// By tier, without ageing.
+    Strict,
+}
+
+impl Policy {
+    /// Returns the desk's options.
+    pub fn options(self) -> desk::Options {
+        let tiers = desk::Options::default();
+        let plain = desk::Options { classes: false, ..tiers };
+        match self {
+            Self::Tiers => tiers,
+            Self::FifoRoundRobin => desk::Options { pick: Pick::RoundRobin, ..plain },
+            Self::FifoLeastInFlight => desk::Options { pick: Pick::LeastBusy, ..plain },
+            Self::Strict => desk::Options { ageing: false, ..tiers },
+        }
+    }
+}
+
 const DEFAULT_CELL_SERVERS: usize = 24;
 
 macro_rules! times {
@@ -147,6 +179,10 @@
     if cell_servers == 0 {
         problems.push(problem("cell_servers", "must be at least 1"));
     }
+    let policy = match fields.remove("policy") {
+        None => Policy::Tiers,
+        Some(value) => read(value, "policy", &mut problems).unwrap_or_default(),
+    };
     let times = times(&mut fields, &mut problems);
     problems.extend(fields.keys().map(|name| problem(name, "is not a setting")));
     if !problems.is_empty() {
@@ -165,6 +201,7 @@
             orders: orders?,
             hosts: hosts?,
             cell_servers,
+            policy,
             times,
         })
     };
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     queue,
-    servers::Servers,
+    servers::{Pick, Servers},
     ticket::{Decision, Outcome, Ticket, TicketId, Waiting},
 };
 
@@ -35,11 +35,16 @@
     pub default_interval: f64,
     /// Whether a class past its bound goes first; off only to compare.
     pub ageing: bool,
+    /// Whether tiers, classes and workspaces count at all; off only to compare.
+    pub classes: bool,
+    /// How a server is picked.
+    pub pick: Pick,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { max_waiting: 4_096, default_interval: 0.03, ageing: true }
+        let (ageing, classes, pick) = (true, true, Pick::Affinity);
+        Self { max_waiting: 4_096, default_interval: 0.03, ageing, classes, pick }
     }
 }
 
@@ -117,6 +122,7 @@
 
     /// Takes a new ticket; the decision on it may come at once or from a later event.
     pub fn arrive(&mut self, now: Instant, ticket: Ticket) -> (TicketId, Vec<Decision>) {
+        let ticket = if self.options.classes { ticket } else { ticket.plain() };
         self.next += TicketId(1);
         let id = self.next;
         let pool = self.pools.entry(ticket.pool.clone()).or_default();
@@ -234,7 +240,8 @@
             let served_before = class.last_served();
             let Some(waiting) = class.pop(now) else { break };
             let avoid = waiting.ticket.avoid.as_ref();
-            let Some(server) = self.servers.take(now, waiting.ticket.prefix, avoid) else {
+            let Some(server) = self.servers.take(now, options.pick, waiting.ticket.prefix, avoid)
+            else {
                 class.unpop(waiting, served_before);
                 break;
             };
--- a/crates/policy/src/servers.rs
+++ b/crates/policy/src/servers.rs
@@ -23,9 +23,22 @@
 const FIRST_EJECTION: Duration = Duration::from_secs(2);
 const MAX_EJECTION: Duration = Duration::from_secs(60);
 
+/// How a server is picked among those with a free slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// By the prompt's prefix, unless that server is clearly busier than the least busy one.
+    Affinity,
+    /// The least busy one.
+    LeastBusy,
+    /// In turn.
+    RoundRobin,
+}
+
 /// The servers of one pool.
 #[derive(Debug, Default)]
 pub struct Servers {
+    /// The server that was picked last.
+    last: Option<ServerId>,
     entries: BTreeMap<ServerId, Entry>,
 }
 
@@ -89,16 +102,32 @@
     ///
     /// The server that the prefix falls on is taken unless it is clearly busier than the least
     /// busy one; `avoid` is taken only if no other is free.
-    pub fn take(&mut self, now: Instant, prefix: u64, avoid: Option<&ServerId>) -> Option<Server> {
+    pub fn take(
+        &mut self,
+        now: Instant,
+        pick: Pick,
+        prefix: u64,
+        avoid: Option<&ServerId>,
+    ) -> Option<Server> {
         self.end_ejections(now);
         let free = || self.entries.values().filter(|entry| entry.is_free());
         let others = free().any(|entry| Some(&entry.server.name) != avoid);
         let allowed = |entry: &&Entry| !others || Some(&entry.server.name) != avoid;
         let least = free().filter(allowed).map(Entry::load).min_by(f64::total_cmp)?;
         let near = |entry: &&Entry| entry.load() <= least + 1.0 / f64::from(entry.server.slots);
-        let chosen = free().filter(allowed).filter(near);
-        let chosen = chosen.max_by_key(|entry| rendezvous(prefix, &entry.server.name))?;
-        let name = chosen.server.name.clone();
+        let chosen = match pick {
+            Pick::Affinity => {
+                let near = free().filter(allowed).filter(near);
+                near.max_by_key(|entry| rendezvous(prefix, &entry.server.name))
+            }
+            Pick::LeastBusy => free().filter(allowed).min_by(|a, b| a.load().total_cmp(&b.load())),
+            Pick::RoundRobin => {
+                let after = |entry: &&Entry| Some(&entry.server.name) > self.last.as_ref();
+                free().filter(allowed).find(after).or_else(|| free().find(allowed))
+            }
+        };
+        let name = chosen?.server.name.clone();
+        self.last = Some(name.clone());
         let entry = self.entries.get_mut(&name)?;
         entry.running += 1;
         Some(entry.server.clone())
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -45,6 +45,25 @@
     }
 }
 
+/// The class, and the workspace, of tickets whose own do not count.
+const PLAIN: &str = "plain";
+const PLAIN_PATIENCE: Duration = Duration::from_secs(3_600);
+
+impl Ticket {
+    /// Returns the ticket with nothing by which it could go before or behind another.
+    pub fn plain(self) -> Self {
+        Self {
+            class: PLAIN.parse().expect("a name"),
+            workspace: PLAIN.parse().expect("a name"),
+            tier: 0,
+            weight: 1,
+            patience: PLAIN_PATIENCE,
+            preemptible: false,
+            ..self
+        }
+    }
+}
+
 /// What a desk decides.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -9,7 +9,7 @@
 use anyhow::Context as _;
 use serde_json::{Value, json};
 
-const READ_LIMIT: Duration = Duration::from_secs(60);
+use crate::process;
 
 /// A request that is ready to be sent.
 #[derive(Clone, Debug)]
@@ -52,6 +52,8 @@
     pub error: Option<Value>,
     /// When the first token came.
     pub first: Option<Instant>,
+    /// When the last token came.
+    pub last: Option<Instant>,
     /// The longest time between tokens.
     pub longest_gap: Duration,
 }
@@ -95,7 +97,7 @@
     /// Sends the request; the answer is still to be read.
     pub fn send(&self, address: SocketAddr) -> anyhow::Result<Pending> {
         let mut socket = TcpStream::connect(address).context("connect")?;
-        socket.set_read_timeout(Some(READ_LIMIT))?;
+        socket.set_read_timeout(Some(process::patience()))?;
         socket.set_nodelay(true)?;
         let mut head = format!("{} {} HTTP/1.1\r\nhost: {address}\r\n", self.method, self.target);
         for (name, value) in &self.headers {
@@ -155,6 +157,7 @@
             complete: false,
             error: None,
             first: None,
+            last: None,
             longest_gap: Duration::ZERO,
         };
         if status != 200 {
@@ -165,7 +168,6 @@
             stream.error = Some(serde_json::from_slice(&body)?);
             return Ok(stream);
         }
-        let mut last = None;
         let mut done = false;
         while let Ok(chunk) = self.chunk() {
             let Some(chunk) = chunk else {
@@ -178,7 +180,7 @@
                     done = true;
                     continue;
                 }
-                stream.take(serde_json::from_str(data)?, &mut last);
+                stream.take(serde_json::from_str(data)?);
             }
         }
         Ok(stream)
@@ -236,7 +238,13 @@
         self.error.as_ref()?.get("error")?.get("code")?.as_u64()
     }
 
-    fn take(&mut self, event: Value, last: &mut Option<Instant>) {
+    /// Returns the mean time between tokens.
+    pub fn mean_gap(&self) -> Duration {
+        let (Some(first), Some(last)) = (self.first, self.last) else { return Duration::ZERO };
+        last.duration_since(first) / (self.tokens.saturating_sub(1)).max(1) as u32
+    }
+
+    fn take(&mut self, event: Value) {
         if event.get("error").is_some() {
             self.error = Some(event);
             return;
@@ -247,7 +255,7 @@
             return;
         };
         let now = Instant::now();
-        let gap = last.replace(now).map_or(Duration::ZERO, |last| now.duration_since(last));
+        let gap = self.last.replace(now).map_or(Duration::ZERO, |last| now.duration_since(last));
         self.longest_gap = self.longest_gap.max(gap);
         self.first.get_or_insert(now);
         self.text.push_str(text);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod rig;
 pub mod sample;
 pub mod service;
+pub mod slopes;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -5,7 +5,10 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -15,8 +18,12 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
-/// After this time a test that waits has failed.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE_SECONDS: u64 = 60;
+const PATIENCE_NAME: &str = "WASABI_TEST_PATIENCE_S";
+/// Fields of `/proc/PID/stat` after the name (proc(5): utime and stime).
+const USER_FIELD: usize = 11;
+const SYSTEM_FIELD: usize = 12;
+const TICKS_A_SECOND: f64 = 100.0;
 const POLL: Duration = Duration::from_millis(10);
 
 /// A running host process.
@@ -35,6 +42,8 @@
 #[derive(Default)]
 struct Logs {
     lines: Mutex<Vec<String>>,
+    /// Set when the process has closed its output.
+    ended: AtomicBool,
     changed: Condvar,
 }
 
@@ -57,6 +66,8 @@
                 collecting.lines.lock().push(line);
                 collecting.changed.notify_all();
             }
+            collecting.ended.store(true, Ordering::SeqCst);
+            collecting.changed.notify_all();
         });
         let line = logs.wait("listening").with_context(|| logs.text())?;
         let address = |name: &str| -> anyhow::Result<SocketAddr> {
@@ -101,7 +112,7 @@
 
     /// Waits for the end; returns the exit code.
     pub fn wait(&mut self) -> anyhow::Result<Option<i32>> {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + patience();
         while Instant::now() < end {
             if let Some(status) = self.child.try_wait()? {
                 return Ok(status.code());
@@ -147,7 +158,7 @@
     }
 
     fn wait(&self, message: &str) -> anyhow::Result<Value> {
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + patience();
         let mut lines = self.lines.lock();
         let mut read = 0;
         loop {
@@ -158,7 +169,8 @@
                 }
             }
             read = lines.len();
-            anyhow::ensure!(Instant::now() < end, "no log line says {message:?}");
+            let over = self.ended.load(Ordering::SeqCst) || Instant::now() >= end;
+            anyhow::ensure!(!over, "no log line says {message:?}");
             self.changed.wait_for(&mut lines, Duration::from_millis(200));
         }
     }
@@ -169,6 +181,31 @@
     Command::new(program).args(args).output().context("the program does not start")
 }
 
+/// Returns the time after which a test that waits has failed.
+///
+/// `WASABI_TEST_PATIENCE_S` shortens it where failures are expected.
+pub fn patience() -> Duration {
+    let seconds = std::env::var(PATIENCE_NAME).ok().and_then(|text| text.parse().ok());
+    Duration::from_secs(seconds.unwrap_or(PATIENCE_SECONDS))
+}
+
+/// Returns the CPU seconds that a process has used, by the system's accounting.
+pub fn cpu_seconds(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse().ok()).unwrap_or(0.0);
+    (ticks(USER_FIELD) + ticks(SYSTEM_FIELD)) / TICKS_A_SECOND
+}
+
+/// Returns the bytes of memory that a process holds.
+pub fn resident_bytes(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
 /// Writes a file of its own for a test; returns its path.
 pub fn scratch_file(name: &str, text: &str) -> anyhow::Result<PathBuf> {
     let unique: u64 = rand::random();
@@ -179,7 +216,7 @@
 
 /// Waits until `condition` holds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> anyhow::Result<()> {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + patience();
     while !condition() {
         anyhow::ensure!(Instant::now() < end, "waited in vain until {what}");
         thread::sleep(POLL);
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{Read as _, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -39,6 +42,8 @@
 
 struct Control {
     mode: Mutex<Mode>,
+    /// Bytes handed on, in both directions.
+    passed: AtomicU64,
     changed: Condvar,
 }
 
@@ -47,7 +52,11 @@
     pub fn start(target: SocketAddr) -> anyhow::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let control = Arc::new(Control { mode: Mutex::new(Mode::Pass), changed: Condvar::new() });
+        let control = Arc::new(Control {
+            mode: Mutex::new(Mode::Pass),
+            passed: AtomicU64::new(0),
+            changed: Condvar::new(),
+        });
         let accepting = control.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
@@ -68,6 +77,11 @@
         format!("http://{}", self.address)
     }
 
+    /// Returns the bytes handed on so far, in both directions.
+    pub fn passed(&self) -> u64 {
+        self.control.passed.load(Ordering::Relaxed)
+    }
+
     /// Changes what it does, also with connections that are open.
     pub fn set(&self, mode: Mode) {
         *self.control.mode.lock() = mode;
@@ -146,6 +160,7 @@
         if to.write_all(&buffer[..count]).is_err() {
             break;
         }
+        control.passed.fetch_add(count as u64, Ordering::Relaxed);
     }
     let _ = to.shutdown(Shutdown::Both);
     let _ = from.shutdown(Shutdown::Both);
--- /dev/null
+++ b/examples/load/border.rs
@@ -0,0 +1,137 @@
+//! What a host adds: time to the first byte, CPU of short calls, memory with many open streams.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use wasabi_config::keys;
+use wasabi_standin::{
+    caller::Call,
+    engine::Pace,
+    process::{cpu_seconds, resident_bytes, wait_until},
+    rig::{Programs, Rig, Size},
+};
+
+const WARM_UP: usize = 50;
+const SAMPLES: usize = 1_000;
+const CALLERS: usize = 8;
+const CALLS_EACH: usize = 1_000;
+const STREAMS: usize = 500;
+const WORKSPACES: usize = 22_000;
+const WORKSPACES_A_NOTE: usize = 2_000;
+
+/// Measures and prints.
+pub fn run(programs: &Programs, seed: u64) -> anyhow::Result<()> {
+    println!("seed {seed} (nothing is drawn)");
+    first_byte(programs)?;
+    short_calls(programs)?;
+    memory(programs)
+}
+
+fn pace(slots: u32, interval: Duration) -> Pace {
+    Pace { slots, first_token: Duration::ZERO, interval }
+}
+
+fn first_byte(programs: &Programs) -> anyhow::Result<()> {
+    let size = Size { pace: pace(64, Duration::ZERO), ..Size::default() };
+    let rig = Rig::start(programs.clone(), &size)?;
+    let call = Call::chat(&rig.sample.lab.secret, "costing", "hello", 2);
+    let direct = Call { target: "/v1/chat/completions".to_string(), ..call.clone() };
+    let (mut through, mut straight) = (Vec::new(), Vec::new());
+    for i in 0..WARM_UP + SAMPLES {
+        let a = time_first(&direct, rig.engines[0].address())?;
+        let b = time_first(&call, rig.hosts[0].callers)?;
+        if i >= WARM_UP {
+            straight.push(a);
+            through.push(b);
+        }
+    }
+    for (name, times) in [("direct", &mut straight), ("through a host", &mut through)] {
+        times.sort();
+        let at = |share: usize| times[times.len() * share / 100].as_secs_f64() * 1_000.0;
+        println!("first byte {name}: p50 {:.2} ms, p99 {:.2} ms", at(50), at(99));
+    }
+    let added = |share: usize| {
+        let at = |times: &[Duration]| times[times.len() * share / 100].as_secs_f64() * 1_000.0;
+        at(&through) - at(&straight)
+    };
+    println!("added: p50 {:.2} ms, p99 {:.2} ms (target: p99 at most 2 ms)", added(50), added(99));
+    Ok(())
+}
+
+fn time_first(call: &Call, address: SocketAddr) -> anyhow::Result<Duration> {
+    let began = Instant::now();
+    let mut pending = call.send(address)?;
+    pending.wait_first()?;
+    let took = began.elapsed();
+    pending.rest();
+    Ok(took)
+}
+
+fn short_calls(programs: &Programs) -> anyhow::Result<()> {
+    let rig = Rig::start(programs.clone(), &Size { services: 3, ..Size::default() })?;
+    let host = &rig.hosts[0];
+    let before = cpu_seconds(host.id());
+    let began = Instant::now();
+    let failed: usize = thread::scope(|scope| {
+        let calling = |_| {
+            scope.spawn(|| {
+                let call = Call::get("/status/short");
+                (0..CALLS_EACH)
+                    .filter(|_| !call.answer(host.callers).is_ok_and(|a| a.status == 200))
+                    .count()
+            })
+        };
+        let callers: Vec<_> = (0..CALLERS).map(calling).collect();
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).sum()
+    });
+    let calls = CALLERS * CALLS_EACH;
+    let seconds = began.elapsed().as_secs_f64();
+    let cpu = cpu_seconds(host.id()) - before;
+    println!("short calls: {calls} in {seconds:.1} s, {failed} failed");
+    println!(
+        "a core carries {:.0} /s (target: at least 1,000), {:.0} us of CPU a call",
+        calls as f64 / cpu,
+        1e6 * cpu / calls as f64
+    );
+    Ok(())
+}
+
+fn memory(programs: &Programs) -> anyhow::Result<()> {
+    let slots = STREAMS as u32;
+    let size = Size { pace: pace(slots, Duration::from_millis(500)), ..Size::default() };
+    let rig = Rig::start(programs.clone(), &size)?;
+    let host = &rig.hosts[0];
+    let empty = resident_bytes(host.id());
+    for start in (0..WORKSPACES).step_by(WORKSPACES_A_NOTE) {
+        let names = start..start + WORKSPACES_A_NOTE;
+        let key = |i: usize| {
+            let key = keys::fresh();
+            json!({"name": key.name, "workspace": format!("w{i}"), "digest": key.digest})
+        };
+        let keys: Vec<_> = names.clone().flat_map(|i| [key(i), key(i)]).collect();
+        let workspaces: Vec<_> = names.map(|i| json!({"name": format!("w{i}")})).collect();
+        let added = json!({"workspaces": workspaces, "keys": keys});
+        rig.apply(&json!({"id": format!("many-{start}"), "base": 1, "added": added}))?;
+    }
+    let notes = (WORKSPACES / WORKSPACES_A_NOTE) as u64;
+    rig.wait_revision(host, 1 + notes)?;
+    let configured = resident_bytes(host.id());
+    let call = Call::chat(&rig.sample.lab.secret, "costing", "long", 100_000);
+    let streams =
+        (0..STREAMS).map(|_| call.send(host.callers)).collect::<anyhow::Result<Vec<_>>>()?;
+    wait_until("all streams run", || rig.engines[0].running() == slots)?;
+    let streaming = resident_bytes(host.id());
+    drop(streams);
+    let mb = |bytes: u64| bytes as f64 / 1e6;
+    println!("memory: {:.1} MB empty", mb(empty));
+    println!("memory: {:.1} MB with {WORKSPACES} workspaces of 2 keys", mb(configured));
+    println!(
+        "memory: {:.1} MB with {STREAMS} open streams besides (target: at most 128 MB)",
+        mb(streaming)
+    );
+    Ok(())
+}
--- /dev/null
+++ b/examples/load/main.rs
@@ -0,0 +1,63 @@
+//! Load on real host processes: `run WORKLOAD` compares policies, `border` measures overhead.
+//!
+//! ```text
+//! cargo run --release --example load -- run budjet-deadline --policy tiers --seed 1
+//! cargo run --release --example load -- border --seed 1
+//! ```
+#![forbid(unsafe_code)]
+
+mod border;
+mod drive;
+mod plot;
+mod report;
+mod workload;
+
+use anyhow::{Context as _, bail};
+use wasabi_standin::rig::Programs;
+
+const POLICIES: &[&str] = &["tiers", "fifo-round-robin", "fifo-least-in-flight", "strict"];
+const USAGE: &str = "load run WORKLOAD [--policy NAME|all] [--seed N] | load border [--seed N]";
+
+fn main() -> anyhow::Result<()> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let option = |name: &str| {
+        let at = args.iter().position(|arg| arg == name)?;
+        args.get(at + 1).cloned()
+    };
+    let seed: u64 = option("--seed").unwrap_or_else(|| "1".to_string()).parse()?;
+    match args.first().map(String::as_str) {
+        Some("run") => {
+            let name = args.get(1).context(USAGE)?;
+            let policy = option("--policy").unwrap_or_else(|| "all".to_string());
+            run(name, &policy, seed)
+        }
+        Some("border") => border::run(&programs()?, seed),
+        _ => bail!(USAGE),
+    }
+}
+
+fn run(name: &str, policy: &str, seed: u64) -> anyhow::Result<()> {
+    let workload = workload::by_name(name, seed).context("no such workload")?;
+    let policies: Vec<&str> = match policy {
+        "all" => POLICIES.to_vec(),
+        one => POLICIES.iter().copied().filter(|known| *known == one).collect(),
+    };
+    let mut results = Vec::new();
+    for policy in policies {
+        let outcome = drive::run(&programs()?, &workload, policy)?;
+        let summary = report::sum_up(&workload, policy, seed, &outcome);
+        report::print(&workload, std::slice::from_ref(&summary));
+        results.push(summary);
+        plot::attainment(&workload, policy, seed, &outcome)?;
+    }
+    report::write(&workload, seed, &results)
+}
+
+/// The programs stand beside the folder of the examples.
+fn programs() -> anyhow::Result<Programs> {
+    let here = std::env::current_exe()?;
+    let folder = here.parent().and_then(|folder| folder.parent()).context("no folder")?;
+    let (router, ctl) = (folder.join("wasabirouter"), folder.join("wasabictl"));
+    anyhow::ensure!(router.exists(), "build the programs first: cargo build --release");
+    Ok(Programs { router, ctl })
+}
--- /dev/null
+++ b/examples/slopes/hosts.rs
@@ -0,0 +1,215 @@
+//! What is measured on real host processes.
+
+use std::{thread, time::Duration};
+
+use wasabi_standin::{
+    caller::Call,
+    engine::Pace,
+    process::{self, cpu_seconds, resident_bytes, wait_until},
+    proxy::Proxy,
+    rig::{self, Programs, Rig, Size},
+    slopes::{Point, Slope},
+};
+
+const STREAMS: [usize; 4] = [50, 100, 200, 400];
+const REQUESTS: [usize; 4] = [200, 400, 800, 1_600];
+const TOKENS: [u64; 4] = [5_000, 10_000, 20_000, 40_000];
+const CLAIMS: [usize; 4] = [50, 100, 200, 400];
+const HOSTS: [usize; 4] = [2, 4, 8, 16];
+const CALLERS: usize = 8;
+const REST: Duration = Duration::from_secs(4);
+
+/// 3,300 requests/s on 360 hosts.
+const TARGET_REQUESTS: f64 = 3_300.0 / 360.0;
+/// 1.5 million tokens/s on 360 hosts.
+const TARGET_TOKENS: f64 = 1_500_000.0 / 360.0;
+/// Answers of 60 s.
+const TARGET_STREAMS: f64 = 550.0;
+/// A cell of 8 engines of 770.
+const TARGET_GRANTS: f64 = 3_300.0 * 8.0 / 770.0;
+const TARGET_CLAIMS: f64 = 33.0;
+const TARGET_HOSTS: f64 = 360.0;
+const CPU_LIMIT_MS: f64 = 34.0;
+const BYTES_LIMIT_KB: f64 = 2.0;
+const MEMORY_LIMIT_MB: f64 = 128.0;
+const WRITES_LIMIT: f64 = 300.0;
+const READS_LIMIT: f64 = 2_000.0;
+
+fn slope(
+    role: &str,
+    what: &str,
+    per: &str,
+    target: f64,
+    limit: Option<f64>,
+    points: Vec<Point>,
+) -> Slope {
+    let (role, what, per) = (role.to_string(), what.to_string(), per.to_string());
+    Slope { role, what, per, target, limit, points }
+}
+
+fn quick(slots: u32) -> Pace {
+    Pace { slots, first_token: Duration::ZERO, interval: Duration::ZERO }
+}
+
+/// Sends `count` calls from a few callers at once.
+fn send_all(call: &Call, address: std::net::SocketAddr, count: usize) {
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let share = count / CALLERS + usize::from(caller < count % CALLERS);
+            scope.spawn(move || {
+                for _ in 0..share {
+                    let _ = call.stream(address);
+                }
+            });
+        }
+    });
+}
+
+/// CPU a request and a token, memory an open stream.
+pub fn entry(programs: &Programs) -> anyhow::Result<Vec<Slope>> {
+    let rig = Rig::start(programs.clone(), &Size { pace: quick(64), ..Size::default() })?;
+    let host = &rig.hosts[0];
+    let key = &rig.sample.lab.secret;
+    let measure = |call: &Call, count: usize| {
+        let before = cpu_seconds(host.id());
+        send_all(call, host.callers, count);
+        (cpu_seconds(host.id()) - before) * 1e3
+    };
+    let short = Call::chat(key, "costing", "short", 1);
+    measure(&short, REQUESTS[0]);
+    let requests =
+        REQUESTS.map(|count| Point { size: count as f64, cost: measure(&short, count) }).to_vec();
+    let tokens = TOKENS
+        .map(|count| {
+            let call = Call::chat(key, "costing", "long", count / CALLERS as u64);
+            Point { size: count as f64, cost: measure(&call, CALLERS) }
+        })
+        .to_vec();
+    let streams = open_streams(programs)?;
+    Ok(vec![
+        slope("entry", "CPU, ms/s", "request/s", TARGET_REQUESTS, None, requests),
+        slope("entry", "CPU, ms/s", "token/s", TARGET_TOKENS, None, tokens),
+        slope("entry", "memory, MB", "open stream", TARGET_STREAMS, Some(MEMORY_LIMIT_MB), streams),
+    ])
+}
+
+fn open_streams(programs: &Programs) -> anyhow::Result<Vec<Point>> {
+    let pace = Pace { slots: 512, first_token: Duration::ZERO, interval: Duration::from_secs(1) };
+    let rig = Rig::start(programs.clone(), &Size { pace, ..Size::default() })?;
+    let host = &rig.hosts[0];
+    let call = Call::chat(&rig.sample.lab.secret, "costing", "open", 100_000);
+    let mut open = Vec::new();
+    let mut points = Vec::new();
+    for count in STREAMS {
+        while open.len() < count {
+            open.push(call.send(host.callers)?);
+        }
+        wait_until("all streams run", || rig.engines[0].running() == count as u32)?;
+        let cost = resident_bytes(host.id()) as f64 / 1e6;
+        points.push(Point { size: count as f64, cost });
+    }
+    Ok(points)
+}
+
+/// CPU and bytes of a home for each grant that another host's request gets.
+pub fn home(programs: &Programs) -> anyhow::Result<Vec<Slope>> {
+    let mut rig =
+        Rig::start(programs.clone(), &Size { hosts: 1, pace: quick(64), ..Size::default() })?;
+    let counter = Proxy::start(rig.hosts[0].peers)?;
+    rig.platform.state().hosts.lock()[0].peer = counter.address();
+    rig.add_host("asker")?;
+    rig.wait_revision(&rig.hosts[1], 1)?;
+    // Only the first host may be a home, so that every grant crosses.
+    rig.platform.state().hosts.lock()[1].leaving = true;
+    wait_until("the asker knows the home", || {
+        rig.hosts
+            .iter()
+            .all(|host| host.dump().is_ok_and(|dump| dump["hosts"][1]["leaving"] == true))
+    })?;
+    let call = Call::chat(&rig.sample.lab.secret, "costing", "short", 1);
+    let (mut cpu, mut bytes) = (Vec::new(), Vec::new());
+    send_all(&call, rig.hosts[1].callers, REQUESTS[0]);
+    for count in REQUESTS {
+        let before = (cpu_seconds(rig.hosts[0].id()), counter.passed());
+        send_all(&call, rig.hosts[1].callers, count);
+        let size = count as f64;
+        let cost = (cpu_seconds(rig.hosts[0].id()) - before.0) * 1e3;
+        cpu.push(Point { size, cost });
+        bytes.push(Point { size, cost: (counter.passed() - before.1) as f64 / 1e3 });
+    }
+    let limit = Some(CPU_LIMIT_MS);
+    Ok(vec![
+        slope("home", "CPU, ms/s", "grant/s", TARGET_GRANTS, limit, cpu),
+        slope("home", "bytes, KB/s", "grant/s", TARGET_REQUESTS, Some(BYTES_LIMIT_KB), bytes),
+    ])
+}
+
+/// Writes to the object API for each call that may not be repeated.
+pub fn once(programs: &Programs) -> anyhow::Result<Vec<Slope>> {
+    let rig = Rig::start(programs.clone(), &Size::default())?;
+    let host = &rig.hosts[0];
+    let key = &rig.sample.lab.secret;
+    let writes = || {
+        let calls = rig.platform.state().calls.lock();
+        calls.get("PUT /objects").copied().unwrap_or(0) as f64
+    };
+    let mut points = Vec::new();
+    for count in CLAIMS {
+        let before = writes();
+        for i in 0..count {
+            let call = Call::post("/records/a", "{}").bearer(key);
+            let call = call.header("idempotency-key", &format!("{count}-{i}"));
+            anyhow::ensure!(call.answer(host.callers)?.status == 200, "the call failed");
+        }
+        points.push(Point { size: count as f64, cost: writes() - before });
+    }
+    let limit = Some(WRITES_LIMIT);
+    Ok(vec![slope("once", "store writes/s", "claim/s", TARGET_CLAIMS, limit, points)])
+}
+
+/// What hosts cost that have nothing to do, with the times of the target.
+pub fn idle(programs: &Programs) -> anyhow::Result<Vec<Slope>> {
+    let (mut cpu, mut bytes, mut memory) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut reads, mut writes) = (Vec::new(), Vec::new());
+    for count in HOSTS {
+        let mut rig = Rig::start(programs.clone(), &Size { hosts: 0, ..Size::default() })?;
+        for i in 0..count {
+            let name = format!("host-{i}");
+            let mut settings = rig::settings(&name, &rig.platform.url());
+            settings["times"] = serde_json::json!({
+                "usage_flush_ms": 10_000, "status_ms": 10_000, "lease_ms": 12_000,
+                "server_list_ms": 5_000, "host_list_ms": 1_000,
+            });
+            rig.add_host_with(&name, &settings)?;
+        }
+        rig.wait_revision(rig.hosts.last().expect("a host"), 1)?;
+        let counter = Proxy::start(rig.hosts[0].peers)?;
+        rig.platform.state().hosts.lock()[0].peer = counter.address();
+        thread::sleep(REST);
+        let calls = |kinds: &[&str]| {
+            let calls = rig.platform.state().calls.lock();
+            kinds.iter().map(|kind| calls.get(*kind).copied().unwrap_or(0)).sum::<u64>() as f64
+        };
+        let read_kinds = ["GET /objects", "GET /list", "GET /watch"];
+        let write_kinds = ["PUT /objects", "DELETE /objects"];
+        let all_cpu = || rig.hosts.iter().map(|host| cpu_seconds(host.id())).sum::<f64>() * 1e3;
+        let before = (all_cpu(), counter.passed(), calls(&read_kinds), calls(&write_kinds));
+        thread::sleep(2 * REST);
+        let seconds = (2 * REST).as_secs_f64();
+        let size = count as f64;
+        let point = |cost: f64| Point { size, cost };
+        cpu.push(point((all_cpu() - before.0) / seconds / size));
+        bytes.push(point((counter.passed() - before.1) as f64 / 1e3 / seconds));
+        reads.push(point((calls(&read_kinds) - before.2) / seconds));
+        writes.push(point((calls(&write_kinds) - before.3) / seconds));
+        memory.push(point(process::resident_bytes(rig.hosts[0].id()) as f64 / 1e6));
+    }
+    let per = "host";
+    Ok(vec![
+        slope("host", "CPU at rest, ms/s a host", per, TARGET_HOSTS, Some(CPU_LIMIT_MS), cpu),
+        slope("host", "greetings, KB/s a host", per, TARGET_HOSTS, Some(BYTES_LIMIT_KB), bytes),
+        slope("host", "memory, MB a host", per, TARGET_HOSTS, Some(MEMORY_LIMIT_MB), memory),
+        slope("host", "store reads/s at rest", per, TARGET_HOSTS, Some(READS_LIMIT), reads),
+        slope("host", "store writes/s at rest", per, TARGET_HOSTS, Some(WRITES_LIMIT), writes),
+    ])
+}
--- /dev/null
+++ b/examples/slopes/inside.rs
@@ -0,0 +1,135 @@
+//! What can be measured in this process.
+
+use std::time::Instant;
+
+use serde_json::json;
+use wasabi_config::{keys, log, parse, state::State};
+use wasabi_core::{
+    io::{self, Figures, Line},
+    note::Pool,
+    units::Revision,
+};
+use wasabi_fleet::plan::{Demand, Options, Planner, Stock};
+use wasabi_standin::{
+    process::resident_bytes,
+    slopes::{Point, Slope},
+};
+use wasabi_usage::flush::Flush;
+
+const WORKSPACES: [usize; 4] = [2_000, 5_000, 10_000, 20_000];
+const TARGET_WORKSPACES: f64 = 22_000.0;
+const KEYS_EACH: usize = 2;
+const MEMORY_LIMIT_MB: f64 = 128.0;
+const ENGINES: [usize; 4] = [100, 200, 400, 800];
+const TARGET_ENGINES: f64 = 770.0;
+const ACTIVE: [usize; 4] = [10, 50, 200, 1_000];
+/// 9.2 requests/s a host and a flush every 10 s.
+const TARGET_ACTIVE: f64 = 92.0;
+const REPEATS: u32 = 20;
+
+fn slope(
+    role: &str,
+    what: &str,
+    per: &str,
+    target: f64,
+    limit: Option<f64>,
+    points: Vec<Point>,
+) -> Slope {
+    let (role, what, per) = (role.to_string(), what.to_string(), per.to_string());
+    Slope { role, what, per, target, limit, points }
+}
+
+fn filled(workspaces: usize) -> State {
+    let key = |i: usize| {
+        let key = keys::fresh();
+        json!({"name": key.name, "workspace": format!("w{i}"), "digest": key.digest})
+    };
+    let names: Vec<_> = (0..workspaces).map(|i| json!({"name": format!("w{i}")})).collect();
+    let keys: Vec<_> = (0..workspaces * KEYS_EACH).map(|i| key(i / KEYS_EACH)).collect();
+    let note = json!({"id": "n", "base": 0, "added": {"workspaces": names, "keys": keys}});
+    let note = parse::note(&note.to_string()).expect("the note is valid");
+    let mut state = State::default();
+    state.apply(Revision(1), &note, log::digest(&note)).expect("the first revision");
+    state
+}
+
+/// Memory, snapshot size, and the time that a note takes, against workspaces of two keys.
+pub fn config() -> anyhow::Result<Vec<Slope>> {
+    let (mut memory, mut snapshot, mut apply) = (Vec::new(), Vec::new(), Vec::new());
+    let mut kept = Vec::new();
+    for workspaces in WORKSPACES {
+        let size = workspaces as f64;
+        let before = resident_bytes(std::process::id());
+        let state = filled(workspaces);
+        let after = resident_bytes(std::process::id());
+        memory.push(Point { size, cost: after.saturating_sub(before) as f64 / 1e6 });
+        snapshot.push(Point { size, cost: io::render(&state).len() as f64 / 1e6 });
+        let note = json!({"id": "m", "base": 1, "added": {"workspaces": [{"name": "one-more"}]}});
+        let note = parse::note(&note.to_string()).expect("the note is valid");
+        let began = Instant::now();
+        for _ in 0..REPEATS {
+            let mut next = state.clone();
+            next.apply(Revision(2), &note, log::digest(&note)).expect("the next revision");
+        }
+        let cost = began.elapsed().as_secs_f64() * 1e3 / f64::from(REPEATS);
+        apply.push(Point { size, cost });
+        kept.push(state);
+    }
+    let per = "workspace of 2 keys";
+    let limit = Some(MEMORY_LIMIT_MB);
+    Ok(vec![
+        slope("config", "memory, MB", per, TARGET_WORKSPACES, limit, memory),
+        slope("config", "snapshot, MB", per, TARGET_WORKSPACES, None, snapshot),
+        slope("config", "to apply a note, ms", per, TARGET_WORKSPACES, None, apply),
+    ])
+}
+
+/// Bytes of a flush against active workspaces.
+pub fn usage() -> anyhow::Result<Vec<Slope>> {
+    let points = ACTIVE.map(|active| {
+        let line = |i: usize| Line {
+            workspace: format!("workspace-{i}").parse().expect("a name"),
+            figures: Figures { requests: 3, ..Figures::default() },
+        };
+        let flush = Flush {
+            incarnation: "host-100:0123456789abcdef".parse().expect("a name"),
+            number: 1,
+            until_ms: 1,
+            lines: (0..active).map(line).collect(),
+        };
+        Point { size: active as f64, cost: io::render(&flush).len() as f64 / 1e3 }
+    });
+    let per = "active workspace";
+    // 2 KB/s for 10 s.
+    let limit = Some(20.0);
+    Ok(vec![slope("usage", "a flush every 10 s, KB", per, TARGET_ACTIVE, limit, points.to_vec())])
+}
+
+/// The time that a plan takes against the servers of a pool.
+pub fn fleet() -> anyhow::Result<Vec<Slope>> {
+    let points = ENGINES.map(|engines| {
+        let rented = |i: usize| {
+            json!({"server": {"name": format!("s{i}"), "address": "127.0.0.1:1",
+                              "domain": format!("d{}", i % 10), "cheap": i < engines / 2, "slots": 8},
+                   "pool": "p", "phase": "live"})
+        };
+        let rented: Vec<_> = (0..engines).map(rented).collect();
+        let rented = serde_json::from_value::<Vec<io::Rented>>(json!(rented)).expect("servers");
+        let pool = json!({"name": "p", "model": "m", "servers": [],
+                          "elastic": {"min": 1, "max": 2_000, "domains": ["d0", "d1"]}});
+        let pool: Pool = serde_json::from_value(pool).expect("a pool");
+        let stock = Stock { rented: &rented, coming: 0, draining: &[] };
+        let mut planner = Planner::default();
+        let demand = Demand { tiers: [100, 100, 100, engines as u32 * 8] };
+        let began = Instant::now();
+        for _ in 0..REPEATS {
+            planner.step(began, &Options::default(), &pool, demand, &stock);
+        }
+        Point {
+            size: engines as f64,
+            cost: began.elapsed().as_secs_f64() * 1e6 / f64::from(REPEATS),
+        }
+    });
+    let per = "backend server";
+    Ok(vec![slope("fleet", "to plan a step, us", per, TARGET_ENGINES, None, points.to_vec())])
+}
