--- /dev/null
+++ b/crates/standin/src/chaos.rs
@@ -0,0 +1,491 @@
+//! A seeded run of mixed faults under load, checked at its end from the stand-ins' own records.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    thread,
+    time::Duration,
+};
+
+use parking_lot::{Mutex, RwLock};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _};
+use serde_json::{Value, json};
+use wasabi_config::keys;
+use wasabi_core::{
+    io::{Action, Order, Phase, Rented, Report},
+    units::{HostId, Incarnation},
+};
+
+use crate::{
+    caller::Call,
+    engine::{self, Engine, Pace},
+    process::wait_until,
+    proxy::{Mode, Proxy},
+    rig::{Programs, Rig, Size},
+};
+
+const HOSTS: usize = 4;
+const CALLERS: usize = 4;
+const MAX_ONCE_TRIES: usize = 6;
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// What went wrong, if anything, and what was done.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Faults by kind.
+    pub faults: BTreeMap<&'static str, usize>,
+    /// Streams that callers asked for, and those that were whole.
+    pub streams: (usize, usize),
+    /// Calls that may not be repeated, and those answered.
+    pub calls: (usize, usize),
+    /// Properties that did not hold.
+    pub broken: Vec<String>,
+    /// The faults in their order.
+    pub trace: Vec<String>,
+}
+
+/// One run.
+struct Run {
+    rig: Rig,
+    /// The way of each host to the platform, by the host's place.
+    ways: Vec<Proxy>,
+    rng: StdRng,
+    named: usize,
+    notes: u64,
+    /// Incarnations that were killed.
+    killed: BTreeSet<Incarnation>,
+    outcome: Outcome,
+}
+
+/// What callers share and record.
+struct Callers {
+    hosts: RwLock<Vec<SocketAddr>>,
+    ending: AtomicBool,
+    received: AtomicU64,
+    streams: Mutex<Vec<(String, u64, crate::caller::Stream)>>,
+    once: Mutex<BTreeMap<String, Vec<Tried>>>,
+}
+
+/// One try of a call that may not be repeated.
+#[derive(Clone, Debug)]
+struct Tried {
+    status: u16,
+    ran: Option<String>,
+    body: Vec<u8>,
+}
+
+/// Injects `steps` pairs of faults drawn from `seed`.
+pub fn run(programs: Programs, seed: u64, steps: usize) -> anyhow::Result<Outcome> {
+    let size = Size { hosts: 0, engines: 3, services: 2, pace: Pace::default() };
+    let rig = Rig::start(programs, &size)?;
+    install_factory(&rig);
+    let mut run = Run {
+        rig,
+        ways: Vec::new(),
+        rng: StdRng::seed_from_u64(seed),
+        named: 0,
+        notes: 0,
+        killed: BTreeSet::new(),
+        outcome: Outcome::default(),
+    };
+    for _ in 0..HOSTS {
+        run.add_host()?;
+    }
+    run.elastic(1)?;
+    let callers = Callers {
+        hosts: RwLock::new(run.addresses()),
+        ending: AtomicBool::new(false),
+        received: AtomicU64::new(0),
+        streams: Mutex::default(),
+        once: Mutex::default(),
+    };
+    let secret = run.rig.sample.lab.secret.clone();
+    thread::scope(|scope| -> anyhow::Result<()> {
+        for number in 0..CALLERS {
+            let (callers, secret) = (&callers, &secret);
+            scope.spawn(move || callers.call_on(number, seed, secret));
+        }
+        let injected = (0..steps).try_for_each(|_| run.step(&callers));
+        callers.ending.store(true, Ordering::SeqCst);
+        injected
+    })?;
+    run.heal();
+    run.settle(&callers)?;
+    run.check(&callers);
+    Ok(run.outcome)
+}
+
+fn install_factory(rig: &Rig) {
+    let engines: Mutex<Vec<Engine>> = Mutex::default();
+    *rig.platform.state().factory.lock() = Some(Box::new(move |order: &Order| {
+        let mut engines = engines.lock();
+        let name = format!("rented-{}", engines.len());
+        let engine = Engine::start(&name, Pace::default()).expect("an engine starts");
+        let Action::Start { domain, cheap } = &order.action else {
+            unreachable!("only starts are made")
+        };
+        let server = engine.server(domain, *cheap);
+        engines.push(engine);
+        let (pool, intent) = (order.pool.clone(), Some(order.intent.clone()));
+        Rented { server, pool, phase: Phase::Live, intent }
+    }));
+}
+
+impl Callers {
+    fn call_on(&self, number: usize, seed: u64, secret: &str) {
+        let mut rng = StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32);
+        let mut round = 0;
+        while !self.ending.load(Ordering::SeqCst) {
+            round += 1;
+            let address = *self.hosts.read().choose(&mut rng).expect("there are hosts");
+            if rng.random_bool(0.5) {
+                self.stream(
+                    secret,
+                    address,
+                    &format!("p{number}-{round}"),
+                    rng.random_range(1..20),
+                );
+            } else {
+                self.once(secret, &mut rng, &format!("k{number}-{round}"));
+            }
+        }
+    }
+
+    fn stream(&self, secret: &str, address: SocketAddr, prompt: &str, tokens: u64) {
+        let Ok(stream) = Call::chat(secret, "costing", prompt, tokens).stream(address) else {
+            return;
+        };
+        self.received.fetch_add(stream.tokens, Ordering::SeqCst);
+        self.streams.lock().push((prompt.to_string(), tokens, stream));
+    }
+
+    fn once(&self, secret: &str, rng: &mut StdRng, key: &str) {
+        for _ in 0..MAX_ONCE_TRIES {
+            let address = *self.hosts.read().choose(rng).expect("there are hosts");
+            let call = Call::post("/records/a", "{}").bearer(secret).header("idempotency-key", key);
+            let tried = match call.answer(address) {
+                Ok(answer) => {
+                    let (status, ran) = (answer.status, answer.ran());
+                    Tried { status, ran, body: answer.body }
+                }
+                Err(_) => Tried { status: 0, ran: None, body: Vec::new() },
+            };
+            let ended = tried.status == 200;
+            self.once.lock().entry(key.to_string()).or_default().push(tried);
+            if ended {
+                return;
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+}
+
+impl Run {
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.rig.hosts.iter().map(|host| host.callers).collect()
+    }
+
+    fn add_host(&mut self) -> anyhow::Result<()> {
+        let name = format!("host-{}", self.named);
+        self.named += 1;
+        let way = Proxy::start(self.rig.platform.address())?;
+        let mut settings = self.rig.settings(&name);
+        for system in ["objects", "usage", "orders", "hosts"] {
+            settings[system] = json!(way.url());
+        }
+        self.rig.add_host_with(&name, &settings)?;
+        self.ways.push(way);
+        Ok(())
+    }
+
+    fn next_note(&mut self) -> String {
+        self.notes += 1;
+        format!("chaos-{}", self.notes)
+    }
+
+    fn elastic(&mut self, min: u32) -> anyhow::Result<()> {
+        let domain = "tn-north-a".parse()?;
+        let servers: Vec<_> =
+            self.rig.engines.iter().map(|engine| engine.server(&domain, false)).collect();
+        let pool = json!({"name": "costing", "model": "costing", "servers": servers,
+            "elastic": {"min": min, "max": 6, "domains": ["tn-north-a"], "cheap": true}});
+        let id = self.next_note();
+        let base = self.revision();
+        let note = json!({"id": id, "base": base, "changed": {"pools": [pool]}});
+        self.rig.ctl_note("apply", &note)?;
+        Ok(())
+    }
+
+    fn revision(&self) -> u64 {
+        self.rig.platform.state().objects.history("live/log/").len() as u64
+    }
+
+    fn step(&mut self, callers: &Callers) -> anyhow::Result<()> {
+        let first = self.inject()?;
+        let second = self.inject()?;
+        let lasting = self.rng.random_range(200..1_200);
+        self.outcome.trace.push(format!("{first} with {second} for {lasting} ms"));
+        *callers.hosts.write() = self.addresses();
+        thread::sleep(Duration::from_millis(lasting));
+        self.heal();
+        let rest = self.rng.random_range(100..600);
+        thread::sleep(Duration::from_millis(rest));
+        Ok(())
+    }
+
+    fn inject(&mut self) -> anyhow::Result<&'static str> {
+        let host = self.rng.random_range(0..self.rig.hosts.len());
+        let engine = self.rng.random_range(0..self.rig.engines.len());
+        let kind = match self.rng.random_range(0..14) {
+            0 => self.platform_fault("store down", |faults| faults.down = true),
+            1 => self.platform_fault("lost answers", |faults| faults.lose_answers = 5),
+            2 => self.platform_fault("lost reports", |faults| faults.lose_reports = 3),
+            3 => self.platform_fault("slow store", |f| f.slow = Duration::from_millis(100)),
+            4 => self.way("cut way", host, Mode::Cut),
+            5 => self.way("held way", host, Mode::Hold),
+            6 => self.way("dropped answers", host, Mode::DropAnswers),
+            7 => {
+                self.rig.hosts[host].pause();
+                "paused host"
+            }
+            8 => self.kill(host)?,
+            9 => self.stop(host)?,
+            10 => {
+                self.rig.engines[engine].fault(|faults| faults.die_after = Some(3));
+                "dying engine"
+            }
+            11 => {
+                self.rig.engines[engine].fault(|faults| faults.crossed = true);
+                "crossed answers"
+            }
+            12 => {
+                self.rig.services[0].fault(|faults| faults.lose_answer = true);
+                "lost answers of a service"
+            }
+            _ => self.operators()?,
+        };
+        *self.outcome.faults.entry(kind).or_default() += 1;
+        Ok(kind)
+    }
+
+    fn platform_fault(
+        &self,
+        kind: &'static str,
+        change: impl FnOnce(&mut crate::platform::Faults),
+    ) -> &'static str {
+        self.rig.platform.fault(change);
+        kind
+    }
+
+    fn way(&self, kind: &'static str, host: usize, mode: Mode) -> &'static str {
+        self.ways[host].set(mode);
+        kind
+    }
+
+    fn kill(&mut self, host: usize) -> anyhow::Result<&'static str> {
+        let daemon = &mut self.rig.hosts[host];
+        let line = daemon.wait_log("listening")?;
+        let incarnation: Incarnation = line["incarnation"].as_str().unwrap_or_default().parse()?;
+        daemon.kill();
+        let name: HostId = incarnation.host().parse()?;
+        self.killed.insert(incarnation);
+        self.remove(host, &name)?;
+        Ok("killed host")
+    }
+
+    fn stop(&mut self, host: usize) -> anyhow::Result<&'static str> {
+        let line = self.rig.hosts[host].wait_log("listening")?;
+        let name = line["host"].as_str().unwrap_or_default().parse()?;
+        self.rig.hosts[host].resume();
+        self.ways[host].set(Mode::Pass);
+        self.rig.platform.fault(|faults| faults.down = false);
+        self.rig.hosts[host].terminate();
+        let ended = self.rig.hosts[host].wait()?;
+        if ended != Some(0) {
+            self.outcome.broken.push(format!("a planned stop ended with {ended:?}"));
+        }
+        self.remove(host, &name)?;
+        Ok("planned stop")
+    }
+
+    fn remove(&mut self, host: usize, name: &HostId) -> anyhow::Result<()> {
+        self.rig.unlist_host(name.as_str());
+        self.rig.hosts.remove(host);
+        self.ways.remove(host);
+        let down = self.rig.platform.state().faults.lock().down;
+        self.add_host()?;
+        if !down {
+            let host = self.rig.hosts.last().expect("a host was added");
+            self.rig.wait_revision(host, 1)?;
+        }
+        Ok(())
+    }
+
+    /// Two operators change the same workspace at once, and one changes the pool.
+    fn operators(&mut self) -> anyhow::Result<&'static str> {
+        let base = self.revision();
+        let weight = self.rng.random_range(1..9);
+        let note = |id: String, weight: u32| {
+            json!({"id": id, "base": base,
+                   "changed": {"workspaces": [{"name": "office", "weight": weight}]}})
+        };
+        let (a, b) = (self.next_note(), self.next_note());
+        let notes = [note(a, weight), note(b, weight + 1)];
+        thread::scope(|scope| {
+            for note in &notes {
+                scope.spawn(|| self.rig.ctl_note("apply", note));
+            }
+        });
+        let min = self.rng.random_range(1..4);
+        self.elastic(min)?;
+        Ok("racing operators")
+    }
+
+    fn heal(&mut self) {
+        self.rig.platform.fault(|faults| *faults = Default::default());
+        self.ways.iter().for_each(|way| way.set(Mode::Pass));
+        self.rig.hosts.iter().for_each(|host| host.resume());
+        for engine in &self.rig.engines {
+            engine.fault(|faults| *faults = Default::default());
+        }
+        self.rig.services[0].fault(|faults| *faults = Default::default());
+    }
+
+    /// Withdraws the key, and waits until the hosts agree and all usage is reported.
+    fn settle(&mut self, callers: &Callers) -> anyhow::Result<()> {
+        let key = keys::name(&self.rig.sample.lab.secret)?;
+        let id = self.next_note();
+        let note = json!({"id": id, "base": self.revision(), "withdrawn": {"keys": [key]}});
+        self.rig.apply(&note)?;
+        let newest = self.revision();
+        for host in &self.rig.hosts {
+            self.rig.wait_revision(host, newest)?;
+        }
+        for host in self.rig.hosts.iter().map(|host| host.callers) {
+            let call = Call::chat(&self.rig.sample.lab.secret, "costing", "late", 1);
+            if call.stream(host)?.code() != Some(1002) {
+                self.outcome.broken.push("a withdrawn key still works".to_string());
+            }
+        }
+        let received = callers.received.load(Ordering::SeqCst);
+        let reported = || tokens(&windows(&self.rig.platform.reports()));
+        if self.killed.is_empty() {
+            let caught_up = wait_until("all is reported", || reported() >= received);
+            if caught_up.is_err() || reported() != received {
+                let text = format!("{} tokens were reported of {received}", reported());
+                self.outcome.broken.push(text);
+            }
+        }
+        wait_until("every window is sent", || {
+            let windows = self.rig.platform.state().objects.list("usage/window/", "", 100_000);
+            let open = windows.iter().filter(|window| window.value.contains("\"sent\":false"));
+            open.count() <= 1
+        })
+    }
+
+    fn check(&mut self, callers: &Callers) {
+        self.check_streams(callers);
+        self.check_once(callers);
+        self.check_reports();
+        self.check_orders();
+        self.check_log();
+    }
+
+    fn check_streams(&mut self, callers: &Callers) {
+        let streams = callers.streams.lock();
+        let whole = streams.iter().filter(|(_, _, stream)| stream.complete).count();
+        self.outcome.streams = (streams.len(), whole);
+        for (prompt, tokens, stream) in streams.iter() {
+            let answer = engine::answer(prompt, *tokens);
+            if stream.complete && stream.text != answer {
+                self.outcome.broken.push(format!("{prompt} got another answer as complete"));
+            }
+            if !answer.starts_with(&stream.text) {
+                self.outcome.broken.push(format!("{prompt} got a part of another answer"));
+            }
+        }
+    }
+
+    fn check_once(&mut self, callers: &Callers) {
+        let once = callers.once.lock();
+        let mut executed: BTreeMap<String, usize> = BTreeMap::new();
+        for execution in self.rig.services.iter().flat_map(|service| service.executions()) {
+            *executed.entry(execution.key).or_default() += 1;
+        }
+        let mut answered = 0;
+        for (key, tries) in once.iter() {
+            let runs = executed.get(key).copied().unwrap_or(0);
+            if runs > 1 {
+                self.outcome.broken.push(format!("{key} ran {runs} times: {tries:?}"));
+            }
+            let answers: BTreeSet<&Vec<u8>> =
+                tries.iter().filter(|t| t.status == 200).map(|t| &t.body).collect();
+            answered += usize::from(!answers.is_empty());
+            if answers.len() > 1 || (!answers.is_empty() && runs != 1) {
+                self.outcome.broken.push(format!("{key} has answers that it did not get"));
+            }
+            let never = tries.iter().all(|tried| tried.ran.as_deref() == Some("not run"));
+            if never && runs > 0 {
+                self.outcome.broken.push(format!("{key} ran and was called not run"));
+            }
+        }
+        self.outcome.calls = (once.len(), answered);
+    }
+
+    fn check_reports(&mut self) {
+        let mut first: BTreeMap<u64, Report> = BTreeMap::new();
+        for report in self.rig.platform.reports() {
+            let known = first.entry(report.window.0).or_insert_with(|| report.clone());
+            if known.lines != report.lines {
+                self.outcome.broken.push(format!("window {} has two figures", report.window));
+            }
+            let others = known.reporter != report.reporter;
+            if others && !self.killed.contains(&known.reporter) {
+                self.outcome.broken.push(format!("window {} has two reporters", report.window));
+            }
+        }
+    }
+
+    fn check_orders(&mut self) {
+        let orders: Vec<Order> =
+            self.rig.platform.state().orders.lock().iter().map(|o| o.item.clone()).collect();
+        let mut newest = 0;
+        let mut intents = BTreeSet::new();
+        for order in &orders {
+            // A dead holder's message may come late; it believes nothing any more.
+            if order.epoch.0 < newest && !self.killed.contains(&order.holder) {
+                self.outcome.broken.push(format!("{order:?} came after epoch {newest}"));
+            }
+            newest = newest.max(order.epoch.0);
+            if !intents.insert(order.intent.clone()) {
+                self.outcome.broken.push(format!("order {} came twice", order.intent));
+            }
+        }
+    }
+
+    fn check_log(&mut self) {
+        let history = self.rig.platform.state().objects.history("live/log/");
+        let keys: BTreeSet<&String> = history.iter().map(|object| &object.key).collect();
+        if keys.len() != history.len() {
+            self.outcome.broken.push("an entry of the log was written twice".to_string());
+        }
+        let ids: BTreeSet<String> = history
+            .iter()
+            .filter_map(|o| serde_json::from_str::<Value>(&o.value).ok())
+            .map(|entry| entry["note"]["id"].to_string())
+            .collect();
+        if ids.len() != history.len() {
+            self.outcome.broken.push("a note was accepted twice".to_string());
+        }
+    }
+}
+
+fn windows(reports: &[Report]) -> BTreeMap<u64, &Report> {
+    reports.iter().map(|report| (report.window.0, report)).collect()
+}
+
+fn tokens(windows: &BTreeMap<u64, &Report>) -> u64 {
+    let lines = windows.values().flat_map(|report| &report.lines);
+    lines.map(|line| line.figures.completion.0).sum()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,8 +2,10 @@
 #![forbid(unsafe_code)]
 
 pub mod caller;
+pub mod chaos;
 pub mod engine;
 pub mod http;
+pub mod model;
 pub mod objects;
 pub mod platform;
 pub mod process;
--- /dev/null
+++ b/examples/chaos.rs
@@ -0,0 +1,44 @@
+//! Mixed faults under load, drawn from a seed, with all properties checked at the end.
+//!
+//! `cargo run --release --example chaos -- --seed N [--seeds COUNT] [--steps STEPS]`; a step injects
+//! two faults at once and lasts about a second. Build the programs first: `cargo build --release`.
+#![forbid(unsafe_code)]
+
+use anyhow::{Context as _, ensure};
+use wasabi_standin::{chaos, rig::Programs};
+
+const STEPS: usize = 12;
+
+fn main() -> anyhow::Result<()> {
+    let args: Vec<String> = std::env::args().collect();
+    let option = |name: &str, default: u64| -> anyhow::Result<u64> {
+        let at = args.iter().position(|arg| arg == name);
+        at.and_then(|at| args.get(at + 1)).map_or(Ok(default), |text| Ok(text.parse()?))
+    };
+    let first = option("--seed", 1)?;
+    let seeds = option("--seeds", 1)?;
+    let steps = option("--steps", STEPS as u64)? as usize;
+    let here = std::env::current_exe()?;
+    let folder = here.parent().and_then(|folder| folder.parent()).context("no folder")?;
+    let programs = Programs { router: folder.join("wasabirouter"), ctl: folder.join("wasabictl") };
+    let mut broken = 0;
+    for seed in first..first + seeds {
+        let outcome = chaos::run(programs.clone(), seed, steps)?;
+        println!(
+            "seed {seed}: streams {} of {} whole, calls {} of {} answered, faults {:?}, broken {}",
+            outcome.streams.1,
+            outcome.streams.0,
+            outcome.calls.1,
+            outcome.calls.0,
+            outcome.faults,
+            outcome.broken.len()
+        );
+        if !outcome.broken.is_empty() {
+            outcome.trace.iter().for_each(|line| println!("  {line}"));
+            outcome.broken.iter().for_each(|line| println!("  BROKEN: {line}"));
+        }
+        broken += outcome.broken.len();
+    }
+    ensure!(broken == 0, "{broken} properties did not hold");
+    Ok(())
+}
--- /dev/null
+++ b/tests/chaos.rs
@@ -0,0 +1,13 @@
+//! A short run of mixed faults; `examples/chaos` does longer ones.
+
+mod common;
+
+use common::programs;
+use wasabi_standin::chaos;
+
+#[test]
+fn mixed_faults_break_no_property() -> anyhow::Result<()> {
+    let outcome = chaos::run(programs(), 3, 4)?;
+    assert!(outcome.broken.is_empty(), "{:#?}\nafter {:#?}", outcome.broken, outcome.trace);
+    Ok(())
+}
--- /dev/null
+++ b/tests/models.rs
@@ -0,0 +1,335 @@
+//! State machines over a model store that loses, delays and refuses calls: leases, the release log,
+//! claims, and usage windows, over generated schedules with fixed seeds.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use serde_json::json;
+use wasabi_config::{log, parse, state::State};
+use wasabi_core::{
+    errors::{Code, Ran, Result},
+    io::{Billing, Figures, Report, Store},
+    time::{Clock, Manual},
+    units::{Epoch, Incarnation, Tokens, WorkspaceId},
+};
+use wasabi_lease::{
+    holder::{Lease, Options},
+    witness::{Nobody, Process, Witness},
+};
+use wasabi_once::{
+    answer::Answer,
+    table::{Begin, Claim, Table},
+};
+use wasabi_standin::model::{Fate, Model};
+use wasabi_usage::{counter::Counter, flush::Flusher, window::Reporter};
+
+const ACTORS: usize = 3;
+const TESTS: u64 = 400;
+
+/// One step of one actor.
+#[derive(Clone, Debug)]
+struct Step {
+    actor: usize,
+    action: u8,
+    number: u8,
+    fates: [Fate; 3],
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let fate = |source: &mut Gen| match u8::arbitrary(source) % 12 {
+            0 => Fate::AnswerLost,
+            1 => Fate::Lost,
+            2 => Fate::Busy,
+            3 => Fate::Delayed,
+            _ => Fate::Well,
+        };
+        Self {
+            actor: usize::arbitrary(source) % ACTORS,
+            action: u8::arbitrary(source) % 8,
+            number: u8::arbitrary(source),
+            fates: [fate(source), fate(source), fate(source)],
+        }
+    }
+}
+
+fn check(seed: u64, property: fn(Vec<Step>) -> TestResult) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(150, seed)).tests(TESTS).quickcheck(property);
+}
+
+fn verdict(fault: Option<String>) -> TestResult {
+    fault.map_or_else(TestResult::passed, TestResult::error)
+}
+
+fn process(actor: usize) -> Process {
+    let incarnation: Incarnation = format!("host-{actor}:1").parse().expect("a name");
+    Process { incarnation, peer: "127.0.0.1:1".parse().expect("an address") }
+}
+
+/// A witness that says what the test says.
+#[derive(Default)]
+struct Told {
+    gone: Mutex<BTreeSet<Incarnation>>,
+}
+
+impl Witness for Told {
+    fn is_gone(&self, process: &Process) -> bool {
+        self.gone.lock().contains(&process.incarnation)
+    }
+}
+
+/// Clocks that drift apart by up to a tenth.
+fn drift(actor: usize, ms: u64) -> Duration {
+    Duration::from_millis(ms * [100, 95, 105][actor] / 100)
+}
+
+fn leases(steps: Vec<Step>) -> TestResult {
+    let store = Arc::new(Model::default());
+    let clocks: Vec<Arc<Manual>> = (0..ACTORS).map(|_| Arc::default()).collect();
+    let lease = |actor: usize| {
+        let role = "role".parse().expect("a name");
+        let clock: Arc<dyn Clock> = clocks[actor].clone();
+        let store: Arc<dyn Store> = store.clone();
+        Lease::new(store, clock, Arc::new(Nobody), role, process(actor), Options::default())
+    };
+    let leases: Vec<Lease> = (0..ACTORS).map(lease).collect();
+    let mut epochs: BTreeMap<Epoch, usize> = BTreeMap::new();
+    for step in steps {
+        match step.action {
+            0..5 => {
+                store.fates(step.fates);
+                let _ = leases[step.actor].step();
+                store.fates([]);
+            }
+            5 => store.release(),
+            _ => {
+                let ms = u64::from(step.number) * 20;
+                clocks.iter().enumerate().for_each(|(i, clock)| clock.advance(drift(i, ms)));
+            }
+        }
+        let holders: Vec<usize> = (0..ACTORS).filter(|i| leases[*i].epoch().is_some()).collect();
+        if holders.len() > 1 {
+            return verdict(Some(format!("{holders:?} hold the lease at once")));
+        }
+        for holder in holders {
+            let epoch = leases[holder].epoch().unwrap_or_default();
+            if *epochs.entry(epoch).or_insert(holder) != holder {
+                return verdict(Some(format!("epoch {epoch} has two holders")));
+            }
+        }
+    }
+    verdict(None)
+}
+
+#[test]
+fn a_lease_has_one_holder_whatever_is_lost() {
+    check(21, leases);
+}
+
+/// Operators apply a few notes, over and over; each is in the log at most once, and whoever was
+/// told that it is accepted finds it there.
+fn notes(steps: Vec<Step>) -> TestResult {
+    let store = Model::default();
+    let mut states: Vec<State> = vec![State::default(); ACTORS];
+    for (i, step) in steps.iter().enumerate() {
+        let id = step.number % 12;
+        let note = json!({"id": format!("n{id}"), "base": 0,
+            "added": {"workspaces": [{"name": format!("w{}", id / 2)}]}});
+        let note = parse::note(&note.to_string()).expect("the note is valid");
+        store.fates(step.fates);
+        let state = &mut states[step.actor];
+        let accepted = log::accept_after(&store, state, &note, &format!("t{i}"), 0);
+        store.fates([]);
+        if step.action == 0 {
+            store.release();
+        }
+        let Ok(receipt) = accepted else { continue };
+        let entry = store.objects.get(&log::key(receipt.revision));
+        let found = entry.and_then(|object| log::entry(&object).ok());
+        if found.is_none_or(|entry| entry.note != note) {
+            return verdict(Some(format!("{} is not revision {}", note.id, receipt.revision)));
+        }
+    }
+    store.release();
+    let history = store.objects.history(log::PREFIX);
+    let entries = history.iter().filter_map(|object| log::entry(object).ok());
+    let mut ids = BTreeSet::new();
+    let mut names = BTreeSet::new();
+    for entry in entries {
+        if !ids.insert(entry.note.id.clone()) {
+            return verdict(Some(format!("{} is in the log twice", entry.note.id)));
+        }
+        if !names.insert(entry.note.added.workspaces[0].name.clone()) {
+            return verdict(Some(format!("{} was added twice", entry.note.id)));
+        }
+    }
+    match log::load(&store) {
+        Ok(state) if state.revision.0 as usize == history.len() => verdict(None),
+        other => verdict(Some(format!("the log does not load: {:?}", other.err()))),
+    }
+}
+
+#[test]
+fn a_note_is_accepted_once_whatever_is_lost() {
+    check(22, notes);
+}
+
+/// Hosts run one call, over and over; it is executed at most once, and what callers are told of it
+/// is true.
+fn claims(steps: Vec<Step>) -> TestResult {
+    let store = Arc::new(Model::default());
+    let witness = Arc::new(Told::default());
+    let clock: Arc<dyn Clock> = Arc::new(Manual::default());
+    let table = |actor: usize| {
+        let store: Arc<dyn Store> = store.clone();
+        Table::new(store, clock.clone(), witness.clone(), process(actor))
+    };
+    let tables: Vec<Table> = (0..ACTORS).map(table).collect();
+    let mut held: Vec<Option<Claim>> = (0..ACTORS).map(|_| None).collect();
+    let mut dead = [false; ACTORS];
+    let workspace: WorkspaceId = "lab".parse().expect("a name");
+    let mut executions = 0;
+    for step in steps {
+        let actor = step.actor;
+        if dead[actor] {
+            continue;
+        }
+        store.fates(step.fates);
+        match (step.action, held[actor].take()) {
+            (0 | 1, Some(claim)) => {
+                executions += 1;
+                tables[actor].ran(claim, Answer::new(200, None, b"done"));
+            }
+            (2, Some(claim)) => tables[actor].not_run(claim),
+            (3, Some(claim)) => {
+                executions += 1;
+                tables[actor].unknown(claim);
+            }
+            (4, _) if step.number < 40 && dead.iter().filter(|dead| **dead).count() < 2 => {
+                dead[actor] = true;
+                witness.gone.lock().insert(process(actor).incarnation);
+            }
+            (5, claim) => {
+                held[actor] = claim;
+                let _ = tables[actor].step();
+                store.release();
+            }
+            (_, Some(claim)) => held[actor] = Some(claim),
+            (_, None) => match tables[actor].begin(&workspace, "key", b"request") {
+                Ok(Begin::Run(claim)) => held[actor] = Some(claim),
+                Ok(Begin::Stored(_)) if executions == 0 => {
+                    return verdict(Some("an answer of a call that never ran".to_string()));
+                }
+                Err(e) if e.ran == Ran::Yes && executions == 0 => {
+                    return verdict(Some(format!("{e} of a call that never ran")));
+                }
+                Err(e) if e.ran == Ran::No && e.code == Code::OnceRunning => {
+                    return verdict(Some(format!("{e} may have run")));
+                }
+                _ => {}
+            },
+        }
+        store.fates([]);
+        if executions > 1 {
+            return verdict(Some(format!("the call ran {executions} times")));
+        }
+        let claims = held.iter().zip(dead).filter(|(claim, dead)| claim.is_some() && !dead).count();
+        if claims > 1 {
+            return verdict(Some("two hosts hold a claim".to_string()));
+        }
+    }
+    verdict(None)
+}
+
+#[test]
+fn a_call_runs_at_most_once_whatever_is_lost() {
+    check(23, claims);
+}
+
+/// The usage interface; an answer may be lost after the report was taken.
+#[derive(Default)]
+struct Desk {
+    reports: Mutex<Vec<Report>>,
+    lose: Mutex<bool>,
+}
+
+impl Billing for Desk {
+    fn report(&self, report: &Report) -> Result<()> {
+        self.reports.lock().push(report.clone());
+        match *self.lose.lock() {
+            true => Err(wasabi_core::errors::unavailable("the answer is lost")),
+            false => Ok(()),
+        }
+    }
+}
+
+fn usage(steps: Vec<Step>) -> TestResult {
+    let store = Arc::new(Model::default());
+    let clock: Arc<Manual> = Arc::default();
+    let desk = Arc::new(Desk::default());
+    let length = Duration::from_secs(1);
+    clock.advance(Duration::from_secs(100));
+    let counters: Vec<Arc<Counter>> = (0..ACTORS).map(|_| Arc::default()).collect();
+    let flusher = |actor: usize| {
+        let counter = counters[actor].clone();
+        Flusher::new(store.clone(), clock.clone(), counter, process(actor).incarnation)
+    };
+    let reporter = |actor: usize| {
+        let witness = Arc::new(Nobody);
+        Reporter::new(store.clone(), clock.clone(), desk.clone(), witness, process(actor), length)
+    };
+    let flushers: Vec<Flusher> = (0..ACTORS).map(flusher).collect();
+    let reporters: Vec<Reporter> = (0..ACTORS).map(reporter).collect();
+    let workspace: WorkspaceId = "lab".parse().expect("a name");
+    let mut counted = 0;
+    for step in steps {
+        let actor = step.actor;
+        store.fates(step.fates);
+        *desk.lose.lock() = step.number % 5 == 0;
+        match step.action {
+            0 | 1 => {
+                counted += u64::from(step.number);
+                let completion = Tokens(u64::from(step.number));
+                counters[actor].add(&workspace, &Figures { completion, ..Figures::default() });
+            }
+            2 | 3 => drop(flushers[actor].step()),
+            4 => drop(reporters[actor].seal()),
+            5 => drop(reporters[actor].send()),
+            6 => store.release(),
+            _ => clock.advance(Duration::from_millis(u64::from(step.number) * 10)),
+        }
+        store.fates([]);
+    }
+    *desk.lose.lock() = false;
+    store.release();
+    for _ in 0..2 {
+        clock.advance(2 * length);
+        flushers.iter().for_each(|flusher| flusher.step().expect("the store is well"));
+        reporters[0].seal().expect("the store is well");
+        reporters.iter().for_each(|reporter| reporter.send().expect("the store is well"));
+    }
+    verdict(usage_fault(&desk.reports.lock(), counted))
+}
+
+fn usage_fault(reports: &[Report], counted: u64) -> Option<String> {
+    let mut windows: BTreeMap<u64, &Report> = BTreeMap::new();
+    for report in reports {
+        let first = windows.entry(report.window.0).or_insert(report);
+        if first.lines != report.lines || first.reporter != report.reporter {
+            return Some(format!("window {} was reported in two ways", report.window));
+        }
+    }
+    let lines = windows.values().flat_map(|report| &report.lines);
+    let sum: u64 = lines.map(|line| line.figures.completion.0).sum();
+    (sum != counted).then(|| format!("{sum} tokens were reported of {counted}"))
+}
+
+#[test]
+fn usage_adds_up_whatever_is_lost() {
+    check(24, usage);
+}
