Fair share charges a request when it is served

Change: the expected tokens are charged at once, the rest as they come, what was not generated is given back.

--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -71,6 +71,8 @@
     server: ServerId,
     since: Instant,
     tokens: Tokens,
+    /// Tokens that the workspace was charged; at least `tokens`.
+    charged: Tokens,
     /// Set once it was told to stop.
     preempted: bool,
 }
@@ -142,8 +144,10 @@
         };
         let Some(running) = pool.running.get_mut(&id) else { return };
         running.tokens += tokens;
+        let beyond = running.tokens.0.saturating_sub(running.charged.0);
+        running.charged += Tokens(beyond);
         if let Some(class) = pool.classes.get_mut(&running.ticket.class) {
-            class.charge(&running.ticket.workspace, tokens);
+            class.charge(&running.ticket.workspace, Tokens(beyond));
         }
     }
 
@@ -247,6 +251,7 @@
             };
             let ticket = waiting.id;
             let running = Running {
+                charged: waiting.ticket.expected,
                 ticket: waiting.ticket,
                 server: server.name.clone(),
                 since: now,
@@ -367,7 +372,8 @@
         };
         self.servers.release(&running.server);
         if let Some(class) = self.classes.get_mut(&running.ticket.class) {
-            class.release(&running.ticket.workspace);
+            let unused = running.charged.0.saturating_sub(running.tokens.0);
+            class.release(&running.ticket.workspace, Tokens(unused));
         }
         let took = now.saturating_duration_since(running.since);
         match outcome {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,8 +1,10 @@
 //! The waiting tickets of one class, shared fairly among workspaces.
 //!
 //! Each workspace carries a virtual time: the tokens generated for it, divided by its weight. The
-//! workspace with the least virtual time is served next (start-time fair queueing, with the charge
-//! made as tokens are generated because lengths are unknown beforehand).
+//! workspace with the least virtual time is served next (start-time fair queueing). A request is
+//! charged what it is expected to generate when it is served, so that a workspace is not served
+//! many times before its first tokens count; the charge grows as more are generated, and what was
+//! not generated is given back at the end.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -32,7 +34,7 @@
 
 #[derive(Debug, Default)]
 struct Share {
-    /// Tokens by weight; never decreases.
+    /// Tokens charged, by weight.
     virtual_time: f64,
     weight: u32,
     /// Tickets that hold a server at the moment.
@@ -82,7 +84,9 @@
         let share = candidates.min_by(|a, b| a.virtual_time.total_cmp(&b.virtual_time))?;
         let waiting = share.waiting.pop_front()?;
         share.running += 1;
-        self.virtual_now = self.virtual_now.max(share.virtual_time);
+        let served_at = share.virtual_time;
+        share.virtual_time += share.cost(waiting.ticket.expected);
+        self.virtual_now = self.virtual_now.max(served_at);
         self.length -= 1;
         self.last_served = now;
         Some(waiting)
@@ -93,6 +97,7 @@
         self.last_served = last_served;
         let share = self.shares.entry(waiting.ticket.workspace.clone()).or_default();
         share.running = share.running.saturating_sub(1);
+        share.virtual_time -= share.cost(waiting.ticket.expected);
         share.waiting.push_front(waiting);
         self.length += 1;
     }
@@ -125,16 +130,18 @@
         share.waiting.remove(position)
     }
 
-    /// Charges a workspace for tokens as they are generated.
+    /// Charges a workspace for tokens beyond those that were expected.
     pub fn charge(&mut self, workspace: &WorkspaceId, tokens: Tokens) {
         if let Some(share) = self.shares.get_mut(workspace) {
-            share.virtual_time += tokens.0 as f64 / f64::from(share.weight.max(1));
+            share.virtual_time += share.cost(tokens);
         }
     }
 
-    /// Notes that a ticket of the workspace no longer holds a server.
-    pub fn release(&mut self, workspace: &WorkspaceId) {
+    /// Notes that a ticket of the workspace no longer holds a server, and gives back the charge for
+    /// the `unused` tokens.
+    pub fn release(&mut self, workspace: &WorkspaceId, unused: Tokens) {
         let Some(share) = self.shares.get_mut(workspace) else { return };
+        share.virtual_time -= share.cost(unused);
         share.running = share.running.saturating_sub(1);
         let idle = share.running == 0 && share.waiting.is_empty();
         if idle && share.virtual_time <= self.virtual_now {
@@ -165,6 +172,10 @@
 }
 
 impl Share {
+    fn cost(&self, tokens: Tokens) -> f64 {
+        tokens.0 as f64 / f64::from(self.weight.max(1))
+    }
+
     /// The virtual time that the workspace would have if all its waiting tickets were served.
     fn burden(&self) -> f64 {
         let waiting: f64 = self.waiting.iter().map(|w| w.ticket.expected.0 as f64).sum();
--- a/examples/load/report.rs
+++ b/examples/load/report.rs
@@ -40,6 +40,10 @@
     pub attained: f64,
     pub refused: usize,
     pub broken: usize,
+    /// Whole answers whose first token was late.
+    pub late: usize,
+    /// Whole answers in time whose tokens came too slowly.
+    pub slow: usize,
     pub first_token_p95_ms: u64,
     pub longest_wait_ms: u64,
 }
@@ -88,6 +92,11 @@
         requests: results.len(),
         attained: count(&|r| attained(class, r)) as f64 / results.len().max(1) as f64,
         refused,
+        late: count(&|r| r.complete && r.first.is_some_and(|first| first > class.first_token)),
+        slow: count(&|r| {
+            let in_time = r.first.is_some_and(|first| first <= class.first_token);
+            r.complete && in_time && r.gap > class.inter_token
+        }),
         broken: count(&|result| !result.complete) - refused,
         first_token_p95_ms: p95.as_millis() as u64,
         longest_wait_ms: firsts.last().copied().unwrap_or_default().as_millis() as u64,
@@ -133,8 +142,8 @@
 pub fn print(workload: &Workload, summaries: &[Summary]) {
     println!("workload {} of {} requests", workload.name, workload.arrivals.len());
     println!(
-        "| policy | class | requests | attained | refused | broken | first token p95 ms | longest \
-         wait ms | goodput | delivered | wasted | worst workspace | CPU a host | peak at engine |"
+        "| policy | class | requests | attained | refused | broken | late | slow | first token p95 ms \
+         | longest wait ms | goodput | delivered | wasted | worst workspace | CPU a host | peak at engine |"
     );
     println!(
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
@@ -142,7 +151,7 @@
     for summary in summaries {
         for class in &summary.classes {
             println!(
-                "| {} | {} | {} | {:.1}% | {} | {} | {} | {} | {:.1}% | {:.1}% | {:.1}% | {:.0}% | \
+                "| {} | {} | {} | {:.1}% | {} | {} | {} | {} | {} | {} | {:.1}% | {:.1}% | {:.1}% | {:.0}% | \
                  {:.1}% | {} |",
                 summary.policy,
                 class.class,
@@ -150,6 +159,8 @@
                 100.0 * class.attained,
                 class.refused,
                 class.broken,
+                class.late,
+                class.slow,
                 class.first_token_p95_ms,
                 class.longest_wait_ms,
                 100.0 * summary.goodput,
