--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -83,31 +83,28 @@
     }
 }
 
+/// Reads the kinds of one section; the section's type says what stands in each.
+macro_rules! kinds {
+    ($fields:expr, $name:expr, $section:ident, $problems:expr) => {{
+        let mut kinds = section($fields, $name, $problems);
+        let read = $section {
+            classes: items(&mut kinds, $name, "classes", $problems),
+            workspaces: items(&mut kinds, $name, "workspaces", $problems),
+            keys: items(&mut kinds, $name, "keys", $problems),
+            pools: items(&mut kinds, $name, "pools", $problems),
+            routes: items(&mut kinds, $name, "routes", $problems),
+        };
+        unknown_kinds(&kinds, $name, $problems);
+        read
+    }};
+}
+
 fn objects(fields: &mut Map<String, Value>, name: &str, problems: &mut Vec<Problem>) -> Objects {
-    let mut kinds = section(fields, name, problems);
-    let read = Objects {
-        classes: items(&mut kinds, name, "classes", problems),
-        workspaces: items(&mut kinds, name, "workspaces", problems),
-        keys: items(&mut kinds, name, "keys", problems),
-        pools: items(&mut kinds, name, "pools", problems),
-        routes: items(&mut kinds, name, "routes", problems),
-    };
-    unknown_kinds(&kinds, name, problems);
-    read
+    kinds!(fields, name, Objects, problems)
 }
 
 fn names(fields: &mut Map<String, Value>, problems: &mut Vec<Problem>) -> Names {
-    let name = "withdrawn";
-    let mut kinds = section(fields, name, problems);
-    let read = Names {
-        classes: items(&mut kinds, name, "classes", problems),
-        workspaces: items(&mut kinds, name, "workspaces", problems),
-        keys: items(&mut kinds, name, "keys", problems),
-        pools: items(&mut kinds, name, "pools", problems),
-        routes: items(&mut kinds, name, "routes", problems),
-    };
-    unknown_kinds(&kinds, name, problems);
-    read
+    kinds!(fields, "withdrawn", Names, problems)
 }
 
 fn unknown_kinds(kinds: &Map<String, Value>, path: &str, problems: &mut Vec<Problem>) {
--- a/crates/standin/src/slopes.rs
+++ b/crates/standin/src/slopes.rs
@@ -40,6 +40,19 @@
 }
 
 impl Slope {
+    /// Gets the slope of `what` a role costs against `per`.
+    pub fn new(
+        role: &str,
+        what: &str,
+        per: &str,
+        target: f64,
+        limit: Option<f64>,
+        points: Vec<Point>,
+    ) -> Self {
+        let (role, what, per) = (role.to_string(), what.to_string(), per.to_string());
+        Self { role, what, per, target, limit, points }
+    }
+
     /// Returns the line of least squares.
     pub fn fit(&self) -> Line {
         let n = self.points.len().max(1) as f64;
--- a/examples/slopes/hosts.rs
+++ b/examples/slopes/hosts.rs
@@ -35,18 +35,6 @@
 const WRITES_LIMIT: f64 = 300.0;
 const READS_LIMIT: f64 = 2_000.0;
 
-fn slope(
-    role: &str,
-    what: &str,
-    per: &str,
-    target: f64,
-    limit: Option<f64>,
-    points: Vec<Point>,
-) -> Slope {
-    let (role, what, per) = (role.to_string(), what.to_string(), per.to_string());
-    Slope { role, what, per, target, limit, points }
-}
-
 fn quick(slots: u32) -> Pace {
     Pace { slots, first_token: Duration::ZERO, interval: Duration::ZERO }
 }
@@ -87,9 +75,16 @@
         .to_vec();
     let streams = open_streams(programs)?;
     Ok(vec![
-        slope("entry", "CPU, ms/s", "request/s", TARGET_REQUESTS, None, requests),
-        slope("entry", "CPU, ms/s", "token/s", TARGET_TOKENS, None, tokens),
-        slope("entry", "memory, MB", "open stream", TARGET_STREAMS, Some(MEMORY_LIMIT_MB), streams),
+        Slope::new("entry", "CPU, ms/s", "request/s", TARGET_REQUESTS, None, requests),
+        Slope::new("entry", "CPU, ms/s", "token/s", TARGET_TOKENS, None, tokens),
+        Slope::new(
+            "entry",
+            "memory, MB",
+            "open stream",
+            TARGET_STREAMS,
+            Some(MEMORY_LIMIT_MB),
+            streams,
+        ),
     ])
 }
 
@@ -139,8 +134,8 @@
     }
     let limit = Some(CPU_LIMIT_MS);
     Ok(vec![
-        slope("home", "CPU, ms/s", "grant/s", TARGET_GRANTS, limit, cpu),
-        slope("home", "bytes, KB/s", "grant/s", TARGET_REQUESTS, Some(BYTES_LIMIT_KB), bytes),
+        Slope::new("home", "CPU, ms/s", "grant/s", TARGET_GRANTS, limit, cpu),
+        Slope::new("home", "bytes, KB/s", "grant/s", TARGET_REQUESTS, Some(BYTES_LIMIT_KB), bytes),
     ])
 }
 
@@ -164,7 +159,7 @@
         points.push(Point { size: count as f64, cost: writes() - before });
     }
     let limit = Some(WRITES_LIMIT);
-    Ok(vec![slope("once", "store writes/s", "claim/s", TARGET_CLAIMS, limit, points)])
+    Ok(vec![Slope::new("once", "store writes/s", "claim/s", TARGET_CLAIMS, limit, points)])
 }
 
 /// What hosts cost that have nothing to do, with the times of the target.
@@ -206,10 +201,17 @@
     }
     let per = "host";
     Ok(vec![
-        slope("host", "CPU at rest, ms/s a host", per, TARGET_HOSTS, Some(CPU_LIMIT_MS), cpu),
-        slope("host", "greetings, KB/s a host", per, TARGET_HOSTS, Some(BYTES_LIMIT_KB), bytes),
-        slope("host", "memory, MB a host", per, TARGET_HOSTS, Some(MEMORY_LIMIT_MB), memory),
-        slope("host", "store reads/s at rest", per, TARGET_HOSTS, Some(READS_LIMIT), reads),
-        slope("host", "store writes/s at rest", per, TARGET_HOSTS, Some(WRITES_LIMIT), writes),
+        Slope::new("host", "CPU at rest, ms/s a host", per, TARGET_HOSTS, Some(CPU_LIMIT_MS), cpu),
+        Slope::new(
+            "host",
+            "greetings, KB/s a host",
+            per,
+            TARGET_HOSTS,
+            Some(BYTES_LIMIT_KB),
+            bytes,
+        ),
+        Slope::new("host", "memory, MB a host", per, TARGET_HOSTS, Some(MEMORY_LIMIT_MB), memory),
+        Slope::new("host", "store reads/s at rest", per, TARGET_HOSTS, Some(READS_LIMIT), reads),
+        Slope::new("host", "store writes/s at rest", per, TARGET_HOSTS, Some(WRITES_LIMIT), writes),
     ])
 }
--- a/examples/slopes/inside.rs
+++ b/examples/slopes/inside.rs
@@ -27,18 +27,6 @@
 const TARGET_ACTIVE: f64 = 92.0;
 const REPEATS: u32 = 20;
 
-fn slope(
-    role: &str,
-    what: &str,
-    per: &str,
-    target: f64,
-    limit: Option<f64>,
-    points: Vec<Point>,
-) -> Slope {
-    let (role, what, per) = (role.to_string(), what.to_string(), per.to_string());
-    Slope { role, what, per, target, limit, points }
-}
-
 fn filled(workspaces: usize) -> State {
     let key = |i: usize| {
         let key = keys::fresh();
@@ -78,9 +66,9 @@
     let per = "workspace of 2 keys";
     let limit = Some(MEMORY_LIMIT_MB);
     Ok(vec![
-        slope("config", "memory, MB", per, TARGET_WORKSPACES, limit, memory),
-        slope("config", "snapshot, MB", per, TARGET_WORKSPACES, None, snapshot),
-        slope("config", "to apply a note, ms", per, TARGET_WORKSPACES, None, apply),
+        Slope::new("config", "memory, MB", per, TARGET_WORKSPACES, limit, memory),
+        Slope::new("config", "snapshot, MB", per, TARGET_WORKSPACES, None, snapshot),
+        Slope::new("config", "to apply a note, ms", per, TARGET_WORKSPACES, None, apply),
     ])
 }
 
@@ -102,7 +90,14 @@
     let per = "active workspace";
     // 2 KB/s for 10 s.
     let limit = Some(20.0);
-    Ok(vec![slope("usage", "a flush every 10 s, KB", per, TARGET_ACTIVE, limit, points.to_vec())])
+    Ok(vec![Slope::new(
+        "usage",
+        "a flush every 10 s, KB",
+        per,
+        TARGET_ACTIVE,
+        limit,
+        points.to_vec(),
+    )])
 }
 
 /// The time that a plan takes against the servers of a pool.
@@ -131,5 +126,5 @@
         }
     });
     let per = "backend server";
-    Ok(vec![slope("fleet", "to plan a step, us", per, TARGET_ENGINES, None, points.to_vec())])
+    Ok(vec![Slope::new("fleet", "to plan a step, us", per, TARGET_ENGINES, None, points.to_vec())])
 }
