Two proofs of orders made sharper

Cause: with evidence switched off, the test of the paused holder still passed, because it looked before another host could have taken the role; with the look for taken orders switched off, the platform's list alone still prevented a second order. Change: the first waits until a lease without evidence has moved and been renewed 16 times; the second is a new test in which the list lags.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -32,6 +32,8 @@
     pub lose_answers: u32,
     /// How many of the next reports and orders take effect without their answer arriving.
     pub lose_reports: u32,
+    /// The list of servers lags and shows none.
+    pub hide_servers: bool,
     /// Orders of cheap servers are refused.
     pub no_cheap: bool,
     /// Writes a second that are taken; none means any number.
@@ -194,6 +196,7 @@
             }
             (Method::Post, "/usage") => take(&self.reports, body),
             (Method::Post, "/orders") => self.order(body),
+            (Method::Get, "/servers") if self.faults.lock().hide_servers => (200, "[]".to_string()),
             (Method::Get, "/servers") => (200, io::render(&*self.servers.lock())),
             (Method::Get, "/orders") => {
                 let intent = text("intent");
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -20,6 +20,9 @@
     rig::{Rig, Size},
 };
 
+/// Renewals of a lease that take longer than its length and margin.
+const RENEWALS: u64 = 16;
+
 /// Engines that the platform starts when they are ordered.
 #[derive(Clone, Default)]
 struct Fleet {
@@ -98,6 +101,15 @@
     record["holder"]["incarnation"].as_str().unwrap_or_default().to_string()
 }
 
+/// Returns the holder of the usage lease and how often it was renewed.
+fn usage_lease(rig: &Rig) -> (String, u64) {
+    let object = rig.platform.state().objects.get("lease/usage");
+    let record: Value =
+        object.map_or(Value::Null, |o| serde_json::from_str(&o.value).unwrap_or_default());
+    let holder = record["holder"]["incarnation"].as_str().unwrap_or_default();
+    (holder.to_string(), record["renewal"].as_u64().unwrap_or(0))
+}
+
 fn holder_index(rig: &Rig) -> anyhow::Result<usize> {
     wait_until("a host holds the role", || !holder(rig).is_empty())?;
     let name = holder(rig);
@@ -164,11 +176,12 @@
     for i in &others {
         rig.wait_revision(&rig.hosts[*i], 3)?;
     }
-    let usage_moved = || {
-        let object = rig.platform.state().objects.get("lease/usage");
-        object.is_some_and(|object| !object.value.contains(&format!("host-{first}:")))
-    };
-    wait_until("a lease that needs no evidence has moved on", usage_moved)?;
+    wait_until("a lease that needs no evidence has moved on", || {
+        !usage_lease(&rig).0.contains(&format!("host-{first}:"))
+    })?;
+    // The role of ordering would have lapsed at the same time, had it needed no evidence.
+    let renewed = usage_lease(&rig).1 + RENEWALS;
+    wait_until("that lease is renewed for a while", || usage_lease(&rig).1 >= renewed)?;
     assert_eq!(starts(&orders(&rig)), 1, "no order without evidence");
     rig.hosts[first].resume();
     wait_until("four are ordered", || starts(&orders(&rig)) == 4)?;
@@ -235,6 +248,26 @@
     Ok(())
 }
 
+/// The platform's list lags, so only the intent tells that the order was taken.
+#[test]
+fn an_order_is_given_once_while_the_list_lags() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 2, ..Size::default() })?;
+    let _fleet = Fleet::install(&rig.platform);
+    rig.platform.fault(|faults| (faults.hide_servers, faults.lose_reports) = (true, 1));
+    rig.apply(&elastic(&rig, "one", 1, 1, 8))?;
+    wait_until("the intent is settled", || {
+        let intents = rig.platform.state().objects.list("fleet/intent/", "", 100);
+        !intents.is_empty() && !intents.iter().any(|intent| intent.value.contains("\"open\""))
+    })?;
+    let looked = || rig.platform.state().calls.lock().get("GET /servers").copied().unwrap_or(0);
+    let before = looked();
+    wait_until("the list was read many times", || looked() >= before + 20)?;
+    assert_eq!(starts(&orders(&rig)), 1);
+    rig.platform.fault(|faults| faults.hide_servers = false);
+    check_orders(&orders(&rig));
+    Ok(())
+}
+
 /// The first holder's order is held back in the network; the holder is killed; the next one takes
 /// over on evidence and orders; then the old message arrives. The surplus is drained.
 #[test]
