Stragglers: seen while they run, moved away from, tried out by lower tiers

Change: pace is taken in after 10 tokens, running streams are moved when others have room, a probe is judged by its own pace, lower tiers try servers out, the cap is one in two. The stand-ins set TCP_NODELAY: read directly, their streams stalled 40 ms at a time (p50 of the mean gap 17 ms for 10 ms).

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -205,7 +205,8 @@
 
 impl Seat for LocalSeat {
     fn progress(&self, tokens: Tokens) {
-        self.shared.inner.lock().desk.progress(self.id, tokens);
+        let now = self.shared.clock.now();
+        self.shared.apply(|inner| inner.desk.progress(now, self.id, tokens));
     }
 
     fn end(&self, outcome: Outcome) {
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -24,6 +24,10 @@
 };
 
 const TIERS: usize = wasabi_core::note::MAX_TIER as usize + 1;
+/// Tokens after which the pace of a request that runs is taken in.
+const PACE_TOKENS: Tokens = Tokens(10);
+/// The first of the lower tiers.
+const LOWER_TIERS: u8 = 2;
 const MAX_WAIT_SECONDS: f64 = 86_400.0;
 
 /// What a desk may be told about itself.
@@ -73,6 +77,8 @@
     tokens: Tokens,
     /// Tokens that the workspace was charged; at least `tokens`.
     charged: Tokens,
+    /// Whether its pace was taken in while it ran.
+    paced: bool,
     /// Set once it was told to stop.
     preempted: bool,
 }
@@ -138,17 +144,27 @@
     }
 
     /// Takes in tokens that a running ticket has generated since the last call.
-    pub fn progress(&mut self, id: TicketId, tokens: Tokens) {
+    ///
+    /// When that shows the server to be a straggler, its requests are moved to others.
+    pub fn progress(&mut self, now: Instant, id: TicketId, tokens: Tokens) -> Vec<Decision> {
         let Some(pool) = self.places.get(&id).and_then(|name| self.pools.get_mut(name)) else {
-            return;
+            return Vec::new();
         };
-        let Some(running) = pool.running.get_mut(&id) else { return };
+        let Some(running) = pool.running.get_mut(&id) else { return Vec::new() };
         running.tokens += tokens;
         let beyond = running.tokens.0.saturating_sub(running.charged.0);
         running.charged += Tokens(beyond);
+        let pace_due = !running.paced && running.tokens >= PACE_TOKENS;
+        running.paced |= pace_due;
+        let (server, seen) = (running.server.clone(), running.tokens);
+        let took = now.saturating_duration_since(running.since);
         if let Some(class) = pool.classes.get_mut(&running.ticket.class) {
             class.charge(&running.ticket.workspace, Tokens(beyond));
         }
+        if pace_due && pool.servers.paced(now, &server, seen, took) && pool.servers.has_room() {
+            return pool.move_away(&server);
+        }
+        Vec::new()
     }
 
     /// Ends a ticket, whether it waits or runs.
@@ -244,7 +260,9 @@
             let served_before = class.last_served();
             let Some(waiting) = class.pop(now) else { break };
             let avoid = waiting.ticket.avoid.as_ref();
-            let Some(server) = self.servers.take(now, options.pick, waiting.ticket.prefix, avoid)
+            let upper = waiting.ticket.tier < LOWER_TIERS;
+            let Some(server) =
+                self.servers.take(now, options.pick, upper, waiting.ticket.prefix, avoid)
             else {
                 class.unpop(waiting, served_before);
                 break;
@@ -256,6 +274,7 @@
                 server: server.name.clone(),
                 since: now,
                 tokens: Tokens(0),
+                paced: false,
                 preempted: false,
             };
             self.running.insert(ticket, running);
@@ -305,6 +324,18 @@
         Some(*id)
     }
 
+    /// Stops what runs on a server and can go on elsewhere.
+    fn move_away(&mut self, server: &ServerId) -> Vec<Decision> {
+        let there = self.running.iter_mut().filter(|(_, running)| running.server == *server);
+        let movable = there.filter(|(_, running)| running.is_preemptible());
+        movable
+            .map(|(id, running)| {
+                running.preempted = true;
+                Decision::Preempt { ticket: *id }
+            })
+            .collect()
+    }
+
     /// Refuses what can no longer meet its target, from the lowest tier up.
     ///
     /// A tier is touched only when nothing of a lower one waits or could be preempted.
@@ -377,7 +408,12 @@
         }
         let took = now.saturating_duration_since(running.since);
         match outcome {
-            Outcome::Done => self.servers.succeeded(now, &running.server, running.tokens, took),
+            Outcome::Done => {
+                if !running.paced {
+                    self.servers.paced(now, &running.server, running.tokens, took);
+                }
+                self.servers.succeeded(&running.server);
+            }
             Outcome::Failed => self.servers.failed(now, &running.server),
             Outcome::Preempted => {}
         }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -64,7 +64,7 @@
         if self.is_empty() {
             self.last_served = self.last_served.max(waiting.since);
         }
-        let virtual_now = self.virtual_now;
+        let virtual_now = self.start();
         let share = self.shares.entry(waiting.ticket.workspace.clone()).or_default();
         if share.waiting.is_empty() && share.running == 0 {
             share.virtual_time = share.virtual_time.max(virtual_now);
@@ -78,6 +78,13 @@
         self.length += 1;
     }
 
+    /// Returns the virtual time at which a workspace that returns starts: no later than that of any
+    /// workspace that waits, or it would be given up before them.
+    fn start(&self) -> f64 {
+        let waiting = self.shares.values().filter(|share| !share.waiting.is_empty());
+        waiting.map(|share| share.virtual_time).fold(self.virtual_now, f64::min)
+    }
+
     /// Takes the ticket to serve next.
     pub fn pop(&mut self, now: Instant) -> Option<Waiting> {
         let candidates = self.shares.values_mut().filter(|share| !share.waiting.is_empty());
--- a/crates/policy/src/servers.rs
+++ b/crates/policy/src/servers.rs
@@ -16,11 +16,13 @@
 /// A server is a straggler if its token interval is this many times the median's.
 const STRAGGLER_FACTOR: f64 = 2.5;
 /// Observations that a server needs before it is compared.
-const MIN_SAMPLES: u64 = 8;
-/// At most one server in this many is ejected at a time for slowness.
-const EJECTED_SHARE: usize = 3;
+const MIN_SAMPLES: u64 = 4;
+/// No server is ejected for slowness if more than one in this many would then be ejected.
+const EJECTED_SHARE: usize = 2;
 /// How long a failed or slow server is left alone the first time.
 const FIRST_EJECTION: Duration = Duration::from_secs(2);
+/// How long a server waits to be tried out by a request of a lower tier.
+const PROBE_PATIENCE: Duration = Duration::from_secs(5);
 const MAX_EJECTION: Duration = Duration::from_secs(60);
 
 /// How a server is picked among those with a free slot.
@@ -61,8 +63,8 @@
     Fit,
     /// Gets no work before that time.
     Ejected(Instant),
-    /// Gets one request at a time until one succeeds.
-    Probing,
+    /// Gets one request at a time until one succeeds; since that time.
+    Probing(Instant),
 }
 
 impl Servers {
@@ -100,22 +102,31 @@
 
     /// Picks a server with a free slot and takes the slot.
     ///
+    /// Requests of the upper tiers are not used to try a server out, unless nothing else has done
+    /// so for a while; those of the lower tiers try it out first.
+    ///
     /// The server that the prefix falls on is taken unless it is clearly busier than the least
     /// busy one; `avoid` is taken only if no other is free.
     pub fn take(
         &mut self,
         now: Instant,
         pick: Pick,
+        upper: bool,
         prefix: u64,
         avoid: Option<&ServerId>,
     ) -> Option<Server> {
         self.end_ejections(now);
         let free = || self.entries.values().filter(|entry| entry.is_free());
         let others = free().any(|entry| Some(&entry.server.name) != avoid);
-        let allowed = |entry: &&Entry| !others || Some(&entry.server.name) != avoid;
+        let allowed = |entry: &&Entry| {
+            let avoided = others && Some(&entry.server.name) == avoid;
+            !avoided && entry.suits(now, upper)
+        };
         let least = free().filter(allowed).map(Entry::load).min_by(f64::total_cmp)?;
         let near = |entry: &&Entry| entry.load() <= least + 1.0 / f64::from(entry.server.slots);
+        let tried_out = free().filter(allowed).find(|entry| !upper && entry.is_probing());
         let chosen = match pick {
+            _ if tried_out.is_some() => tried_out,
             Pick::Affinity => {
                 let near = free().filter(allowed).filter(near);
                 near.max_by_key(|entry| rendezvous(prefix, &entry.server.name))
@@ -142,19 +153,32 @@
         }
     }
 
-    /// Takes in the pace of a request that ended well.
-    pub fn succeeded(&mut self, now: Instant, name: &ServerId, tokens: Tokens, took: Duration) {
+    /// Takes in the pace of a request, and ejects the server if it is a straggler; returns whether
+    /// it did.
+    pub fn paced(&mut self, now: Instant, name: &ServerId, tokens: Tokens, took: Duration) -> bool {
+        if tokens.0 == 0 {
+            return false;
+        }
         if let Some(entry) = self.entries.get_mut(name) {
-            if tokens.0 > 0 {
-                entry.interval.observe(took.as_secs_f64() / tokens.0 as f64);
-            }
-            if entry.health == Health::Probing {
-                entry.health = Health::Fit;
-            }
+            entry.interval.observe(took.as_secs_f64() / tokens.0 as f64);
         }
-        if self.is_straggler(name) {
+        let straggles = self.is_straggler(name);
+        if straggles {
             self.eject(now, name);
-        } else if let Some(entry) = self.entries.get_mut(name) {
+        }
+        straggles
+    }
+
+    /// Returns whether a fit server has a free slot.
+    pub fn has_room(&self) -> bool {
+        self.entries.values().any(|entry| entry.health == Health::Fit && entry.is_free())
+    }
+
+    /// Takes in that a request ended well.
+    pub fn succeeded(&mut self, name: &ServerId) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        if matches!(entry.health, Health::Probing(_)) {
+            entry.health = Health::Fit;
             entry.strikes = 0;
         }
     }
@@ -186,17 +210,20 @@
     fn end_ejections(&mut self, now: Instant) {
         for entry in self.entries.values_mut() {
             if matches!(entry.health, Health::Ejected(until) if until <= now) {
-                entry.health = Health::Probing;
+                entry.health = Health::Probing(now);
             }
         }
     }
 
     fn is_straggler(&self, name: &ServerId) -> bool {
         let Some(entry) = self.entries.get(name) else { return false };
-        if entry.interval.count() < MIN_SAMPLES {
+        // A server that is tried again after an ejection is judged by its first request.
+        let samples = if matches!(entry.health, Health::Probing(_)) { 1 } else { MIN_SAMPLES };
+        if entry.interval.count() < samples || matches!(entry.health, Health::Ejected(_)) {
             return false;
         }
-        let ejected = self.listed().filter(|e| e.health != Health::Fit).count();
+        let others = self.listed().filter(|e| e.server.name != *name);
+        let ejected = others.filter(|e| e.health != Health::Fit).count();
         if (ejected + 1) * EJECTED_SHARE > self.listed().count() {
             return false;
         }
@@ -213,11 +240,24 @@
 }
 
 impl Entry {
+    fn is_probing(&self) -> bool {
+        matches!(self.health, Health::Probing(_))
+    }
+
+    fn suits(&self, now: Instant, upper: bool) -> bool {
+        match self.health {
+            Health::Probing(since) if upper => {
+                now.saturating_duration_since(since) >= PROBE_PATIENCE
+            }
+            _ => true,
+        }
+    }
+
     fn is_free(&self) -> bool {
         let limit = match self.health {
             Health::Fit => self.server.slots,
             Health::Ejected(_) => 0,
-            Health::Probing => 1,
+            Health::Probing(_) => 1,
         };
         self.listed && self.running < limit
     }
--- /dev/null
+++ b/crates/policy/tests/servers.rs
@@ -0,0 +1,72 @@
+//! Servers that straggle, fail and come back.
+
+use std::time::{Duration, Instant};
+
+use wasabi_core::{note::Server, units::Tokens};
+use wasabi_policy::servers::{Pick, Servers};
+
+const TOKENS: Tokens = Tokens(20);
+
+fn servers(count: u32) -> Servers {
+    let server = |i: u32| Server {
+        name: format!("s{i}").parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: "d".parse().expect("a name"),
+        cheap: false,
+        slots: 2,
+    };
+    let list: Vec<Server> = (0..count).map(server).collect();
+    let mut servers = Servers::default();
+    servers.set(&list);
+    servers
+}
+
+fn pace(servers: &mut Servers, now: Instant, name: &str, ms_a_token: u64) -> bool {
+    let took = Duration::from_millis(ms_a_token) * TOKENS.0 as u32;
+    servers.paced(now, &name.parse().expect("a name"), TOKENS, took)
+}
+
+fn fit(servers: &Servers) -> usize {
+    servers.view().iter().filter(|(_, _, _, fit)| *fit).count()
+}
+
+#[test]
+fn a_straggler_is_ejected_probed_and_judged_by_its_first_request() {
+    let mut servers = servers(6);
+    let now = Instant::now();
+    for _ in 0..4 {
+        (1..6).for_each(|i| assert!(!pace(&mut servers, now, &format!("s{i}"), 10)));
+        pace(&mut servers, now, "s0", 40);
+    }
+    assert_eq!(fit(&servers), 5);
+    let later = now + Duration::from_secs(3);
+    let taken = |servers: &mut Servers, now| {
+        let mut names = Vec::new();
+        while let Some(server) = servers.take(now, Pick::LeastBusy, false, 0, None) {
+            names.push(server.name.to_string());
+        }
+        names.iter().for_each(|name| servers.release(&name.parse().expect("a name")));
+        names.iter().filter(|name| *name == "s0").count()
+    };
+    assert_eq!(taken(&mut servers, now), 0);
+    assert_eq!(taken(&mut servers, later), 1, "one request is tried on it");
+    assert!(pace(&mut servers, later, "s0", 40), "still slow, so ejected again at once");
+    assert_eq!(taken(&mut servers, later + Duration::from_secs(3)), 0, "and for longer");
+    let much_later = later + Duration::from_secs(10);
+    assert_eq!(taken(&mut servers, much_later), 1);
+    assert!(!pace(&mut servers, much_later, "s0", 10));
+    servers.succeeded(&"s0".parse().expect("a name"));
+    assert_eq!(fit(&servers), 6);
+}
+
+#[test]
+fn only_a_share_of_the_servers_is_ejected_for_slowness() {
+    let mut servers = servers(6);
+    let now = Instant::now();
+    for _ in 0..6 {
+        for i in 0..6 {
+            pace(&mut servers, now, &format!("s{i}"), if i < 4 { 90 } else { 10 });
+        }
+    }
+    assert!(fit(&servers) >= 3, "{} are fit", fit(&servers));
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -372,7 +372,8 @@
 }
 
 fn chunk(out: &mut dyn Write, text: &str) -> std::io::Result<()> {
-    write!(out, "{:x}\r\n{text}\r\n", text.len())?;
+    let whole = format!("{:x}\r\n{text}\r\n", text.len());
+    out.write_all(whole.as_bytes())?;
     out.flush()
 }
 
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -12,6 +12,7 @@
 };
 
 use percent_encoding::percent_decode_str;
+use rustix::net::sockopt;
 use tiny_http::{Request, Response, Server};
 
 const POLL: Duration = Duration::from_millis(50);
@@ -37,7 +38,11 @@
 
 /// Starts a server at `address`; port 0 picks one.
 pub fn listen(address: SocketAddr, service: Arc<dyn Service>) -> anyhow::Result<Listening> {
-    let server = Server::http(address).map_err(|e| anyhow::anyhow!("{address}: {e}"))?;
+    let listener = TcpListener::bind(address)?;
+    // Accepted sockets inherit it; without it small parts wait for delayed acknowledgements.
+    sockopt::set_tcp_nodelay(&listener, true)?;
+    let server =
+        Server::from_listener(listener, None).map_err(|e| anyhow::anyhow!("{address}: {e}"))?;
     let address = server.server_addr().to_ip().expect("the server has an IP address");
     let ended = Arc::new(AtomicBool::new(false));
     let ending = ended.clone();
--- a/examples/load/report.rs
+++ b/examples/load/report.rs
@@ -65,7 +65,7 @@
     let good = outcome.results.iter().filter(|r| attained(&workload.classes[class_of(r)], r));
     let good: u64 = good.map(|result| result.tokens).sum();
     let delivered: u64 = outcome.results.iter().map(|result| result.tokens).sum();
-    let possible = workload.capacity() * workload.length.as_secs_f64();
+    let possible = workload.capacity() * outcome.took.as_secs_f64();
     let wasted = outcome.generated.saturating_sub(delivered) as f64;
     let seconds = outcome.took.as_secs_f64() * crate::workload::HOSTS as f64;
     Summary {
