Limits over all hosts; pace without the wait; checks of tiers on poor estimates

Causes and changes: - A workspace's limits held a host, so 7 hosts allowed 7 times as much: they are kept by the desk, which sees all hosts' requests for its cell. Newcomer's reading: entry's preparation, job and running requests in files of their own, node's contact and host likewise, doubled checks of usage in one.

--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -99,10 +99,10 @@
         /// Its share of a class relative to the others; at least 1.
         #[serde(default = "one")]
         pub weight: u32,
-        /// How many of its requests may run on one host at a time; none means no limit.
+        /// How many of its requests may wait or run in one cell at a time; none means no limit.
         #[serde(default)]
         pub max_running: Option<u32>,
-        /// How many tokens a minute it may use on one host; none means no limit.
+        /// How many tokens a minute it may use in one cell; none means no limit.
         #[serde(default)]
         pub token_rate: Option<TokenRate>,
     }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -7,8 +7,6 @@
     units::{RequestId, Tokens},
 };
 
-use crate::key;
-
 /// The data of the event that ends a stream.
 pub const DONE: &str = "[DONE]";
 /// Bytes of prompt that make about one token, where the engine does not say.
@@ -70,15 +68,12 @@
 }
 
 /// Reads a request body.
-pub fn parse(body: &[u8], secret: Option<&str>) -> Result<Call> {
+pub fn parse(body: &[u8]) -> Result<Call> {
     let invalid = |detail: &str| Error::new(Code::BodyInvalid, detail);
     let value: Value = serde_json::from_slice(body).map_err(|e| invalid(&e.to_string()))?;
     if !value.is_object() {
         return Err(invalid("the body must be an object"));
     }
-    if secret.is_some_and(|secret| holds(&value, secret)) {
-        return Err(invalid("the body holds the key"));
-    }
     let model = value.get("model").and_then(Value::as_str);
     let model = model.ok_or_else(|| invalid("model must be a string"))?.to_string();
     let stream = match value.get("stream") {
@@ -123,17 +118,6 @@
     }
 }
 
-fn holds(value: &Value, secret: &str) -> bool {
-    match value {
-        Value::String(text) => key::contains(text.as_bytes(), secret),
-        Value::Array(items) => items.iter().any(|item| holds(item, secret)),
-        Value::Object(fields) => fields
-            .iter()
-            .any(|(name, item)| key::contains(name.as_bytes(), secret) || holds(item, secret)),
-        _ => false,
-    }
-}
-
 fn hash(bytes: &[u8]) -> u64 {
     use std::hash::{DefaultHasher, Hasher as _};
     let mut hasher = DefaultHasher::new();
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -15,7 +15,7 @@
 use wasabi_policy::{budget::Budget, estimate};
 use wasabi_usage::counter::Counter;
 
-use crate::{dispatch::Dispatch, limits::Limits, running::Registry};
+use crate::{dispatch::Dispatch, running::Registry};
 
 /// Time and size limits of the caller border.
 #[derive(Clone, Debug)]
@@ -108,8 +108,6 @@
     pub once: Arc<Table>,
     /// Requests that run.
     pub running: Arc<Registry>,
-    /// The limits of workspaces.
-    pub limits: Limits,
     /// Contact with the outside.
     pub contact: Arc<Contact>,
     /// The clock.
--- a/crates/entry/src/key.rs
+++ b/crates/entry/src/key.rs
@@ -4,7 +4,8 @@
     Uri,
     header::{self, HeaderMap, HeaderName},
 };
-use percent_encoding::percent_decode_str;
+use percent_encoding::{percent_decode, percent_decode_str};
+use serde_json::Value;
 use wasabi_core::errors::{Code, Error, Result};
 
 const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
@@ -44,7 +45,8 @@
 /// Returns whether a header may go on to a backend server, as far as the key is concerned.
 pub fn may_pass(name: &HeaderName, value: &header::HeaderValue, secret: Option<&str>) -> bool {
     let carries = [header::AUTHORIZATION, header::COOKIE, API_KEY].contains(name);
-    !carries && !secret.is_some_and(|secret| contains(value.as_bytes(), secret))
+    let decoded: Vec<u8> = percent_decode(value.as_bytes()).collect();
+    !carries && !secret.is_some_and(|secret| contains(&decoded, secret))
 }
 
 /// Returns the query without the parts that carry a key, or `None` if nothing is left.
@@ -64,6 +66,27 @@
     !secret.is_empty() && text.windows(secret.len()).any(|part| part.eq_ignore_ascii_case(secret))
 }
 
+/// Returns whether a body holds the key, as it stands or as JSON or a form would write it.
+pub fn is_in_body(body: &[u8], secret: &str) -> bool {
+    if contains(body, secret) || contains(&percent_decode(body).collect::<Vec<u8>>(), secret) {
+        return true;
+    }
+    // Only an escape can hide the key in JSON text.
+    let escaped = body.contains(&b'\\');
+    escaped && serde_json::from_slice(body).is_ok_and(|value| is_in_json(&value, secret))
+}
+
+fn is_in_json(value: &Value, secret: &str) -> bool {
+    match value {
+        Value::String(text) => contains(text.as_bytes(), secret),
+        Value::Array(items) => items.iter().any(|item| is_in_json(item, secret)),
+        Value::Object(fields) => fields
+            .iter()
+            .any(|(name, item)| contains(name.as_bytes(), secret) || is_in_json(item, secret)),
+        _ => false,
+    }
+}
+
 fn is_key_name(name: &str) -> bool {
     QUERY_NAMES.iter().any(|known| name.eq_ignore_ascii_case(known))
 }
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -16,8 +16,9 @@
     answer,
     body::Outgoing,
     context::Context,
+    job::Job,
     relay::Failure,
-    serve::{self, Job},
+    serve,
     whole::{self, Answered},
 };
 
--- a/crates/entry/src/running.rs
+++ b/crates/entry/src/running.rs
@@ -5,7 +5,7 @@
 use parking_lot::Mutex;
 use tokio_util::sync::CancellationToken;
 use wasabi_config::state::State;
-use wasabi_core::{note::Key, units::WorkspaceId};
+use wasabi_core::note::Key;
 
 /// All requests that run.
 #[derive(Default)]
@@ -17,13 +17,11 @@
 struct Inner {
     next: u64,
     entries: HashMap<u64, Entry>,
-    by_workspace: HashMap<WorkspaceId, u32>,
 }
 
 struct Entry {
     /// None on routes open to all.
     key: Option<Arc<Key>>,
-    workspace: WorkspaceId,
     cut: CancellationToken,
 }
 
@@ -37,13 +35,12 @@
 
 impl Registry {
     /// Enters a request.
-    pub fn enter(self: &Arc<Self>, key: Option<Arc<Key>>, workspace: WorkspaceId) -> Running {
+    pub fn enter(self: &Arc<Self>, key: Option<Arc<Key>>) -> Running {
         let cut = CancellationToken::new();
         let mut inner = self.inner.lock();
         inner.next += 1;
         let number = inner.next;
-        *inner.by_workspace.entry(workspace.clone()).or_default() += 1;
-        inner.entries.insert(number, Entry { key, workspace, cut: cut.clone() });
+        inner.entries.insert(number, Entry { key, cut: cut.clone() });
         Running { registry: self.clone(), number, cut }
     }
 
@@ -67,11 +64,6 @@
         self.len() == 0
     }
 
-    /// Returns how many requests of a workspace run.
-    pub fn of_workspace(&self, workspace: &WorkspaceId) -> u32 {
-        self.inner.lock().by_workspace.get(workspace).copied().unwrap_or(0)
-    }
-
     fn cut(&self, lost: impl Fn(&Key) -> bool) -> usize {
         let inner = self.inner.lock();
         let entries = inner.entries.values();
@@ -82,12 +74,6 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let mut inner = self.registry.inner.lock();
-        let Some(entry) = inner.entries.remove(&self.number) else { return };
-        let Some(count) = inner.by_workspace.get_mut(&entry.workspace) else { return };
-        *count -= 1;
-        if *count == 0 {
-            inner.by_workspace.remove(&entry.workspace);
-        }
+        self.registry.inner.lock().entries.remove(&self.number);
     }
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -19,9 +19,9 @@
     chat::{self, Usage},
     context::Context,
     dispatch::Grant,
+    job::Job,
     relay::{self, Reply},
-    serve::{self, Job},
-    sse,
+    serve, sse,
 };
 
 /// Parts that may wait for a slow caller.
@@ -66,7 +66,6 @@
     let taken = move |tokens| {
         let figures = Figures { completion: tokens, ..Figures::default() };
         ctx.counter.add(&workspace, &figures);
-        ctx.limits.spend(&workspace, tokens);
     };
     let response = Response::builder()
         .status(StatusCode::OK)
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -17,8 +17,9 @@
     chat::{self, Chunk},
     context::Context,
     dispatch::Grant,
+    job::Job,
     relay::{self, Failure},
-    serve::{self, Job},
+    serve,
 };
 
 /// A whole answer of a backend server.
@@ -111,7 +112,6 @@
     let completion = Tokens(usage.completion_tokens);
     let figures = Figures { requests: 1, prompt: Tokens(usage.prompt_tokens), completion };
     ctx.counter.add(job.workspace_id(), &figures);
-    ctx.limits.spend(job.workspace_id(), completion);
     if job.call.is_some() {
         job.observe_length(ctx, completion);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,9 @@
 #![forbid(unsafe_code)]
 
 pub mod candidates;
+pub mod contact;
 pub mod evidence;
+pub mod host;
 pub mod logs;
 pub mod operator;
 pub mod registry;
@@ -10,5 +12,5 @@
 pub mod servers;
 pub mod settings;
 pub mod status;
-pub mod stop;
+
 pub mod tasks;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -13,9 +13,8 @@
 };
 use wasabi_entry::{
     busy::{Busy, Counted},
-    context::{Contact, Context, Options},
+    context::{self, Context, Options},
     dispatch::{Dispatch, Local},
-    limits::Limits,
     running::Registry as Running,
 };
 use wasabi_fleet::{commander::Commander, plan, view::View};
@@ -32,10 +31,11 @@
 
 use crate::{
     candidates::Candidates,
+    contact::Contact,
     evidence::Evidence,
     roster::Known,
     settings::{Settings, Times},
-    status, tasks,
+    status,
 };
 
 /// Tokens that an answer is expected to have before any was seen.
@@ -88,7 +88,7 @@
     /// The role of writing snapshots and cleaning up.
     pub upkeep_lease: Arc<Lease>,
     /// The last contact with the store.
-    pub contact: tasks::Contact,
+    pub contact: Contact,
     /// Which roles this host stands for.
     pub candidates: Candidates,
     /// Writes the host's status.
@@ -175,7 +175,7 @@
             live,
             busy,
             candidates: Candidates::default(),
-            contact: tasks::Contact::new(clock.now()),
+            contact: Contact::new(clock.now()),
             status: Arc::new(status::Writer::new(store.clone())),
             settings,
             me,
@@ -230,8 +230,7 @@
         counter: counter.clone(),
         once,
         running: Arc::new(Running::default()),
-        limits: Limits::default(),
-        contact: Arc::new(Contact::default()),
+        contact: Arc::new(context::Contact::default()),
         clock: clock.clone(),
         lengths: Mutex::new(estimate::Table::new(DEFAULT_LENGTH)),
         first_token: Mutex::new(estimate::Table::new(DEFAULT_FIRST_TOKEN_SECONDS)),
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -18,14 +18,15 @@
 };
 
 use crate::{
+    limits::Limits,
     queue,
     servers::{Pick, Servers},
     ticket::{Decision, Outcome, Ticket, TicketId, Waiting},
 };
 
 const TIERS: usize = wasabi_core::note::MAX_TIER as usize + 1;
-/// Tokens after which the pace of a request that runs is taken in.
-const PACE_TOKENS: Tokens = Tokens(10);
+/// Tokens, after the first ones seen, from which the pace of a request is taken.
+const PACE_TOKENS: Tokens = Tokens(8);
 /// The first of the lower tiers.
 const LOWER_TIERS: u8 = 2;
 const MAX_WAIT_SECONDS: f64 = 86_400.0;
@@ -57,11 +58,19 @@
 pub struct Desk {
     options: Options,
     pools: BTreeMap<PoolId, Pool>,
-    /// Every ticket that waits or runs, by pool.
-    places: HashMap<TicketId, PoolId>,
+    limits: Limits,
+    /// Every ticket that waits or runs.
+    places: HashMap<TicketId, Place>,
     next: TicketId,
 }
 
+/// Where a ticket is, and for whom.
+#[derive(Debug)]
+struct Place {
+    pool: PoolId,
+    workspace: WorkspaceId,
+}
+
 #[derive(Debug, Default)]
 struct Pool {
     servers: Servers,
@@ -77,6 +86,9 @@
     tokens: Tokens,
     /// Tokens that the workspace was charged; at least `tokens`.
     charged: Tokens,
+    /// When its first tokens were seen, and how many they were; what it waited for them says
+    /// nothing of its pace.
+    begun: Option<(Instant, Tokens)>,
     /// Whether its pace was taken in while it ran.
     paced: bool,
     /// Set once it was told to stop.
@@ -130,11 +142,19 @@
 
     /// Takes a new ticket; the decision on it may come at once or from a later event.
     pub fn arrive(&mut self, now: Instant, ticket: Ticket) -> (TicketId, Vec<Decision>) {
-        let ticket = if self.options.classes { ticket } else { ticket.plain() };
         self.next += TicketId(1);
         let id = self.next;
+        if !ticket.resumed
+            && let Some(retry_after) = self.limits.reached(now, &ticket)
+        {
+            let code = Code::LimitReached;
+            return (id, vec![Decision::Refuse { ticket: id, code, retry_after }]);
+        }
+        self.limits.enter(&ticket.workspace);
+        let place = Place { pool: ticket.pool.clone(), workspace: ticket.workspace.clone() };
+        self.places.insert(id, place);
+        let ticket = if self.options.classes { ticket } else { ticket.plain() };
         let pool = self.pools.entry(ticket.pool.clone()).or_default();
-        self.places.insert(id, ticket.pool.clone());
         pool.enqueue(Waiting { id, ticket, since: now });
         let mut decisions = pool.dispatch(now, self.options);
         decisions.extend(pool.make_room(now));
@@ -147,17 +167,19 @@
     ///
     /// When that shows the server to be a straggler, its requests are moved to others.
     pub fn progress(&mut self, now: Instant, id: TicketId, tokens: Tokens) -> Vec<Decision> {
-        let Some(pool) = self.places.get(&id).and_then(|name| self.pools.get_mut(name)) else {
-            return Vec::new();
-        };
+        let Some(place) = self.places.get(&id) else { return Vec::new() };
+        self.limits.spend(&place.workspace, tokens);
+        let Some(pool) = self.pools.get_mut(&place.pool) else { return Vec::new() };
         let Some(running) = pool.running.get_mut(&id) else { return Vec::new() };
         running.tokens += tokens;
         let beyond = running.tokens.0.saturating_sub(running.charged.0);
         running.charged += Tokens(beyond);
-        let pace_due = !running.paced && running.tokens >= PACE_TOKENS;
+        let (begun, before) = *running.begun.get_or_insert((now, running.tokens));
+        let seen = Tokens(running.tokens.0 - before.0);
+        let pace_due = !running.paced && seen >= PACE_TOKENS;
         running.paced |= pace_due;
-        let (server, seen) = (running.server.clone(), running.tokens);
-        let took = now.saturating_duration_since(running.since);
+        let server = running.server.clone();
+        let took = now.saturating_duration_since(begun);
         if let Some(class) = pool.classes.get_mut(&running.ticket.class) {
             class.charge(&running.ticket.workspace, Tokens(beyond));
         }
@@ -169,9 +191,9 @@
 
     /// Ends a ticket, whether it waits or runs.
     pub fn finish(&mut self, now: Instant, id: TicketId, outcome: Outcome) -> Vec<Decision> {
-        let Some(pool) = self.places.remove(&id).and_then(|name| self.pools.get_mut(&name)) else {
-            return Vec::new();
-        };
+        let Some(place) = self.places.remove(&id) else { return Vec::new() };
+        self.limits.leave(&place.workspace);
+        let Some(pool) = self.pools.get_mut(&place.pool) else { return Vec::new() };
         pool.end(now, id, outcome);
         let decisions = pool.dispatch(now, self.options);
         self.forget_refused(&decisions);
@@ -228,8 +250,10 @@
 
     fn forget_refused(&mut self, decisions: &[Decision]) {
         for decision in decisions {
-            if let Decision::Refuse { ticket, .. } = decision {
-                self.places.remove(ticket);
+            if let Decision::Refuse { ticket, .. } = decision
+                && let Some(place) = self.places.remove(ticket)
+            {
+                self.limits.leave(&place.workspace);
             }
         }
     }
@@ -274,6 +298,7 @@
                 server: server.name.clone(),
                 since: now,
                 tokens: Tokens(0),
+                begun: None,
                 paced: false,
                 preempted: false,
             };
@@ -406,13 +431,10 @@
             let unused = running.charged.0.saturating_sub(running.tokens.0);
             class.release(&running.ticket.workspace, Tokens(unused));
         }
-        let took = now.saturating_duration_since(running.since);
         match outcome {
             Outcome::Done => {
-                if !running.paced {
-                    self.servers.paced(now, &running.server, running.tokens, took);
-                }
-                self.servers.succeeded(&running.server);
+                let took = now.saturating_duration_since(running.since);
+                self.servers.succeeded(&running.server, running.tokens, took);
             }
             Outcome::Failed => self.servers.failed(now, &running.server),
             Outcome::Preempted => {}
@@ -438,7 +460,7 @@
     /// Returns the seconds that the pool as a whole takes for a token.
     fn pace(&self, options: Options) -> f64 {
         let slots = f64::from(self.servers.slots().max(1));
-        self.servers.typical_interval(options.default_interval) / slots
+        self.servers.typical_service(options.default_interval) / slots
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod desk;
 pub mod estimate;
+pub mod limits;
 pub mod queue;
 pub mod servers;
 pub mod ticket;
--- a/crates/policy/src/servers.rs
+++ b/crates/policy/src/servers.rs
@@ -13,7 +13,7 @@
 
 use crate::estimate::Average;
 
-/// A server is a straggler if its token interval is this many times the median's.
+/// A server is a straggler if its pace is this many times the median's.
 const STRAGGLER_FACTOR: f64 = 2.5;
 /// Observations that a server needs before it is compared.
 const MIN_SAMPLES: u64 = 4;
@@ -51,8 +51,10 @@
     running: u32,
     /// Whether it may get new work by configuration.
     listed: bool,
-    /// Seconds between tokens.
-    interval: Average,
+    /// Seconds that a slot is taken for each token, over whole requests.
+    service: Average,
+    /// Seconds between tokens, without the time to the first.
+    pace: Average,
     health: Health,
     /// How often it was ejected without a success in between.
     strikes: u32,
@@ -76,13 +78,14 @@
                 server: server.clone(),
                 running: 0,
                 listed: true,
-                interval: Average::default(),
+                service: Average::default(),
+                pace: Average::default(),
                 health: Health::Fit,
                 strikes: 0,
             });
             if entry.server.address != server.address {
                 entry.health = Health::Fit;
-                entry.interval = Average::default();
+                entry.pace = Average::default();
             }
             entry.server = server.clone();
             entry.listed = true;
@@ -160,7 +163,7 @@
             return false;
         }
         if let Some(entry) = self.entries.get_mut(name) {
-            entry.interval.observe(took.as_secs_f64() / tokens.0 as f64);
+            entry.pace.observe(took.as_secs_f64() / tokens.0 as f64);
         }
         let straggles = self.is_straggler(name);
         if straggles {
@@ -174,9 +177,12 @@
         self.entries.values().any(|entry| entry.health == Health::Fit && entry.is_free())
     }
 
-    /// Takes in that a request ended well.
-    pub fn succeeded(&mut self, name: &ServerId) {
+    /// Takes in that a request ended well, and how long it took its slot.
+    pub fn succeeded(&mut self, name: &ServerId, tokens: Tokens, took: Duration) {
         let Some(entry) = self.entries.get_mut(name) else { return };
+        if tokens.0 > 0 {
+            entry.service.observe(took.as_secs_f64() / tokens.0 as f64);
+        }
         if matches!(entry.health, Health::Probing(_)) {
             entry.health = Health::Fit;
             entry.strikes = 0;
@@ -188,12 +194,16 @@
         self.eject(now, name);
     }
 
-    /// Returns the seconds that a token takes on a typical server.
-    pub fn typical_interval(&self, default: f64) -> f64 {
-        let mut intervals: Vec<f64> =
-            self.listed().map(|entry| entry.interval.or(default)).collect();
-        intervals.sort_by(f64::total_cmp);
-        intervals.get(intervals.len() / 2).copied().unwrap_or(default)
+    /// Returns the seconds that a token takes a slot on a typical server.
+    pub fn typical_service(&self, default: f64) -> f64 {
+        self.median(|entry| entry.service).unwrap_or(default)
+    }
+
+    fn median(&self, pick: impl Fn(&Entry) -> Average) -> Option<f64> {
+        let averages = self.listed().map(pick).filter(|average| average.count() > 0);
+        let mut values: Vec<f64> = averages.map(|average| average.or(0.0)).collect();
+        values.sort_by(f64::total_cmp);
+        values.get(values.len() / 2).copied()
     }
 
     /// Returns name, running and slots of each server, and whether it is fit.
@@ -219,7 +229,7 @@
         let Some(entry) = self.entries.get(name) else { return false };
         // A server that is tried again after an ejection is judged by its first request.
         let samples = if matches!(entry.health, Health::Probing(_)) { 1 } else { MIN_SAMPLES };
-        if entry.interval.count() < samples || matches!(entry.health, Health::Ejected(_)) {
+        if entry.pace.count() < samples || matches!(entry.health, Health::Ejected(_)) {
             return false;
         }
         let others = self.listed().filter(|e| e.server.name != *name);
@@ -227,7 +237,8 @@
         if (ejected + 1) * EJECTED_SHARE > self.listed().count() {
             return false;
         }
-        entry.interval.or(0.0) > STRAGGLER_FACTOR * self.typical_interval(0.0)
+        let typical = self.median(|entry| entry.pace).unwrap_or(f64::MAX);
+        entry.pace.or(0.0) > STRAGGLER_FACTOR * typical
     }
 
     fn eject(&mut self, now: Instant, name: &ServerId) {
@@ -235,7 +246,7 @@
         let wait = FIRST_EJECTION * 2_u32.saturating_pow(entry.strikes);
         entry.strikes = (entry.strikes + 1).min(8);
         entry.health = Health::Ejected(now + wait.min(MAX_EJECTION));
-        entry.interval = Average::default();
+        entry.pace = Average::default();
     }
 }
 
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -7,7 +7,7 @@
     errors::Code,
     note::{Class, Server, Target},
     quantity,
-    units::{ClassId, PoolId, ServerId, Tokens, WorkspaceId},
+    units::{ClassId, PoolId, ServerId, TokenRate, Tokens, WorkspaceId},
 };
 
 quantity!(
@@ -28,6 +28,10 @@
         pub workspace: WorkspaceId,
         /// The workspace's weight within the class; at least 1.
         pub weight: u32,
+        /// How many tickets of the workspace may wait or run at the desk.
+        pub max_running: Option<u32>,
+        /// How many tokens a minute the workspace may use at the desk.
+        pub token_rate: Option<TokenRate>,
         /// How long the class may go without service while it has waiting work.
         pub max_gap: Duration,
         /// How long it may wait for a server and still meet its target.
--- a/crates/policy/tests/schedules.rs
+++ b/crates/policy/tests/schedules.rs
@@ -69,6 +69,8 @@
     desk: Desk,
     now: Instant,
     slots: u32,
+    /// Whether the desk is told what was generated, and so learns how fast servers are.
+    learns: bool,
     /// Every ticket that waits.
     waiting: HashMap<TicketId, Ticket>,
     /// Every ticket that runs, and when it ends.
@@ -83,8 +85,8 @@
 }
 
 impl Run {
-    fn new(slots: u32, ageing: bool) -> Self {
-        let mut desk = Desk::new(Options { ageing, ..Options::default() });
+    fn new(slots: u32, options: Options) -> Self {
+        let mut desk = Desk::new(options);
         let now = Instant::now();
         let server = Server {
             name: "s".parse().expect("a name"),
@@ -95,7 +97,7 @@
         };
         desk.set_servers(now, &pool(), &[server]);
         let (waiting, running, served, fault) = Default::default();
-        Self { desk, now, slots, waiting, running, served, fault }
+        Self { desk, now, slots, learns: true, waiting, running, served, fault }
     }
 
     fn fail(&mut self, text: String) {
@@ -109,6 +111,8 @@
             tier: step.tier,
             workspace: format!("w{}", step.workspace).parse().expect("a name"),
             weight: 1,
+            max_running: None,
+            token_rate: None,
             max_gap: MAX_GAP,
             patience: Duration::from_millis(u64::from(step.patience_ms)),
             expected: Tokens(u64::from(step.tokens) + 1),
@@ -125,8 +129,12 @@
         self.obey(decisions);
     }
 
+    /// Carries all decisions out before any of them causes a new event, as the daemon does under its
+    /// lock; a preempted request comes back to the desk only afterwards.
     fn obey(&mut self, decisions: Vec<Decision>) {
-        for decision in decisions {
+        let is_preempt = |decision: &Decision| matches!(decision, Decision::Preempt { .. });
+        let (preempts, others): (Vec<_>, Vec<_>) = decisions.into_iter().partition(is_preempt);
+        for decision in others.into_iter().chain(preempts) {
             match decision {
                 Decision::Grant { ticket, .. } => self.granted(ticket),
                 Decision::Refuse { ticket, .. } => self.refused(ticket),
@@ -195,8 +203,10 @@
         for id in ended {
             // A preemption that an earlier end caused may have taken it already.
             if let Some((ticket, _)) = self.running.remove(&id) {
-                let decisions = self.desk.progress(self.now, id, ticket.expected);
-                self.obey(decisions);
+                if self.learns {
+                    let decisions = self.desk.progress(self.now, id, ticket.expected);
+                    self.obey(decisions);
+                }
                 let decisions = self.desk.finish(self.now, id, Outcome::Done);
                 self.obey(decisions);
             }
@@ -238,8 +248,11 @@
     }
 }
 
-fn run(schedule: &Schedule, ageing: bool) -> Option<String> {
-    let mut run = Run::new(u32::from(schedule.slots), ageing);
+fn run(schedule: &Schedule, options: Options) -> Option<String> {
+    play(schedule, Run::new(u32::from(schedule.slots), options))
+}
+
+fn play(schedule: &Schedule, mut run: Run) -> Option<String> {
     for step in &schedule.steps {
         if step.arrives {
             run.arrive(step);
@@ -253,11 +266,19 @@
     run.fault
 }
 
+fn verdict(fault: Option<String>) -> TestResult {
+    fault.map_or_else(TestResult::passed, TestResult::error)
+}
+
 fn holds(schedule: Schedule) -> TestResult {
-    match run(&schedule, true) {
-        None => TestResult::passed(),
-        Some(fault) => TestResult::error(fault),
-    }
+    verdict(run(&schedule, Options::default()))
+}
+
+/// Every wait is estimated too long, and no estimate is ever corrected.
+fn holds_with_poor_estimates(schedule: Schedule) -> TestResult {
+    let mut run = Run::new(u32::from(schedule.slots), Options::default());
+    run.learns = false;
+    verdict(play(&schedule, run))
 }
 
 #[test]
@@ -268,6 +289,14 @@
         .quickcheck(holds as fn(Schedule) -> TestResult);
 }
 
+#[test]
+fn tiers_hold_whatever_the_estimates() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 11))
+        .tests(300)
+        .quickcheck(holds_with_poor_estimates as fn(Schedule) -> TestResult);
+}
+
 /// Every slot is taken and the highest tier floods: the lowest is still served in time, and without
 /// ageing it is not, so the check can fail.
 #[test]
@@ -284,15 +313,16 @@
     let mut steps = vec![step(0), step(3)];
     steps.extend((0..200).map(|_| step(0)));
     let schedule = Schedule { slots: 1, steps };
-    assert_eq!(run(&schedule, true), None);
-    let without = run(&schedule, false).expect("strict priority starves the lowest tier");
+    assert_eq!(run(&schedule, Options::default()), None);
+    let without = run(&schedule, Options { ageing: false, ..Options::default() })
+        .expect("strict priority starves the lowest tier");
     assert!(without.contains("tier 3 starves"), "{without}");
 }
 
 /// A workspace that floods gets no more than its share, by tokens.
 #[test]
 fn a_flooding_workspace_gets_its_share_only() {
-    let mut run = Run::new(2, true);
+    let mut run = Run::new(2, Options::default());
     let step = |workspace| Step {
         tier: 1,
         workspace,
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -55,18 +55,22 @@
     let much_later = later + Duration::from_secs(10);
     assert_eq!(taken(&mut servers, much_later), 1);
     assert!(!pace(&mut servers, much_later, "s0", 10));
-    servers.succeeded(&"s0".parse().expect("a name"));
+    servers.succeeded(&"s0".parse().expect("a name"), TOKENS, Duration::from_millis(200));
     assert_eq!(fit(&servers), 6);
 }
 
 #[test]
-fn only_a_share_of_the_servers_is_ejected_for_slowness() {
-    let mut servers = servers(6);
+fn no_more_than_half_of_the_servers_is_ejected_for_slowness() {
+    let mut servers = servers(7);
     let now = Instant::now();
+    for name in ["s0", "s1", "s2"] {
+        servers.failed(now, &name.parse().expect("a name"));
+    }
     for _ in 0..6 {
-        for i in 0..6 {
-            pace(&mut servers, now, &format!("s{i}"), if i < 4 { 90 } else { 10 });
+        for i in 3..7 {
+            let slow = pace(&mut servers, now, &format!("s{i}"), if i == 3 { 90 } else { 10 });
+            assert!(!slow, "a fourth of seven servers must not be ejected");
         }
     }
-    assert!(fit(&servers) >= 3, "{} are fit", fit(&servers));
+    assert_eq!(fit(&servers), 4);
 }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -52,8 +52,8 @@
     pub error: Option<Value>,
     /// When the first token came.
     pub first: Option<Instant>,
-    /// When the last token came.
-    pub last: Option<Instant>,
+    /// When each token came.
+    pub times: Vec<Instant>,
     /// The longest time between tokens.
     pub longest_gap: Duration,
 }
@@ -157,7 +157,7 @@
             complete: false,
             error: None,
             first: None,
-            last: None,
+            times: Vec::new(),
             longest_gap: Duration::ZERO,
         };
         if status != 200 {
@@ -240,7 +240,9 @@
 
     /// Returns the mean time between tokens.
     pub fn mean_gap(&self) -> Duration {
-        let (Some(first), Some(last)) = (self.first, self.last) else { return Duration::ZERO };
+        let (Some(first), Some(last)) = (self.first, self.times.last()) else {
+            return Duration::ZERO;
+        };
         last.duration_since(first) / (self.tokens.saturating_sub(1)).max(1) as u32
     }
 
@@ -255,7 +257,8 @@
             return;
         };
         let now = Instant::now();
-        let gap = self.last.replace(now).map_or(Duration::ZERO, |last| now.duration_since(last));
+        let gap = self.times.last().map_or(Duration::ZERO, |last| now.duration_since(*last));
+        self.times.push(now);
         self.longest_gap = self.longest_gap.max(gap);
         self.first.get_or_insert(now);
         self.text.push_str(text);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -34,6 +34,8 @@
     pub lose_reports: u32,
     /// The list of servers lags and shows none.
     pub hide_servers: bool,
+    /// Orders with an epoch lower than one that was taken are refused.
+    pub fencing: bool,
     /// Orders of cheap servers are refused.
     pub no_cheap: bool,
     /// Writes a second that are taken; none means any number.
@@ -148,7 +150,10 @@
     fn order(&self, body: &str) -> (u16, String) {
         let Ok(order) = serde_json::from_str::<Order>(body) else { return (400, String::new()) };
         let cheap = matches!(order.action, Action::Start { cheap: true, .. });
-        if cheap && self.faults.lock().no_cheap {
+        let faults = self.faults.lock().clone();
+        let newest = self.orders.lock().iter().map(|taken| taken.item.epoch).max();
+        let is_old = faults.fencing && newest.is_some_and(|newest| order.epoch < newest);
+        if is_old || (cheap && faults.no_cheap) {
             return (409, String::new());
         }
         match &order.action {
--- a/crates/standin/src/slopes.rs
+++ b/crates/standin/src/slopes.rs
@@ -69,9 +69,15 @@
     }
 
     /// Returns the cost at the target.
+    ///
+    /// A falling line is not carried on: the largest measured cost stands. An intercept below zero
+    /// comes of the measurement and is left out.
     pub fn at_target(&self) -> f64 {
         let line = self.fit();
-        line.intercept + line.slope * self.target
+        if line.slope < 0.0 {
+            return self.points.iter().map(|point| point.cost).fold(0.0, f64::max);
+        }
+        line.intercept.max(0.0) + line.slope * self.target
     }
 }
 
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -11,7 +11,7 @@
     io::Store,
     time::{self, Clock as _, System},
 };
-use wasabi_node::{settings, stop};
+use wasabi_node::{host, settings};
 use wasabi_platform::{http::Endpoint, store::Remote};
 use wasabi_standin::{
     caller::Call,
@@ -63,7 +63,7 @@
     let text = rig::settings("demo", &platform.url()).to_string();
     let settings = settings::parse(&text).map_err(|problems| anyhow::anyhow!("{problems:?}"))?;
     thread::spawn(move || {
-        if let Err(e) = stop::run(settings) {
+        if let Err(e) = host::run(settings) {
             eprintln!("{e:#}");
         }
         std::process::exit(0);
--- a/examples/load/drive.rs
+++ b/examples/load/drive.rs
@@ -30,6 +30,8 @@
     /// The mean time between tokens.
     pub gap: Duration,
     pub tokens: u64,
+    /// Tokens that came while requests still arrived.
+    pub tokens_in_time: u64,
     pub complete: bool,
     pub code: Option<u64>,
 }
@@ -96,7 +98,8 @@
             let _ = sending.spawn_scoped(scope, move || {
                 let sent = began.elapsed();
                 let stream = call.stream(address);
-                let result = result(index, sent, began, stream.ok());
+                let end = began + workload.length;
+                let result = result(index, sent, began, end, stream.ok());
                 results.lock().expect("no panic").push(result);
             });
         }
@@ -108,10 +111,25 @@
     Ok(Outcome { results, generated, took, cpu: cpu(&rig) - cpu_before, peak })
 }
 
-fn result(arrival: usize, sent: Duration, began: Instant, stream: Option<Stream>) -> Result {
+fn result(
+    arrival: usize,
+    sent: Duration,
+    began: Instant,
+    end: Instant,
+    stream: Option<Stream>,
+) -> Result {
     let Some(stream) = stream else {
         let gap = Duration::ZERO;
-        return Result { arrival, sent, first: None, gap, tokens: 0, complete: false, code: None };
+        return Result {
+            arrival,
+            sent,
+            first: None,
+            gap,
+            tokens: 0,
+            tokens_in_time: 0,
+            complete: false,
+            code: None,
+        };
     };
     Result {
         arrival,
@@ -119,6 +137,7 @@
         first: stream.first.map(|first| first.duration_since(began).saturating_sub(sent)),
         gap: stream.mean_gap(),
         tokens: stream.tokens,
+        tokens_in_time: stream.times.iter().filter(|time| **time <= end).count() as u64,
         complete: stream.complete,
         code: stream.code(),
     }
--- a/examples/load/report.rs
+++ b/examples/load/report.rs
@@ -17,9 +17,10 @@
     pub policy: String,
     pub seed: u64,
     pub classes: Vec<ClassSummary>,
-    /// Tokens of attained requests, as a share of what the engines could generate in that time.
+    /// Tokens of attained requests, as a share of what the engines could generate; both while
+    /// requests still arrived.
     pub goodput: f64,
-    /// Tokens that reached callers, as a share of what the engines could generate.
+    /// Tokens that reached callers, as a share of the same.
     pub delivered: f64,
     /// Tokens generated that reached no caller, as a share of those generated.
     pub wasted: f64,
@@ -63,9 +64,10 @@
         class_summary(class, &results)
     });
     let good = outcome.results.iter().filter(|r| attained(&workload.classes[class_of(r)], r));
-    let good: u64 = good.map(|result| result.tokens).sum();
+    let good: u64 = good.map(|result| result.tokens_in_time).sum();
     let delivered: u64 = outcome.results.iter().map(|result| result.tokens).sum();
-    let possible = workload.capacity() * outcome.took.as_secs_f64();
+    let possible = workload.capacity() * workload.length.as_secs_f64();
+    let in_time: u64 = outcome.results.iter().map(|result| result.tokens_in_time).sum();
     let wasted = outcome.generated.saturating_sub(delivered) as f64;
     let seconds = outcome.took.as_secs_f64() * crate::workload::HOSTS as f64;
     Summary {
@@ -73,7 +75,7 @@
         seed,
         classes: classes.collect(),
         goodput: good as f64 / possible,
-        delivered: delivered as f64 / possible,
+        delivered: in_time as f64 / possible,
         wasted: wasted / outcome.generated.max(1) as f64,
         worst_workspace: worst_workspace(workload, outcome),
         cpu_a_host: outcome.cpu / seconds,
--- a/examples/slopes/hosts.rs
+++ b/examples/slopes/hosts.rs
@@ -178,8 +178,12 @@
             rig.add_host_with(&name, &settings)?;
         }
         rig.wait_revision(rig.hosts.last().expect("a host"), 1)?;
-        let counter = Proxy::start(rig.hosts[0].peers)?;
-        rig.platform.state().hosts.lock()[0].peer = counter.address();
+        let counters: Vec<Proxy> =
+            rig.hosts.iter().map(|host| Proxy::start(host.peers)).collect::<Result<_, _>>()?;
+        for (host, counter) in rig.platform.state().hosts.lock().iter_mut().zip(&counters) {
+            host.peer = counter.address();
+        }
+        let passed = || counters.iter().map(Proxy::passed).sum::<u64>();
         thread::sleep(REST);
         let calls = |kinds: &[&str]| {
             let calls = rig.platform.state().calls.lock();
@@ -188,13 +192,13 @@
         let read_kinds = ["GET /objects", "GET /list", "GET /watch"];
         let write_kinds = ["PUT /objects", "DELETE /objects"];
         let all_cpu = || rig.hosts.iter().map(|host| cpu_seconds(host.id())).sum::<f64>() * 1e3;
-        let before = (all_cpu(), counter.passed(), calls(&read_kinds), calls(&write_kinds));
+        let before = (all_cpu(), passed(), calls(&read_kinds), calls(&write_kinds));
         thread::sleep(2 * REST);
         let seconds = (2 * REST).as_secs_f64();
         let size = count as f64;
         let point = |cost: f64| Point { size, cost };
         cpu.push(point((all_cpu() - before.0) / seconds / size));
-        bytes.push(point((counter.passed() - before.1) as f64 / 1e3 / seconds));
+        bytes.push(point(2.0 * (passed() - before.1) as f64 / 1e3 / seconds / size));
         reads.push(point((calls(&read_kinds) - before.2) / seconds));
         writes.push(point((calls(&write_kinds) - before.3) / seconds));
         memory.push(point(process::resident_bytes(rig.hosts[0].id()) as f64 / 1e6));
@@ -204,7 +208,7 @@
         Slope::new("host", "CPU at rest, ms/s a host", per, TARGET_HOSTS, Some(CPU_LIMIT_MS), cpu),
         Slope::new(
             "host",
-            "greetings, KB/s a host",
+            "greetings in and out, KB/s a host",
             per,
             TARGET_HOSTS,
             Some(BYTES_LIMIT_KB),
--- a/examples/timings.rs
+++ b/examples/timings.rs
@@ -80,9 +80,14 @@
     // One host sees the note, then the store is down for all.
     rig.apply(&workspace("down"))?;
     let accepted = Instant::now();
+    wait_until("one host has it", || {
+        rig.hosts
+            .iter()
+            .any(|host| host.dump().is_ok_and(|dump| dump["revision"].as_u64() == Some(3 + BURST)))
+    })?;
     rig.platform.fault(|faults| faults.down = true);
     wait_in_force(rig, 3 + BURST)?;
-    println!("| a note with the store down right after | {} ms |", ms(accepted));
+    println!("| a note with the store down once one host has it | {} ms |", ms(accepted));
     rig.platform.fault(|faults| faults.down = false);
     Ok(())
 }
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -7,9 +7,8 @@
 
 use flags::{Wasabirouter, WasabirouterCmd};
 use wasabi_node::{
-    logs,
+    host, logs,
     settings::{self, Settings},
-    stop,
 };
 
 const EXIT_SETTINGS: u8 = 2;
@@ -42,7 +41,7 @@
 
 fn start(settings: Settings) -> ExitCode {
     logs::start(settings.host.as_str());
-    match stop::run(settings) {
+    match host::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e:#}");
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -1,7 +1,10 @@
 //! The documents agree with the code.
 
 use wasabi_core::errors::Code;
+use wasabi_standin::slopes::{self, Slope};
 
+const CAPACITY: &str = include_str!("../docs/CAPACITY.md");
+const CAPACITY_DATA: &str = include_str!("../docs/capacity.json");
 const ERRORS: &str = include_str!("../docs/ERRORS.md");
 
 fn row(code: Code) -> String {
@@ -15,6 +18,14 @@
     assert_eq!(found, expected, "the table should be:\n{}", expected.join("\n"));
 }
 
+#[test]
+fn the_table_of_slopes_is_the_measured_data() -> anyhow::Result<()> {
+    let measured: Vec<Slope> = serde_json::from_str(CAPACITY_DATA)?;
+    assert!(!measured.is_empty());
+    assert!(CAPACITY.contains(&slopes::table(&measured)), "run examples/slopes");
+    Ok(())
+}
+
 #[test]
 fn numbers_of_errors_are_unique_and_grow() {
     let numbers: Vec<u16> = Code::ALL.iter().map(|code| code.number()).collect();
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -138,6 +138,30 @@
     Ok(())
 }
 
+/// The limit of a workspace holds over all hosts together.
+#[test]
+fn a_workspace_is_held_to_its_limit_over_all_hosts() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &three_hosts(1))?;
+    wait_agreed(&rig)?;
+    let changed = json!({"workspaces": [{"name": "lab", "max_running": 2}]});
+    rig.apply(&json!({"id": "limit", "base": 1, "changed": changed}))?;
+    for host in &rig.hosts {
+        rig.wait_revision(host, 2)?;
+    }
+    let open = (0..2)
+        .map(|i| costing(&rig, &format!("open{i}"), 100_000).send(rig.hosts[i].callers))
+        .collect::<Result<Vec<_>, _>>()?;
+    wait_until("two run", || rig.engines[0].running() == 2)?;
+    for host in &rig.hosts {
+        let refused = costing(&rig, "one more", 1).stream(host.callers)?;
+        assert_eq!(refused.code(), Some(1201), "{:?}", refused.error);
+    }
+    drop(open);
+    wait_until("there is room again", || {
+        costing(&rig, "again", 1).stream(rig.hosts[2].callers).is_ok_and(|stream| stream.complete)
+    })
+}
+
 /// A host that has seen no answer yet does not refuse for lengths that it only supposes.
 #[test]
 fn short_requests_are_not_refused_before_any_length_is_known() -> anyhow::Result<()> {
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -147,6 +147,8 @@
     let hidden = [
         Call::post("/assets/7", format!("{{\"note\": \"{key}\"}}")).bearer(key),
         Call::get(&format!("/assets/{key}")).bearer(key),
+        Call::post("/assets/7", format!("{{\"note\": \"\\u0077{}\"}}", &key[1..])).bearer(key),
+        Call::post("/assets/7", format!("note=%77{}", &key[1..])).bearer(key),
         Call::post(
             "/v1/chat/completions",
             json!({"model": "costing", "messages": [key]}).to_string().replace("wk_", "\\u0077k_"),
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -269,11 +269,31 @@
 }
 
 /// The first holder's order is held back in the network; the holder is killed; the next one takes
-/// over on evidence and orders; then the old message arrives. The surplus is drained.
+/// over on evidence and orders; then the old message arrives. A platform that checks epochs refuses
+/// it; on one that does not, the surplus is drained.
 #[test]
-fn a_held_back_order_of_a_dead_holder_ends_as_surplus() -> anyhow::Result<()> {
+fn a_held_back_order_of_a_dead_holder_is_refused_or_ends_as_surplus() -> anyhow::Result<()> {
+    for fencing in [false, true] {
+        let rig = with_a_late_order(fencing)?;
+        wait_until("the surplus is given back", || {
+            let live = rig.platform.state().servers.lock().len();
+            live == 2 && starts(&orders(&rig)) >= 2
+        })?;
+        let late = orders(&rig).iter().filter(|order| order.holder.host() == "host-0").count();
+        assert!(late <= 1, "the dead holder sent one order at most");
+        if fencing {
+            assert_eq!(late, 0);
+            check_orders(&orders(&rig));
+        }
+    }
+    Ok(())
+}
+
+/// Gets a deployment in which a dead holder's order has just been released from the network.
+fn with_a_late_order(fencing: bool) -> anyhow::Result<Rig> {
     let mut rig = Rig::start(programs(), &Size { hosts: 0, ..Size::default() })?;
     let _fleet = Fleet::install(&rig.platform);
+    rig.platform.fault(|faults| faults.fencing = fencing);
     let way = Proxy::start(rig.platform.address())?;
     for i in 0..2 {
         let name = format!("host-{i}");
@@ -298,14 +318,7 @@
     wait_until("the next holder orders", || starts(&orders(&rig)) == 2)?;
     check_orders(&orders(&rig));
     way.set(Mode::Pass);
-    wait_until("the surplus is given back", || {
-        let orders = orders(&rig);
-        let live = rig.platform.state().servers.lock().len();
-        live == 2 && starts(&orders) >= 2
-    })?;
-    let late = orders(&rig).iter().filter(|order| order.holder.host() == "host-0").count();
-    assert!(late <= 1, "the dead holder sent one order at most");
-    Ok(())
+    Ok(rig)
 }
 
 #[test]
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -64,6 +64,15 @@
     Ok(found.unwrap_or_default())
 }
 
+/// Waits until all tokens are reported and some more windows have followed, and checks the sums.
+fn check_sums(rig: &Rig, received: u64) -> anyhow::Result<()> {
+    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
+    wait_windows(rig, 2)?;
+    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
+    check_reports(&rig.platform);
+    Ok(())
+}
+
 fn wait_windows(rig: &Rig, count: usize) -> anyhow::Result<()> {
     let before = rig.platform.reports().len();
     wait_until("windows are reported", || rig.platform.reports().len() >= before + count)
@@ -90,11 +99,7 @@
         received += serve(&rig, 6)?;
     }
     rig.platform.fault(|faults| (faults.lose_answers, faults.lose_reports) = (0, 0));
-    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
-    wait_windows(&rig, 3)?;
-    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
-    check_reports(&rig.platform);
-    Ok(())
+    check_sums(&rig, received)
 }
 
 /// The holder is paused past its lease, another takes over, the first goes on.
@@ -119,11 +124,7 @@
         rig.hosts[paused].resume();
         received += serve(&rig, 6)?;
     }
-    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
-    wait_windows(&rig, 3)?;
-    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
-    check_reports(&rig.platform);
-    Ok(())
+    check_sums(&rig, received)
 }
 
 /// A report that is held back in the network while its sender's lease goes to another host.
@@ -149,11 +150,7 @@
     wait_windows(&rig, 2)?;
     billing.set(Mode::Pass);
     rig.hosts[0].resume();
-    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
-    wait_windows(&rig, 2)?;
-    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
-    check_reports(&rig.platform);
-    Ok(())
+    check_sums(&rig, received)
 }
 
 fn holder_name(rig: &Rig) -> String {
@@ -202,11 +199,7 @@
     received += serve(&rig, 8)?;
     rig.platform.fault(|faults| faults.down = false);
     received += serve(&rig, 4)?;
-    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
-    wait_windows(&rig, 2)?;
-    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
-    check_reports(&rig.platform);
-    Ok(())
+    check_sums(&rig, received)
 }
 
 #[test]
@@ -217,9 +210,5 @@
     rig.add_host_with("short", &settings)?;
     rig.wait_revision(&rig.hosts[1], 1)?;
     let received = serve(&rig, 10)?;
-    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
-    wait_windows(&rig, 2)?;
-    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
-    check_reports(&rig.platform);
-    Ok(())
+    check_sums(&rig, received)
 }
