--- a/examples/load/drive.rs
+++ b/examples/load/drive.rs
@@ -18,7 +18,10 @@
     sample,
 };
 
-use crate::workload::{Event, HOSTS, Workload};
+use crate::workload::{Event, HOSTS, SPEED, Workload};
+
+/// The hosts' default, which shrinks as all other times do.
+const GRANT_BEAT_MS: u64 = 250;
 
 /// How one request went.
 #[derive(Clone, Debug)]
@@ -68,6 +71,7 @@
         let name = format!("host-{i}");
         let mut settings = rig::settings(&name, &rig.platform.url());
         settings["policy"] = json!(policy);
+        settings["times"]["grant_beat_ms"] = json!(GRANT_BEAT_MS / u64::from(SPEED));
         rig.add_host_with(&name, &settings)?;
     }
     for host in &rig.hosts {
