The lost answer of an order is really caused

Cause: the mutant without the look for taken orders still passed. The fault "lose the next report or order" was used up by a usage report, so the order's answer was never lost.

--- a/crates/standin/src/chaos.rs
+++ b/crates/standin/src/chaos.rs
@@ -240,7 +240,9 @@
         let kind = match self.rng.random_range(0..14) {
             0 => self.platform_fault("store down", |faults| faults.down = true),
             1 => self.platform_fault("lost answers", |faults| faults.lose_answers = 5),
-            2 => self.platform_fault("lost reports", |faults| faults.lose_reports = 3),
+            2 => self.platform_fault("lost reports and orders", |faults| {
+                (faults.lose_reports, faults.lose_orders) = (2, 2);
+            }),
             3 => self.platform_fault("slow store", |f| f.slow = Duration::from_millis(100)),
             4 => self.way("cut way", host, Mode::Cut),
             5 => self.way("held way", host, Mode::Hold),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -30,8 +30,10 @@
     pub slow: Duration,
     /// How many of the next writes take effect without their answer arriving.
     pub lose_answers: u32,
-    /// How many of the next reports and orders take effect without their answer arriving.
+    /// How many of the next usage reports take effect without their answer arriving.
     pub lose_reports: u32,
+    /// How many of the next orders take effect without their answer arriving.
+    pub lose_orders: u32,
     /// The list of servers lags and shows none.
     pub hide_servers: bool,
     /// Orders with an epoch lower than one that was taken are refused.
@@ -233,9 +235,11 @@
             return http::respond(request, 429, "");
         }
         let (status, text) = self.answer(&method, &url, &body);
-        let reports = method == Method::Post;
-        let lost = (writes && self.loses(|faults| &mut faults.lose_answers))
-            || (reports && self.loses(|faults| &mut faults.lose_reports));
+        let lost = match (&method, http::split(&url).0.as_str()) {
+            (Method::Post, "/usage") => self.loses(|faults| &mut faults.lose_reports),
+            (Method::Post, "/orders") => self.loses(|faults| &mut faults.lose_orders),
+            _ => writes && self.loses(|faults| &mut faults.lose_answers),
+        };
         // A watch that was waiting when the platform went down gets no answer either.
         if lost || (is_watch && self.faults.lock().down) {
             drop(request.into_writer());
