The stand-in engine frees its slot before its end marker

The trace showed four slots taken and only three requests not ended: the fourth had written its end marker and not yet given its slot back, and the next request came in between. Ruled out: a home that gave too many grants. Change: the slot is a guard that is dropped once the last token is made. The check and its bound are as they were.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -209,9 +209,19 @@
     }
 }
 
+/// A slot, free again when this is dropped.
+struct Slot<'a>(&'a State);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.busy.lock().running -= 1;
+        self.0.freed.notify_all();
+    }
+}
+
 impl State {
     /// Waits for a slot; the lowest priority number goes first.
-    fn enter(&self, priority: u64) {
+    fn enter(&self, priority: u64) -> Slot<'_> {
         let mut busy = self.busy.lock();
         busy.arrivals += 1;
         let place = (priority, busy.arrivals);
@@ -227,11 +237,7 @@
         busy.waiting.remove(&place);
         busy.running += 1;
         self.freed.notify_all();
-    }
-
-    fn leave(&self) {
-        self.busy.lock().running -= 1;
-        self.freed.notify_all();
+        Slot(self)
     }
 
     /// Returns whether the prompt's prefix was cached, and caches it.
@@ -270,7 +276,16 @@
     }
 
     /// Writes the stream; returns whether its end marker was written.
-    fn stream(&self, work: &Work, number: usize, out: &mut dyn Write) -> std::io::Result<bool> {
+    ///
+    /// The slot is free once the last token is made: whoever reads the end marker may send the next
+    /// request at once.
+    fn stream(
+        &self,
+        work: &Work,
+        number: usize,
+        slot: Slot<'_>,
+        out: &mut dyn Write,
+    ) -> std::io::Result<bool> {
         let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
                     transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
         out.write_all(head.as_bytes())?;
@@ -306,6 +321,7 @@
             event(out, &json!({"id": id, "choices": [choice]}).to_string())?;
             self.records.lock()[number].tokens += 1;
         }
+        drop(slot);
         let usage = work.usage(work.tokens - work.resume_from.min(work.tokens));
         event(out, &json!({"id": id, "choices": [], "usage": usage}).to_string())?;
         if self.faults.lock().no_end {
@@ -346,19 +362,20 @@
         if self.faults.lock().down {
             return http::respond(request, 503, "");
         }
-        self.enter(work.priority);
+        let slot = self.enter(work.priority);
         let number = self.begin(&work, bytes);
         if !self.cached(&work.prompt) {
             thread::sleep(self.pace.lock().first_token);
         }
         let complete = if work.stream {
             let mut out = request.into_writer();
-            self.stream(&work, number, &mut *out).unwrap_or(false)
+            self.stream(&work, number, slot, &mut *out).unwrap_or(false)
         } else if self.faults.lock().die_after.is_some() {
             drop(request.into_writer());
             false
         } else {
             let answer = self.whole(&work, number);
+            drop(slot);
             http::respond(request, 200, answer);
             true
         };
@@ -367,7 +384,6 @@
             records[number].ended = Some(Instant::now());
             records[number].complete = complete;
         }
-        self.leave();
     }
 }
 
