Dead code out; servers are looked up under the lock that sets them

Taken out: the grants unknown to a home, which were sent and never read; Live::clear, Desk::running and Servers::running, which nobody called. Two refreshes of the desks at once could set an older list of servers after a newer one, until the next reading of the host list: the list is now made under the lock.

--- a/crates/entry/src/key.rs
+++ b/crates/entry/src/key.rs
@@ -68,7 +68,11 @@
 
 /// Returns whether a body holds the key, as it stands or as JSON or a form would write it.
 pub fn is_in_body(body: &[u8], secret: &str) -> bool {
-    if contains(body, secret) || contains(&percent_decode(body).collect::<Vec<u8>>(), secret) {
+    if contains(body, secret) {
+        return true;
+    }
+    let encoded = body.contains(&b'%');
+    if encoded && contains(&percent_decode(body).collect::<Vec<u8>>(), secret) {
         return true;
     }
     // Only an escape can hide the key in JSON text.
--- a/crates/entry/src/prepare.rs
+++ b/crates/entry/src/prepare.rs
@@ -38,7 +38,7 @@
     Answer(Response<Outgoing>),
 }
 
-/// Checks a request in the order key, route, limits, body, model.
+/// Checks a request in the order route, key, body, model.
 pub async fn prepare(
     ctx: &Arc<Context>,
     id: &RequestId,
--- a/crates/home/src/desk.rs
+++ b/crates/home/src/desk.rs
@@ -95,10 +95,11 @@
     /// Gives the desk the present servers of the cells that it dispatches; to be called whenever
     /// the configuration, the listings or the hosts change.
     pub fn refresh(&self) {
+        // Looked up under the lock, so that of two calls at once the later one sets what is newer.
+        let mut asked = self.asked.lock();
         let cells = self.all_cells();
         let hosts = self.live.hosts();
         let now = self.clock.now();
-        let mut asked = self.asked.lock();
         asked.retain(|_, at| now.saturating_duration_since(*at) < CELL_LIFE);
         for cell in &cells {
             let home = cell::home(cell, &hosts);
@@ -181,15 +182,11 @@
         let mut grants = self.grants.lock();
         let mut answer = BeatAnswer::default();
         for (number, tokens) in beat.grants {
-            match grants.held.get_mut(&(beat.from.clone(), number)) {
-                Some(held) => {
-                    held.heard = now;
-                    held.grant.progress(Tokens(tokens));
-                    if held.grant.stop.is_cancelled() {
-                        answer.stop.push(number);
-                    }
-                }
-                None => answer.unknown.push(number),
+            let Some(held) = grants.held.get_mut(&(beat.from.clone(), number)) else { continue };
+            held.heard = now;
+            held.grant.progress(Tokens(tokens));
+            if held.grant.stop.is_cancelled() {
+                answer.stop.push(number);
             }
         }
         answer
--- a/crates/home/src/live.rs
+++ b/crates/home/src/live.rs
@@ -51,11 +51,6 @@
         self.suspected.lock().insert(host.clone(), self.clock.now());
     }
 
-    /// Notes that a host answered.
-    pub fn clear(&self, host: &HostId) {
-        self.suspected.lock().remove(host);
-    }
-
     /// Returns whether a host has lately not answered.
     pub fn is_suspected(&self, host: &HostId) -> bool {
         let now = self.clock.now();
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -66,8 +66,6 @@
     pub struct BeatAnswer {
         /// Grants that must stop.
         pub stop: Vec<u64>,
-        /// Grants that the home does not know.
-        pub unknown: Vec<u64>,
     }
 
     /// The end of a grant.
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -241,13 +241,6 @@
         self.pools.get(pool).map_or_else(Vec::new, |pool| pool.servers.view())
     }
 
-    /// Returns the running tickets of `pool` with their tiers and whether they can be preempted.
-    pub fn running(&self, pool: &PoolId) -> Vec<(TicketId, u8, bool)> {
-        let Some(pool) = self.pools.get(pool) else { return Vec::new() };
-        let view = |(id, r): (&TicketId, &Running)| (*id, r.ticket.tier, r.is_preemptible());
-        pool.running.iter().map(view).collect()
-    }
-
     fn forget_refused(&mut self, decisions: &[Decision]) {
         for decision in decisions {
             if let Decision::Refuse { ticket, .. } = decision
--- a/crates/policy/src/servers.rs
+++ b/crates/policy/src/servers.rs
@@ -98,11 +98,6 @@
         self.listed().map(|entry| entry.server.slots).sum()
     }
 
-    /// Returns how many requests run.
-    pub fn running(&self) -> u32 {
-        self.entries.values().map(|entry| entry.running).sum()
-    }
-
     /// Picks a server with a free slot and takes the slot.
     ///
     /// Requests of the upper tiers are not used to try a server out, unless nothing else has done
