--- /dev/null
+++ b/crates/belief/src/beat.rs
@@ -0,0 +1,36 @@
+//! What a host tells its peers several times a second.
+
+use std::collections::BTreeMap;
+
+use wasabi_core::{
+    data,
+    units::{Domain, Epoch, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId},
+};
+use wasabi_policy::board::Share;
+
+data! {
+    /// One announcement; it fits a datagram.
+    pub struct Beat {
+        /// Who sends it.
+        pub host: HostId,
+        /// Which life of the host.
+        pub incarnation: Incarnation,
+        /// Where the host stands.
+        pub domain: Domain,
+        /// Whether the host is about to stop.
+        pub leaving: bool,
+        /// The host's time of day, in milliseconds since 1970.
+        pub wall_ms: u64,
+        /// The configuration that the host has, and the age of its proof.
+        pub catalog: Option<(Revision, u64)>,
+        /// The digest of the list of backend servers that the host has, and the age of its proof.
+        pub members: Option<(u64, u64)>,
+        /// The fencing number, if the host holds the duties.
+        pub fence: Option<Epoch>,
+        /// What the host runs on each server, by service.
+        pub shares: Vec<(PoolId, Vec<(ServerId, Share)>)>,
+        /// Requests that began to run in recent windows, as counted by this life of the host;
+        /// sent with some announcements only.
+        pub counts: Vec<(Window, BTreeMap<WorkspaceId, u64>)>,
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,9 +1,13 @@
 //! Plain types and traits that every other crate of the router builds on.
 #![forbid(unsafe_code)]
 
+pub mod call;
+pub mod catalog;
 pub mod errors;
 pub mod io;
 pub mod macros;
+pub mod member;
 pub mod note;
+pub mod objects;
 pub mod time;
 pub mod units;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -17,6 +17,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct System;
 
+/// A steady clock that goes on while the machine is suspended, unlike `Instant::now`.
+#[derive(Clone, Copy, Debug)]
+pub struct Boot {
+    base: Instant,
+    /// The time since boot at `base`.
+    booted: Duration,
+}
+
 /// A clock that moves only when told to.
 #[derive(Debug)]
 pub struct Manual {
@@ -35,6 +43,27 @@
     }
 }
 
+impl Default for Boot {
+    fn default() -> Self {
+        Self { base: Instant::now(), booted: since_boot() }
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Instant {
+        self.base + since_boot().saturating_sub(self.booted)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+}
+
 impl Default for Manual {
     fn default() -> Self {
         Self { base: Instant::now(), passed: Mutex::new(Duration::ZERO) }
--- /dev/null
+++ b/crates/gateway/src/duty.rs
@@ -0,0 +1,134 @@
+//! The duties that one host at a time acts on: usage reports and orders of servers.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use wasabi_belief::lease::{Record, Step};
+use wasabi_core::{
+    errors::{self, Result},
+    objects::{self, Authority, Written},
+    units::Version,
+};
+
+use crate::{follow::timely, orders, site::Site, usage};
+
+/// How often the lease and the duties are looked at.
+const TICK: Duration = Duration::from_millis(150);
+/// How long a call on the lease may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// A new life waits for what its peers know before it bids for the duties.
+const SETTLE: Duration = Duration::from_millis(1_500);
+/// The kind and the name of the lease's record.
+const LEASE_KIND: &str = "leases";
+const LEASE_NAME: &str = "duties";
+
+/// Bids for the duties, and acts on them while this host holds them.
+pub async fn run(site: Rc<Site>) {
+    tokio::time::sleep(SETTLE).await;
+    tokio::join!(hold(&site), usage::run(&site), orders::run(&site));
+}
+
+/// Returns the authority to act, if this host holds the duties.
+pub fn authority(site: &Site) -> Option<Authority> {
+    let fence = site.lease.borrow().fence(site.now())?;
+    Some(Authority { holder: site.settings.borrow().host.clone(), fence })
+}
+
+/// Takes in that a call was refused since a higher fencing number was seen.
+pub fn fenced(site: &Site) {
+    site.lease.borrow_mut().fenced(site.now());
+    warn!("duties lost: a higher fencing number was seen");
+}
+
+async fn hold(site: &Site) {
+    let mut held = None;
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = site.now();
+        site.lease.borrow_mut().expire(now);
+        if site.stopping.get().is_some() {
+            release(site).await;
+            return;
+        }
+        let peer_holds = site.peers.borrow().live(now).any(|(_, peer)| peer.fence.is_some());
+        let step = site.lease.borrow().step(now, peer_holds);
+        if let Err(e) = act(site, step).await {
+            metrics::counter!("wasabi_store_failures_total").increment(1);
+            let cause = e.to_string();
+            info!(cause = cause.as_str(); "lease call failed");
+        }
+        let fence = site.lease.borrow().fence(site.now());
+        if fence != held {
+            let number = |fence: Option<wasabi_core::units::Epoch>| fence.map_or(0, |f| f.0);
+            info!(fence = number(fence), before = number(held); "duties changed hands");
+            held = fence;
+        }
+    }
+}
+
+async fn act(site: &Site, step: Step) -> Result<()> {
+    let sent = site.now();
+    match step {
+        Step::Wait => Ok(()),
+        Step::Read => {
+            let record = timely(site.objects.read(LEASE_KIND, LEASE_NAME), CALL_TIMEOUT).await?;
+            let record = record.map(parse).transpose()?;
+            site.lease.borrow_mut().read(site.now(), record);
+            Ok(())
+        }
+        Step::Create(record) => {
+            let call = site.objects.create(LEASE_KIND, LEASE_NAME, value(&record)?);
+            let written = timely(call, CALL_TIMEOUT).await;
+            settle(site, sent, record, written)
+        }
+        Step::Replace(version, record) => {
+            let call = site.objects.replace(LEASE_KIND, LEASE_NAME, version, value(&record)?);
+            let written = timely(call, CALL_TIMEOUT).await;
+            settle(site, sent, record, written)
+        }
+    }
+}
+
+fn settle(site: &Site, sent: Instant, record: Record, written: Result<Written>) -> Result<()> {
+    let now = site.now();
+    let mut lease = site.lease.borrow_mut();
+    match written {
+        Ok(Written::Done(version)) => lease.written(now, sent, version, record),
+        Ok(Written::Conflict(found)) => {
+            lease.refused(now, found.map(parse).transpose()?);
+        }
+        Err(e) => {
+            lease.unanswered(now);
+            return Err(e);
+        }
+    }
+    Ok(())
+}
+
+/// Gives the duties back, so that another host takes them at once.
+async fn release(site: &Site) {
+    let Some((version, record)) = site.lease.borrow().release(site.now()) else { return };
+    let Ok(value) = value(&record) else { return };
+    site.lease.borrow_mut().fenced(site.now());
+    let call = site.objects.replace(LEASE_KIND, LEASE_NAME, version, value);
+    match timely(call, CALL_TIMEOUT).await {
+        Ok(_) => info!(fence = record.fence.0; "duties given back"),
+        Err(e) => {
+            let cause = e.to_string();
+            warn!(cause = cause.as_str(); "duties not given back; they lapse");
+        }
+    }
+}
+
+fn value(record: &Record) -> Result<serde_json::Value> {
+    serde_json::to_value(record).map_err(|e| errors::internal(e.to_string()))
+}
+
+fn parse(record: objects::Record) -> Result<(Version, Record)> {
+    let parsed = serde_json::from_value(record.value)
+        .map_err(|e| errors::internal(format!("lease: {e}")))?;
+    Ok((record.version, parsed))
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,222 @@
+//! Keeps the beliefs about configuration and servers fresh.
+//!
+//! All hosts share proofs: a host reads the store when no proof is young enough, each host at a
+//! threshold of its own draw, so that the fleet reads a few times a second whatever its size.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use rand::Rng as _;
+use wasabi_belief::fleet::Host;
+use wasabi_core::{
+    errors::{self, Result},
+    objects::Call,
+};
+
+use crate::{share, site::Site};
+
+/// How often the age of the proofs is looked at.
+const TICK: Duration = Duration::from_millis(40);
+/// A proof is renewed at this age at the earliest.
+const RENEW_AFTER: Duration = Duration::from_millis(350);
+/// The spread of the hosts' thresholds, for each host of the fleet.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(60);
+/// The greatest spread; with it a change still arrives well within its time.
+const MAX_SPREAD: Duration = Duration::from_millis(600);
+/// How long a read of the store may take; a slow store answers within some hundred milliseconds.
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// After a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Peers are asked when the own proof is this old and theirs is younger.
+const ASK_PEERS: Duration = Duration::from_millis(700);
+/// Between two reads of the records of hosts; new hosts also make themselves known.
+const HOSTS_PERIOD: Duration = Duration::from_secs(10);
+/// The same while no peer has been heard.
+const ALONE_PERIOD: Duration = Duration::from_secs(2);
+/// The kind of the hosts' records.
+const HOSTS_KIND: &str = "gateways";
+
+/// A belief that is kept fresh.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Topic {
+    Catalog,
+    Members,
+}
+
+/// Follows configuration, servers and hosts until the process ends.
+pub async fn run(site: Rc<Site>) {
+    tokio::join!(
+        follow(site.clone(), Topic::Catalog),
+        follow(site.clone(), Topic::Members),
+        ask_peers(site.clone()),
+        announce(site),
+    );
+}
+
+async fn follow(site: Rc<Site>, topic: Topic) {
+    let mut reachable = true;
+    let mut threshold = draw(&site);
+    loop {
+        let due = topic.age(&site).is_none_or(|age| age >= threshold) || topic.is_behind(&site);
+        if !due {
+            if topic == Topic::Members {
+                site.expire_members();
+            }
+            tokio::time::sleep(TICK).await;
+            continue;
+        }
+        threshold = draw(&site);
+        let read = topic.read(&site).await;
+        if read.is_ok() != reachable {
+            reachable = read.is_ok();
+            log_store(topic, &read);
+        }
+        if read.is_err() {
+            metrics::counter!("wasabi_store_failures_total").increment(1);
+            let draw: f64 = rand::rng().random();
+            tokio::time::sleep(RETRY_PAUSE.mul_f64(1.0 + draw)).await;
+        }
+    }
+}
+
+impl Topic {
+    fn age(self, site: &Site) -> Option<Duration> {
+        match self {
+            Self::Catalog => site.catalog.borrow().age(site.now()),
+            Self::Members => site.members.borrow().proof(site.now()).map(|(_, age)| age),
+        }
+    }
+
+    /// Returns whether a peer has seen a change that this host has not.
+    fn is_behind(self, site: &Site) -> bool {
+        let now = site.now();
+        let peers = site.peers.borrow();
+        match self {
+            Self::Catalog => {
+                let own = site.catalog.borrow().version();
+                peers.live(now).any(|(_, peer)| peer.catalog.map(|(version, _)| version) > own)
+            }
+            Self::Members => {
+                let Some((digest, age)) = site.members.borrow().proof(now) else { return true };
+                let proof = now.checked_sub(age).unwrap_or(now);
+                let differs = |theirs: (u64, Instant)| theirs.0 != digest && theirs.1 > proof;
+                peers.live(now).any(|(_, peer)| peer.members.is_some_and(differs))
+            }
+        }
+    }
+
+    /// Reads the store. The proof counts from before the read was sent.
+    async fn read(self, site: &Site) -> Result<()> {
+        let sent = site.now();
+        match self {
+            Self::Catalog => {
+                if let Some(catalog) = timely(site.objects.catalog(), READ_TIMEOUT).await? {
+                    site.offer_catalog(catalog, sent, "store");
+                }
+            }
+            Self::Members => {
+                let members = timely(site.objects.members(), READ_TIMEOUT).await?;
+                site.offer_members(members, sent, "store");
+            }
+        }
+        let took = site.now().saturating_duration_since(sent);
+        metrics::histogram!("wasabi_store_read_seconds").record(took.as_secs_f64());
+        Ok(())
+    }
+}
+
+/// Waits for a call, but not for ever.
+pub async fn timely<T>(call: Call<'_, T>, limit: Duration) -> Result<T> {
+    tokio::time::timeout(limit, call).await.map_err(|_| errors::unavailable("timed out"))?
+}
+
+fn draw(site: &Site) -> Duration {
+    let spread = (SPREAD_PER_HOST * site.hosts() as u32).min(MAX_SPREAD);
+    RENEW_AFTER + spread.mul_f64(rand::rng().random())
+}
+
+fn log_store(topic: Topic, read: &Result<()>) {
+    match read {
+        Ok(()) => info!(read:? = topic; "store regained"),
+        Err(e) => {
+            let cause = e.to_string();
+            warn!(read:? = topic, cause = cause.as_str(); "store lost");
+        }
+    }
+}
+
+/// Takes beliefs from peers while the store does not answer this host.
+async fn ask_peers(site: Rc<Site>) {
+    loop {
+        tokio::time::sleep(TICK * 3).await;
+        let Some(peer) = better_peer(&site) else { continue };
+        if share::pull(&site, peer).await.is_err() {
+            metrics::counter!("wasabi_peer_failures_total").increment(1);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Finds the live peer with the freshest proof, if the own proofs are old and its are younger.
+fn better_peer(site: &Site) -> Option<std::net::SocketAddr> {
+    let now = site.now();
+    let own = [Topic::Catalog, Topic::Members].map(|topic| topic.age(site));
+    let old = own.iter().any(|age| age.is_none_or(|age| age > ASK_PEERS));
+    if !old {
+        return None;
+    }
+    let peers = site.peers.borrow();
+    let age = |proof: Instant| now.saturating_duration_since(proof);
+    let useful = peers.live(now).filter_map(|(_, peer)| {
+        let catalog = peer.catalog.map(|(_, proof)| age(proof))?;
+        let members = peer.members.map(|(_, proof)| age(proof))?;
+        let better = |own: Option<Duration>, theirs: Duration| {
+            own.is_none_or(|own| own > ASK_PEERS && theirs + TICK < own)
+        };
+        (better(own[0], catalog) || better(own[1], members))
+            .then_some((catalog + members, peer.address))
+    });
+    useful.min_by_key(|(age, _)| *age).map(|(_, address)| address)
+}
+
+/// Writes this host's record and reads those of the others.
+async fn announce(site: Rc<Site>) {
+    let mut written = false;
+    loop {
+        if !written {
+            written = write_record(&site).await.is_ok();
+        }
+        if let Ok(records) = timely(site.objects.list(HOSTS_KIND), READ_TIMEOUT).await {
+            let hosts = records
+                .into_iter()
+                .filter_map(|record| serde_json::from_value::<Host>(record.value).ok());
+            site.peers.borrow_mut().read(site.now(), hosts);
+        }
+        site.peers.borrow_mut().forget(site.now());
+        let alone = site.hosts() < 2 || !written;
+        tokio::time::sleep(if alone { ALONE_PERIOD } else { HOSTS_PERIOD }).await;
+    }
+}
+
+async fn write_record(site: &Site) -> Result<()> {
+    use wasabi_core::objects::Written;
+    let settings = site.settings.borrow().clone();
+    let host = Host {
+        name: settings.host.clone(),
+        incarnation: site.incarnation.clone(),
+        domain: settings.domain,
+        peer: settings.peers,
+    };
+    let name = settings.host.to_string();
+    let value = serde_json::to_value(&host).map_err(|e| errors::internal(e.to_string()))?;
+    let created =
+        timely(site.objects.create(HOSTS_KIND, &name, value.clone()), READ_TIMEOUT).await?;
+    if let Written::Conflict(Some(before)) = created {
+        let replace = site.objects.replace(HOSTS_KIND, &name, before.version, value);
+        timely(replace, READ_TIMEOUT).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,194 @@
+//! Announcements between hosts, over UDP.
+//!
+//! A datagram begins with its number and the number of the last one that its sender had from the
+//! receiver. The echo bounds its age: it was sent after the echoed one. Without that, a datagram
+//! that waited while its receiver was suspended would make an old proof look fresh.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use tokio::net::UdpSocket;
+use wasabi_belief::beat::Beat;
+use wasabi_core::time;
+
+use crate::site::Site;
+
+/// Between two announcements of a small fleet, while requests are placed.
+const PERIOD: Duration = Duration::from_millis(100);
+/// The fleet up to which that holds; beyond it the period grows with the fleet, so that a host
+/// sends and receives the same number of announcements a second.
+const SMALL_FLEET: usize = 10;
+/// Between two announcements if there is nothing to say.
+const QUIET_PERIOD: Duration = Duration::from_millis(300);
+/// Between two announcements of usage counts.
+const COUNTS_PERIOD: Duration = Duration::from_millis(700);
+/// Usage windows in an announcement: the present one and those that are not reported yet.
+const COUNT_WINDOWS: usize = 4;
+/// The largest datagram that is received.
+const DATAGRAM_BYTES: usize = 64 * 1024;
+
+/// Announcements whose time of sending is remembered.
+const REMEMBERED: usize = 128;
+/// The two numbers before the announcement.
+const HEADER_BYTES: usize = 16;
+
+/// The numbers of announcements sent and received.
+#[derive(Default)]
+struct Echoes {
+    /// The number of the next announcement. Begins at random, so that an echo of a former life is
+    /// not taken for one of this life.
+    next: u64,
+    /// When the last ones were sent.
+    sent: VecDeque<(u64, Instant)>,
+    /// The last number heard from each address.
+    heard: HashMap<SocketAddr, u64>,
+}
+
+/// Sends and receives announcements until the process ends.
+pub async fn run(site: Rc<Site>, socket: UdpSocket) {
+    let first = u64::from(rand::random::<u32>()) << 24;
+    let echoes = RefCell::new(Echoes { next: first, ..Echoes::default() });
+    tokio::join!(send(&site, &socket, &echoes), receive(&site, &socket, &echoes));
+}
+
+async fn send(site: &Site, socket: &UdpSocket, echoes: &RefCell<Echoes>) {
+    let mut counted: Option<Instant> = None;
+    let mut quiet_since: Option<Instant> = None;
+    loop {
+        let hosts = site.hosts().max(1);
+        tokio::time::sleep(PERIOD.mul_f64((hosts as f64 / SMALL_FLEET as f64).max(1.0))).await;
+        let now = site.now();
+        let with_counts =
+            counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
+        let beat = beat(site, with_counts);
+        let empty = beat.shares.is_empty() && !with_counts;
+        let rested = quiet_since.is_none_or(|at| now.saturating_duration_since(at) >= QUIET_PERIOD);
+        if empty && !rested {
+            continue;
+        }
+        quiet_since = Some(now);
+        if with_counts {
+            counted = Some(now);
+        }
+        let Ok(bytes) = serde_json::to_vec(&beat) else { continue };
+        let peers: Vec<SocketAddr> =
+            site.peers.borrow().all().map(|(_, peer)| peer.address).collect();
+        let number = echoes.borrow_mut().number(now);
+        for peer in peers {
+            let echo = echoes.borrow().heard.get(&peer).copied().unwrap_or(0);
+            let mut datagram = Vec::with_capacity(HEADER_BYTES + bytes.len());
+            datagram.extend_from_slice(&number.to_be_bytes());
+            datagram.extend_from_slice(&echo.to_be_bytes());
+            datagram.extend_from_slice(&bytes);
+            if socket.send_to(&datagram, peer).await.is_err() {
+                metrics::counter!("wasabi_gossip_failures_total").increment(1);
+            }
+        }
+    }
+}
+
+fn beat(site: &Site, with_counts: bool) -> Beat {
+    let now = site.now();
+    let settings = site.settings.borrow();
+    let catalog = site.catalog.borrow();
+    let catalog = catalog.version().zip(catalog.age(now));
+    let members = site.members.borrow().proof(now);
+    let mut boards = site.boards.borrow_mut();
+    let shares = boards.iter_mut().map(|(service, board)| (service.clone(), board.announce()));
+    let shares = shares.filter(|(_, shares)| !shares.is_empty()).collect();
+    let counts = match with_counts {
+        true => site.counts.borrow().own(&site.incarnation, COUNT_WINDOWS),
+        false => Vec::new(),
+    };
+    Beat {
+        host: settings.host.clone(),
+        incarnation: site.incarnation.clone(),
+        domain: settings.domain.clone(),
+        leaving: site.stopping.get().is_some(),
+        wall_ms: time::unix_ms(site.clock.wall()),
+        catalog: catalog.map(|(version, age)| (version, age.as_millis() as u64)),
+        members: members.map(|(digest, age)| (digest, age.as_millis() as u64)),
+        fence: site.lease.borrow().fence(now),
+        shares,
+        counts,
+    }
+}
+
+async fn receive(site: &Site, socket: &UdpSocket, echoes: &RefCell<Echoes>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => {
+                let beat = buffer[..length].split_at_checked(HEADER_BYTES);
+                let beat = beat.and_then(|(header, body)| {
+                    Some((header, serde_json::from_slice::<Beat>(body).ok()?))
+                });
+                match beat {
+                    Some((header, beat)) => {
+                        let asked = echoes.borrow_mut().heard(from, header);
+                        take(site, from, &beat, asked);
+                    }
+                    None => metrics::counter!("wasabi_gossip_failures_total").increment(1),
+                }
+            }
+            Err(e) => {
+                let cause = e.to_string();
+                warn!(cause = cause.as_str(); "announcement not received");
+                tokio::time::sleep(PERIOD).await;
+            }
+        }
+    }
+}
+
+impl Echoes {
+    /// Returns the number of an announcement that is sent now.
+    fn number(&mut self, now: Instant) -> u64 {
+        self.next += 1;
+        self.sent.push_back((self.next, now));
+        if self.sent.len() > REMEMBERED {
+            self.sent.pop_front();
+        }
+        self.next
+    }
+
+    /// Takes in a header; returns a time before which the datagram was not sent, if that is known.
+    fn heard(&mut self, from: SocketAddr, header: &[u8]) -> Option<Instant> {
+        let (number, echo) = header.split_at(HEADER_BYTES / 2);
+        let number = u64::from_be_bytes(number.try_into().ok()?);
+        let echo = u64::from_be_bytes(echo.try_into().ok()?);
+        self.heard.insert(from, number);
+        self.sent.iter().find(|(sent, _)| *sent == echo).map(|(_, at)| *at)
+    }
+}
+
+/// Takes in an announcement that was not sent before `asked`.
+fn take(site: &Site, from: SocketAddr, beat: &Beat, asked: Option<Instant>) {
+    let now = site.now();
+    if site.peers.borrow_mut().heard(now, from, beat) {
+        info!(peer = beat.host.as_str(), incarnation = beat.incarnation.as_str(); "peer heard");
+    }
+    site.truth.borrow_mut().heard(now, &beat.host, beat.wall_ms);
+    if let Some(asked) = asked {
+        let ago = |ms: u64| asked.checked_sub(Duration::from_millis(ms)).unwrap_or(asked);
+        if let Some((version, age)) = beat.catalog {
+            site.catalog.borrow_mut().confirm(version, ago(age));
+        }
+        if let Some((digest, age)) = beat.members {
+            site.members.borrow_mut().confirm(digest, ago(age));
+        }
+    }
+    let mut boards = site.boards.borrow_mut();
+    for (service, board) in boards.iter_mut() {
+        let shares = beat.shares.iter().find(|(name, _)| name == service);
+        board.merge(now, &beat.host, shares.map_or(&[], |(_, shares)| shares.as_slice()));
+    }
+    for (window, counts) in &beat.counts {
+        site.counts.borrow_mut().merge(*window, &beat.incarnation, counts);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! A gateway: one process on each entry host that takes callers' requests, places them on backend
+//! servers and passes the answers on. It runs on one thread.
+#![forbid(unsafe_code)]
+
+pub mod admit;
+pub mod answer;
+pub mod attempt;
+pub mod duty;
+pub mod events;
+pub mod follow;
+pub mod front;
+pub mod gossip;
+pub mod operator;
+pub mod orders;
+pub mod pool;
+pub mod relay;
+pub mod run;
+pub mod settings;
+pub mod share;
+pub mod site;
+pub mod stream;
+pub mod usage;
--- /dev/null
+++ b/crates/gateway/src/operator.rs
@@ -0,0 +1,116 @@
+//! The port for operators and the one that the balancer asks: readiness, metrics, state.
+
+use std::{convert::Infallible, rc::Rc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use wasabi_platform::names;
+
+use crate::{front, share, site::Site};
+
+type Answer = Response<Full<Bytes>>;
+
+/// Serves readiness, metrics, the state, and what peers ask for.
+pub async fn run(site: Rc<Site>, listener: TcpListener, metrics: PrometheusHandle) {
+    front::accept(listener, |stream| serve(site.clone(), metrics.clone(), stream)).await;
+}
+
+async fn serve(site: Rc<Site>, metrics: PrometheusHandle, stream: TcpStream) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = answer(&site, &metrics, request.uri().path());
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    if served.is_err() {
+        metrics::counter!("wasabi_gateway_broken_connections_total").increment(1);
+    }
+}
+
+fn answer(site: &Site, metrics: &PrometheusHandle, path: &str) -> Answer {
+    let (status, body) = match path {
+        names::READY_PATH | "/health" => match site.is_ready() {
+            true => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+            false => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+        },
+        "/metrics" => {
+            gauges(site);
+            (StatusCode::OK, Bytes::from(metrics.render()))
+        }
+        "/dump" => (StatusCode::OK, Bytes::from(dump(site).to_string())),
+        share::PATH => match share::render(site) {
+            Some(body) => (StatusCode::OK, body),
+            None => (StatusCode::NOT_FOUND, Bytes::new()),
+        },
+        _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"try /health, /metrics or /dump\n")),
+    };
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn gauges(site: &Site) {
+    let now = site.now();
+    if let Some((catalog, age)) = site.config() {
+        metrics::gauge!("wasabi_config_version").set(catalog.version.0 as f64);
+        metrics::gauge!("wasabi_config_proof_age_seconds").set(age.as_secs_f64());
+    }
+    metrics::gauge!("wasabi_gateway_running").set(site.running.get() as f64);
+    metrics::gauge!("wasabi_live_hosts").set(site.hosts() as f64);
+    let held = site.lease.borrow().fence(now).is_some();
+    metrics::gauge!("wasabi_duties_held").set(f64::from(u8::from(held)));
+    for (service, board) in site.boards.borrow().iter() {
+        let (taken, all) = board.fill();
+        let service = service.to_string();
+        metrics::gauge!("wasabi_places_taken", "service" => service.clone()).set(f64::from(taken));
+        metrics::gauge!("wasabi_places", "service" => service.clone()).set(f64::from(all));
+        metrics::gauge!("wasabi_prefill_duty", "service" => service).set(board.duty(now));
+    }
+}
+
+/// Returns the state of the process; it holds no key and no prompt.
+fn dump(site: &Site) -> Value {
+    let now = site.now();
+    let config = site.config().map(|(catalog, age)| {
+        json!({"version": catalog.version, "proof_age_ms": age.as_millis() as u64,
+            "routes": catalog.routes.len(), "keys": catalog.keys.len()})
+    });
+    let server = |(id, running, tokens, queue_ms, trouble): (_, u32, u64, f64, f64)| {
+        json!({"server": id, "running": running, "tokens": tokens, "queue_ms": queue_ms,
+            "trouble": trouble})
+    };
+    let boards = site.boards.borrow();
+    let services = boards.iter().map(|(name, board)| {
+        let servers: Vec<Value> = board.view(now).into_iter().map(server).collect();
+        (name.to_string(), json!(servers))
+    });
+    let services: serde_json::Map<String, Value> = services.collect();
+    let peers = site.peers.borrow();
+    let peers: Vec<Value> = peers
+        .all()
+        .map(|(host, peer)| {
+            let silent = now.saturating_duration_since(peer.heard).as_millis() as u64;
+            json!({"host": host, "silent_ms": silent, "leaving": peer.leaving,
+                "duties": peer.fence})
+        })
+        .collect();
+    json!({
+        "host": site.settings.borrow().host,
+        "incarnation": site.incarnation,
+        "ready": site.is_ready(),
+        "stopping": site.stopping.get().is_some(),
+        "config": config,
+        "members_proof_age_ms":
+            site.members.borrow().proof(now).map(|(_, age)| age.as_millis() as u64),
+        "running": site.running.get(),
+        "duties": site.lease.borrow().fence(now),
+        "services": services,
+        "peers": peers,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,173 @@
+//! Runs a gateway from its start to its orderly stop.
+
+use std::{
+    fs,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context as _;
+use log::{info, warn};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
+use tokio::{
+    net::UdpSocket,
+    signal::unix::{Signal, SignalKind, signal},
+    task::{LocalSet, spawn_local},
+};
+use wasabi_core::{
+    objects::Duties,
+    time::{self, Boot, Clock as _, System},
+};
+use wasabi_platform::{duties, objects};
+
+use crate::{
+    duty, follow, front, gossip, operator,
+    settings::{self, Settings},
+    site::Site,
+};
+
+/// How often the settings file is looked at, since it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+/// How long a stopping host still takes connections: the balancer asks once a second and needs two
+/// misses; callers that were on their way still arrive.
+const STOP_NOTICE: Duration = Duration::from_millis(3_200);
+/// How long before the end of its time a stopping host ends whatever still runs.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How often a stopping host looks whether its requests have ended.
+const STOP_TICK: Duration = Duration::from_millis(50);
+/// Bounds of the latency histograms in seconds, from a cached prefix to the longest timeout.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Runs the gateway with the settings at `path` until SIGTERM.
+pub fn run(path: PathBuf, settings: Settings) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("the runtime does not start")?;
+    LocalSet::new().block_on(&runtime, live(path, settings))
+}
+
+async fn live(path: PathBuf, settings: Settings) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM cannot be taken")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT cannot be taken")?;
+    let hangup = signal(SignalKind::hangup()).context("SIGHUP cannot be taken")?;
+    let metrics = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_string()), &LATENCY_BUCKETS)
+        .and_then(|builder| builder.install_recorder().map_err(Into::into))
+        .context("metrics do not start")?;
+    let store = Box::new(objects::Remote::new(settings.objects));
+    let duties = settings.duties.map(|at| Box::new(duties::Remote::new(at)) as Box<dyn Duties>);
+    let site = Rc::new(Site::new(settings.clone(), Box::new(Boot::default()), store, duties));
+    let wall = time::unix_ms(System.wall());
+    site.truth.borrow_mut().heard(site.now(), &settings.host, wall);
+    info!(version = env!("CARGO_PKG_VERSION"), incarnation = site.incarnation.as_str(),
+        domain = settings.domain.as_str(), callers = settings.callers.to_string().as_str();
+        "started");
+    let socket = datagrams(&settings).await;
+    spawn_local(gossip::run(site.clone(), socket));
+    spawn_local(follow::run(site.clone()));
+    spawn_local(keep_time(site.clone()));
+    let duties = spawn_local(duty::run(site.clone()));
+    for address in [settings.ready, settings.operators, settings.peers] {
+        let (site, metrics) = (site.clone(), metrics.clone());
+        spawn_local(async move {
+            operator::run(site, front::bind(address).await, metrics).await;
+        });
+    }
+    spawn_local(reload(site.clone(), path, hangup));
+    let callers = settings.callers;
+    let serving = site.clone();
+    spawn_local(async move { front::run(serving, front::bind(callers).await).await });
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&site).await;
+    duties.abort();
+    Ok(())
+}
+
+/// Puts this host's own clock among those that the true time is made of.
+async fn keep_time(site: Rc<Site>) {
+    const PERIOD: Duration = Duration::from_millis(500);
+    loop {
+        let host = site.settings.borrow().host.clone();
+        let wall = time::unix_ms(site.clock.wall());
+        site.truth.borrow_mut().heard(site.now(), &host, wall);
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+async fn datagrams(settings: &Settings) -> UdpSocket {
+    const PAUSE: Duration = Duration::from_millis(100);
+    loop {
+        match UdpSocket::bind(settings.peers).await {
+            Ok(socket) => return socket,
+            Err(e) => {
+                let cause = e.to_string();
+                warn!(cause = cause.as_str(); "peer port not bound yet");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Stops taking new connections, lets requests end, and returns before the time is over.
+async fn stop(site: &Site) {
+    let begun = site.now();
+    site.stopping.set(Some(begun));
+    let limit = Duration::from_secs_f64(site.settings.borrow().bounds.stop_s);
+    let end = begun + limit.saturating_sub(STOP_MARGIN);
+    info!(running = site.running.get(); "stopping");
+    let passed = |since: Instant| site.now().saturating_duration_since(since);
+    while passed(begun) < STOP_NOTICE || site.running.get() > 0 {
+        if site.now() >= end {
+            warn!(cut = site.running.get(); "the time to stop is over; requests are cut");
+            break;
+        }
+        tokio::time::sleep(STOP_TICK).await;
+    }
+    // The last announcement with usage counts leaves within this time.
+    tokio::time::sleep(STOP_MARGIN / 2).await;
+    info!(took_ms = passed(begun).as_millis() as u64; "stopped");
+}
+
+/// Takes new settings on SIGHUP, and when the file has changed without one.
+async fn reload(site: Rc<Site>, path: PathBuf, mut hangup: Signal) {
+    let mut known = fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_PERIOD) => false,
+        };
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(e) => {
+                let cause = e.to_string();
+                warn!(cause = cause.as_str(); "settings cannot be read; the old ones stay");
+                continue;
+            }
+        };
+        if text == known {
+            if signalled {
+                info!("settings read again; nothing has changed");
+            }
+            continue;
+        }
+        known.clone_from(&text);
+        match settings::parse(&text) {
+            Ok(settings) => {
+                info!(signalled = signalled; "settings changed");
+                *site.settings.borrow_mut() = settings;
+            }
+            Err(problems) => {
+                for problem in problems {
+                    let problem = problem.to_string();
+                    warn!(problem = problem.as_str(); "settings are not valid; the old ones stay");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/share.rs
@@ -0,0 +1,64 @@
+//! What a host that cannot reach the store takes from its peers: configuration and servers, each
+//! with the age of its proof.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Method, header::HeaderMap};
+use serde::{Deserialize, Serialize};
+use wasabi_core::{
+    catalog::Catalog,
+    errors::{self, Result},
+    member::Member,
+};
+use wasabi_platform::http::Client;
+
+use crate::site::Site;
+
+/// Where peers serve it.
+pub const PATH: &str = "/knowledge";
+/// How long a peer may take.
+const PULL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// What a host believes, with ages in milliseconds.
+#[derive(Serialize, Deserialize)]
+struct Knowledge {
+    catalog: Option<(Catalog, u64)>,
+    members: Option<(Vec<Member>, u64)>,
+}
+
+/// Returns what this host believes.
+pub fn render(site: &Site) -> Option<Bytes> {
+    let now = site.now();
+    let catalog = site.config();
+    let members = site.members.borrow();
+    let knowledge = Knowledge {
+        catalog: catalog.map(|(catalog, age)| ((*catalog).clone(), age.as_millis() as u64)),
+        members: members.proof(now).map(|(_, age)| (members.listed(), age.as_millis() as u64)),
+    };
+    serde_json::to_vec(&knowledge).ok().map(Bytes::from)
+}
+
+/// Takes what a peer believes. Ages count from before the peer was asked.
+pub async fn pull(site: &Site, peer: SocketAddr) -> Result<()> {
+    let asked = site.now();
+    let client = Client::new(peer);
+    let call = client.call(Method::GET, PATH, HeaderMap::new(), None);
+    let answer = tokio::time::timeout(PULL_TIMEOUT, call)
+        .await
+        .map_err(|_| errors::unavailable("peer timed out"))??;
+    let knowledge: Knowledge = serde_json::from_slice(&answer.body)
+        .map_err(|e| errors::unavailable(format!("peer's answer: {e}")))?;
+    let ago =
+        |ms: u64| -> Instant { asked.checked_sub(Duration::from_millis(ms)).unwrap_or(asked) };
+    if let Some((catalog, age)) = knowledge.catalog {
+        site.offer_catalog(catalog, ago(age), "peer");
+    }
+    if let Some((members, age)) = knowledge.members {
+        site.offer_members(members, ago(age), "peer");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/site.rs
@@ -0,0 +1,244 @@
+//! What all tasks of a gateway share. It runs on one thread, so borrows never span an await.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use log::info;
+use wasabi_belief::{
+    catalog, counts,
+    lease::{self, Lease},
+    members,
+    peers::Peers,
+    truth::Truth,
+};
+use wasabi_core::{
+    catalog::Catalog,
+    member::Member,
+    objects::{Duties, Objects},
+    time::Clock,
+    units::{Incarnation, PoolId, Window, WorkspaceId},
+};
+use wasabi_policy::{
+    board::{Board, End, Place},
+    ration::{self, Ration},
+};
+
+use crate::{pool::Pool, settings::Settings};
+
+/// A host without a proof of its configuration from within this time takes no new connections.
+const READY_PROOF: Duration = Duration::from_millis(4_000);
+
+/// The state of a gateway.
+pub struct Site {
+    /// The settings in force.
+    pub settings: RefCell<Settings>,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// Counts suspended time.
+    pub clock: Box<dyn Clock>,
+    /// The store.
+    pub objects: Box<dyn Objects>,
+    /// The interface for usage reports and orders.
+    pub duties: Option<Box<dyn Duties>>,
+    /// The configuration.
+    pub catalog: RefCell<catalog::Belief>,
+    /// The backend servers.
+    pub members: RefCell<members::Belief>,
+    /// What runs on the servers of each service.
+    pub boards: RefCell<BTreeMap<PoolId, Board>>,
+    /// The budget of repeats for each service.
+    pub rations: RefCell<BTreeMap<PoolId, Ration>>,
+    /// The other hosts.
+    pub peers: RefCell<Peers>,
+    /// The true time of day.
+    pub truth: RefCell<Truth>,
+    /// Requests that began to run, by window.
+    pub counts: RefCell<counts::Table>,
+    /// The lease on the duties.
+    pub lease: RefCell<Lease>,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Requests that have not ended.
+    pub running: Cell<usize>,
+    /// Set by SIGTERM.
+    pub stopping: Cell<Option<Instant>>,
+}
+
+impl Site {
+    /// Gets the state of a gateway that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        clock: Box<dyn Clock>,
+        objects: Box<dyn Objects>,
+        duties: Option<Box<dyn Duties>>,
+    ) -> Self {
+        let incarnation = Incarnation::fresh(&settings.host);
+        let now = clock.now();
+        let host = settings.host.clone();
+        let length = Duration::from_millis(settings.bounds.lease_ms);
+        let times =
+            lease::Times { length, margin: length / 4, renew: length / 3, away: length * 2 };
+        Self {
+            incarnation: incarnation.clone(),
+            catalog: RefCell::default(),
+            members: RefCell::default(),
+            boards: RefCell::default(),
+            rations: RefCell::default(),
+            peers: RefCell::new(Peers::new(host.clone())),
+            truth: RefCell::new(Truth::new(now)),
+            counts: RefCell::default(),
+            lease: RefCell::new(Lease::new(host, incarnation, times)),
+            pool: Pool::default(),
+            running: Cell::new(0),
+            stopping: Cell::new(None),
+            settings: RefCell::new(settings),
+            clock,
+            objects,
+            duties,
+        }
+    }
+
+    /// Returns the steady time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the configuration in force and the age of its proof.
+    pub fn config(&self) -> Option<(Arc<Catalog>, Duration)> {
+        let belief = self.catalog.borrow();
+        Some((belief.get()?, belief.age(self.now())?))
+    }
+
+    /// Returns whether the balancer may send new connections here.
+    pub fn is_ready(&self) -> bool {
+        let proven = self.config().is_some_and(|(_, age)| age < READY_PROOF);
+        let listed = self.members.borrow().proof(self.now()).is_some();
+        proven && listed && self.stopping.get().is_none()
+    }
+
+    /// Takes a configuration that was the newest at `proof`, from `source`.
+    pub fn offer_catalog(&self, catalog: Catalog, proof: Instant, source: &str) {
+        let version = catalog.version.0;
+        let (routes, keys) = (catalog.routes.len(), catalog.keys.len());
+        if !self.catalog.borrow_mut().offer(catalog, proof) {
+            return;
+        }
+        let age = self.now().saturating_duration_since(proof);
+        info!(version = version, routes = routes, keys = keys, source = source,
+            age_ms = age.as_millis() as u64; "configuration in force");
+        metrics::gauge!("wasabi_config_version").set(version as f64);
+        self.refresh_boards();
+    }
+
+    /// Takes a list of servers that was complete at `proof`, from `source`.
+    pub fn offer_members(&self, listed: Vec<Member>, proof: Instant, source: &str) {
+        let now = self.now();
+        if self.members.borrow_mut().offer(now, listed, proof) {
+            let age = now.saturating_duration_since(proof);
+            self.log_members(source, age);
+            self.refresh_boards();
+        }
+    }
+
+    /// Drops servers that were kept for a while after an outage of the store.
+    pub fn expire_members(&self) {
+        if self.members.borrow_mut().expire(self.now()) {
+            self.log_members("expiry", Duration::ZERO);
+            self.refresh_boards();
+        }
+    }
+
+    /// Counts a request that began to run.
+    pub fn count_usage(&self, workspace: Option<&WorkspaceId>) {
+        let Some(workspace) = workspace else { return };
+        let window = self.window();
+        self.counts.borrow_mut().count(window, &self.incarnation, workspace);
+    }
+
+    /// Returns the present usage window.
+    pub fn window(&self) -> Window {
+        let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
+        Window(self.truth.borrow().now_ms(self.now()) / length_ms.max(1))
+    }
+
+    /// Returns how many hosts share the work.
+    pub fn hosts(&self) -> usize {
+        self.peers.borrow().hosts(self.now())
+    }
+
+    /// Runs `action` on the ration of a service.
+    pub fn ration<T>(&self, service: &PoolId, action: impl FnOnce(&mut Ration) -> T) -> T {
+        let bounds = self.settings.borrow().bounds;
+        let mut rations = self.rations.borrow_mut();
+        let ration = rations.entry(service.clone()).or_insert_with(|| {
+            let bounds = ration::Bounds {
+                ratio: bounds.repeat_ratio,
+                allowance: bounds.repeat_allowance,
+                window: Duration::from_secs_f64(bounds.repeat_window_s),
+            };
+            Ration::new(self.now(), bounds)
+        });
+        action(ration)
+    }
+
+    /// Gives every board the servers of its service.
+    fn refresh_boards(&self) {
+        let Some((catalog, _)) = self.config() else { return };
+        let members = self.members.borrow().get();
+        let now = self.now();
+        let domain = self.settings.borrow().domain.clone();
+        let mut boards = self.boards.borrow_mut();
+        for (name, service) in &catalog.services {
+            let Ok(name) = name.parse::<PoolId>() else { continue };
+            let own: Vec<Member> =
+                members.iter().filter(|member| member.service == name).cloned().collect();
+            let board = boards.entry(name).or_insert_with(|| Board::new(domain.clone()));
+            board.set(now, service.engine, &own);
+        }
+        self.pool.retain(&members);
+    }
+
+    fn log_members(&self, source: &str, age: Duration) {
+        let members = self.members.borrow().get();
+        let draining =
+            members.iter().filter(|m| m.phase == wasabi_core::member::Phase::Draining).count();
+        info!(servers = members.len(), draining = draining, source = source,
+            age_ms = age.as_millis() as u64; "backend servers changed");
+    }
+}
+
+/// A place on a server that is given back when it is dropped.
+pub struct Seat {
+    site: Rc<Site>,
+    service: PoolId,
+    /// The place.
+    pub place: Place,
+    /// How the request ended, once that is known.
+    pub end: End,
+}
+
+impl Seat {
+    /// Gets the guard of a place that was just given.
+    pub fn new(site: Rc<Site>, service: PoolId, place: Place) -> Self {
+        Self { site, service, place, end: End::Dropped }
+    }
+
+    /// Runs `action` on the board that the place is on.
+    pub fn board(&self, action: impl FnOnce(&mut Board, &Place)) {
+        if let Some(board) = self.site.boards.borrow_mut().get_mut(&self.service) {
+            action(board, &self.place);
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let (now, end) = (self.site.now(), self.end);
+        self.board(|board, place| board.end(now, place, end));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,204 @@
+//! Streams: whole events are passed on as they come; a stream that breaks off goes on at another
+//! server where the route allows it, and is otherwise visibly broken off.
+
+use std::{rc::Rc, time::Instant};
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::{Response, StatusCode};
+use log::info;
+use wasabi_policy::board::End;
+
+use crate::{
+    answer::{Abort, Feed, Out},
+    attempt::{self, Answer, Outcome},
+    events::Splitter,
+    relay::{self, Inbound, Tries},
+    site::{Seat, Site},
+};
+
+/// Begins to pass a stream on and returns its answer.
+pub fn start(
+    site: &Rc<Site>,
+    inbound: Rc<Inbound>,
+    tries: Tries,
+    seat: Seat,
+    answer: Answer,
+) -> Response<Out> {
+    let (feed, out) = Out::stream();
+    let mut response = Response::new(out);
+    *response.status_mut() = answer.response.status();
+    *response.headers_mut() = attempt::stream_headers(answer.response.headers());
+    site.running.set(site.running.get() + 1);
+    let pump = Pump {
+        site: site.clone(),
+        inbound,
+        tries,
+        feed,
+        events: Splitter::default(),
+        began: false,
+    };
+    tokio::task::spawn_local(async move {
+        let site = pump.site.clone();
+        pump.run(seat, answer).await;
+        site.running.set(site.running.get() - 1);
+    });
+    response
+}
+
+struct Pump {
+    site: Rc<Site>,
+    inbound: Rc<Inbound>,
+    tries: Tries,
+    feed: Feed,
+    events: Splitter,
+    /// Whether the first event has come.
+    began: bool,
+}
+
+/// How one server's part of a stream ended.
+enum Ended {
+    Complete,
+    Broken(&'static str),
+    CallerLeft,
+    OutOfTime,
+}
+
+impl Pump {
+    async fn run(mut self, mut seat: Seat, mut answer: Answer) {
+        loop {
+            match self.pass(&mut seat, answer).await {
+                Ended::Complete => {
+                    seat.end = End::Served;
+                    self.log(&seat, "streamed", "");
+                    return;
+                }
+                Ended::CallerLeft => {
+                    self.log(&seat, "caller left", "");
+                    return;
+                }
+                Ended::OutOfTime => {
+                    self.log(&seat, "cut at the deadline", "");
+                    return self.abort().await;
+                }
+                Ended::Broken(cause) => {
+                    seat.end = End::Failed;
+                    relay::log_try(&self.site, &self.inbound, &seat, "ran", cause);
+                    self.tries.avoid.push(seat.place.member.id.clone());
+                    self.tries.cause = cause;
+                    self.events.drop_rest();
+                    match self.resume(seat).await {
+                        Some((next, going)) => {
+                            seat = next;
+                            answer = going;
+                        }
+                        None => return self.abort().await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes on one server's part of the stream.
+    async fn pass(&mut self, seat: &mut Seat, answer: Answer) -> Ended {
+        let Answer { response, reply, lease } = answer;
+        let mut body = response.into_body();
+        loop {
+            let left = self.inbound.deadline.saturating_duration_since(self.site.now());
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.feed.closed() => return Ended::CallerLeft,
+                () = tokio::time::sleep(left) => return Ended::OutOfTime,
+            };
+            let bytes = match frame {
+                None => break,
+                Some(Err(_)) => return Ended::Broken("stream broke off"),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            let Some(events) = self.events.push(&bytes) else { continue };
+            self.note_start(seat);
+            if !self.give(events).await {
+                return Ended::CallerLeft;
+            }
+        }
+        let rest = self.events.finish();
+        if !rest.is_empty() && !self.give(rest).await {
+            return Ended::CallerLeft;
+        }
+        lease.give_back(self.site.now(), reply.keep);
+        Ended::Complete
+    }
+
+    /// Notes the first event of a server's part.
+    fn note_start(&mut self, seat: &Seat) {
+        if self.began {
+            return;
+        }
+        self.began = true;
+        let now: Instant = self.site.now();
+        seat.board(|board, place| board.started(now, place));
+        self.site.count_usage(self.inbound.permit.workspace.as_ref());
+        let first = now.saturating_duration_since(self.inbound.arrived);
+        let rank = self.inbound.permit.rank.to_string();
+        metrics::histogram!("wasabi_gateway_first_event_seconds", "rank" => rank)
+            .record(first.as_secs_f64());
+        let placed = now.saturating_duration_since(seat.place.since);
+        info!(target: wasabi_logs::REQUEST, request = self.inbound.head.id.as_str(),
+            server = seat.place.member.id.as_str(), first_ms = first.as_millis() as u64,
+            placed_ms = placed.as_millis() as u64,
+            expected_ms = seat.place.expected.as_millis() as u64; "first event");
+    }
+
+    async fn give(&self, bytes: Bytes) -> bool {
+        self.feed.send(Ok(bytes)).await.is_ok()
+    }
+
+    /// Continues the stream at another server, after the last event that was passed on.
+    async fn resume(&mut self, broken: Seat) -> Option<(Seat, Answer)> {
+        drop(broken);
+        if !self.inbound.permit.route.kind.is_repeatable() {
+            return None;
+        }
+        loop {
+            let last = self.events.last();
+            let mut seat = match relay::next(&self.site, &self.inbound, &mut self.tries, last) {
+                Ok(seat) => seat,
+                Err(error) => {
+                    let permit = Some(&self.inbound.permit);
+                    let id = &self.inbound.head.id;
+                    relay::log_refusal(&self.site, id, permit, self.inbound.arrived, &error);
+                    return None;
+                }
+            };
+            let outgoing = self.inbound.outgoing(last);
+            let outcome = tokio::select! {
+                outcome = attempt::send(&self.site, &seat, &outgoing) => outcome,
+                () = self.feed.closed() => return None,
+            };
+            let cause = match outcome {
+                Outcome::Answer(answer) if answer.response.status() == StatusCode::OK => {
+                    self.tries.ran += 1;
+                    return Some((seat, *answer));
+                }
+                Outcome::NotRun(cause) => cause,
+                Outcome::Answer(_) => "failed to resume",
+                Outcome::Unknown(cause) => cause,
+                Outcome::TimedOut => return None,
+            };
+            seat.end = End::Failed;
+            relay::log_try(&self.site, &self.inbound, &seat, "unknown", cause);
+            self.tries.ran += u32::from(cause != "turned away");
+            self.tries.avoid.push(seat.place.member.id.clone());
+            self.tries.cause = cause;
+        }
+    }
+
+    async fn abort(self) {
+        // The caller may have left already; then nothing is to be broken off.
+        let _ = self.feed.send(Err(Abort)).await;
+    }
+
+    fn log(&self, seat: &Seat, outcome: &'static str, cause: &str) {
+        relay::log_end(&self.site, &self.inbound, seat, outcome, StatusCode::OK, cause);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/usage.rs
@@ -0,0 +1,163 @@
+//! Reports of usage: the figures of a window are sealed in the store, then reported.
+//!
+//! A successor repeats what is sealed, so no window is ever reported with two figures.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use wasabi_belief::counts::Counts;
+use wasabi_core::{
+    errors::{self, Result},
+    objects::{Authority, Verdict, Written},
+    units::{Epoch, Version, Window},
+};
+
+use crate::{duty, follow::timely, site::Site};
+
+/// How often ended windows are looked for.
+const TICK: Duration = Duration::from_millis(300);
+/// After the end of a window, for the last announcements of all hosts to arrive.
+const SETTLE: Duration = Duration::from_millis(1_800);
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Between two tries of a report that got no answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// Sealed windows that the record keeps; a window is due two windows after its end.
+const SEALED_WINDOWS: usize = 8;
+/// Windows before the newest that a new holder still reports.
+const LATE_WINDOWS: u64 = 3;
+/// The kind and the name of the record.
+const KIND: &str = "usage";
+const NAME: &str = "sealed";
+
+/// The record in the store. Figures never change once they are in it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Sealed {
+    windows: BTreeMap<Window, Counts>,
+}
+
+/// What the holder of the duties knows of the record and has reported.
+#[derive(Default)]
+struct Book {
+    /// Under which authority the record was read.
+    fence: Option<Epoch>,
+    version: Option<Version>,
+    sealed: Sealed,
+    /// The newest window that was reported under this authority.
+    reported: Option<Window>,
+}
+
+/// Reports usage while this host holds the duties.
+pub async fn run(site: &Site) {
+    if site.duties.is_none() {
+        return;
+    }
+    let mut book = Book::default();
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(authority) = duty::authority(site) else {
+            book = Book::default();
+            continue;
+        };
+        if let Err(e) = book.advance(site, &authority).await {
+            let cause = e.to_string();
+            warn!(cause = cause.as_str(); "usage not reported yet");
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+impl Book {
+    async fn advance(&mut self, site: &Site, authority: &Authority) -> Result<()> {
+        if self.fence != Some(authority.fence) {
+            self.load(site).await?;
+            self.fence = Some(authority.fence);
+            self.reported = None;
+        }
+        let Some(newest) = newest_ended(site) else { return Ok(()) };
+        let oldest = Window(newest.0.saturating_sub(LATE_WINDOWS));
+        let next = self.reported.map_or(oldest, |window| Window(window.0 + 1)).max(oldest);
+        for window in (next.0..=newest.0).map(Window) {
+            if !self.sealed.windows.contains_key(&window) {
+                self.seal(site, window).await?;
+            }
+            self.report(site, window).await?;
+        }
+        Ok(())
+    }
+
+    async fn load(&mut self, site: &Site) -> Result<()> {
+        let record = timely(site.objects.read(KIND, NAME), CALL_TIMEOUT).await?;
+        match record {
+            None => {
+                self.version = None;
+                self.sealed = Sealed::default();
+            }
+            Some(record) => self.take(record)?,
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, record: wasabi_core::objects::Record) -> Result<()> {
+        self.version = Some(record.version);
+        self.sealed = serde_json::from_value(record.value)
+            .map_err(|e| errors::internal(format!("sealed usage: {e}")))?;
+        Ok(())
+    }
+
+    /// Writes the figures of a window into the record, unless another holder did so before.
+    async fn seal(&mut self, site: &Site, window: Window) -> Result<()> {
+        let mut sealed = self.sealed.clone();
+        let counts = site.counts.borrow().sum(window);
+        sealed.windows.insert(window, counts);
+        while sealed.windows.len() > SEALED_WINDOWS {
+            sealed.windows.pop_first();
+        }
+        let value = serde_json::to_value(&sealed).map_err(|e| errors::internal(e.to_string()))?;
+        let call = match self.version {
+            None => site.objects.create(KIND, NAME, value),
+            Some(version) => site.objects.replace(KIND, NAME, version, value),
+        };
+        // Without an answer, what the record holds has to be read again.
+        self.fence = None;
+        match timely(call, CALL_TIMEOUT).await? {
+            Written::Done(version) => {
+                self.version = Some(version);
+                self.sealed = sealed;
+                let total: u64 = self.sealed.windows[&window].values().sum();
+                info!(window = window.0, requests = total; "usage sealed");
+                self.fence = duty::authority(site).map(|authority| authority.fence);
+                Ok(())
+            }
+            Written::Conflict(_) => Err(errors::conflict(NAME)),
+        }
+    }
+
+    async fn report(&mut self, site: &Site, window: Window) -> Result<()> {
+        let duties = site.duties.as_ref().ok_or_else(|| errors::internal("no duties"))?;
+        let authority = duty::authority(site).ok_or_else(|| errors::internal("duties lost"))?;
+        let counts = &self.sealed.windows[&window];
+        let verdict = timely(duties.report(&authority, window, counts), CALL_TIMEOUT).await?;
+        info!(window = window.0, fence = authority.fence.0, verdict:? = verdict; "usage reported");
+        match verdict {
+            Verdict::Taken => {
+                self.reported = Some(window);
+                Ok(())
+            }
+            Verdict::Refused => {
+                duty::fenced(site);
+                Err(errors::unavailable("report refused"))
+            }
+            Verdict::Busy => Err(errors::unavailable("busy")),
+        }
+    }
+}
+
+/// Returns the newest window that has ended long enough ago.
+fn newest_ended(site: &Site) -> Option<Window> {
+    let length_ms = (site.settings.borrow().bounds.usage_window_s * 1e3) as u64;
+    let now_ms = site.truth.borrow().now_ms(site.now());
+    let settled = now_ms.checked_sub(SETTLE.as_millis() as u64)?;
+    Some(Window((settled / length_ms.max(1)).checked_sub(1)?))
+}
--- /dev/null
+++ b/crates/logs/src/lib.rs
@@ -0,0 +1,131 @@
+//! Logs as JSON lines on standard output, bounded and never blocking.
+//!
+//! Lines go through a ring of fixed size to one writer. When a slow reader fills it, lines about
+//! single requests are dropped first and lines about beliefs last; how many were dropped is logged
+//! and counted.
+#![forbid(unsafe_code)]
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+};
+
+use env_logger::{Builder, Env, Target};
+use flume::{Receiver, Sender, TrySendError};
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::{Map, json};
+use wasabi_core::time::{self, Clock as _, System};
+
+/// The target of lines about single requests, which are dropped first.
+pub const REQUEST: &str = "request";
+
+/// Lines that wait for the writer; at 300 bytes a line this is about 1.2 MB.
+const RING_LINES: usize = 4_096;
+/// Beyond this many waiting lines, those about requests are dropped.
+const REQUEST_LINES: usize = RING_LINES * 3 / 4;
+
+/// The sending end of the ring.
+#[derive(Clone)]
+pub struct Ring {
+    lines: Sender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Ring {
+    /// Starts a writer to `out`, and returns the ring that feeds it.
+    pub fn start(out: impl Write + Send + 'static) -> Self {
+        let (lines, waiting) = flume::bounded(RING_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        thread::spawn(move || write(out, &waiting, &counter));
+        Self { lines, dropped }
+    }
+
+    /// Returns how many lines were dropped and not yet reported.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    fn push(&self, line: Vec<u8>) {
+        let about_request = self.lines.len() >= REQUEST_LINES && is_request(&line);
+        let full = about_request || matches!(self.lines.try_send(line), Err(TrySendError::Full(_)));
+        if full {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("wasabi_log_lines_dropped_total").increment(1);
+        }
+    }
+}
+
+impl Write for Ring {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.push(line.to_vec());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => json!(number),
+            (None, Some(truth)) => json!(truth),
+            (None, None) => json!(value.to_string()),
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+/// Starts logging for `host` to standard output; `RUST_LOG` sets the level, `info` otherwise.
+pub fn start(host: &str) {
+    start_with(host, Ring::start(io::stdout()));
+}
+
+/// Starts logging for `host` through `ring`.
+pub fn start_with(host: &str, ring: Ring) {
+    let host = host.to_string();
+    let format = move |out: &mut env_logger::fmt::Formatter, record: &log::Record<'_>| {
+        let mut fields = Map::new();
+        fields.insert("at_ms".to_string(), json!(time::unix_ms(System.wall())));
+        fields.insert("level".to_string(), json!(record.level().as_str()));
+        fields.insert("host".to_string(), json!(host));
+        fields.insert("module".to_string(), json!(record.target()));
+        fields.insert("message".to_string(), json!(record.args().to_string()));
+        // A field that cannot be shown is left out; the line itself still counts.
+        let _ = record.key_values().visit(&mut Fields(&mut fields));
+        writeln!(out, "{}", serde_json::Value::Object(fields))
+    };
+    let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
+    let started = builder.format(format).target(Target::Pipe(Box::new(ring))).try_init();
+    if started.is_err() {
+        log::warn!("logging was started before");
+    }
+}
+
+fn write(mut out: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    while let Ok(line) = lines.recv() {
+        // Nowhere is left to report a closed standard output.
+        let _ = out.write_all(&line);
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let _ = writeln!(out, "{}", json!({"message": "log lines dropped", "lines": lost}));
+        }
+        if lines.is_empty() {
+            let _ = out.flush();
+        }
+    }
+}
+
+fn is_request(line: &[u8]) -> bool {
+    let mark = b"\"module\":\"request\"";
+    line.windows(mark.len()).any(|window| window == mark)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod contact;
 pub mod evidence;
 pub mod host;
-pub mod logs;
 pub mod operator;
 pub mod registry;
 pub mod roster;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -25,8 +25,8 @@
 };
 use wasabi_once::table::Table;
 use wasabi_peer::{link::Links, spread::Spread};
-use wasabi_platform::{billing, http::Endpoint, provider, roster, store};
 use wasabi_policy::{budget::Budget, desk::Desk, estimate};
+use wasabi_remote::{billing, http::Endpoint, provider, roster, store};
 use wasabi_usage::{counter::Counter, flush::Flusher, window::Reporter};
 
 use crate::{
--- /dev/null
+++ b/crates/policy/src/board.rs
@@ -0,0 +1,462 @@
+//! Where a request goes: the backend servers of one service, what is known to run on them, and
+//! whether a request is worth taking.
+//!
+//! Answers bursts of long prompts beside short interactive streams, seen by several hosts that
+//! place at the same time: each host keeps a virtual prefill queue for every engine, adds its own
+//! placements at once and those of its peers as they are announced.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use wasabi_core::{
+    call::{Load, Prompt},
+    catalog::Engine,
+    member::{Member, Phase},
+    units::{Domain, HostId, ServerId},
+};
+
+use crate::{cache::Cache, trouble::Trouble};
+
+/// Prompt tokens that an engine reads in a millisecond, until observed; from the engines' sheet.
+const PREFILL_TOKENS_PER_MS: f64 = 56.9;
+/// Tokens of a prompt that an engine reads in one step; from the engines' sheet.
+const CHUNK_TOKENS: f64 = 2048.0;
+/// The least time of a step in milliseconds; from the engines' sheet.
+const STEP_MS: f64 = 3.09;
+/// What each running request adds to a step, in milliseconds; from the engines' sheet.
+const STEP_MS_PER_RUNNING: f64 = 0.102;
+/// Attention time in milliseconds per million pairs of tokens; from the engines' sheet.
+const PAIRS_MS_PER_MILLION: f64 = 0.165;
+/// From sending a request to its first event on an idle engine, without its prefill, in
+/// milliseconds: the engine's own 13 ms, and the way there and back.
+const FIRST_EVENT_MS: f64 = 18.0;
+/// The most that a learned speed departs from the sheet, either way.
+const MAX_SPEED_FACTOR: f64 = 4.0;
+/// Weight of a new observation of speed.
+const SPEED_WEIGHT: f64 = 0.1;
+/// Share of an observed delay that is put on the virtual queue.
+const DELAY_WEIGHT: f64 = 0.5;
+/// The time over which the share of time that an engine spends on prefill is averaged.
+const DUTY_MEMORY: Duration = Duration::from_millis(1_000);
+/// A request whose prefill takes less is light, in milliseconds: it is interactive.
+const LIGHT_WORK_MS: f64 = 40.0;
+/// What a server that fails all requests adds to the expected time, in milliseconds.
+const FAILURE_PENALTY_MS: f64 = 2_000.0;
+/// Milliseconds added per running light stream and per share of time spent on prefill beyond
+/// `CALM_DUTY`, since long prompts delay the events of all streams beside them.
+const HARM_MS: f64 = 60.0;
+/// The share of time spent on prefill that leaves the pauses between events within their target.
+const CALM_DUTY: f64 = 0.55;
+/// What a light request expects to lose on an engine that does nothing but prefill.
+const CROWDED_MS: f64 = 400.0;
+/// Milliseconds added for a server in another failure domain.
+const DISTANCE_MS: f64 = 3.0;
+/// How much the time that a server would spend on a request counts beside the caller's wait: work
+/// saved by a cached prefix leaves room for others.
+const WORK_WEIGHT: f64 = 1.0;
+/// The part of its memory that an engine fills before it has to preempt.
+const MEMORY_SHARE: f64 = 0.92;
+/// How many requests may wait at a plain server for each one that it runs.
+const WAITING_PER_SLOT: u32 = 3;
+/// What peers announced is forgotten after this time without news.
+const PEER_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// What one host announces of its requests on one server.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Requests that run there.
+    pub running: u32,
+    /// Those of them that are light streams.
+    pub light: u32,
+    /// Tokens of prompts and answers that they hold.
+    pub tokens: u64,
+    /// Prefill time in milliseconds that was placed there since the last announcement.
+    pub added_ms: f64,
+    /// The shared parts of prompts that were placed there since the last announcement.
+    pub parts: Vec<(u64, u32)>,
+}
+
+/// What a request asks of a server.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// The prompt, for requests to engines.
+    pub prompt: Option<&'a Prompt>,
+    /// The longest wait for the first event or the answer that is worth taking.
+    pub patience: Duration,
+    /// Servers that have failed this request.
+    pub avoid: &'a [ServerId],
+}
+
+/// A request's place on a server; given back by `Board::end`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The server.
+    pub member: Member,
+    /// When it was given.
+    pub since: Instant,
+    /// The expected time until the first event or the answer.
+    pub expected: Duration,
+    /// The expected prefill time in milliseconds.
+    pub work_ms: f64,
+    /// Whether it is a light stream.
+    pub light: bool,
+    /// Tokens that it holds in the engine's memory.
+    pub tokens: u64,
+}
+
+/// Why no place was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No server of the service is known.
+    NoServer,
+    /// The least expected time on any server, which is more than the request can bear.
+    TooLate(Duration),
+}
+
+/// How a request ended at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a whole answer.
+    Served,
+    /// The server turned it away without running it.
+    Rejected,
+    /// The server failed it.
+    Failed,
+    /// The caller left, or the time was up.
+    Dropped,
+}
+
+/// The servers of one service.
+#[derive(Debug)]
+pub struct Board {
+    domain: Domain,
+    /// The shape of the engines; none for plain servers.
+    engine: Option<Engine>,
+    servers: BTreeMap<ServerId, Server>,
+}
+
+#[derive(Debug)]
+struct Server {
+    member: Member,
+    /// How much slower it reads prompts than the sheet says.
+    slowness: f64,
+    /// When its virtual prefill queue is empty.
+    free_at: Instant,
+    /// Prefill milliseconds of the last `DUTY_MEMORY`, decayed up to `duty_at`.
+    duty_ms: f64,
+    duty_at: Instant,
+    /// This host's own requests, and what it has not announced yet.
+    own: Share,
+    peers: HashMap<HostId, (Share, Instant)>,
+    cache: Cache,
+    trouble: Trouble,
+}
+
+impl Board {
+    /// Gets a board without servers, for a host in `domain`.
+    pub fn new(domain: Domain) -> Self {
+        Self { domain, engine: None, servers: BTreeMap::new() }
+    }
+
+    /// Takes a new list of servers; one that is left out gets no new work.
+    pub fn set(&mut self, now: Instant, engine: Option<Engine>, members: &[Member]) {
+        self.engine = engine;
+        self.servers.retain(|id, server| {
+            let same = members.iter().find(|member| member.id == *id);
+            same.is_some_and(|member| member.born_ms == server.member.born_ms)
+        });
+        for member in members {
+            match self.servers.get_mut(&member.id) {
+                Some(server) => server.member = member.clone(),
+                None => {
+                    let memory = engine.map_or(0, |engine| engine.memory.0);
+                    let server = Server::new(now, member.clone(), memory);
+                    self.servers.insert(member.id.clone(), server);
+                }
+            }
+        }
+    }
+
+    /// Returns the servers that may get new work.
+    pub fn ready(&self) -> impl Iterator<Item = &Member> {
+        self.servers.values().map(|s| &s.member).filter(|m| m.phase == Phase::Ready)
+    }
+
+    /// Gives the request a place on the server that is expected to serve it soonest.
+    pub fn place(&mut self, now: Instant, ask: &Ask) -> Result<Place, Refusal> {
+        let mut best: Option<(f64, Quote, ServerId)> = None;
+        let mut least_ms = f64::INFINITY;
+        let spare = self.servers.values().any(|server| {
+            server.member.phase == Phase::Ready && !ask.avoid.contains(&server.member.id)
+        });
+        for (id, server) in &mut self.servers {
+            let avoided = ask.avoid.contains(id);
+            if server.member.phase != Phase::Ready || (avoided && spare) {
+                continue;
+            }
+            server.forget_peers(now);
+            let quote = match self.engine {
+                Some(engine) => server.quote_engine(now, ask, &engine),
+                None => server.quote_plain(),
+            };
+            let failing_ms = server.trouble.weight(now) * FAILURE_PENALTY_MS;
+            least_ms = least_ms.min(quote.first_ms + failing_ms);
+            let far = if server.member.domain == self.domain { 0.0 } else { DISTANCE_MS };
+            let cost = quote.first_ms + quote.extra_ms + failing_ms + far;
+            let fits = quote.has_room && quote.first_ms <= ask.patience.as_secs_f64() * 1e3;
+            if fits && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, quote, id.clone()));
+            }
+        }
+        let Some((_, quote, id)) = best else {
+            return Err(match least_ms.is_finite() {
+                true => Refusal::TooLate(Duration::from_secs_f64(least_ms / 1e3)),
+                false => Refusal::NoServer,
+            });
+        };
+        let server = self.servers.get_mut(&id).expect("the server was just found");
+        Ok(server.take(now, ask, quote))
+    }
+
+    /// Returns the places that are taken and all places of the servers that take new work.
+    pub fn fill(&self) -> (u32, u32) {
+        let ready = self.servers.values().filter(|s| s.member.phase == Phase::Ready);
+        ready.fold((0, 0), |(taken, all), server| {
+            (taken + server.all().running, all + server.member.slots)
+        })
+    }
+
+    /// Takes in that the first event, or the whole answer of a plain server, has come.
+    pub fn started(&mut self, now: Instant, place: &Place) {
+        let plain = self.engine.is_none();
+        let Some(server) = self.of(place) else { return };
+        server.trouble.succeed();
+        if plain {
+            return;
+        }
+        let observed = now.saturating_duration_since(place.since).as_secs_f64() * 1e3;
+        let expected = place.expected.as_secs_f64() * 1e3;
+        let late_ms = observed - expected;
+        if late_ms > 0.0 {
+            let delay = Duration::from_secs_f64(late_ms * DELAY_WEIGHT / 1e3);
+            server.free_at = server.free_at.max(now) + delay.min(Duration::from_millis(200));
+        }
+        let ratio = (observed / expected.max(1.0)).clamp(0.5, 2.0);
+        server.slowness = (server.slowness * (1.0 + SPEED_WEIGHT * (ratio - 1.0)))
+            .clamp(1.0 / MAX_SPEED_FACTOR, MAX_SPEED_FACTOR);
+    }
+
+    /// Gives a place back.
+    pub fn end(&mut self, now: Instant, place: &Place, end: End) {
+        let Some(server) = self.of(place) else { return };
+        server.own.running = server.own.running.saturating_sub(1);
+        server.own.light = server.own.light.saturating_sub(u32::from(place.light));
+        server.own.tokens = server.own.tokens.saturating_sub(place.tokens);
+        match end {
+            End::Served => server.trouble.succeed(),
+            End::Rejected => server.trouble.reject(now),
+            End::Failed => server.trouble.fail(now),
+            End::Dropped => {}
+        }
+    }
+
+    /// Takes in the load that a server reports with an answer.
+    pub fn report(&mut self, now: Instant, place: &Place, load: Load) {
+        let Some(server) = self.of(place) else { return };
+        // Requests that wait mean that the virtual queue was too short.
+        let known = server.free_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+        if load.waiting > 0 && known < place.work_ms {
+            server.free_at = now + Duration::from_secs_f64(place.work_ms / 1e3);
+        }
+    }
+
+    /// Returns what this host announces to its peers, and begins a new announcement.
+    pub fn announce(&mut self) -> Vec<(ServerId, Share)> {
+        let mut shares = Vec::new();
+        for (id, server) in &mut self.servers {
+            if server.own != Share::default() {
+                shares.push((id.clone(), server.own.clone()));
+            }
+            server.own.added_ms = 0.0;
+            server.own.parts.clear();
+        }
+        shares
+    }
+
+    /// Takes in a peer's whole announcement; servers that it leaves out run nothing for it.
+    pub fn merge(&mut self, now: Instant, peer: &HostId, shares: &[(ServerId, Share)]) {
+        for server in self.servers.values_mut() {
+            server.peers.remove(peer);
+        }
+        for (id, share) in shares {
+            let Some(server) = self.servers.get_mut(id) else { continue };
+            server.add_work(now, share.added_ms);
+            for (part, tokens) in &share.parts {
+                server.cache.touch(now, *part, *tokens);
+            }
+            server.peers.insert(peer.clone(), (share.clone(), now));
+        }
+    }
+
+    /// Returns each server with its running requests and expected prefill queue, for the dump.
+    pub fn view(&self, now: Instant) -> Vec<(ServerId, u32, u64, f64, f64)> {
+        let row = |(id, server): (&ServerId, &Server)| {
+            let queue = server.free_at.saturating_duration_since(now);
+            let all = server.all();
+            (
+                id.clone(),
+                all.running,
+                all.tokens,
+                queue.as_secs_f64() * 1e3,
+                server.trouble.weight(now),
+            )
+        };
+        self.servers.iter().map(row).collect()
+    }
+
+    /// Returns the mean share of time that the engines spend on prefill.
+    pub fn duty(&self, now: Instant) -> f64 {
+        let ready = self.servers.values().filter(|s| s.member.phase == Phase::Ready);
+        let (sum, count) = ready.fold((0.0, 0), |(sum, n), s| (sum + s.duty(now), n + 1));
+        if count == 0 { 0.0 } else { sum / f64::from(count) }
+    }
+
+    fn of(&mut self, place: &Place) -> Option<&mut Server> {
+        let server = self.servers.get_mut(&place.member.id)?;
+        (server.member.born_ms == place.member.born_ms).then_some(server)
+    }
+}
+
+/// What a server is expected to do for a request.
+#[derive(Clone, Copy, Debug)]
+struct Quote {
+    /// Until the first event or the answer.
+    first_ms: f64,
+    /// What the choice costs besides: work, harm to others, pauses to come.
+    extra_ms: f64,
+    /// Prefill time.
+    work_ms: f64,
+    has_room: bool,
+    light: bool,
+}
+
+impl Server {
+    fn new(now: Instant, member: Member, memory: u64) -> Self {
+        Self {
+            member,
+            slowness: 1.0,
+            free_at: now,
+            duty_ms: 0.0,
+            duty_at: now,
+            own: Share::default(),
+            peers: HashMap::new(),
+            cache: Cache::new(memory),
+            trouble: Trouble::default(),
+        }
+    }
+
+    fn quote_engine(&self, now: Instant, ask: &Ask, engine: &Engine) -> Quote {
+        let all = self.all();
+        let (total, output) =
+            ask.prompt.map_or((0.0, 0), |p| (f64::from(p.tokens), u64::from(p.output)));
+        let cached = ask.prompt.map_or(0, |p| self.cache.cached(p));
+        let fresh = (total - f64::from(cached)).max(1.0);
+        let pairs = fresh * (f64::from(cached) + fresh / 2.0) / 1e6;
+        let step_ms = STEP_MS + STEP_MS_PER_RUNNING * f64::from(all.running);
+        let work_ms = (fresh / PREFILL_TOKENS_PER_MS
+            + (fresh / CHUNK_TOKENS).ceil() * step_ms
+            + pairs * PAIRS_MS_PER_MILLION)
+            * self.slowness;
+        let wait_ms = self.free_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+        let light = work_ms < LIGHT_WORK_MS;
+        let duty = self.duty(now);
+        let crowded = (duty - CALM_DUTY).max(0.0);
+        let extra_ms = match light {
+            true => crowded * CROWDED_MS,
+            false => {
+                let after = duty + work_ms / DUTY_MEMORY.as_secs_f64() / 1e3 - CALM_DUTY;
+                after.max(0.0) * f64::from(all.light) * HARM_MS
+            }
+        };
+        let tokens = all.tokens + total as u64 + output;
+        let memory = engine.memory.0 as f64 * MEMORY_SHARE;
+        Quote {
+            first_ms: wait_ms + work_ms + FIRST_EVENT_MS,
+            extra_ms: extra_ms + work_ms * WORK_WEIGHT,
+            work_ms,
+            has_room: all.running < engine.slots && tokens as f64 <= memory,
+            light,
+        }
+    }
+
+    fn quote_plain(&self) -> Quote {
+        let running = self.all().running;
+        let slots = self.member.slots.max(1);
+        Quote {
+            first_ms: 0.0,
+            extra_ms: f64::from(running) / f64::from(slots) * 100.0,
+            work_ms: 0.0,
+            has_room: running < slots * (1 + WAITING_PER_SLOT),
+            light: false,
+        }
+    }
+
+    fn take(&mut self, now: Instant, ask: &Ask, quote: Quote) -> Place {
+        let tokens = ask.prompt.map_or(0, |p| u64::from(p.tokens) + u64::from(p.output));
+        self.own.running += 1;
+        self.own.light += u32::from(quote.light);
+        self.own.tokens += tokens;
+        self.own.added_ms += quote.work_ms;
+        self.add_work(now, quote.work_ms);
+        if let Some(prompt) = ask.prompt {
+            for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
+                self.cache.touch(now, part.id, part.tokens);
+                self.own.parts.push((part.id, part.tokens));
+            }
+        }
+        Place {
+            member: self.member.clone(),
+            since: now,
+            expected: Duration::from_secs_f64(quote.first_ms / 1e3),
+            work_ms: quote.work_ms,
+            light: quote.light,
+            tokens,
+        }
+    }
+
+    fn add_work(&mut self, now: Instant, ms: f64) {
+        self.free_at = self.free_at.max(now) + Duration::from_secs_f64(ms.max(0.0) / 1e3);
+        self.duty_ms = self.duty(now) * DUTY_MEMORY.as_secs_f64() * 1e3 + ms;
+        self.duty_at = now;
+    }
+
+    /// Returns the share of time spent on prefill lately; above 1 if work piles up.
+    fn duty(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.duty_at).as_secs_f64();
+        let memory = DUTY_MEMORY.as_secs_f64();
+        self.duty_ms * (-age / memory).exp() / (memory * 1e3)
+    }
+
+    /// Returns what runs here by this host's and its peers' accounts.
+    fn all(&self) -> Share {
+        let mut all = Share {
+            running: self.own.running,
+            light: self.own.light,
+            tokens: self.own.tokens,
+            ..Share::default()
+        };
+        for (share, _) in self.peers.values() {
+            all.running += share.running;
+            all.light += share.light;
+            all.tokens += share.tokens;
+        }
+        all
+    }
+
+    fn forget_peers(&mut self, now: Instant) {
+        self.peers.retain(|_, (_, at)| now.saturating_duration_since(*at) < PEER_MEMORY);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,10 +1,15 @@
 //! Admission and dispatch without I/O: events go in, decisions come out, time is passed in.
 #![forbid(unsafe_code)]
 
+pub mod board;
 pub mod budget;
+pub mod cache;
 pub mod desk;
 pub mod estimate;
 pub mod limits;
+pub mod patience;
 pub mod queue;
+pub mod ration;
 pub mod servers;
 pub mod ticket;
+pub mod trouble;
--- /dev/null
+++ b/crates/policy/src/patience.rs
@@ -0,0 +1,61 @@
+//! How long a request may wait for its first event, how urgent it is, and when a refused one may
+//! come back.
+//!
+//! Answers bursts beyond capacity: requests that would come too late are refused while the caller
+//! still has time to come back, so that those that are taken are on time.
+
+use std::time::Duration;
+
+use wasabi_core::catalog::Route;
+
+/// A first event that is expected within this part of the target is on time: the rest covers what
+/// the expectation misses.
+const TARGET_SHARE: f64 = 0.85;
+/// The part of its remaining time that a request that came back may wait.
+const RETURNING_SHARE: f64 = 0.4;
+/// A caller that has less than this part of the route's time left has been here before.
+const FRESH_SHARE: f64 = 0.97;
+/// Plain requests may wait this part of their time.
+const PLAIN_SHARE: f64 = 0.9;
+/// The shortest pause that is asked for.
+const LEAST_PAUSE: Duration = Duration::from_millis(300);
+/// Callers honour pauses up to this part of the time that they have left.
+const HONOURED_SHARE: f64 = 0.33;
+/// Urgency has ten levels; each rank takes two, of which returning requests get the second.
+const LEVELS_PER_RANK: u8 = 2;
+const LEAST_URGENT: u8 = 9;
+
+/// Returns whether a caller that still waits `patience` has been refused before.
+pub fn is_returning(patience: Duration, timeout: Duration) -> bool {
+    patience.as_secs_f64() < timeout.as_secs_f64() * FRESH_SHARE
+}
+
+/// Returns the longest wait for the first event, or for the answer of a plain request.
+pub fn limit(route: &Route, time: Duration, returning: bool) -> Duration {
+    if !route.kind.is_stream() {
+        return time.mul_f64(PLAIN_SHARE);
+    }
+    match returning {
+        true => time.mul_f64(RETURNING_SHARE),
+        false => route.target.mul_f64(TARGET_SHARE),
+    }
+}
+
+/// Returns the urgency that engines get: by rank, and fresh requests before returning ones.
+pub fn urgency(rank: u8, returning: bool) -> u8 {
+    (rank.saturating_mul(LEVELS_PER_RANK) + u8::from(returning)).min(LEAST_URGENT)
+}
+
+/// Returns when a request that was refused for its expected wait may come back.
+///
+/// `draw` is uniform in 0 to 1 and spreads the callers of a burst.
+pub fn come_back(expected: Duration, limit: Duration, left: Duration, draw: f64) -> Duration {
+    let excess = expected.saturating_sub(limit);
+    let wait = (LEAST_PAUSE + excess).mul_f64(1.0 + draw);
+    wait.min(left.mul_f64(HONOURED_SHARE))
+}
+
+/// Returns when a request may come back that no server could take.
+pub fn pause(draw: f64, left: Duration) -> Duration {
+    LEAST_PAUSE.mul_f64(1.0 + draw).min(left.mul_f64(HONOURED_SHARE))
+}
--- /dev/null
+++ b/crates/policy/src/trouble.rs
@@ -0,0 +1,51 @@
+//! How far a server's failures count against it.
+
+use std::time::{Duration, Instant};
+
+/// How long a server is kept from most work after its first failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// The longest such pause.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+/// Weight of a new outcome in the share of failures.
+const OUTCOME_WEIGHT: f64 = 0.15;
+
+/// The failures of one server.
+#[derive(Debug, Default)]
+pub struct Trouble {
+    /// The share of requests that failed lately, 0 to 1.
+    share: f64,
+    /// Failures without a success in between.
+    strikes: u32,
+    /// Until when it gets work only if no other server can take it.
+    until: Option<Instant>,
+}
+
+impl Trouble {
+    /// Takes in a success.
+    pub fn succeed(&mut self) {
+        self.share *= 1.0 - OUTCOME_WEIGHT;
+        self.strikes = 0;
+        self.until = None;
+    }
+
+    /// Takes in a failure.
+    pub fn fail(&mut self, now: Instant) {
+        self.share += OUTCOME_WEIGHT * (1.0 - self.share);
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.strikes);
+        self.strikes = (self.strikes + 1).min(8);
+        self.until = Some(now + pause.min(MAX_PAUSE));
+    }
+
+    /// Takes in that it turned a request away.
+    pub fn reject(&mut self, now: Instant) {
+        self.until = Some(now + FIRST_PAUSE / 4);
+    }
+
+    /// Returns how much the server is to be avoided: 0 not at all, 1 if anything else will do.
+    pub fn weight(&self, now: Instant) -> f64 {
+        match self.until {
+            Some(until) if now < until => 1.0,
+            _ => self.share,
+        }
+    }
+}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -55,12 +55,12 @@
             .args(["run", "--settings"])
             .arg(&path)
             .env("RUST_LOG", "info")
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .context("the program does not start")?;
         let logs = Arc::new(Logs::default());
         let collecting = logs.clone();
-        let output = child.stderr.take().context("the program has no output")?;
+        let output = child.stdout.take().context("the program has no output")?;
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 collecting.lines.lock().push(line);
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -12,7 +12,7 @@
     time::{self, Clock as _, System},
 };
 use wasabi_node::{host, settings};
-use wasabi_platform::{http::Endpoint, store::Remote};
+use wasabi_remote::{http::Endpoint, store::Remote};
 use wasabi_standin::{
     caller::Call,
     engine::{self, Engine, Pace},
--- a/src/bin/wasabictl/commands.rs
+++ b/src/bin/wasabictl/commands.rs
@@ -19,7 +19,7 @@
 };
 use wasabi_lease::holder::Record;
 use wasabi_node::status::{self, Status};
-use wasabi_platform::{http::Endpoint, store::Remote};
+use wasabi_remote::{http::Endpoint, store::Remote};
 use wasabi_usage::window::{self, Sealed};
 
 use crate::{
--- a/src/bin/wasabirouter/flags.rs
+++ b/src/bin/wasabirouter/flags.rs
@@ -10,6 +10,13 @@
             /// The host's settings, a JSON file.
             required --settings path: PathBuf
         }
+        /// Runs a gateway on the users' platform until it gets SIGTERM.
+        cmd gateway {
+            /// The gateway's settings, a JSON file; by default the one that the platform names.
+            optional --settings path: PathBuf
+            /// Checks the settings, names every problem, and ends.
+            optional --check
+        }
         /// Checks settings and names every problem.
         cmd check {
             /// The host's settings, a JSON file.
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -3,13 +3,19 @@
 
 mod flags;
 
-use std::{fs, path::Path, process::ExitCode};
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use flags::{Wasabirouter, WasabirouterCmd};
+use flags::{Gateway, Wasabirouter, WasabirouterCmd};
+use wasabi_logs as logs;
 use wasabi_node::{
-    host, logs,
+    host,
     settings::{self, Settings},
 };
+use wasabi_platform::names;
 
 const EXIT_SETTINGS: u8 = 2;
 const EXIT_FAILED: u8 = 1;
@@ -18,6 +24,7 @@
     let flags = Wasabirouter::from_env_or_exit();
     match flags.subcommand {
         WasabirouterCmd::Run(run) => load(&run.settings).map_or_else(|code| code, start),
+        WasabirouterCmd::Gateway(gateway) => serve(gateway),
         WasabirouterCmd::Check(check) => match load(&check.settings) {
             Ok(_) => {
                 println!("the settings are valid");
@@ -28,11 +35,40 @@
     }
 }
 
-fn load(path: &Path) -> Result<Settings, ExitCode> {
-    let text = fs::read_to_string(path).map_err(|e| {
+fn serve(flags: Gateway) -> ExitCode {
+    let named = || env::var_os(names::SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = flags.settings.or_else(named) else {
+        eprintln!("no settings: give --settings or set {}", names::SETTINGS_VARIABLE);
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let text = match read(&path) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    let settings = match wasabi_gateway::settings::parse(&text) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            problems.iter().for_each(|problem| eprintln!("{problem}"));
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if flags.check {
+        println!("the settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    logs::start(settings.host.as_str());
+    ended(wasabi_gateway::run::run(path, settings))
+}
+
+fn read(path: &Path) -> Result<String, ExitCode> {
+    fs::read_to_string(path).map_err(|e| {
         eprintln!("{}: {e}", path.display());
         ExitCode::from(EXIT_SETTINGS)
-    })?;
+    })
+}
+
+fn load(path: &Path) -> Result<Settings, ExitCode> {
+    let text = read(path)?;
     settings::parse(&text).map_err(|problems| {
         problems.iter().for_each(|problem| eprintln!("{problem}"));
         ExitCode::from(EXIT_SETTINGS)
@@ -41,7 +77,11 @@
 
 fn start(settings: Settings) -> ExitCode {
     logs::start(settings.host.as_str());
-    match host::run(settings) {
+    ended(host::run(settings))
+}
+
+fn ended(run: anyhow::Result<()>) -> ExitCode {
+    match run {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e:#}");
