Stops wait for open connections; urgency by workspace, then route

Change: it takes no connection after the notice and ends when every caller's connection has closed. Change: the rank of the workspace decides, then that of the route. Found with it: most requests were taken for returning ones, since callers' deadlines differ by a sixth; the bound is now four fifths of the route's time.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -9,6 +9,7 @@
     errors::{Code, Error, Result},
     units::{PoolId, WorkspaceId},
 };
+use wasabi_policy::patience;
 
 use crate::{answer, site::Site};
 
@@ -31,6 +32,8 @@
     pub workspace: Option<WorkspaceId>,
     /// Its rank; 0 is the highest.
     pub rank: u8,
+    /// How urgent engines take it for; 0 is the most urgent.
+    pub urgency: u8,
     /// The key that it came with; checked again before each send.
     key: Option<String>,
 }
@@ -57,9 +60,11 @@
         }
     };
     let draw = rand::rng().random();
+    let rank = holder.as_ref().and_then(|holder| holder.rank);
     let permit = Permit {
         service: route.pick(draw).clone(),
-        rank: holder.as_ref().and_then(|holder| holder.rank).unwrap_or(route.rank),
+        rank: rank.unwrap_or(route.rank),
+        urgency: patience::urgency(rank, route.rank),
         workspace: holder.map(|holder| holder.workspace),
         key: head.key.clone().filter(|_| keyed),
         route,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,8 +39,6 @@
     pub deadline: Instant,
     /// The last event that the caller has, for a stream that goes on.
     pub last_event: Option<u64>,
-    /// 0 is the most urgent.
-    pub urgency: u8,
 }
 
 /// What became of a send.
@@ -124,7 +122,7 @@
         server: seat.place.member.id.clone(),
         time_left: left,
         workspace: permit.workspace.clone(),
-        urgency: outgoing.urgency,
+        urgency: permit.urgency,
         last_event: outgoing.last_event,
     };
     let mut request = Request::new(Full::new(outgoing.body.clone()));
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,12 +14,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use wasabi_platform::http;
 
-use crate::{relay, site::Site};
+use crate::{
+    relay,
+    site::{Open, Site},
+};
 
 /// Between two tries to bind a port that is still taken by the life before.
 const BIND_PAUSE: Duration = Duration::from_millis(100);
 /// After a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a stopping host still takes connections: the balancer asks once a second and needs two
+/// misses; callers that were on their way still arrive.
+pub const STOP_NOTICE: Duration = Duration::from_millis(3_200);
 /// How long a stopping host keeps idle connections, for the balancer to notice that it stops.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_500);
 /// How often a connection looks whether the host stops.
@@ -60,13 +66,28 @@
     }
 }
 
-/// Serves callers until the process ends.
+/// Serves callers; a stopping host takes no new connections once the balancer has noticed.
 pub async fn run(site: Rc<Site>, listener: TcpListener) {
     info!("callers are served");
-    accept(listener, |stream| caller(site.clone(), stream)).await;
+    tokio::select! {
+        () = accept(listener, |stream| caller(site.clone(), stream)) => {}
+        () = stopped(&site, STOP_NOTICE) => {}
+    }
+}
+
+/// Waits until the host has been stopping for `time`.
+async fn stopped(site: &Site, time: Duration) {
+    loop {
+        let since = site.stopping.get();
+        if since.is_some_and(|at| site.now().saturating_duration_since(at) >= time) {
+            return;
+        }
+        tokio::time::sleep(STOP_POLL).await;
+    }
 }
 
 async fn caller(site: Rc<Site>, stream: TcpStream) {
+    let _open = Open::connection(&site);
     if http::prepare(&stream).is_err() {
         // The caller has gone already.
         return;
@@ -93,19 +114,9 @@
         .max_buf_size(limits.max_head.0 as usize + BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let stopped = async {
-        loop {
-            tokio::time::sleep(STOP_POLL).await;
-            let since = site.stopping.get();
-            if since.is_some_and(|at| site.now().saturating_duration_since(at) >= CLOSE_IDLE_AFTER)
-            {
-                return;
-            }
-        }
-    };
     tokio::select! {
         ended = connection.as_mut() => return note(ended),
-        () = stopped => connection.as_mut().graceful_shutdown(),
+        () = stopped(&site, CLOSE_IDLE_AFTER) => connection.as_mut().graceful_shutdown(),
     }
     note(connection.await);
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,7 +28,7 @@
     admit::{self, Permit},
     answer::{self, Out},
     attempt::{self, Answer, Outcome, Outgoing},
-    site::{Seat, Site},
+    site::{Open, Seat, Site},
     stream,
 };
 
@@ -53,8 +53,6 @@
     pub permit: Permit,
     /// When the caller or the route gives up.
     pub deadline: Instant,
-    /// How urgent engines take it for.
-    pub urgency: u8,
     /// The longest wait for a first event or an answer that is worth taking.
     pub patience: Duration,
 }
@@ -64,8 +62,7 @@
     let arrived = site.now();
     let (parts, body) = request.into_parts();
     let head = head::decode(&parts.headers);
-    site.running.set(site.running.get() + 1);
-    let _running = Running(site.clone());
+    let _open = Open::request(&site);
     let answer = match receive(&site, arrived, parts, head, body).await {
         Ok(inbound) => run(&site, Rc::new(inbound)).await,
         Err((id, error)) => {
@@ -76,14 +73,6 @@
     answer.unwrap_or_else(|error| answer::error(&error))
 }
 
-struct Running(Rc<Site>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
-
 /// Admits a request and reads its body.
 async fn receive(
     site: &Rc<Site>,
@@ -112,8 +101,7 @@
     };
     let returning = head.patience.is_some_and(|patience| patience::is_returning(patience, timeout));
     let patience = patience::limit(&permit.route, time, returning);
-    let urgency = patience::urgency(permit.rank, returning);
-    Ok(Inbound { parts, head, body, arrived, permit, deadline, urgency, patience })
+    Ok(Inbound { parts, head, body, arrived, permit, deadline, patience })
 }
 
 /// Places and sends a request until it is answered or given up.
@@ -205,6 +193,7 @@
                 expected_ms = place.expected.as_millis() as u64,
                 work_ms = place.work_ms as u64,
                 patience_ms = patience.as_millis() as u64,
+                rank = permit.rank, urgency = permit.urgency,
                 version = permit.catalog.version.0,
                 after = tries.cause, resumed_after = last_event.unwrap_or(0); "placed");
             Ok(Seat::new(site.clone(), permit.service.clone(), place))
@@ -326,7 +315,6 @@
             permit: &self.permit,
             deadline: self.deadline,
             last_event: last_event.or(self.head.last_event),
-            urgency: self.urgency,
         }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,9 +29,6 @@
 
 /// How often the settings file is looked at, since it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
-/// How long a stopping host still takes connections: the balancer asks once a second and needs two
-/// misses; callers that were on their way still arrive.
-const STOP_NOTICE: Duration = Duration::from_millis(3_200);
 /// How long before the end of its time a stopping host ends whatever still runs.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// How often a stopping host looks whether its requests have ended.
@@ -122,7 +119,9 @@
     let end = begun + limit.saturating_sub(STOP_MARGIN);
     info!(running = site.running.get(); "stopping");
     let passed = |since: Instant| site.now().saturating_duration_since(since);
-    while passed(begun) < STOP_NOTICE || site.running.get() > 0 {
+    // Callers' connections close when their requests have ended.
+    let busy = || site.running.get() > 0 || site.connections.get() > 0;
+    while passed(begun) < front::STOP_NOTICE + STOP_TICK * 5 || busy() {
         if site.now() >= end {
             warn!(cut = site.running.get(); "the time to stop is over; requests are cut");
             break;
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -65,6 +65,8 @@
     pub pool: Pool,
     /// Requests that have not ended.
     pub running: Cell<usize>,
+    /// Callers' connections that are open.
+    pub connections: Cell<usize>,
     /// Set by SIGTERM.
     pub stopping: Cell<Option<Instant>>,
 }
@@ -95,6 +97,7 @@
             lease: RefCell::new(Lease::new(host, incarnation, times)),
             pool: Pool::default(),
             running: Cell::new(0),
+            connections: Cell::new(0),
             stopping: Cell::new(None),
             settings: RefCell::new(settings),
             clock,
@@ -212,6 +215,35 @@
     }
 }
 
+/// Counts something that is open until it is dropped.
+pub struct Open {
+    site: Rc<Site>,
+    counter: fn(&Site) -> &Cell<usize>,
+}
+
+impl Open {
+    /// Counts a request.
+    pub fn request(site: &Rc<Site>) -> Self {
+        Self::new(site, |site| &site.running)
+    }
+
+    /// Counts a caller's connection.
+    pub fn connection(site: &Rc<Site>) -> Self {
+        Self::new(site, |site| &site.connections)
+    }
+
+    fn new(site: &Rc<Site>, counter: fn(&Site) -> &Cell<usize>) -> Self {
+        counter(site).update(|open| open + 1);
+        Self { site: site.clone(), counter }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        (self.counter)(&self.site).update(|open| open - 1);
+    }
+}
+
 /// A place on a server that is given back when it is dropped.
 pub struct Seat {
     site: Rc<Site>,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,7 @@
     attempt::{self, Answer, Outcome},
     events::Splitter,
     relay::{self, Inbound, Tries},
-    site::{Seat, Site},
+    site::{Open, Seat, Site},
 };
 
 /// Begins to pass a stream on and returns its answer.
@@ -29,7 +29,7 @@
     let mut response = Response::new(out);
     *response.status_mut() = answer.response.status();
     *response.headers_mut() = attempt::stream_headers(answer.response.headers());
-    site.running.set(site.running.get() + 1);
+    let open = Open::request(site);
     let pump = Pump {
         site: site.clone(),
         inbound,
@@ -39,9 +39,8 @@
         began: false,
     };
     tokio::task::spawn_local(async move {
-        let site = pump.site.clone();
+        let _open = open;
         pump.run(seat, answer).await;
-        site.running.set(site.running.get() - 1);
     });
     response
 }
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -13,16 +13,17 @@
 const TARGET_SHARE: f64 = 0.85;
 /// The part of its remaining time that a request that came back may wait.
 const RETURNING_SHARE: f64 = 0.4;
-/// A caller that has less than this part of the route's time left has been here before.
-const FRESH_SHARE: f64 = 0.97;
+/// A caller that has less than this part of the route's time left has been here before: one that
+/// was refused waits before it returns, and the deadlines of fresh callers differ by a sixth.
+const FRESH_SHARE: f64 = 0.8;
 /// Plain requests may wait this part of their time.
 const PLAIN_SHARE: f64 = 0.9;
 /// The shortest pause that is asked for.
 const LEAST_PAUSE: Duration = Duration::from_millis(300);
 /// Callers honour pauses up to this part of the time that they have left.
 const HONOURED_SHARE: f64 = 0.33;
-/// Urgency has ten levels; each rank takes two, of which returning requests get the second.
-const LEVELS_PER_RANK: u8 = 2;
+/// Urgency has ten levels: the workspace's rank decides, then the route's among three.
+const ROUTE_LEVELS: u8 = 3;
 const LEAST_URGENT: u8 = 9;
 
 /// Returns whether a caller that still waits `patience` has been refused before.
@@ -41,9 +42,13 @@
     }
 }
 
-/// Returns the urgency that engines get: by rank, and fresh requests before returning ones.
-pub fn urgency(rank: u8, returning: bool) -> u8 {
-    (rank.saturating_mul(LEVELS_PER_RANK) + u8::from(returning)).min(LEAST_URGENT)
+/// Returns the urgency that engines get: the workspace's rank goes before the route's.
+///
+/// Engines preempt by it, so requests of one rank must share it whatever else differs.
+pub fn urgency(workspace: Option<u8>, route: u8) -> u8 {
+    let within = route.min(ROUTE_LEVELS - 1);
+    let level = workspace.unwrap_or(route).saturating_mul(ROUTE_LEVELS);
+    level.saturating_add(within).min(LEAST_URGENT)
 }
 
 /// Returns when a request that was refused for its expected wait may come back.
