Reclaimable servers carry the load; one lasting server stays where it costs least

Change: the holder of the duties orders two thirds of a domain's most servers as reclaimable ones, and lets the others go once those serve.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,6 +1,93 @@
 //! Orders of backend servers.
 
-use crate::site::Site;
+use std::{collections::BTreeMap, time::Duration};
+
+use log::{info, warn};
+use wasabi_core::{
+    objects::{Demand, Verdict},
+    units::{Epoch, PoolId},
+};
+use wasabi_policy::capacity::Planner;
+
+use crate::{duty, follow::timely, site::Site};
+
+/// How often the plans are looked at.
+const TICK: Duration = Duration::from_millis(400);
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// After an order that got no answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(800);
 
 /// Orders servers while this host holds the duties.
-pub async fn run(_site: &Site) {}
+pub async fn run(site: &Site) {
+    if site.duties.is_none() {
+        return;
+    }
+    let mut planners: BTreeMap<PoolId, Planner> = BTreeMap::new();
+    let mut fence: Option<Epoch> = None;
+    loop {
+        tokio::time::sleep(TICK).await;
+        let held = duty::authority(site).map(|authority| authority.fence);
+        if held != fence {
+            // What another holder ordered meanwhile is not known.
+            planners.clear();
+            fence = held;
+        }
+        if held.is_none() {
+            continue;
+        }
+        for (service, demands) in plans(site, &mut planners) {
+            for demand in demands {
+                let Some(planner) = planners.get_mut(&service) else { continue };
+                if !order(site, planner, &demand).await {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+fn plans(site: &Site, planners: &mut BTreeMap<PoolId, Planner>) -> Vec<(PoolId, Vec<Demand>)> {
+    let Some((catalog, _)) = site.config() else { return Vec::new() };
+    let members = site.members.borrow().get();
+    let now = site.now();
+    let mut plans = Vec::new();
+    for (name, service) in &catalog.services {
+        let Some(scaling) = &service.scaling else { continue };
+        let Ok(name) = name.parse::<PoolId>() else { continue };
+        let own: Vec<_> = members.iter().filter(|m| m.service == name).cloned().collect();
+        let planner = planners.entry(name.clone()).or_default();
+        let demands = planner.plan(now, &name, scaling, &own);
+        plans.push((name, demands));
+    }
+    plans
+}
+
+/// Gives an order; returns whether it was answered.
+async fn order(site: &Site, planner: &mut Planner, demand: &Demand) -> bool {
+    let (Some(duties), Some(authority)) = (&site.duties, duty::authority(site)) else {
+        return false;
+    };
+    let verdict = timely(duties.order(&authority, demand), CALL_TIMEOUT).await;
+    let now = site.now();
+    match verdict {
+        Ok(verdict) => {
+            info!(service = demand.service.as_str(), domain = demand.domain.as_str(),
+                count = demand.count, cheap = demand.cheap, fence = authority.fence.0,
+                verdict:? = verdict; "servers ordered");
+            match verdict {
+                Verdict::Taken => planner.taken(now, demand),
+                // A lost lease shows at its next renewal; here it means that none are to be had.
+                Verdict::Refused => planner.refused(now, demand),
+                Verdict::Busy => return false,
+            }
+            true
+        }
+        Err(e) => {
+            let cause = e.to_string();
+            warn!(service = demand.service.as_str(), domain = demand.domain.as_str(),
+                cause = cause.as_str(); "order not answered");
+            false
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod board;
 pub mod budget;
 pub mod cache;
+pub mod capacity;
 pub mod desk;
 pub mod estimate;
 pub mod limits;
