Virtual prefill queues by urgency; polls of the store rest on what peers claim

Change: each engine has a virtual queue for each level of urgency. Cause (calls to the store, 45 a second): a proof's strict bound is some hundred milliseconds older than the read it came from, so several hosts read for each. Change: reads rest on peers' claims.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -21,11 +21,13 @@
 /// How often the age of the proofs is looked at.
 const TICK: Duration = Duration::from_millis(40);
 /// A proof is renewed at this age at the earliest.
-const RENEW_AFTER: Duration = Duration::from_millis(350);
+const RENEW_AFTER: Duration = Duration::from_millis(500);
 /// The spread of the hosts' thresholds, for each host of the fleet.
 const SPREAD_PER_HOST: Duration = Duration::from_millis(60);
 /// The greatest spread; with it a change still arrives well within its time.
 const MAX_SPREAD: Duration = Duration::from_millis(600);
+/// A host reads for itself when its own proof is this old, whatever its peers claim.
+const MAX_REST: Duration = Duration::from_millis(1_200);
 /// How long a read of the store may take; a slow store answers within some hundred milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// After a failed read.
@@ -60,7 +62,7 @@
     let mut reachable = true;
     let mut threshold = draw(&site);
     loop {
-        let due = topic.age(&site).is_none_or(|age| age >= threshold) || topic.is_behind(&site);
+        let due = topic.rest(&site).is_none_or(|age| age >= threshold) || topic.is_behind(&site);
         if !due {
             if topic == Topic::Members {
                 site.expire_members();
@@ -90,6 +92,29 @@
         }
     }
 
+    /// Returns the age of the youngest proof that this host or a peer claims for the same state.
+    ///
+    /// A peer's claim is good enough to rest on; what proves anything is the bound that the echo
+    /// of announcements gives, which `age` counts from.
+    fn rest(self, site: &Site) -> Option<Duration> {
+        let own = self.age(site)?;
+        let now = site.now();
+        let peers = site.peers.borrow();
+        let claims = peers.live(now).filter_map(|(_, peer)| match self {
+            Self::Catalog => {
+                let version = site.catalog.borrow().version();
+                peer.catalog.filter(|(theirs, _)| Some(*theirs) == version).map(|(_, at)| at)
+            }
+            Self::Members => {
+                let digest = site.members.borrow().proof(now).map(|(digest, _)| digest);
+                peer.members.filter(|(theirs, _)| Some(*theirs) == digest).map(|(_, at)| at)
+            }
+        });
+        let claimed = claims.map(|at| now.saturating_duration_since(at)).min();
+        // Claims without a bound, such as from a peer that does not hear this host, are not enough.
+        if own >= MAX_REST { Some(own) } else { Some(claimed.map_or(own, |age| age.min(own))) }
+    }
+
     /// Returns whether a peer has seen a change that this host has not.
     fn is_behind(self, site: &Site) -> bool {
         let now = site.now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,7 +178,12 @@
         0 => inbound.patience,
         _ => inbound.deadline.saturating_duration_since(now),
     };
-    let ask = Ask { prompt: inbound.head.prompt.as_ref(), patience, avoid: &tries.avoid };
+    let ask = Ask {
+        prompt: inbound.head.prompt.as_ref(),
+        patience,
+        urgency: permit.urgency,
+        avoid: &tries.avoid,
+    };
     let mut boards = site.boards.borrow_mut();
     let Some(board) = boards.get_mut(&permit.service) else {
         return Err(unavailable("no servers are known"));
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -39,6 +39,8 @@
 const SPEED_WEIGHT: f64 = 0.1;
 /// Share of an observed delay that is put on the virtual queue.
 const DELAY_WEIGHT: f64 = 0.5;
+/// The most that one observation adds, in milliseconds.
+const MAX_DELAY_MS: f64 = 200.0;
 /// The time over which the share of time that an engine spends on prefill is averaged.
 const DUTY_MEMORY: Duration = Duration::from_millis(1_000);
 /// A request whose prefill takes less is light, in milliseconds: it is interactive.
@@ -61,6 +63,11 @@
 const MEMORY_SHARE: f64 = 0.92;
 /// How many requests may wait at a plain server for each one that it runs.
 const WAITING_PER_SLOT: u32 = 3;
+/// Levels of urgency.
+const LEVELS: usize = 10;
+/// A more urgent request waits for the prompt that is being read, in milliseconds at most: about
+/// two chunks beside the tokens of other requests, as measured.
+const PROMPT_AHEAD_MS: f64 = 130.0;
 /// What peers announced is forgotten after this time without news.
 const PEER_MEMORY: Duration = Duration::from_millis(1_500);
 
@@ -73,8 +80,8 @@
     pub light: u32,
     /// Tokens of prompts and answers that they hold.
     pub tokens: u64,
-    /// Prefill time in milliseconds that was placed there since the last announcement.
-    pub added_ms: f64,
+    /// Prefill time in milliseconds that was placed there since the last announcement, by urgency.
+    pub added_ms: BTreeMap<u8, f64>,
     /// The shared parts of prompts that were placed there since the last announcement.
     pub parts: Vec<(u64, u32)>,
 }
@@ -86,6 +93,8 @@
     pub prompt: Option<&'a Prompt>,
     /// The longest wait for the first event or the answer that is worth taking.
     pub patience: Duration,
+    /// How urgent engines take it for; 0 is the most urgent.
+    pub urgency: u8,
     /// Servers that have failed this request.
     pub avoid: &'a [ServerId],
 }
@@ -101,6 +110,8 @@
     pub expected: Duration,
     /// The expected prefill time in milliseconds.
     pub work_ms: f64,
+    /// How urgent the engine takes it for.
+    pub urgency: u8,
     /// Whether it is a light stream.
     pub light: bool,
     /// Tokens that it holds in the engine's memory.
@@ -143,8 +154,9 @@
     member: Member,
     /// How much slower it reads prompts than the sheet says.
     slowness: f64,
-    /// When its virtual prefill queue is empty.
-    free_at: Instant,
+    /// By urgency: when its virtual prefill queue has no work left that goes before such a request.
+    /// Never later for a more urgent level.
+    free_at: [Instant; LEVELS],
     /// Prefill milliseconds of the last `DUTY_MEMORY`, decayed up to `duty_at`.
     duty_ms: f64,
     duty_at: Instant,
@@ -241,8 +253,7 @@
         let expected = place.expected.as_secs_f64() * 1e3;
         let late_ms = observed - expected;
         if late_ms > 0.0 {
-            let delay = Duration::from_secs_f64(late_ms * DELAY_WEIGHT / 1e3);
-            server.free_at = server.free_at.max(now) + delay.min(Duration::from_millis(200));
+            server.delay(now, place.urgency, (late_ms * DELAY_WEIGHT).min(MAX_DELAY_MS));
         }
         let ratio = (observed / expected.max(1.0)).clamp(0.5, 2.0);
         server.slowness = (server.slowness * (1.0 + SPEED_WEIGHT * (ratio - 1.0)))
@@ -267,9 +278,9 @@
     pub fn report(&mut self, now: Instant, place: &Place, load: Load) {
         let Some(server) = self.of(place) else { return };
         // Requests that wait mean that the virtual queue was too short.
-        let known = server.free_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+        let known = server.wait_ms(now, LEVELS - 1);
         if load.waiting > 0 && known < place.work_ms {
-            server.free_at = now + Duration::from_secs_f64(place.work_ms / 1e3);
+            server.delay(now, place.urgency, place.work_ms - known);
         }
     }
 
@@ -280,7 +291,7 @@
             if server.own != Share::default() {
                 shares.push((id.clone(), server.own.clone()));
             }
-            server.own.added_ms = 0.0;
+            server.own.added_ms.clear();
             server.own.parts.clear();
         }
         shares
@@ -293,7 +304,9 @@
         }
         for (id, share) in shares {
             let Some(server) = self.servers.get_mut(id) else { continue };
-            server.add_work(now, share.added_ms);
+            for (urgency, ms) in &share.added_ms {
+                server.add_work(now, *urgency, *ms);
+            }
             for (part, tokens) in &share.parts {
                 server.cache.touch(now, *part, *tokens);
             }
@@ -304,13 +317,12 @@
     /// Returns each server with its running requests and expected prefill queue, for the dump.
     pub fn view(&self, now: Instant) -> Vec<(ServerId, u32, u64, f64, f64)> {
         let row = |(id, server): (&ServerId, &Server)| {
-            let queue = server.free_at.saturating_duration_since(now);
             let all = server.all();
             (
                 id.clone(),
                 all.running,
                 all.tokens,
-                queue.as_secs_f64() * 1e3,
+                server.wait_ms(now, LEVELS - 1),
                 server.trouble.weight(now),
             )
         };
@@ -348,7 +360,7 @@
         Self {
             member,
             slowness: 1.0,
-            free_at: now,
+            free_at: [now; LEVELS],
             duty_ms: 0.0,
             duty_at: now,
             own: Share::default(),
@@ -370,7 +382,8 @@
             + (fresh / CHUNK_TOKENS).ceil() * step_ms
             + pairs * PAIRS_MS_PER_MILLION)
             * self.slowness;
-        let wait_ms = self.free_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+        let behind_ms = self.wait_ms(now, usize::from(ask.urgency));
+        let wait_ms = behind_ms.max(self.wait_ms(now, LEVELS - 1).min(PROMPT_AHEAD_MS));
         let light = work_ms < LIGHT_WORK_MS;
         let duty = self.duty(now);
         let crowded = (duty - CALM_DUTY).max(0.0);
@@ -409,8 +422,8 @@
         self.own.running += 1;
         self.own.light += u32::from(quote.light);
         self.own.tokens += tokens;
-        self.own.added_ms += quote.work_ms;
-        self.add_work(now, quote.work_ms);
+        *self.own.added_ms.entry(ask.urgency).or_default() += quote.work_ms;
+        self.add_work(now, ask.urgency, quote.work_ms);
         if let Some(prompt) = ask.prompt {
             for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
                 self.cache.touch(now, part.id, part.tokens);
@@ -422,17 +435,31 @@
             since: now,
             expected: Duration::from_secs_f64(quote.first_ms / 1e3),
             work_ms: quote.work_ms,
+            urgency: ask.urgency,
             light: quote.light,
             tokens,
         }
     }
 
-    fn add_work(&mut self, now: Instant, ms: f64) {
-        self.free_at = self.free_at.max(now) + Duration::from_secs_f64(ms.max(0.0) / 1e3);
+    fn add_work(&mut self, now: Instant, urgency: u8, ms: f64) {
+        self.delay(now, urgency, ms.max(0.0));
         self.duty_ms = self.duty(now) * DUTY_MEMORY.as_secs_f64() * 1e3 + ms;
         self.duty_at = now;
     }
 
+    /// Lengthens the virtual queue for requests of this urgency and less urgent ones.
+    fn delay(&mut self, now: Instant, urgency: u8, ms: f64) {
+        for free_at in &mut self.free_at[usize::from(urgency).min(LEVELS - 1)..] {
+            *free_at = (*free_at).max(now) + Duration::from_secs_f64(ms / 1e3);
+        }
+    }
+
+    /// Returns how long the work takes that goes before a request of this urgency.
+    fn wait_ms(&self, now: Instant, urgency: usize) -> f64 {
+        let free_at = self.free_at[urgency.min(LEVELS - 1)];
+        free_at.saturating_duration_since(now).as_secs_f64() * 1e3
+    }
+
     /// Returns the share of time spent on prefill lately; above 1 if work piles up.
     fn duty(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.duty_at).as_secs_f64();
