--- a/crates/belief/src/beat.rs
+++ b/crates/belief/src/beat.rs
@@ -27,8 +27,8 @@
         pub members: Option<(u64, u64)>,
         /// The fencing number, if the host holds the duties.
         pub fence: Option<Epoch>,
-        /// What the host runs on each server, by service.
-        pub shares: Vec<(PoolId, Vec<(ServerId, Share)>)>,
+        /// What the host runs on each server, by service; none if this announcement leaves it out.
+        pub shares: Option<Vec<(PoolId, Vec<(ServerId, Share)>)>>,
         /// Requests that began to run in recent windows, as counted by this life of the host;
         /// sent with some announcements only.
         pub counts: Vec<(Window, BTreeMap<WorkspaceId, u64>)>,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,7 +27,7 @@
 /// The greatest spread; with it a change still arrives well within its time.
 const MAX_SPREAD: Duration = Duration::from_millis(600);
 /// A host reads for itself when its own proof is this old, whatever its peers claim.
-const MAX_REST: Duration = Duration::from_millis(1_200);
+const MAX_REST: Duration = Duration::from_millis(1_600);
 /// How long a read of the store may take; a slow store answers within some hundred milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// After a failed read.
@@ -76,6 +76,10 @@
             reachable = read.is_ok();
             log_store(topic, &read);
         }
+        if read.is_ok() && topic.age(&site).is_none() {
+            // The store has no configuration yet.
+            tokio::time::sleep(RENEW_AFTER / 2).await;
+        }
         if read.is_err() {
             metrics::counter!("wasabi_store_failures_total").increment(1);
             let draw: f64 = rand::rng().random();
@@ -147,6 +151,7 @@
                 site.offer_members(members, sent, "store");
             }
         }
+        site.proven.notify_one();
         let took = site.now().saturating_duration_since(sent);
         metrics::histogram!("wasabi_store_read_seconds").record(took.as_secs_f64());
         Ok(())
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -60,14 +60,26 @@
 async fn send(site: &Site, socket: &UdpSocket, echoes: &RefCell<Echoes>) {
     let mut counted: Option<Instant> = None;
     let mut quiet_since: Option<Instant> = None;
+    let mut due: Option<Instant> = None;
     loop {
         let hosts = site.hosts().max(1);
-        tokio::time::sleep(PERIOD.mul_f64((hosts as f64 / SMALL_FLEET as f64).max(1.0))).await;
+        let period = PERIOD.mul_f64((hosts as f64 / SMALL_FLEET as f64).max(1.0));
+        let next = *due.get_or_insert(site.now() + period);
+        tokio::select! {
+            () = tokio::time::sleep(next.saturating_duration_since(site.now())) => {}
+            // Peers rest on a fresh proof, so they hear of it at once.
+            () = site.proven.notified() => {
+                let bare = beat(site, false, false);
+                spread(site, socket, echoes, &bare).await;
+                continue;
+            }
+        }
+        due = None;
         let now = site.now();
         let with_counts =
             counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
-        let beat = beat(site, with_counts);
-        let empty = beat.shares.is_empty() && !with_counts;
+        let beat = beat(site, true, with_counts);
+        let empty = beat.shares.as_ref().is_none_or(Vec::is_empty) && !with_counts;
         let rested = quiet_since.is_none_or(|at| now.saturating_duration_since(at) >= QUIET_PERIOD);
         if empty && !rested {
             continue;
@@ -76,32 +88,45 @@
         if with_counts {
             counted = Some(now);
         }
-        let Ok(bytes) = serde_json::to_vec(&beat) else { continue };
-        let peers: Vec<SocketAddr> =
-            site.peers.borrow().all().map(|(_, peer)| peer.address).collect();
-        let number = echoes.borrow_mut().number(now);
-        for peer in peers {
-            let echo = echoes.borrow().heard.get(&peer).copied().unwrap_or(0);
-            let mut datagram = Vec::with_capacity(HEADER_BYTES + bytes.len());
-            datagram.extend_from_slice(&number.to_be_bytes());
-            datagram.extend_from_slice(&echo.to_be_bytes());
-            datagram.extend_from_slice(&bytes);
-            if socket.send_to(&datagram, peer).await.is_err() {
-                metrics::counter!("wasabi_gossip_failures_total").increment(1);
-            }
+        spread(site, socket, echoes, &beat).await;
+    }
+}
+
+/// Sends an announcement to every known peer.
+async fn spread(site: &Site, socket: &UdpSocket, echoes: &RefCell<Echoes>, beat: &Beat) {
+    let bytes = match serde_json::to_vec(beat) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            let cause = e.to_string();
+            warn!(cause = cause.as_str(); "announcement has no JSON form");
+            return;
+        }
+    };
+    let peers: Vec<SocketAddr> = site.peers.borrow().all().map(|(_, peer)| peer.address).collect();
+    let number = echoes.borrow_mut().number(site.now());
+    for peer in peers {
+        let echo = echoes.borrow().heard.get(&peer).copied().unwrap_or(0);
+        let mut datagram = Vec::with_capacity(HEADER_BYTES + bytes.len());
+        datagram.extend_from_slice(&number.to_be_bytes());
+        datagram.extend_from_slice(&echo.to_be_bytes());
+        datagram.extend_from_slice(&bytes);
+        if socket.send_to(&datagram, peer).await.is_err() {
+            metrics::counter!("wasabi_gossip_failures_total").increment(1);
         }
     }
 }
 
-fn beat(site: &Site, with_counts: bool) -> Beat {
+fn beat(site: &Site, with_shares: bool, with_counts: bool) -> Beat {
     let now = site.now();
     let settings = site.settings.borrow();
     let catalog = site.catalog.borrow();
     let catalog = catalog.version().zip(catalog.age(now));
     let members = site.members.borrow().proof(now);
     let mut boards = site.boards.borrow_mut();
-    let shares = boards.iter_mut().map(|(service, board)| (service.clone(), board.announce()));
-    let shares = shares.filter(|(_, shares)| !shares.is_empty()).collect();
+    let shares = with_shares.then(|| {
+        let shares = boards.iter_mut().map(|(service, board)| (service.clone(), board.announce()));
+        shares.filter(|(_, shares)| !shares.is_empty()).collect()
+    });
     let counts = match with_counts {
         true => site.counts.borrow().own(&site.incarnation, COUNT_WINDOWS),
         false => Vec::new(),
@@ -183,10 +208,11 @@
             site.members.borrow_mut().confirm(digest, ago(age));
         }
     }
-    let mut boards = site.boards.borrow_mut();
-    for (service, board) in boards.iter_mut() {
-        let shares = beat.shares.iter().find(|(name, _)| name == service);
-        board.merge(now, &beat.host, shares.map_or(&[], |(_, shares)| shares.as_slice()));
+    if let Some(shares) = &beat.shares {
+        for (service, board) in site.boards.borrow_mut().iter_mut() {
+            let shares = shares.iter().find(|(name, _)| name == service);
+            board.merge(now, &beat.host, shares.map_or(&[], |(_, shares)| shares.as_slice()));
+        }
     }
     for (window, counts) in &beat.counts {
         site.counts.borrow_mut().merge(*window, &beat.incarnation, counts);
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -9,6 +9,7 @@
 };
 
 use log::info;
+use tokio::sync::Notify;
 use wasabi_belief::{
     catalog, counts,
     lease::{self, Lease},
@@ -63,6 +64,8 @@
     pub lease: RefCell<Lease>,
     /// Connections to backend servers.
     pub pool: Pool,
+    /// Told when the store has confirmed a belief.
+    pub proven: Notify,
     /// Requests that have not ended.
     pub running: Cell<usize>,
     /// Callers' connections that are open.
@@ -96,6 +99,7 @@
             counts: RefCell::default(),
             lease: RefCell::new(Lease::new(host, incarnation, times)),
             pool: Pool::default(),
+            proven: Notify::new(),
             running: Cell::new(0),
             connections: Cell::new(0),
             stopping: Cell::new(None),
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,385 @@
+//! The gateway as a real process between real callers and stand-ins of the platform.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use wasabi_stand::{
+    caller::{self, Request},
+    gateway::{self, wait},
+    proxy::{Harm, Proxy},
+    rig::Rig,
+    server::Act,
+    store::Fault,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+
+fn ran(rig: &Rig, id: &str) -> usize {
+    let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+    arrivals.filter(|arrival| arrival.id == id && arrival.ran).count()
+}
+
+fn events(body: &str) -> Vec<u64> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+#[test]
+fn a_calm_day_is_served() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    let read = Request::new("GET", "/read/x", "a1").send(to)?;
+    assert_eq!((read.status, read.complete), (200, true));
+    assert!(read.headers.contains_key("response-signature"));
+    let write = Request::new("POST", "/write/x", "a2").send(to)?;
+    assert!(write.body.ends_with("to a2"), "{}", write.body);
+    let chat = Request::new("POST", "/chat/x", "a3").send(to)?;
+    assert!(chat.complete);
+    assert_eq!(events(&chat.body), (1..=10).collect::<Vec<_>>());
+    Ok(())
+}
+
+#[test]
+fn servers_see_the_workspace_and_never_the_key() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let mut request = Request::new("GET", "/read/x", "b1");
+    request.headers.push(("tenant".to_string(), "w2".to_string()));
+    request.headers.push(("kv-from".to_string(), "10.0.0.1:1/x".to_string()));
+    request.headers.push(("expect-instance".to_string(), "other".to_string()));
+    assert_eq!(request.send(gateway.ports.callers)?.status, 200);
+    let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+    let arrival = arrivals.last().expect("it arrived");
+    assert_eq!(arrival.headers["tenant"], "w1");
+    assert!(!arrival.headers.contains_key("authorization"));
+    assert!(!arrival.headers.contains_key("kv-from"));
+    assert!(arrival.headers["deadline-ms"].to_str()?.parse::<u64>()? <= 8_000);
+    Ok(())
+}
+
+#[test]
+fn unknown_routes_and_keys_are_denied() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    assert_eq!(Request::new("GET", "/nowhere/x", "c1").send(to)?.status, 404);
+    let mut request = Request::new("GET", "/read/x", "c2");
+    request.key = Some("stolen".to_string());
+    assert_eq!(request.send(to)?.status, 401);
+    request.key = None;
+    assert_eq!(request.send(to)?.status, 401);
+    assert_eq!(ran(&rig, "c2"), 0);
+    Ok(())
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_runs_once_and_is_not_called_unrun() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    for (id, act) in [("d1", Act::LoseAnswer), ("d2", Act::Cross), ("d3", Act::Unsigned)] {
+        rig.server("p1").plan(act);
+        rig.server("p2").plan(act);
+        let answer = Request::new("POST", "/write/x", id).send(gateway.ports.callers)?;
+        assert!(matches!(answer.status, 502 | 504), "{id}: {}", answer.status);
+        assert_eq!(ran(&rig, id), 1, "{id}");
+        rig.server("p1").plan(Act::Serve);
+        for server in ["p1", "p2"] {
+            // Takes the act that was not used.
+            while Request::new("GET", "/read/x", "drain").send(gateway.ports.callers)?.status != 200
+            {
+                assert!(rig.server(server).arrivals().len() < 50);
+            }
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_write_that_was_turned_away_runs_elsewhere() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.server("p1").always(Some(Act::TurnAway));
+    for i in 0..4 {
+        let id = format!("e{i}");
+        let answer = Request::new("POST", "/write/x", &id).send(gateway.ports.callers)?;
+        assert_eq!(answer.status, 200);
+        assert_eq!(ran(&rig, &id), 1);
+    }
+    rig.server("p2").always(Some(Act::TurnAway));
+    let answer = Request::new("POST", "/write/x", "e9").send(gateway.ports.callers)?;
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(ran(&rig, "e9"), 0);
+    Ok(())
+}
+
+#[test]
+fn a_read_that_fails_is_tried_elsewhere_and_a_failure_is_passed_on() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    rig.server("p1").always(Some(Act::Fail));
+    for i in 0..3 {
+        assert_eq!(Request::new("GET", "/read/x", &format!("f{i}")).send(to)?.status, 200);
+    }
+    rig.server("p2").always(Some(Act::Fail));
+    let failed = Request::new("GET", "/read/x", "f9").send(to)?;
+    assert_eq!(failed.status, 500);
+    assert!(failed.headers.contains_key("response-signature"));
+    Ok(())
+}
+
+#[test]
+fn a_broken_stream_goes_on_elsewhere_without_gap_or_repeat() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.server("e1").plan(Act::BreakAfter(4));
+    rig.server("e2").plan(Act::BreakAfter(4));
+    let answer = Request::new("POST", "/chat/x", "h1").send(gateway.ports.callers)?;
+    // Both servers break off, so the route's two attempts are spent.
+    assert!(!answer.complete);
+    assert_eq!(events(&answer.body), (1..=8).collect::<Vec<_>>());
+    rig.server("e1").always(Some(Act::BreakAfter(6)));
+    let mut whole = 0;
+    for i in 0..3 {
+        let answer = Request::new("POST", "/chat/x", &format!("h2{i}")).send(gateway.ports.callers)?;
+        assert_eq!(events(&answer.body), (1..=10).collect::<Vec<_>>());
+        whole += usize::from(answer.complete);
+    }
+    assert_eq!(whole, 3);
+    Ok(())
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_is_visibly_broken_off() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.server("e1").always(Some(Act::BreakAfter(3)));
+    rig.server("e2").always(Some(Act::BreakAfter(3)));
+    let answer = Request::new("POST", "/long/x", "i1").send(gateway.ports.callers)?;
+    assert!(!answer.complete);
+    assert_eq!(events(&answer.body), [1, 2, 3]);
+    assert_eq!(ran(&rig, "i1"), 1);
+    Ok(())
+}
+
+#[test]
+fn a_caller_that_leaves_frees_the_server() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    for (path, id) in [("/chat/x", "j1"), ("/write/x", "j2")] {
+        rig.servers.iter().for_each(|(server, _)| server.always(Some(Act::Hang)));
+        let stream = Request::new("POST", path, id).open(gateway.ports.callers)?;
+        wait("arrival", || ran(&rig, id) == 1)?;
+        drop(stream);
+        let gone = Instant::now();
+        wait("the end at the server", || {
+            let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+            arrivals.filter(|arrival| arrival.id == id).any(|arrival| arrival.left.is_some())
+        })?;
+        assert!(gone.elapsed() < Duration::from_millis(500), "{id}: {:?}", gone.elapsed());
+    }
+    Ok(())
+}
+
+#[test]
+fn the_end_of_the_time_is_answered_at_once() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.servers.iter().for_each(|(server, _)| server.always(Some(Act::Hang)));
+    let mut request = Request::new("POST", "/write/x", "k1");
+    request.deadline = Duration::from_millis(800);
+    let sent = Instant::now();
+    let answer = request.send(gateway.ports.callers)?;
+    assert_eq!(answer.status, 504);
+    assert!(sent.elapsed() < Duration::from_millis(1_200), "{:?}", sent.elapsed());
+    Ok(())
+}
+
+#[test]
+fn a_configuration_is_in_force_within_its_time_and_keys_end() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateways = [rig.gateway("g1")?, rig.gateway("g2")?];
+    rig.configure(5, |config| {
+        config["routes"][3]["path_prefix"] = "/fetch/".into();
+        config["tenants"][0]["api_keys"] = serde_json::json!(["k1b"]);
+    });
+    let written = Instant::now();
+    let within = Duration::from_millis(2_000);
+    for gateway in &gateways {
+        let mut request = Request::new("GET", "/fetch/x", "l1");
+        request.key = Some("k1b".to_string());
+        wait("the new route", || {
+            request.send(gateway.ports.callers).is_ok_and(|answer| answer.status == 200)
+        })?;
+        assert!(written.elapsed() < within, "{:?}", written.elapsed());
+        let old = Request::new("GET", "/fetch/x", "l2").send(gateway.ports.callers)?;
+        assert_eq!(old.status, 401);
+    }
+    Ok(())
+}
+
+#[test]
+fn without_a_fresh_proof_no_keyed_request_runs() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    rig.store.set_fault(Fault::Silent);
+    let away = Instant::now();
+    let send = |id: &str| Request::new("GET", "/read/x", id).send(to);
+    assert_eq!(send("m1")?.status, 200, "the store was proven a moment ago");
+    wait("refusals", || send("m2").is_ok_and(|answer| answer.status == 503))?;
+    assert!(away.elapsed() < Duration::from_millis(5_000), "{:?}", away.elapsed());
+    let refused = send("m3")?;
+    assert!(refused.headers.contains_key("retry-after"));
+    assert_eq!(ran(&rig, "m3"), 0);
+    assert_eq!(send("m4")?.status, 503);
+    rig.store.set_fault(Fault::None);
+    wait("service", || send("m5").is_ok_and(|answer| answer.status == 200))
+}
+
+#[test]
+fn a_host_cut_from_the_store_serves_by_its_peers_proofs() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let _near = rig.gateway("g1")?;
+    let proxy = Proxy::start(rig.runtime.handle(), rig.store_at)?;
+    let far = rig.launch("g2", proxy.address, gateway::draw_ports()?)?;
+    far.wait_ready()?;
+    wait("peers", || !far.said("peer heard").is_empty())?;
+    proxy.set(Harm::Silence);
+    let cut = Instant::now();
+    while cut.elapsed() < Duration::from_secs(7) {
+        assert_eq!(Request::new("GET", "/read/x", "n1").send(far.ports.callers)?.status, 200);
+        thread::sleep(Duration::from_millis(200));
+    }
+    rig.configure(9, |config| config["routes"][3]["path_prefix"] = "/fetch/".into());
+    let written = Instant::now();
+    wait("the new route", || {
+        let answer = Request::new("GET", "/fetch/x", "n2").send(far.ports.callers);
+        answer.is_ok_and(|answer| answer.status == 200)
+    })?;
+    assert!(written.elapsed() < Duration::from_millis(2_500), "{:?}", written.elapsed());
+    Ok(())
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let (server, address) = &rig.servers[2];
+    rig.store.put("servers", "p1", server.entry(*address, "draining"));
+    rig.store.put("servers", "odd", serde_json::json!({"service": 7, "address": "nowhere"}));
+    thread::sleep(Duration::from_millis(2_000));
+    let before = server.arrivals().len();
+    for i in 0..6 {
+        let answer = Request::new("GET", "/read/x", &format!("o{i}")).send(gateway.ports.callers)?;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(server.arrivals().len(), before);
+    Ok(())
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut gateway = rig.gateway("g1")?;
+    let to: SocketAddr = gateway.ports.callers;
+    let mut kept = Request::new("GET", "/read/x", "q0").open(to)?;
+    assert_eq!(caller::read(&mut kept)?.status, 200);
+    gateway.signal("TERM")?;
+    wait("not ready", || !gateway.is_ready())?;
+    let begun = Instant::now();
+    let mut served = 0;
+    // Callers keep coming until the balancer has noticed.
+    while begun.elapsed() < Duration::from_millis(2_000) {
+        let answer = Request::new("POST", "/chat/x", &format!("q{served}x")).send(to)?;
+        assert!(answer.complete && answer.status == 200);
+        served += 1;
+    }
+    assert!(served > 2);
+    assert!(gateway.wait_end(Duration::from_secs(8))?);
+    assert!(gateway.said("stopped").len() == 1);
+    Ok(())
+}
+
+#[test]
+fn usage_is_sealed_before_it_is_reported_and_never_differs() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut first = rig.gateway("g1")?;
+    let second = rig.gateway("g2")?;
+    wait("a holder", || !first.said("duties changed hands").is_empty())?;
+    let ports = [first.ports.callers, second.ports.callers];
+    let begun = Instant::now();
+    let mut sent = 0;
+    rig.duties.set_loses_answers(true);
+    while begun.elapsed() < Duration::from_secs(9) {
+        let request = Request::new("GET", "/read/x", &format!("s{sent}"));
+        let _ = request.send(ports[sent % ports.len()]);
+        sent += 1;
+        if sent == 60 {
+            first.kill();
+        }
+        if sent == 90 {
+            rig.duties.set_loses_answers(false);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    wait("reports of both holders", || {
+        let holders: std::collections::BTreeSet<String> =
+            rig.duties.calls().into_iter().filter(|c| c.taken).map(|c| c.holder).collect();
+        holders.contains("g2") && rig.duties.reports().len() >= 2
+    })?;
+    for (window, bodies) in rig.duties.reports() {
+        assert!(bodies.windows(2).all(|pair| pair[0] == pair[1]), "{window}: {bodies:?}");
+        let sealed = rig.store.history("usage", "sealed");
+        let sealed = sealed.iter().filter_map(|record| record["windows"].get(window.to_string()));
+        assert!(sealed.clone().count() > 0, "{window} was not sealed");
+        assert!(sealed.into_iter().all(|counts| *counts == bodies[0]), "{window}");
+    }
+    let fences: Vec<(String, u64)> =
+        rig.duties.calls().into_iter().map(|call| (call.holder, call.fence)).collect();
+    assert!(fences.iter().all(|(h, f)| fences.iter().all(|(h2, f2)| f != f2 || h == h2)));
+    Ok(())
+}
+
+#[test]
+fn changed_settings_are_checked_before_they_replace_the_old_ones() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    std::fs::write(&gateway.settings, "{\"host\": 3}")?;
+    gateway.signal("HUP")?;
+    wait("the complaint", || {
+        !gateway.said("settings are not valid; the old ones stay").is_empty()
+    })?;
+    let good = gateway::settings("g1", &gateway.ports, rig.store_at, rig.duties_at);
+    std::fs::write(&gateway.settings, good.to_string().replace("54", "60"))?;
+    wait("the change without a signal", || !gateway.said("settings changed").is_empty())?;
+    assert_eq!(Request::new("GET", "/read/x", "t1").send(gateway.ports.callers)?.status, 200);
+    Ok(())
+}
+
+#[test]
+fn a_request_can_be_followed_by_its_id() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.server("p1").plan(Act::LoseAnswer);
+    rig.server("p2").plan(Act::LoseAnswer);
+    Request::new("POST", "/write/x", "u1").send(gateway.ports.callers)?;
+    wait("the story", || {
+        let lines = gateway.lines();
+        let own = lines.iter().filter(|line| line["request"] == "u1");
+        own.map(|line| line["message"].as_str().unwrap_or_default().to_string())
+            .collect::<Vec<_>>()
+            == ["placed", "send failed", "refused"]
+    })?;
+    let metrics = gateway.page("/metrics")?;
+    assert!(metrics.contains("wasabi_gateway_failed_sends_total"), "{metrics}");
+    let dump: serde_json::Value = serde_json::from_str(&gateway.page("/dump")?)?;
+    assert_eq!(dump["ready"], true);
+    assert!(!dump.to_string().contains("k1"), "a dump holds no key");
+    Ok(())
+}
--- /dev/null
+++ b/tests/stand/src/duties.rs
@@ -0,0 +1,92 @@
+//! The platform's interface for usage reports and orders, which checks fencing numbers.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use parking_lot::Mutex;
+use serde_json::Value;
+use tokio::runtime::Handle;
+
+use crate::net::{self, Asked, Served, Service};
+
+/// A call that was made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// What it is about: `/usage` or `/scale`.
+    pub path: String,
+    /// Who made it.
+    pub holder: String,
+    /// Under which fencing number.
+    pub fence: u64,
+    /// Its body.
+    pub body: Value,
+    /// Whether it was taken.
+    pub taken: bool,
+}
+
+/// The interface.
+#[derive(Default)]
+pub struct Duties {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    calls: Vec<Call>,
+    /// The highest fencing number of each subject.
+    fences: BTreeMap<String, u64>,
+    /// Whether the next answers are lost after the call was carried out.
+    loses_answers: bool,
+}
+
+impl Duties {
+    /// Starts the interface.
+    pub fn start(runtime: &Handle) -> anyhow::Result<(Arc<Self>, SocketAddr)> {
+        let duties = Arc::new(Self::default());
+        let address = net::listen(runtime, duties.clone())?;
+        Ok((duties, address))
+    }
+
+    /// Returns the calls so far.
+    pub fn calls(&self) -> Vec<Call> {
+        self.inner.lock().calls.clone()
+    }
+
+    /// Sets whether answers are lost from now on.
+    pub fn set_loses_answers(&self, loses: bool) {
+        self.inner.lock().loses_answers = loses;
+    }
+
+    /// Returns the reports that were taken, by window, each with every body that was sent.
+    pub fn reports(&self) -> BTreeMap<u64, Vec<Value>> {
+        let mut reports: BTreeMap<u64, Vec<Value>> = BTreeMap::new();
+        for call in self.calls().into_iter().filter(|call| call.path == "/usage" && call.taken) {
+            let window = call.body["window"].as_u64().unwrap_or_default();
+            reports.entry(window).or_default().push(call.body["counts"].clone());
+        }
+        reports
+    }
+}
+
+impl Service for Duties {
+    fn serve(self: Arc<Self>, request: Asked) -> Served {
+        Box::pin(async move {
+            let header = |name: &str| {
+                let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+                value.unwrap_or_default().to_string()
+            };
+            let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
+            let path = request.uri().path().to_string();
+            let fence = header("fencing-token").parse().unwrap_or_default();
+            let subject = format!("{path} {} {}", body["service"], body["zone"]);
+            let mut inner = self.inner.lock();
+            let highest = inner.fences.entry(subject).or_default();
+            let taken = fence >= *highest;
+            *highest = fence.max(*highest);
+            inner.calls.push(Call { path, holder: header("duty-holder"), fence, body, taken });
+            if inner.loses_answers {
+                return None;
+            }
+            Some(net::whole(if taken { 200 } else { 409 }, ""))
+        })
+    }
+}
--- /dev/null
+++ b/tests/stand/src/rig.rs
@@ -0,0 +1,125 @@
+//! A whole small site: store, duties, servers and gateways.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+
+use crate::{
+    duties::Duties,
+    gateway::{self, Gateway, Ports},
+    server::Server,
+    store::Store,
+};
+
+/// The site.
+pub struct Rig {
+    /// Runs the stand-ins.
+    pub runtime: Runtime,
+    /// The store.
+    pub store: Arc<Store>,
+    /// Where gateways reach the store.
+    pub store_at: SocketAddr,
+    /// The interface for duties.
+    pub duties: Arc<Duties>,
+    /// Where gateways reach it.
+    pub duties_at: SocketAddr,
+    /// The servers with their addresses.
+    pub servers: Vec<(Arc<Server>, SocketAddr)>,
+    program: PathBuf,
+}
+
+/// The time between events of a stand-in's stream, and for a plain answer.
+const PACE: Duration = Duration::from_millis(20);
+/// The events of a stream.
+const EVENTS: u64 = 10;
+
+impl Rig {
+    /// Starts the stand-ins with two engines and two plain servers.
+    pub fn start(program: &str) -> anyhow::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()?;
+        let (store, store_at) = Store::start(runtime.handle())?;
+        let (duties, duties_at) = Duties::start(runtime.handle())?;
+        let mut rig = Self {
+            runtime,
+            store,
+            store_at,
+            duties,
+            duties_at,
+            servers: Vec::new(),
+            program: PathBuf::from(program),
+        };
+        for (id, service, streams) in
+            [("e1", "llm", true), ("e2", "llm", true), ("p1", "app", false), ("p2", "app", false)]
+        {
+            rig.add_server(id, service, streams)?;
+        }
+        rig.configure(1, |_| {});
+        Ok(rig)
+    }
+
+    /// Adds a server that announces itself.
+    pub fn add_server(&mut self, id: &str, service: &str, streams: bool) -> anyhow::Result<()> {
+        let (server, address) =
+            Server::start(self.runtime.handle(), id, service, streams, EVENTS, PACE)?;
+        self.store.put("servers", id, server.entry(address, "ready"));
+        self.servers.push((server, address));
+        Ok(())
+    }
+
+    /// Returns a server by its name.
+    pub fn server(&self, id: &str) -> &Arc<Server> {
+        let found = self.servers.iter().find(|(server, _)| server.id == id);
+        &found.expect("the server is there").0
+    }
+
+    /// Writes a configuration, after `change`.
+    pub fn configure(&self, version: u64, change: impl FnOnce(&mut Value)) {
+        let route = |name: &str, path: &str, kind: &str, service: &str, resumable: bool| {
+            json!({"name": name, "host": "site.example", "path_prefix": path, "kind": kind,
+                "timeout_ms": 8_000, "target_latency_ms": 500, "target_gap_ms": 400, "priority": 1,
+                "service": service, "max_attempts": 2, "public": false, "sticky": true,
+                "resumable": resumable})
+        };
+        let mut config = json!({
+            "version": version,
+            "routes": [
+                route("r-chat", "/chat/", "streaming", "llm", true),
+                route("r-long", "/long/", "streaming", "llm", false),
+                route("r-write", "/write/", "unsafe", "app", false),
+                route("r-read", "/read/", "safe", "app", false),
+            ],
+            "services": [
+                {"name": "llm", "health_path": "/health", "max_connections": 100, "protocol": "h1",
+                    "tls": false, "engine": {"slots": 8, "kv_capacity_tokens": 100_000,
+                    "stride": 5}},
+                {"name": "app", "health_path": "/health", "max_connections": 100, "protocol": "h1",
+                    "tls": false},
+            ],
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 1_000_000,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
+            "tenants": [
+                {"name": "w1", "api_keys": ["k1", "k1b"], "priority": 1},
+                {"name": "w2", "api_keys": ["k2"], "priority": 1},
+            ],
+        });
+        change(&mut config);
+        self.store.put("config", "main", config);
+    }
+
+    /// Starts a gateway and waits until it is ready.
+    pub fn gateway(&self, name: &str) -> anyhow::Result<Gateway> {
+        let gateway = self.launch(name, self.store_at, gateway::draw_ports()?)?;
+        gateway.wait_ready()?;
+        Ok(gateway)
+    }
+
+    /// Starts a gateway that reaches the store at `store`.
+    pub fn launch(&self, name: &str, store: SocketAddr, ports: Ports) -> anyhow::Result<Gateway> {
+        let settings = gateway::settings(name, &ports, store, self.duties_at);
+        Gateway::start(&self.program, ports, &settings)
+    }
+}
--- /dev/null
+++ b/tests/stand/src/store.rs
@@ -0,0 +1,182 @@
+//! The platform's metadata store in memory, with faults.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::Method;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::runtime::Handle;
+
+use crate::net::{self, Answer, Asked, Served, Service};
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Fault {
+    /// It works.
+    #[default]
+    None,
+    /// It says that it is busy and does nothing.
+    Busy,
+    /// It accepts calls and never answers.
+    Silent,
+    /// It carries writes out and closes the connection without an answer.
+    LosesAnswers,
+    /// It answers after this time.
+    Slow(Duration),
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    fault: Fault,
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    /// Every write to one of the router's own kinds.
+    writes: Vec<(String, String, Value)>,
+    calls: u64,
+}
+
+impl Store {
+    /// Starts a store.
+    pub fn start(runtime: &Handle) -> anyhow::Result<(Arc<Self>, SocketAddr)> {
+        let store = Arc::new(Self::default());
+        let address = net::listen(runtime, store.clone())?;
+        Ok((store, address))
+    }
+
+    /// Sets how the store treats calls from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.inner.lock().fault = fault;
+    }
+
+    /// Writes an object as the operator or a server does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut inner = self.inner.lock();
+        inner.revision += 1;
+        let revision = inner.revision;
+        inner.objects.insert((kind.to_string(), name.to_string()), (revision, spec));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut inner = self.inner.lock();
+        inner.revision += 1;
+        inner.objects.remove(&(kind.to_string(), name.to_string()));
+    }
+
+    /// Returns an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_string(), name.to_string());
+        self.inner.lock().objects.get(&key).map(|(_, spec)| spec.clone())
+    }
+
+    /// Returns every value that was written to an object, oldest first.
+    pub fn history(&self, kind: &str, name: &str) -> Vec<Value> {
+        let inner = self.inner.lock();
+        let matching = inner.writes.iter().filter(|(k, n, _)| k == kind && n == name);
+        matching.map(|(_, _, value)| value.clone()).collect()
+    }
+
+    /// Returns how many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.inner.lock().calls
+    }
+
+    fn carry_out(&self, request: &Asked) -> Answer {
+        let mut inner = self.inner.lock();
+        let path = request.uri().path().trim_start_matches("/api/objects/").to_string();
+        let (kind, name) = path.split_once('/').unwrap_or((path.as_str(), ""));
+        match (request.method(), name) {
+            (&Method::GET, "") => inner.list(kind),
+            (&Method::GET, name) => inner.read(kind, name),
+            (&Method::POST, _) => {
+                let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
+                let name = body["metadata"]["name"].as_str().unwrap_or_default().to_string();
+                inner.write(kind, &name, &body, true)
+            }
+            (&Method::PUT, name) => {
+                let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
+                inner.write(kind, name, &body, false)
+            }
+            _ => net::whole(405, ""),
+        }
+    }
+}
+
+impl Inner {
+    fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let (revision, spec) = self.objects.get(&(kind.to_string(), name.to_string()))?;
+        Some(json!({
+            "metadata": {"name": name, "revision": revision, "created": 1, "finalizers": [],
+                "deleting": false},
+            "spec": spec,
+            "status": null,
+        }))
+    }
+
+    fn list(&self, kind: &str) -> Answer {
+        let names = self.objects.keys().filter(|(k, _)| k == kind).map(|(_, name)| name);
+        let items: Vec<Value> = names.filter_map(|name| self.object(kind, name)).collect();
+        let list = json!({"items": items, "has_more": false, "current_rev": self.revision});
+        net::whole(200, list.to_string())
+    }
+
+    fn read(&self, kind: &str, name: &str) -> Answer {
+        match self.object(kind, name) {
+            Some(object) => net::whole(200, object.to_string()),
+            None => net::whole(404, ""),
+        }
+    }
+
+    fn write(&mut self, kind: &str, name: &str, body: &Value, create: bool) -> Answer {
+        let key = (kind.to_string(), name.to_string());
+        let present = self.objects.get(&key).map(|(revision, _)| *revision);
+        let expected = body["metadata"]["revision"].as_u64();
+        let allowed = match (create, present) {
+            (true, present) => present.is_none(),
+            (false, None) => return net::whole(404, ""),
+            (false, Some(present)) => expected.is_none_or(|expected| expected == present),
+        };
+        if !allowed {
+            let object = self.object(kind, name).unwrap_or_default();
+            return net::whole(409, object.to_string());
+        }
+        self.revision += 1;
+        self.objects.insert(key, (self.revision, body["spec"].clone()));
+        self.writes.push((kind.to_string(), name.to_string(), body["spec"].clone()));
+        self.read(kind, name)
+    }
+}
+
+impl Service for Store {
+    fn serve(self: Arc<Self>, request: Asked) -> Served {
+        Box::pin(async move {
+            let fault = {
+                let mut inner = self.inner.lock();
+                inner.calls += 1;
+                inner.fault
+            };
+            match fault {
+                Fault::None => Some(self.carry_out(&request)),
+                Fault::Busy => Some(net::whole(503, "")),
+                Fault::Silent => std::future::pending().await,
+                Fault::LosesAnswers => {
+                    if request.method() == Method::GET {
+                        return Some(self.carry_out(&request));
+                    }
+                    self.carry_out(&request);
+                    None
+                }
+                Fault::Slow(delay) => {
+                    tokio::time::sleep(delay).await;
+                    Some(self.carry_out(&request))
+                }
+            }
+        })
+    }
+}
