--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    hash::{DefaultHasher, Hash as _, Hasher as _},
     time::{Duration, Instant},
 };
 
@@ -56,6 +57,8 @@
 const CROWDED_MS: f64 = 400.0;
 /// Milliseconds added for a server in another failure domain.
 const DISTANCE_MS: f64 = 3.0;
+/// Milliseconds added for a server that is not the home of the request's session.
+const STRANGER_MS: f64 = 40.0;
 /// How much the time that a server would spend on a request counts beside the caller's wait: work
 /// saved by a cached prefix leaves room for others.
 const WORK_WEIGHT: f64 = 1.0;
@@ -204,6 +207,7 @@
         let spare = self.servers.values().any(|server| {
             server.member.phase == Phase::Ready && !ask.avoid.contains(&server.member.id)
         });
+        let home = self.home(ask);
         for (id, server) in &mut self.servers {
             let avoided = ask.avoid.contains(id);
             if server.member.phase != Phase::Ready || (avoided && spare) {
@@ -217,7 +221,9 @@
             let failing_ms = server.trouble.weight(now) * FAILURE_PENALTY_MS;
             least_ms = least_ms.min(quote.first_ms + failing_ms);
             let far = if server.member.domain == self.domain { 0.0 } else { DISTANCE_MS };
-            let cost = quote.first_ms + quote.extra_ms + failing_ms + far;
+            let strange =
+                if home.as_ref().is_none_or(|home| home == id) { 0.0 } else { STRANGER_MS };
+            let cost = quote.first_ms + quote.extra_ms + failing_ms + far + strange;
             let fits = quote.has_room && quote.first_ms <= ask.patience.as_secs_f64() * 1e3;
             if fits && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, quote, id.clone()));
@@ -336,6 +342,18 @@
         if count == 0 { 0.0 } else { sum / f64::from(count) }
     }
 
+    /// Returns the server that a session belongs to: the same one on every host that knows the
+    /// same servers, so that its prefix is read in few places however late hosts hear of others'.
+    fn home(&self, ask: &Ask) -> Option<ServerId> {
+        let [.., session, _] = ask.prompt?.parts.as_slice() else { return None };
+        let rank = |id: &ServerId| {
+            let mut hasher = DefaultHasher::new();
+            (session.id, id).hash(&mut hasher);
+            hasher.finish()
+        };
+        self.ready().map(|member| &member.id).max_by_key(|id| rank(id)).cloned()
+    }
+
     fn of(&mut self, place: &Place) -> Option<&mut Server> {
         let server = self.servers.get_mut(&place.member.id)?;
         (server.member.born_ms == place.member.born_ms).then_some(server)
@@ -374,7 +392,7 @@
         let all = self.all();
         let (total, output) =
             ask.prompt.map_or((0.0, 0), |p| (f64::from(p.tokens), u64::from(p.output)));
-        let cached = ask.prompt.map_or(0, |p| self.cache.cached(p));
+        let cached = ask.prompt.map_or(0, |prompt| self.cache.cached(prompt));
         let fresh = (total - f64::from(cached)).max(1.0);
         let pairs = fresh * (f64::from(cached) + fresh / 2.0) / 1e6;
         let step_ms = STEP_MS + STEP_MS_PER_RUNNING * f64::from(all.running);
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -48,12 +48,7 @@
 }
 
 fn ask(prompt: &Prompt, patience_ms: u64, urgency: u8) -> Ask<'_> {
-    Ask {
-        prompt: Some(prompt),
-        patience: Duration::from_millis(patience_ms),
-        urgency,
-        avoid: &[],
-    }
+    Ask { prompt: Some(prompt), patience: Duration::from_millis(patience_ms), urgency, avoid: &[] }
 }
 
 fn id(place: &Place) -> String {
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -59,7 +59,8 @@
 
 #[test]
 fn urgency_follows_the_workspace_then_the_route() {
-    let order = [(Some(0), 0), (Some(0), 1), (Some(0), 2), (Some(1), 0), (Some(1), 1), (Some(2), 0)];
+    let order =
+        [(Some(0), 0), (Some(0), 1), (Some(0), 2), (Some(1), 0), (Some(1), 1), (Some(2), 0)];
     let levels = order.map(|(workspace, route)| patience::urgency(workspace, route));
     assert!(levels.windows(2).all(|pair| pair[0] < pair[1]), "{levels:?}");
     assert!(patience::urgency(None, 0) < patience::urgency(None, 1));
--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -1,15 +1,46 @@
 //! Names that only the platform uses stay in `platform/`.
 
-use std::{fs, path::{Path, PathBuf}};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 /// Headers, fields and paths of the platform that no other part of the product needs to know.
 const NAMES: &[&str] = &[
-    "Response-Signature", "response-signature", "Not-Executed", "not-executed", "Expect-Instance",
-    "expect-instance", "Request-Urgency", "request-urgency", "Prompt-Prefix", "prompt-prefix",
-    "Token-Usage", "token-usage", "Server-Load", "server-load", "Duty-Holder", "duty-holder",
-    "Fencing-Token", "fencing-token", "Kv-From", "kv-from", "Kv-Backup", "kv-backup", "kv_capacity",
-    "kv_token", "cold_remaining_ms", "after_rev", "current_rev", "has_more", "/api/objects",
-    "/api/readiness", "zone_prices", "spot_price", "path_prefix", "api_keys",
+    "Response-Signature",
+    "response-signature",
+    "Not-Executed",
+    "not-executed",
+    "Expect-Instance",
+    "expect-instance",
+    "Request-Urgency",
+    "request-urgency",
+    "Prompt-Prefix",
+    "prompt-prefix",
+    "Token-Usage",
+    "token-usage",
+    "Server-Load",
+    "server-load",
+    "Duty-Holder",
+    "duty-holder",
+    "Fencing-Token",
+    "fencing-token",
+    "Kv-From",
+    "kv-from",
+    "Kv-Backup",
+    "kv-backup",
+    "kv_capacity",
+    "kv_token",
+    "cold_remaining_ms",
+    "after_rev",
+    "current_rev",
+    "has_more",
+    "/api/objects",
+    "/api/readiness",
+    "zone_prices",
+    "spot_price",
+    "path_prefix",
+    "api_keys",
 ];
 
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) -> std::io::Result<()> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -147,7 +147,8 @@
     rig.server("e1").always(Some(Act::BreakAfter(6)));
     let mut whole = 0;
     for i in 0..3 {
-        let answer = Request::new("POST", "/chat/x", &format!("h2{i}")).send(gateway.ports.callers)?;
+        let answer =
+            Request::new("POST", "/chat/x", &format!("h2{i}")).send(gateway.ports.callers)?;
         assert_eq!(events(&answer.body), (1..=10).collect::<Vec<_>>());
         whole += usize::from(answer.complete);
     }
@@ -277,7 +278,8 @@
     thread::sleep(Duration::from_millis(2_000));
     let before = server.arrivals().len();
     for i in 0..6 {
-        let answer = Request::new("GET", "/read/x", &format!("o{i}")).send(gateway.ports.callers)?;
+        let answer =
+            Request::new("GET", "/read/x", &format!("o{i}")).send(gateway.ports.callers)?;
         assert_eq!(answer.status, 200);
     }
     assert_eq!(server.arrivals().len(), before);
@@ -373,8 +375,7 @@
     wait("the story", || {
         let lines = gateway.lines();
         let own = lines.iter().filter(|line| line["request"] == "u1");
-        own.map(|line| line["message"].as_str().unwrap_or_default().to_string())
-            .collect::<Vec<_>>()
+        own.map(|line| line["message"].as_str().unwrap_or_default().to_string()).collect::<Vec<_>>()
             == ["placed", "send failed", "refused"]
     })?;
     let metrics = gateway.page("/metrics")?;
--- a/tests/stand/src/gateway.rs
+++ b/tests/stand/src/gateway.rs
@@ -44,7 +44,12 @@
     let held: Vec<TcpListener> =
         (0..4).map(|_| TcpListener::bind(("127.0.0.1", 0))).collect::<Result<_, _>>()?;
     let address = |i: usize| held[i].local_addr();
-    Ok(Ports { callers: address(0)?, ready: address(1)?, peers: address(2)?, operators: address(3)? })
+    Ok(Ports {
+        callers: address(0)?,
+        ready: address(1)?,
+        peers: address(2)?,
+        operators: address(3)?,
+    })
 }
 
 /// Returns the settings of a gateway.
--- a/tests/stand/src/proxy.rs
+++ b/tests/stand/src/proxy.rs
@@ -5,7 +5,10 @@
 use parking_lot::Mutex;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpListener, TcpStream, tcp::{OwnedReadHalf, OwnedWriteHalf}},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     runtime::Handle,
 };
 
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -37,10 +37,8 @@
 impl Rig {
     /// Starts the stand-ins with two engines and two plain servers.
     pub fn start(program: &str) -> anyhow::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()?;
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
         let (store, store_at) = Store::start(runtime.handle())?;
         let (duties, duties_at) = Duties::start(runtime.handle())?;
         let mut rig = Self {
