--- /dev/null
+++ b/crates/gateway/tests/parts.rs
@@ -0,0 +1,99 @@
+//! Parts of the gateway without a network: events, settings, answers.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use wasabi_core::errors::{Code, Error, Ran};
+use wasabi_gateway::{answer, events::Splitter, settings};
+
+fn event(id: u64) -> String {
+    format!("id: {id}\r\ndata: text {id}\n\n")
+}
+
+quickcheck! {
+    fn events_come_out_whole_and_in_order_however_they_are_cut(cuts: Vec<u8>, count: u8) -> bool {
+        let text: String = (1..=u64::from(count % 20)).map(event).collect();
+        let mut splitter = Splitter::default();
+        let mut out = Vec::new();
+        let mut rest = text.as_bytes();
+        let mut cuts = cuts.into_iter();
+        while !rest.is_empty() {
+            let at = usize::from(cuts.next().unwrap_or(7)).clamp(1, rest.len());
+            let (part, left) = rest.split_at(at);
+            if let Some(whole) = splitter.push(part) {
+                if !whole.ends_with(b"\n\n") {
+                    return false;
+                }
+                out.extend_from_slice(&whole);
+            }
+            rest = left;
+        }
+        out == text.as_bytes() && splitter.finish().is_empty()
+    }
+
+    fn a_stream_that_goes_on_has_no_gap_and_no_repeat(broken: u8, overlap: u8) -> bool {
+        let last = u64::from(broken % 10) + 1;
+        let mut splitter = Splitter::default();
+        let mut out = Vec::new();
+        let first: String = (1..=last).map(event).collect();
+        out.extend(splitter.push(first.as_bytes()).unwrap_or_default());
+        splitter.push(b"id: 99\nda");
+        splitter.drop_rest();
+        let from = last.saturating_sub(u64::from(overlap % 4)) + 1;
+        let second: String = (from..=12).map(event).collect();
+        out.extend(splitter.push(second.as_bytes()).unwrap_or_default());
+        let expected: String = (1..=12).map(event).collect();
+        out == expected.as_bytes() && splitter.last() == Some(12)
+    }
+}
+
+#[test]
+fn events_without_an_id_pass() {
+    let mut splitter = Splitter::default();
+    let whole = splitter.push(b": comment\n\nevent: x\ndata: y\n\nid: 3\ndata\n\nrest");
+    let whole = whole.expect("events");
+    assert_eq!(&whole[..], b": comment\n\nevent: x\ndata: y\n\nid: 3\ndata\n\n");
+    assert_eq!(&splitter.finish()[..], b"rest");
+}
+
+const GOOD: &str = r#"{"host": "h", "domain": "d", "callers": "127.0.0.1:1",
+    "ready": "127.0.0.1:2", "peers": "127.0.0.1:3", "operators": "127.0.0.1:4",
+    "objects": "127.0.0.1:5", "duties": null, "bounds": {"withdraw_ms": 5000, "stop_s": 8.5,
+    "lease_ms": 3000, "usage_window_s": 5, "usage_due_s": 10, "repeat_ratio": 0.2,
+    "repeat_window_s": 10, "repeat_allowance": 54}}"#;
+
+#[test]
+fn settings_are_read_and_every_problem_is_named_at_once() {
+    let settings = settings::parse(GOOD).expect("they are valid");
+    assert_eq!(settings.duties, None);
+    assert!(settings.bounds.key_proof() < Duration::from_millis(5_000));
+    let bad = GOOD
+        .replace("\"domain\": \"d\", ", "")
+        .replace("127.0.0.1:1\"", "here\"")
+        .replace("\"stop_s\": 8.5", "\"stop_s\": 0")
+        .replace("\"lease_ms\": 3000", "\"lease_ms\": 3")
+        .replace("\"duties\": null", "\"colour\": 1");
+    let problems = settings::parse(&bad).expect_err("they are not valid");
+    let text: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    for part in ["domain: is missing", "callers: ", "bounds.stop_s", "bounds.lease_ms", "colour"] {
+        assert!(text.iter().any(|line| line.contains(part)), "{part}: {text:?}");
+    }
+    assert!(text.iter().all(|line| line.starts_with("E2201")));
+    assert!(settings::parse("[]").is_err());
+    assert!(settings::parse("{").is_err());
+}
+
+#[test]
+fn no_status_promises_what_is_not_known() {
+    for code in Code::ALL {
+        for ran in [Ran::Unknown, Ran::Yes] {
+            let error = Error::new(*code, "").ran(ran);
+            let status = answer::error(&error).status().as_u16();
+            assert!(!matches!(status, 408 | 421 | 429 | 503), "{code:?} {ran:?}: {status}");
+        }
+    }
+    let refusal = answer::come_back(Code::Overloaded, "", Duration::from_millis(1_250));
+    let refused = answer::error(&refusal);
+    assert_eq!(refused.status().as_u16(), 503);
+    assert_eq!(refused.headers()["retry-after"], "1.25");
+}
