--- a/crates/belief/src/beat.rs
+++ b/crates/belief/src/beat.rs
@@ -8,6 +8,9 @@
 };
 use wasabi_policy::board::Share;
 
+/// What a host runs on each server, by service.
+pub type Shares = Vec<(PoolId, Vec<(ServerId, Share)>)>;
+
 data! {
     /// One announcement; it fits a datagram.
     pub struct Beat {
@@ -28,7 +31,7 @@
         /// The fencing number, if the host holds the duties.
         pub fence: Option<Epoch>,
         /// What the host runs on each server, by service; none if this announcement leaves it out.
-        pub shares: Option<Vec<(PoolId, Vec<(ServerId, Share)>)>>,
+        pub shares: Option<Shares>,
         /// Requests that began to run in recent windows, as counted by this life of the host;
         /// sent with some announcements only.
         pub counts: Vec<(Window, BTreeMap<WorkspaceId, u64>)>,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -28,6 +28,10 @@
 const MAX_SPREAD: Duration = Duration::from_millis(600);
 /// A host reads for itself when its own proof is this old, whatever its peers claim.
 const MAX_REST: Duration = Duration::from_millis(1_600);
+/// The spread of reads after a change, for each host of the fleet.
+const CATCH_UP_PER_HOST: Duration = Duration::from_millis(12);
+/// The greatest spread of reads after a change; far less than the time a change may take.
+const MAX_CATCH_UP: Duration = Duration::from_millis(700);
 /// How long a read of the store may take; a slow store answers within some hundred milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// After a failed read.
@@ -61,8 +65,17 @@
 async fn follow(site: Rc<Site>, topic: Topic) {
     let mut reachable = true;
     let mut threshold = draw(&site);
+    // When this host has to read since a peer has seen a change.
+    let mut catch_up: Option<Instant> = None;
     loop {
-        let due = topic.rest(&site).is_none_or(|age| age >= threshold) || topic.is_behind(&site);
+        let now = site.now();
+        catch_up = match (topic.is_behind(&site), catch_up) {
+            (false, _) => None,
+            (true, None) => Some(now + catch_up_delay(&site)),
+            (true, at) => at,
+        };
+        let old = topic.rest(&site).is_none_or(|age| age >= threshold);
+        let due = old || catch_up.is_some_and(|at| now >= at);
         if !due {
             if topic == Topic::Members {
                 site.expire_members();
@@ -168,6 +181,13 @@
     RENEW_AFTER + spread.mul_f64(rand::rng().random())
 }
 
+/// Returns how long to wait before reading a change that a peer has seen: in a large fleet one
+/// read then covers several changes.
+fn catch_up_delay(site: &Site) -> Duration {
+    let most = (CATCH_UP_PER_HOST * site.hosts() as u32).min(MAX_CATCH_UP);
+    most.mul_f64(rand::rng().random())
+}
+
 fn log_store(topic: Topic, read: &Result<()>) {
     match read {
         Ok(()) => info!(read:? = topic; "store regained"),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -123,6 +123,8 @@
     let catalog = catalog.version().zip(catalog.age(now));
     let members = site.members.borrow().proof(now);
     let mut boards = site.boards.borrow_mut();
+    let hosts = site.hosts();
+    boards.values_mut().for_each(|board| board.set_hosts(hosts));
     let shares = with_shares.then(|| {
         let shares = boards.iter_mut().map(|(service, board)| (service.clone(), board.announce()));
         shares.filter(|(_, shares)| !shares.is_empty()).collect()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -52,7 +52,7 @@
     let hangup = signal(SignalKind::hangup()).context("SIGHUP cannot be taken")?;
     let metrics = PrometheusBuilder::new()
         .set_buckets_for_metric(Matcher::Suffix("_seconds".to_string()), &LATENCY_BUCKETS)
-        .and_then(|builder| builder.install_recorder().map_err(Into::into))
+        .and_then(PrometheusBuilder::install_recorder)
         .context("metrics do not start")?;
     let store = Box::new(objects::Remote::new(settings.objects));
     let duties = settings.duties.map(|at| Box::new(duties::Remote::new(at)) as Box<dyn Duties>);
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -66,6 +66,9 @@
 const MEMORY_SHARE: f64 = 0.92;
 /// How many requests may wait at a plain server for each one that it runs.
 const WAITING_PER_SLOT: u32 = 3;
+/// From this many hosts on, announcements are several hundred milliseconds old, and a session is
+/// taken to be cached at its home: other hosts have most likely sent requests of it there.
+const MANY_HOSTS: usize = 30;
 /// Levels of urgency.
 const LEVELS: usize = 10;
 /// A more urgent request waits for the prompt that is being read, in milliseconds at most: about
@@ -149,6 +152,8 @@
     domain: Domain,
     /// The shape of the engines; none for plain servers.
     engine: Option<Engine>,
+    /// Whether peers' announcements come too late to know what they have engines read.
+    late_news: bool,
     servers: BTreeMap<ServerId, Server>,
 }
 
@@ -173,7 +178,7 @@
 impl Board {
     /// Gets a board without servers, for a host in `domain`.
     pub fn new(domain: Domain) -> Self {
-        Self { domain, engine: None, servers: BTreeMap::new() }
+        Self { domain, engine: None, late_news: false, servers: BTreeMap::new() }
     }
 
     /// Takes a new list of servers; one that is left out gets no new work.
@@ -195,6 +200,11 @@
         }
     }
 
+    /// Takes in how many hosts place requests; with many, their announcements are rare.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.late_news = hosts >= MANY_HOSTS;
+    }
+
     /// Returns the servers that may get new work.
     pub fn ready(&self) -> impl Iterator<Item = &Member> {
         self.servers.values().map(|s| &s.member).filter(|m| m.phase == Phase::Ready)
@@ -208,6 +218,7 @@
             server.member.phase == Phase::Ready && !ask.avoid.contains(&server.member.id)
         });
         let home = self.home(ask);
+        let assumed = self.late_news;
         for (id, server) in &mut self.servers {
             let avoided = ask.avoid.contains(id);
             if server.member.phase != Phase::Ready || (avoided && spare) {
@@ -215,7 +226,9 @@
             }
             server.forget_peers(now);
             let quote = match self.engine {
-                Some(engine) => server.quote_engine(now, ask, &engine),
+                Some(engine) => {
+                    server.quote_engine(now, ask, &engine, assumed && home.as_ref() == Some(id))
+                }
                 None => server.quote_plain(),
             };
             let failing_ms = server.trouble.weight(now) * FAILURE_PENALTY_MS;
@@ -388,11 +401,15 @@
         }
     }
 
-    fn quote_engine(&self, now: Instant, ask: &Ask, engine: &Engine) -> Quote {
+    /// Returns what an engine is expected to do; `kept` if it has the shared parts of the prompt.
+    fn quote_engine(&self, now: Instant, ask: &Ask, engine: &Engine, kept: bool) -> Quote {
         let all = self.all();
         let (total, output) =
             ask.prompt.map_or((0.0, 0), |p| (f64::from(p.tokens), u64::from(p.output)));
-        let cached = ask.prompt.map_or(0, |prompt| self.cache.cached(prompt));
+        let cached = ask.prompt.map_or(0, |prompt| match (kept, prompt.parts.split_last()) {
+            (true, Some((_, shared))) => shared.iter().map(|part| part.tokens).sum(),
+            _ => self.cache.cached(prompt),
+        });
         let fresh = (total - f64::from(cached)).max(1.0);
         let pairs = fresh * (f64::from(cached) + fresh / 2.0) / 1e6;
         let step_ms = STEP_MS + STEP_MS_PER_RUNNING * f64::from(all.running);
--- a/crates/policy/src/cache.rs
+++ b/crates/policy/src/cache.rs
@@ -25,9 +25,8 @@
 
     /// Takes in that an engine reads a part.
     pub fn touch(&mut self, now: Instant, id: u64, tokens: u32) {
-        match self.parts.insert(id, (tokens, now)) {
-            Some((before, _)) => self.used -= u64::from(before),
-            None => {}
+        if let Some((before, _)) = self.parts.insert(id, (tokens, now)) {
+            self.used -= u64::from(before);
         }
         self.used += u64::from(tokens);
         while self.used > self.capacity && self.parts.len() > 1 {
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -159,7 +159,7 @@
         parts: vec![(1, 2_500), (7, 3_800)],
         ..Share::default()
     };
-    board.merge(now, &peer, &[(s0.clone(), busy)]);
+    board.merge(now, &peer, &[(s0, busy)]);
     let place = board.place(now, &ask(&long(8, 1), 500, 3)).expect("a place");
     assert_eq!(id(&place), "s1");
     board.end(now, &place, End::Served);
@@ -233,3 +233,21 @@
     }
     assert_eq!(taken, 1, "two prompts of 9,200 tokens leave no room for their answers");
 }
+
+#[test]
+fn hosts_that_hear_late_of_each_other_agree_on_a_sessions_home() {
+    let now = Instant::now();
+    let mut first_host = board(now, Some(ENGINE), 9);
+    let mut second_host = board(now, Some(ENGINE), 9);
+    first_host.set_hosts(80);
+    second_host.set_hosts(80);
+    for session in 0..40 {
+        let now = now + SECOND * session as u32;
+        let a = first_host.place(now, &ask(&long(session, 1), 425, 3)).expect("a place");
+        let b = second_host.place(now, &ask(&long(session, 2), 425, 3)).expect("a place");
+        assert_eq!(id(&a), id(&b));
+        assert!(b.work_ms < 100.0, "the prefix is taken to be there: {}", b.work_ms);
+        first_host.end(now, &a, End::Served);
+        second_host.end(now, &b, End::Served);
+    }
+}
--- a/src/bin/wasabictl/commands.rs
+++ b/src/bin/wasabictl/commands.rs
@@ -23,6 +23,7 @@
 use wasabi_usage::window::{self, Sealed};
 
 use crate::{
+    explain,
     flags::{KeyCmd, NoteCmd, Wasabictl, WasabictlCmd},
     output::{self, Failure},
 };
@@ -46,6 +47,7 @@
             KeyCmd::New(new) => new_key(&new.workspace, json),
         },
         WasabictlCmd::Dump(dump) => show_dump(&*store(flags)?, &dump.host),
+        WasabictlCmd::Explain(explain) => explain::run(&explain.id, &explain.file, json),
         WasabictlCmd::Usage(usage) => show_usage(&*store(flags)?, Window(usage.window), json),
     }
 }
--- /dev/null
+++ b/src/bin/wasabictl/explain.rs
@@ -0,0 +1,54 @@
+//! The story of one request, from the logs of all hosts.
+
+use std::{fs, path::PathBuf};
+
+use serde_json::{Map, Value};
+use wasabi_core::errors::{Code, Error};
+
+use crate::output::Failure;
+
+/// Fields that every line has, or that stand elsewhere in the printed line.
+const COMMON: [&str; 6] = ["at_ms", "host", "level", "message", "module", "request"];
+
+/// Prints the lines about a request in `files`, oldest first.
+///
+/// Lines of the bench's form, with a time and a host before the JSON, are read too.
+pub fn run(id: &str, files: &[PathBuf], json: bool) -> Result<(), Failure> {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = fs::read_to_string(file)
+            .map_err(|e| Failure::Arguments(format!("{}: {e}", file.display())))?;
+        lines.extend(text.lines().filter_map(parse).filter(|line| line["request"] == id));
+    }
+    if lines.is_empty() {
+        return Err(Error::new(Code::ObjectMissing, format!("request {id}")).into());
+    }
+    lines.sort_by_key(|line| line["at_ms"].as_u64());
+    for line in &lines {
+        match json {
+            true => println!("{line}"),
+            false => println!("{}", story(line)),
+        }
+    }
+    Ok(())
+}
+
+fn parse(line: &str) -> Option<Value> {
+    let start = line.find('{')?;
+    serde_json::from_str(&line[start..]).ok()
+}
+
+fn story(line: &Value) -> String {
+    let text = |name: &str| line[name].as_str().unwrap_or("?").to_string();
+    let none = Map::new();
+    let fields = line.as_object().unwrap_or(&none).iter();
+    let fields = fields
+        .filter(|(name, value)| !COMMON.contains(&name.as_str()) && value.as_str() != Some(""));
+    let fields: Vec<String> = fields
+        .map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text:?}"),
+            None => format!("{name}={value}"),
+        })
+        .collect();
+    format!("{} {} {}: {}", line["at_ms"], text("host"), text("message"), fields.join(" "))
+}
--- a/src/bin/wasabictl/flags.rs
+++ b/src/bin/wasabictl/flags.rs
@@ -52,6 +52,13 @@
             /// The host's name.
             required host: String
         }
+        /// Prints what all hosts logged about one request, oldest first.
+        cmd explain {
+            /// The request's id.
+            required id: String
+            /// Log files of the hosts.
+            repeated file: PathBuf
+        }
         /// Shows a sealed usage window.
         cmd usage {
             /// The window's number.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -378,6 +378,17 @@
         own.map(|line| line["message"].as_str().unwrap_or_default().to_string()).collect::<Vec<_>>()
             == ["placed", "send failed", "refused"]
     })?;
+    let file = std::env::temp_dir().join(format!("story-{}.log", std::process::id()));
+    let lines: Vec<String> = gateway.lines().iter().map(ToString::to_string).collect();
+    std::fs::write(&file, lines.join("\n"))?;
+    let explain = std::process::Command::new(env!("CARGO_BIN_EXE_wasabictl"))
+        .args(["explain", "u1"])
+        .arg(&file)
+        .output()?;
+    std::fs::remove_file(&file)?;
+    let story = String::from_utf8(explain.stdout)?;
+    assert_eq!(story.lines().count(), 3, "{story}");
+    assert!(story.contains("send failed: after_ms"), "{story}");
     let metrics = gateway.page("/metrics")?;
     assert!(metrics.contains("wasabi_gateway_failed_sends_total"), "{metrics}");
     let dump: serde_json::Value = serde_json::from_str(&gateway.page("/dump")?)?;
