--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -243,8 +243,12 @@
     second_host.set_hosts(80);
     for session in 0..40 {
         let now = now + SECOND * session as u32;
-        let a = first_host.place(now, &ask(&long(session, 1), 425, 3)).expect("a place");
-        let b = second_host.place(now, &ask(&long(session, 2), 425, 3)).expect("a place");
+        let a = first_host
+            .place(now, &ask(&long(100 + session, 1_000 + session), 425, 3))
+            .expect("a place");
+        let b = second_host
+            .place(now, &ask(&long(100 + session, 2_000 + session), 425, 3))
+            .expect("a place");
         assert_eq!(id(&a), id(&b));
         assert!(b.work_ms < 100.0, "the prefix is taken to be there: {}", b.work_ms);
         first_host.end(now, &a, End::Served);
