--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -30,6 +30,10 @@
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_500);
 /// How often a connection looks whether the host stops.
 const STOP_POLL: Duration = Duration::from_millis(250);
+/// How long connections wait for a host that has just started to learn the configuration, which
+/// takes it one answer of the store. Callers give up on a host that does not read for a second.
+const LEARN_TIME: Duration = Duration::from_millis(400);
+const LEARN_POLL: Duration = Duration::from_millis(2);
 /// The buffer of a connection beyond the largest head.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -68,7 +72,12 @@
 
 /// Serves callers; a stopping host takes no new connections once the balancer has noticed.
 pub async fn run(site: Rc<Site>, listener: TcpListener) {
-    info!("callers are served");
+    let since = site.now();
+    while !site.knows() && site.now().saturating_duration_since(since) < LEARN_TIME {
+        tokio::time::sleep(LEARN_POLL).await;
+    }
+    let waited = site.now().saturating_duration_since(since);
+    info!(knows = site.knows(), waited_ms = waited.as_millis() as u64; "callers are served");
     tokio::select! {
         () = accept(listener, |stream| caller(site.clone(), stream)) => {}
         () = stopped(&site, STOP_NOTICE) => {}
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -121,6 +121,11 @@
         Some((belief.get()?, belief.age(self.now())?))
     }
 
+    /// Returns whether this host knows a configuration and servers, however old the proofs are.
+    pub fn knows(&self) -> bool {
+        self.config().is_some() && self.members.borrow().proof(self.now()).is_some()
+    }
+
     /// Returns whether the balancer may send new connections here.
     pub fn is_ready(&self) -> bool {
         let proven = self.config().is_some_and(|(_, age)| age < READY_PROOF);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -43,6 +43,25 @@
     Ok(())
 }
 
+#[test]
+fn callers_that_come_while_a_host_learns_are_served() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    rig.store.set_fault(Fault::Slow(Duration::from_millis(150)));
+    let gateway = rig.launch("g1", rig.store_at, gateway::draw_ports()?)?;
+    let to = gateway.ports.callers;
+    wait("the port", || std::net::TcpStream::connect(to).is_ok())?;
+    assert_eq!(Request::new("GET", "/read/x", "v1").send(to)?.status, 200);
+    rig.store.set_fault(Fault::Silent);
+    let other = rig.launch("g2", rig.store_at, gateway::draw_ports()?)?;
+    let to = other.ports.callers;
+    wait("the port", || std::net::TcpStream::connect(to).is_ok())?;
+    let sent = Instant::now();
+    let answer = Request::new("GET", "/read/x", "v2").send(to)?;
+    assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+    assert!(sent.elapsed() < Duration::from_millis(900), "{:?}", sent.elapsed());
+    Ok(())
+}
+
 #[test]
 fn servers_see_the_workspace_and_never_the_key() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
