--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -24,6 +24,15 @@
 /// The fleet up to which that holds; beyond it the period grows with the fleet, so that a host
 /// sends and receives the same number of announcements a second.
 const SMALL_FLEET: usize = 10;
+/// From this many hosts on, sends are paced and counts go only to who needs them: datagrams to all
+/// peers at once overflow a link of 10 Mbit/s.
+const LARGE_FLEET: usize = 30;
+/// Datagrams that are sent without a pause.
+const BATCH: usize = 8;
+/// The part of the period over which the sends are spread.
+const PACED_SHARE: f64 = 0.7;
+/// Hosts besides the holder of the duties that get counts of usage.
+const SUCCESSORS: usize = 3;
 /// Between two announcements if there is nothing to say.
 const QUIET_PERIOD: Duration = Duration::from_millis(300);
 /// Between two announcements of usage counts.
@@ -70,7 +79,7 @@
             // Peers rest on a fresh proof, so they hear of it at once.
             () = site.proven.notified() => {
                 let bare = beat(site, false, false);
-                spread(site, socket, echoes, &bare).await;
+                spread(site, socket, echoes, &bare, Duration::ZERO, |_| true).await;
                 continue;
             }
         }
@@ -78,7 +87,8 @@
         let now = site.now();
         let with_counts =
             counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
-        let beat = beat(site, true, with_counts);
+        let counting = with_counts && hosts >= LARGE_FLEET;
+        let beat = beat(site, true, with_counts && !counting);
         let empty = beat.shares.as_ref().is_none_or(Vec::is_empty) && !with_counts;
         let rested = quiet_since.is_none_or(|at| now.saturating_duration_since(at) >= QUIET_PERIOD);
         if empty && !rested {
@@ -88,12 +98,36 @@
         if with_counts {
             counted = Some(now);
         }
-        spread(site, socket, echoes, &beat).await;
+        if counting {
+            let counts = self::beat(site, false, true);
+            let holders = holders(site);
+            spread(site, socket, echoes, &counts, Duration::ZERO, |peer| holders.contains(peer))
+                .await;
+        }
+        let pace = if hosts >= LARGE_FLEET { period.mul_f64(PACED_SHARE) } else { Duration::ZERO };
+        spread(site, socket, echoes, &beat, pace, |_| true).await;
     }
 }
 
-/// Sends an announcement to every known peer.
-async fn spread(site: &Site, socket: &UdpSocket, echoes: &RefCell<Echoes>, beat: &Beat) {
+/// Returns who needs the counts of usage in a large fleet: the holder of the duties, and those that
+/// all hosts would name first as its successors.
+fn holders(site: &Site) -> BTreeSet<SocketAddr> {
+    let now = site.now();
+    let peers = site.peers.borrow();
+    let holding = peers.live(now).filter(|(_, peer)| peer.fence.is_some());
+    let next = peers.live(now).take(SUCCESSORS);
+    holding.chain(next).map(|(_, peer)| peer.address).collect()
+}
+
+/// Sends an announcement to the known peers that `wanted` names, spread over the time `pace`.
+async fn spread(
+    site: &Site,
+    socket: &UdpSocket,
+    echoes: &RefCell<Echoes>,
+    beat: &Beat,
+    pace: Duration,
+    wanted: impl Fn(&SocketAddr) -> bool,
+) {
     let bytes = match serde_json::to_vec(beat) {
         Ok(bytes) => bytes,
         Err(e) => {
@@ -102,9 +136,14 @@
             return;
         }
     };
-    let peers: Vec<SocketAddr> = site.peers.borrow().all().map(|(_, peer)| peer.address).collect();
+    let peers = site.peers.borrow().all().map(|(_, peer)| peer.address).collect::<Vec<_>>();
+    let peers: Vec<SocketAddr> = peers.into_iter().filter(wanted).collect();
+    let pause = pace.div_f64((peers.len() as f64 / BATCH as f64).max(1.0));
     let number = echoes.borrow_mut().number(site.now());
-    for peer in peers {
+    for (sent, peer) in peers.into_iter().enumerate() {
+        if sent > 0 && sent % BATCH == 0 && !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         let echo = echoes.borrow().heard.get(&peer).copied().unwrap_or(0);
         let mut datagram = Vec::with_capacity(HEADER_BYTES + bytes.len());
         datagram.extend_from_slice(&number.to_be_bytes());
