--- a/tests/stand/src/gateway.rs
+++ b/tests/stand/src/gateway.rs
@@ -6,7 +6,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -38,6 +41,9 @@
     lines: Arc<Mutex<Vec<Value>>>,
 }
 
+/// Gateways that this process has started.
+static STARTED: AtomicU64 = AtomicU64::new(0);
+
 /// Draws free ports on this machine.
 pub fn draw_ports() -> anyhow::Result<Ports> {
     // All are held until all are drawn, so that no two are alike.
@@ -66,7 +72,8 @@
     /// Starts `program` with `settings`.
     pub fn start(program: &Path, ports: Ports, settings: &Value) -> anyhow::Result<Self> {
         let name = settings["host"].as_str().unwrap_or("gateway");
-        let unique = format!("{name}-{}-{}.json", std::process::id(), ports.callers.port());
+        let number = STARTED.fetch_add(1, Ordering::SeqCst);
+        let unique = format!("{name}-{}-{number}.json", std::process::id());
         let path = std::env::temp_dir().join(unique);
         fs::write(&path, settings.to_string())?;
         let mut child = Command::new(program)
@@ -136,6 +143,11 @@
         }
     }
 
+    /// Returns how it ended, if it has.
+    pub fn ended(&mut self) -> anyhow::Result<Option<String>> {
+        Ok(self.child.try_wait()?.map(|status| status.to_string()))
+    }
+
     /// Kills it.
     pub fn kill(&mut self) {
         // It may have ended already.
--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod proxy;
 pub mod rig;
 pub mod server;
+pub mod soak;
 pub mod store;
