--- a/crates/belief/src/peers.rs
+++ b/crates/belief/src/peers.rs
@@ -33,6 +33,8 @@
     pub heard: Instant,
     /// Whether it ever sent anything itself.
     pub spoke: bool,
+    /// Whether it was live when that was last looked at.
+    seen_live: bool,
     /// Its configuration and until when that is known to have been the newest.
     pub catalog: Option<(Revision, Instant)>,
     /// The digest of its list of servers and until when that is known to have been complete.
@@ -86,6 +88,19 @@
         self.known.retain(|_, peer| now.saturating_duration_since(peer.heard) < FORGOTTEN);
     }
 
+    /// Returns the peers that have fallen silent since this was last asked.
+    pub fn fallen_silent(&mut self, now: Instant) -> Vec<HostId> {
+        let mut silent = Vec::new();
+        for (host, peer) in &mut self.known {
+            let live = peer.is_live(now);
+            if peer.seen_live && !live {
+                silent.push(host.clone());
+            }
+            peer.seen_live = live;
+        }
+        silent
+    }
+
     /// Returns all peers.
     pub fn all(&self) -> impl Iterator<Item = (&HostId, &Peer)> {
         self.known.iter()
@@ -109,6 +124,7 @@
             incarnation: None,
             heard: now,
             spoke: false,
+            seen_live: false,
             catalog: None,
             members: None,
             fence: None,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -85,6 +85,9 @@
         }
         due = None;
         let now = site.now();
+        for peer in site.peers.borrow_mut().fallen_silent(now) {
+            warn!(peer = peer.as_str(); "peer lost");
+        }
         let with_counts =
             counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
         let counting = with_counts && hosts >= LARGE_FLEET;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -37,6 +37,7 @@
         feed,
         events: Splitter::default(),
         began: false,
+        last_event: None,
     };
     tokio::task::spawn_local(async move {
         let _open = open;
@@ -53,6 +54,8 @@
     events: Splitter,
     /// Whether the first event has come.
     began: bool,
+    /// When the last events came.
+    last_event: Option<Instant>,
 }
 
 /// How one server's part of a stream ended.
@@ -116,6 +119,7 @@
             };
             let Some(events) = self.events.push(&bytes) else { continue };
             self.note_start(seat);
+            self.note_gap();
             if !self.give(events).await {
                 return Ended::CallerLeft;
             }
@@ -148,6 +152,17 @@
             expected_ms = seat.place.expected.as_millis() as u64; "first event");
     }
 
+    /// Notes the pause before the events that have just come.
+    fn note_gap(&mut self) {
+        let now = self.site.now();
+        if let Some(last) = self.last_event.replace(now) {
+            let gap = now.saturating_duration_since(last);
+            let rank = self.inbound.permit.rank.to_string();
+            metrics::histogram!("wasabi_gateway_event_gap_seconds", "rank" => rank)
+                .record(gap.as_secs_f64());
+        }
+    }
+
     async fn give(&self, bytes: Bytes) -> bool {
         self.feed.send(Ok(bytes)).await.is_ok()
     }
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -12,18 +12,34 @@
 use anyhow::{Context as _, ensure};
 use wasabi_stand::soak;
 
-const STEPS: u64 = 20;
+use flags::Soak;
+
+/// The command line.
+mod flags {
+    xflags::xflags! {
+        /// Runs soaks and prints what each seed showed.
+        cmd soak {
+            /// The first seed.
+            optional --seed seed: u64
+            /// How many seeds.
+            optional --seeds count: u64
+            /// Faults a seed.
+            optional --steps steps: usize
+            /// Seeds at a time.
+            optional --jobs jobs: usize
+        }
+    }
+}
+
+const STEPS: usize = 20;
+const JOBS: usize = 2;
 
 fn main() -> anyhow::Result<()> {
-    let args: Vec<String> = std::env::args().collect();
-    let option = |name: &str, default: u64| -> anyhow::Result<u64> {
-        let at = args.iter().position(|arg| arg == name);
-        at.and_then(|at| args.get(at + 1)).map_or(Ok(default), |text| Ok(text.parse()?))
-    };
-    let first = option("--seed", 1)?;
-    let end = first + option("--seeds", 1)?;
-    let steps = option("--steps", STEPS)? as usize;
-    let jobs = option("--jobs", 2)?;
+    let flags = Soak::from_env_or_exit();
+    let first = flags.seed.unwrap_or(1);
+    let end = first + flags.seeds.unwrap_or(1);
+    let steps = flags.steps.unwrap_or(STEPS);
+    let jobs = flags.jobs.unwrap_or(JOBS);
     let here = std::env::current_exe()?;
     let folder = here.parent().and_then(|folder| folder.parent()).context("no folder")?;
     let program = folder.join("wasabirouter").to_string_lossy().into_owned();
