A process writes its last log lines before it ends

Found by a_planned_stop_cuts_no_request, once beside other runs: the line «stopped» was missing. Two causes: the ring's writer was cut off when main returned (a fault; main now drains the ring), and the test read the pipe before the line had come through it (the test now waits for the line, and still wants exactly one).

--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -12,6 +12,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use env_logger::{Builder, Env, Target};
@@ -28,11 +29,16 @@
 /// Beyond this many waiting lines, those about requests are dropped.
 const REQUEST_LINES: usize = RING_LINES * 3 / 4;
 
+/// How often a stopping process looks whether its lines are written.
+const DRAIN_POLL: Duration = Duration::from_millis(2);
+
 /// The sending end of the ring.
 #[derive(Clone)]
 pub struct Ring {
     lines: Sender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    /// Lines taken into the ring and not written yet.
+    pending: Arc<AtomicU64>,
 }
 
 impl Ring {
@@ -40,9 +46,22 @@
     pub fn start(out: impl Write + Send + 'static) -> Self {
         let (lines, waiting) = flume::bounded(RING_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
-        let counter = dropped.clone();
-        thread::spawn(move || write(out, &waiting, &counter));
-        Self { lines, dropped }
+        let pending = Arc::new(AtomicU64::new(0));
+        let (counter, left) = (dropped.clone(), pending.clone());
+        thread::spawn(move || write(out, &waiting, &counter, &left));
+        Self { lines, dropped, pending }
+    }
+
+    /// Waits until every line is written, but not longer than `limit`; returns whether it is.
+    pub fn drain(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while self.pending.load(Ordering::Acquire) > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(DRAIN_POLL);
+        }
+        true
     }
 
     /// Returns how many lines were dropped and not yet reported.
@@ -52,8 +71,10 @@
 
     fn push(&self, line: Vec<u8>) {
         let about_request = self.lines.len() >= REQUEST_LINES && is_request(&line);
+        self.pending.fetch_add(1, Ordering::Release);
         let full = about_request || matches!(self.lines.try_send(line), Err(TrySendError::Full(_)));
         if full {
+            self.pending.fetch_sub(1, Ordering::Release);
             self.dropped.fetch_add(1, Ordering::Relaxed);
             metrics::counter!("wasabi_log_lines_dropped_total").increment(1);
         }
@@ -86,8 +107,12 @@
 }
 
 /// Starts logging for `host` to standard output; `RUST_LOG` sets the level, `info` otherwise.
-pub fn start(host: &str) {
-    start_with(host, Ring::start(io::stdout()));
+///
+/// The ring is to be drained before the process ends.
+pub fn start(host: &str) -> Ring {
+    let ring = Ring::start(io::stdout());
+    start_with(host, ring.clone());
+    ring
 }
 
 /// Starts logging for `host` through `ring`.
@@ -111,7 +136,7 @@
     }
 }
 
-fn write(mut out: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write(mut out: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, pending: &AtomicU64) {
     while let Ok(line) = lines.recv() {
         // Nowhere is left to report a closed standard output.
         let _ = out.write_all(&line);
@@ -122,6 +147,7 @@
         if lines.is_empty() {
             let _ = out.flush();
         }
+        pending.fetch_sub(1, Ordering::Release);
     }
 }
 
--- a/crates/logs/tests/ring.rs
+++ b/crates/logs/tests/ring.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Write},
     sync::{Arc, mpsc},
+    time::Duration,
 };
 
 use wasabi_logs::Ring;
@@ -51,3 +52,32 @@
     }
     assert!(text().contains("log lines dropped"));
 }
+
+/// Takes its time for each line.
+struct Slow(Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        std::thread::yield_now();
+        self.0.lock().expect("the lock is whole").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_drained_ring_has_written_every_line() {
+    for _ in 0..20 {
+        let out = Arc::new(std::sync::Mutex::new(Vec::new()));
+        let mut ring = Ring::start(Slow(out.clone()));
+        for i in 0..500 {
+            ring.write_all(format!("line {i}\n").as_bytes()).expect("writes never fail");
+        }
+        assert!(ring.drain(Duration::from_secs(10)));
+        let text = String::from_utf8_lossy(&out.lock().expect("the lock is whole")).into_owned();
+        assert!(text.ends_with("line 499\n"));
+    }
+}
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -7,10 +7,11 @@
     env, fs,
     path::{Path, PathBuf},
     process::ExitCode,
+    time::Duration,
 };
 
 use flags::{Gateway, Wasabirouter, WasabirouterCmd};
-use wasabi_logs as logs;
+use wasabi_logs::{self as logs, Ring};
 use wasabi_node::{
     host,
     settings::{self, Settings},
@@ -19,6 +20,8 @@
 
 const EXIT_SETTINGS: u8 = 2;
 const EXIT_FAILED: u8 = 1;
+/// How long a process that ends waits for its last log lines.
+const LAST_LINES: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     let flags = Wasabirouter::from_env_or_exit();
@@ -56,8 +59,8 @@
         println!("the settings are valid");
         return ExitCode::SUCCESS;
     }
-    logs::start(settings.host.as_str());
-    ended(wasabi_gateway::run::run(path, settings))
+    let ring = logs::start(settings.host.as_str());
+    ended(wasabi_gateway::run::run(path, settings), &ring)
 }
 
 fn read(path: &Path) -> Result<String, ExitCode> {
@@ -76,16 +79,17 @@
 }
 
 fn start(settings: Settings) -> ExitCode {
-    logs::start(settings.host.as_str());
-    ended(host::run(settings))
+    let ring = logs::start(settings.host.as_str());
+    ended(host::run(settings), &ring)
 }
 
-fn ended(run: anyhow::Result<()>) -> ExitCode {
-    match run {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            log::error!("{e:#}");
-            ExitCode::from(EXIT_FAILED)
-        }
+/// Writes the last lines and returns the exit code.
+fn ended(run: anyhow::Result<()>, ring: &Ring) -> ExitCode {
+    if let Err(e) = &run {
+        log::error!("{e:#}");
+    }
+    if !ring.drain(LAST_LINES) {
+        eprintln!("the last log lines could not be written in time");
     }
+    if run.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -324,7 +324,8 @@
     }
     assert!(served > 2);
     assert!(gateway.wait_end(Duration::from_secs(8))?);
-    assert!(gateway.said("stopped").len() == 1);
+    // The process has ended; its output may still be on its way through the pipe.
+    wait("the last line", || gateway.said("stopped").len() == 1)?;
     Ok(())
 }
 
