Large fleets: hosts hear of their own domain four times as often and keep to its servers

Change: pacing lies within the period, near peers hear every 250 ms, far ones once in four rounds, a peer is live for 2.5 s.

--- a/crates/belief/src/peers.rs
+++ b/crates/belief/src/peers.rs
@@ -6,12 +6,12 @@
     time::{Duration, Instant},
 };
 
-use wasabi_core::units::{Epoch, HostId, Incarnation, Revision};
+use wasabi_core::units::{Domain, Epoch, HostId, Incarnation, Revision};
 
 use crate::{beat::Beat, fleet::Host};
 
 /// A peer that is silent for longer is not counted as live.
-const LIVE: Duration = Duration::from_millis(1_200);
+const LIVE: Duration = Duration::from_millis(2_500);
 /// A peer that is silent for longer is forgotten; the store may bring it back.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 
@@ -27,6 +27,8 @@
 pub struct Peer {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it stands, once it has said so.
+    pub domain: Option<Domain>,
     /// Which life of it was heard last.
     pub incarnation: Option<Incarnation>,
     /// When it was last heard; for one that was only read about, when that was.
@@ -73,6 +75,7 @@
         let fresh = peer.incarnation.as_ref() != Some(&beat.incarnation);
         let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
         peer.address = from;
+        peer.domain = Some(beat.domain.clone());
         peer.incarnation = Some(beat.incarnation.clone());
         peer.heard = now;
         peer.spoke = true;
@@ -121,6 +124,7 @@
     fn new(address: SocketAddr, now: Instant) -> Self {
         Self {
             address,
+            domain: None,
             incarnation: None,
             heard: now,
             spoke: false,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -15,7 +15,11 @@
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use wasabi_belief::beat::Beat;
-use wasabi_core::time;
+use wasabi_core::{
+    time,
+    units::{PoolId, ServerId},
+};
+use wasabi_policy::board::Share;
 
 use crate::site::Site;
 
@@ -24,9 +28,12 @@
 /// The fleet up to which that holds; beyond it the period grows with the fleet, so that a host
 /// sends and receives the same number of announcements a second.
 const SMALL_FLEET: usize = 10;
-/// From this many hosts on, sends are paced and counts go only to who needs them: datagrams to all
-/// peers at once overflow a link of 10 Mbit/s.
+/// From this many hosts on, peers of other failure domains hear less often, sends to them are paced
+/// and counts go only to who needs them: datagrams to all peers at once overflow a link of
+/// 10 Mbit/s, and bytes between domains cost.
 const LARGE_FLEET: usize = 30;
+/// Other failure domains hear once in this many announcements.
+const FAR_ROUNDS: u32 = 4;
 /// Datagrams that are sent without a pause.
 const BATCH: usize = 8;
 /// The part of the period over which the sends are spread.
@@ -70,9 +77,13 @@
     let mut counted: Option<Instant> = None;
     let mut quiet_since: Option<Instant> = None;
     let mut due: Option<Instant> = None;
+    let mut far = Far::default();
+    let mut rounds: u32 = 0;
     loop {
         let hosts = site.hosts().max(1);
-        let period = PERIOD.mul_f64((hosts as f64 / SMALL_FLEET as f64).max(1.0));
+        let large = hosts >= LARGE_FLEET;
+        let heard = if large { near_hosts(site) } else { hosts };
+        let period = PERIOD.mul_f64((heard as f64 / SMALL_FLEET as f64).max(1.0));
         let next = *due.get_or_insert(site.now() + period);
         tokio::select! {
             () = tokio::time::sleep(next.saturating_duration_since(site.now())) => {}
@@ -83,15 +94,14 @@
                 continue;
             }
         }
-        due = None;
+        due = Some(next.max(site.now()) + period);
         let now = site.now();
         for peer in site.peers.borrow_mut().fallen_silent(now) {
             warn!(peer = peer.as_str(); "peer lost");
         }
         let with_counts =
             counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
-        let counting = with_counts && hosts >= LARGE_FLEET;
-        let beat = beat(site, true, with_counts && !counting);
+        let beat = beat(site, true, with_counts && !large);
         let empty = beat.shares.as_ref().is_none_or(Vec::is_empty) && !with_counts;
         let rested = quiet_since.is_none_or(|at| now.saturating_duration_since(at) >= QUIET_PERIOD);
         if empty && !rested {
@@ -101,17 +111,67 @@
         if with_counts {
             counted = Some(now);
         }
-        if counting {
+        if !large {
+            spread(site, socket, echoes, &beat, Duration::ZERO, |_| true).await;
+            continue;
+        }
+        if with_counts {
             let counts = self::beat(site, false, true);
             let holders = holders(site);
             spread(site, socket, echoes, &counts, Duration::ZERO, |peer| holders.contains(peer))
                 .await;
         }
-        let pace = if hosts >= LARGE_FLEET { period.mul_f64(PACED_SHARE) } else { Duration::ZERO };
-        spread(site, socket, echoes, &beat, pace, |_| true).await;
+        let near = near_peers(site);
+        spread(site, socket, echoes, &beat, Duration::ZERO, |peer| near.contains(peer)).await;
+        far.absorb(&beat);
+        rounds += 1;
+        if rounds % FAR_ROUNDS == 0 {
+            let beat = far.take(beat);
+            let pace = period.mul_f64(PACED_SHARE);
+            spread(site, socket, echoes, &beat, pace, |peer| !near.contains(peer)).await;
+        }
     }
 }
 
+/// What the peers of other failure domains have not been told yet.
+#[derive(Default)]
+struct Far(BTreeMap<PoolId, BTreeMap<ServerId, Share>>);
+
+impl Far {
+    fn absorb(&mut self, beat: &Beat) {
+        for (service, shares) in beat.shares.iter().flatten() {
+            let known = self.0.entry(service.clone()).or_default();
+            // Servers that the announcement leaves out run nothing any more.
+            known.values_mut().for_each(|share| {
+                (share.running, share.light, share.tokens) = (0, 0, 0);
+            });
+            for (server, share) in shares {
+                known.entry(server.clone()).or_default().absorb(share);
+            }
+        }
+    }
+
+    /// Returns the announcement with all that was absorbed.
+    fn take(&mut self, beat: Beat) -> Beat {
+        let shares = std::mem::take(&mut self.0).into_iter();
+        let shares = shares.map(|(service, shares)| (service, shares.into_iter().collect()));
+        Beat { shares: Some(shares.collect()), ..beat }
+    }
+}
+
+/// Returns the live peers in this host's failure domain.
+fn near_peers(site: &Site) -> BTreeSet<SocketAddr> {
+    let domain = site.settings.borrow().domain.clone();
+    let peers = site.peers.borrow();
+    let live = peers.live(site.now()).filter(|(_, peer)| peer.domain.as_ref() == Some(&domain));
+    live.map(|(_, peer)| peer.address).collect()
+}
+
+/// Returns how many hosts there are in this host's failure domain.
+fn near_hosts(site: &Site) -> usize {
+    1 + near_peers(site).len()
+}
+
 /// Returns who needs the counts of usage in a large fleet: the holder of the duties, and those that
 /// all hosts would name first as its successors.
 fn holders(site: &Site) -> BTreeSet<SocketAddr> {
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -66,16 +66,19 @@
 const MEMORY_SHARE: f64 = 0.92;
 /// How many requests may wait at a plain server for each one that it runs.
 const WAITING_PER_SLOT: u32 = 3;
-/// From this many hosts on, announcements are several hundred milliseconds old, and a session is
-/// taken to be cached at its home: other hosts have most likely sent requests of it there.
+/// From this many hosts on, announcements of other failure domains are a second old. A session is
+/// then taken to be cached at its home, and hosts keep to the servers of their own domain, of which
+/// they hear sooner.
 const MANY_HOSTS: usize = 30;
+/// Milliseconds added then for a server in another failure domain.
+const LATE_NEWS_MS: f64 = 120.0;
 /// Levels of urgency.
 const LEVELS: usize = 10;
 /// A more urgent request waits for the prompt that is being read, in milliseconds at most: about
 /// two chunks beside the tokens of other requests, as measured.
 const PROMPT_AHEAD_MS: f64 = 130.0;
 /// What peers announced is forgotten after this time without news.
-const PEER_MEMORY: Duration = Duration::from_millis(1_500);
+const PEER_MEMORY: Duration = Duration::from_millis(2_500);
 
 /// What one host announces of its requests on one server.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -175,6 +178,19 @@
     trouble: Trouble,
 }
 
+impl Share {
+    /// Takes in a later announcement of the same host and server.
+    pub fn absorb(&mut self, later: &Share) {
+        self.running = later.running;
+        self.light = later.light;
+        self.tokens = later.tokens;
+        for (urgency, ms) in &later.added_ms {
+            *self.added_ms.entry(*urgency).or_default() += ms;
+        }
+        self.parts.extend_from_slice(&later.parts);
+    }
+}
+
 impl Board {
     /// Gets a board without servers, for a host in `domain`.
     pub fn new(domain: Domain) -> Self {
@@ -219,6 +235,7 @@
         });
         let home = self.home(ask);
         let assumed = self.late_news;
+        let distance_ms = if self.late_news { LATE_NEWS_MS } else { DISTANCE_MS };
         for (id, server) in &mut self.servers {
             let avoided = ask.avoid.contains(id);
             if server.member.phase != Phase::Ready || (avoided && spare) {
@@ -233,7 +250,7 @@
             };
             let failing_ms = server.trouble.weight(now) * FAILURE_PENALTY_MS;
             least_ms = least_ms.min(quote.first_ms + failing_ms);
-            let far = if server.member.domain == self.domain { 0.0 } else { DISTANCE_MS };
+            let far = if server.member.domain == self.domain { 0.0 } else { distance_ms };
             let strange =
                 if home.as_ref().is_none_or(|home| home == id) { 0.0 } else { STRANGER_MS };
             let cost = quote.first_ms + quote.extra_ms + failing_ms + far + strange;
@@ -364,7 +381,10 @@
             (session.id, id).hash(&mut hasher);
             hasher.finish()
         };
-        self.ready().map(|member| &member.id).max_by_key(|id| rank(id)).cloned()
+        // Hosts that hear late of other domains have a home for the session in their own.
+        let own = |member: &&Member| !self.late_news || member.domain == self.domain;
+        let near = self.ready().filter(own).map(|member| &member.id).max_by_key(|id| rank(id));
+        near.or_else(|| self.ready().map(|member| &member.id).max_by_key(|id| rank(id))).cloned()
     }
 
     fn of(&mut self, place: &Place) -> Option<&mut Server> {
