Large fleets refuse by how late first events really come

Change: from 30 hosts on, the expected time is scaled by a moving ratio of observed and expected first events that fades without news. Small fleets are not touched.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -72,6 +72,12 @@
 const MANY_HOSTS: usize = 30;
 /// Milliseconds added then for a server in another failure domain.
 const LATE_NEWS_MS: f64 = 120.0;
+/// Weight of one first event in the strain.
+const STRAIN_WEIGHT: f64 = 0.12;
+/// The strain halves in this time without first events, so that refusing everything ends.
+const STRAIN_MEMORY: Duration = Duration::from_millis(1_500);
+/// The greatest strain.
+const MAX_STRAIN: f64 = 8.0;
 /// Levels of urgency.
 const LEVELS: usize = 10;
 /// A more urgent request waits for the prompt that is being read, in milliseconds at most: about
@@ -157,6 +163,8 @@
     engine: Option<Engine>,
     /// Whether peers' announcements come too late to know what they have engines read.
     late_news: bool,
+    /// How many times longer first events took lately than expected, as of the time beside it.
+    strain: (f64, Option<Instant>),
     servers: BTreeMap<ServerId, Server>,
 }
 
@@ -194,7 +202,13 @@
 impl Board {
     /// Gets a board without servers, for a host in `domain`.
     pub fn new(domain: Domain) -> Self {
-        Self { domain, engine: None, late_news: false, servers: BTreeMap::new() }
+        Self {
+            domain,
+            engine: None,
+            late_news: false,
+            strain: (1.0, None),
+            servers: BTreeMap::new(),
+        }
     }
 
     /// Takes a new list of servers; one that is left out gets no new work.
@@ -235,6 +249,7 @@
         });
         let home = self.home(ask);
         let assumed = self.late_news;
+        let strain = if self.late_news { self.strain(now) } else { 1.0 };
         let distance_ms = if self.late_news { LATE_NEWS_MS } else { DISTANCE_MS };
         for (id, server) in &mut self.servers {
             let avoided = ask.avoid.contains(id);
@@ -249,12 +264,13 @@
                 None => server.quote_plain(),
             };
             let failing_ms = server.trouble.weight(now) * FAILURE_PENALTY_MS;
-            least_ms = least_ms.min(quote.first_ms + failing_ms);
+            least_ms = least_ms.min(quote.first_ms * strain + failing_ms);
             let far = if server.member.domain == self.domain { 0.0 } else { distance_ms };
             let strange =
                 if home.as_ref().is_none_or(|home| home == id) { 0.0 } else { STRANGER_MS };
             let cost = quote.first_ms + quote.extra_ms + failing_ms + far + strange;
-            let fits = quote.has_room && quote.first_ms <= ask.patience.as_secs_f64() * 1e3;
+            let fits =
+                quote.has_room && quote.first_ms * strain <= ask.patience.as_secs_f64() * 1e3;
             if fits && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, quote, id.clone()));
             }
@@ -280,6 +296,10 @@
     /// Takes in that the first event, or the whole answer of a plain server, has come.
     pub fn started(&mut self, now: Instant, place: &Place) {
         let plain = self.engine.is_none();
+        let took = now.saturating_duration_since(place.since).as_secs_f64();
+        let factor = (took / place.expected.as_secs_f64().max(1e-3)).clamp(1.0, MAX_STRAIN);
+        let strain = self.strain(now);
+        self.strain = (strain + STRAIN_WEIGHT * (factor - strain), Some(now));
         let Some(server) = self.of(place) else { return };
         server.trouble.succeed();
         if plain {
@@ -372,6 +392,13 @@
         if count == 0 { 0.0 } else { sum / f64::from(count) }
     }
 
+    /// Returns how many times longer than expected first events take, which fades without news.
+    fn strain(&self, now: Instant) -> f64 {
+        let (strain, at) = self.strain;
+        let age = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        1.0 + (strain - 1.0) * 0.5_f64.powf(age.as_secs_f64() / STRAIN_MEMORY.as_secs_f64())
+    }
+
     /// Returns the server that a session belongs to: the same one on every host that knows the
     /// same servers, so that its prefix is read in few places however late hosts hear of others'.
     fn home(&self, ask: &Ask) -> Option<ServerId> {
