--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -125,7 +125,7 @@
         spread(site, socket, echoes, &beat, Duration::ZERO, |peer| near.contains(peer)).await;
         far.absorb(&beat);
         rounds += 1;
-        if rounds % FAR_ROUNDS == 0 {
+        if rounds.is_multiple_of(FAR_ROUNDS) {
             let beat = far.take(beat);
             let pace = period.mul_f64(PACED_SHARE);
             spread(site, socket, echoes, &beat, pace, |peer| !near.contains(peer)).await;
