Keys are served to peers only

Found on reading the change: the ports of operators and of the balancer answered the page that peers pull, which holds the configuration with its keys. The test fails first (the page held a key).

--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -17,14 +17,28 @@
 
 type Answer = Response<Full<Bytes>>;
 
-/// Serves readiness, metrics, the state, and what peers ask for.
-pub async fn run(site: Rc<Site>, listener: TcpListener, metrics: PrometheusHandle) {
-    front::accept(listener, |stream| serve(site.clone(), metrics.clone(), stream)).await;
+/// Who reaches a port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// Operators and the balancer.
+    Operators,
+    /// Other hosts, which are given the configuration with its keys.
+    Peers,
 }
 
-async fn serve(site: Rc<Site>, metrics: PrometheusHandle, stream: TcpStream) {
+/// Serves readiness, metrics and the state, and to peers what this host believes.
+pub async fn run(
+    site: Rc<Site>,
+    listener: TcpListener,
+    metrics: PrometheusHandle,
+    audience: Audience,
+) {
+    front::accept(listener, |stream| serve(site.clone(), metrics.clone(), audience, stream)).await;
+}
+
+async fn serve(site: Rc<Site>, metrics: PrometheusHandle, audience: Audience, stream: TcpStream) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let answer = answer(&site, &metrics, request.uri().path());
+        let answer = answer(&site, &metrics, audience, request.uri().path());
         async move { Ok::<_, Infallible>(answer) }
     });
     let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -33,7 +47,7 @@
     }
 }
 
-fn answer(site: &Site, metrics: &PrometheusHandle, path: &str) -> Answer {
+fn answer(site: &Site, metrics: &PrometheusHandle, audience: Audience, path: &str) -> Answer {
     let (status, body) = match path {
         names::READY_PATH | "/health" => match site.is_ready() {
             true => (StatusCode::OK, Bytes::from_static(b"ready\n")),
@@ -44,7 +58,7 @@
             (StatusCode::OK, Bytes::from(metrics.render()))
         }
         "/dump" => (StatusCode::OK, Bytes::from(dump(site).to_string())),
-        share::PATH => match share::render(site) {
+        share::PATH if audience == Audience::Peers => match share::render(site) {
             Some(body) => (StatusCode::OK, body),
             None => (StatusCode::NOT_FOUND, Bytes::new()),
         },
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,7 +22,8 @@
 use wasabi_platform::{duties, objects};
 
 use crate::{
-    duty, follow, front, gossip, operator,
+    duty, follow, front, gossip,
+    operator::{self, Audience},
     settings::{self, Settings},
     site::Site,
 };
@@ -67,10 +68,14 @@
     spawn_local(follow::run(site.clone()));
     spawn_local(keep_time(site.clone()));
     let duties = spawn_local(duty::run(site.clone()));
-    for address in [settings.ready, settings.operators, settings.peers] {
+    for (address, audience) in [
+        (settings.ready, Audience::Operators),
+        (settings.operators, Audience::Operators),
+        (settings.peers, Audience::Peers),
+    ] {
         let (site, metrics) = (site.clone(), metrics.clone());
         spawn_local(async move {
-            operator::run(site, front::bind(address).await, metrics).await;
+            operator::run(site, front::bind(address).await, metrics, audience).await;
         });
     }
     spawn_local(reload(site.clone(), path, hangup));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -414,5 +414,6 @@
     let dump: serde_json::Value = serde_json::from_str(&gateway.page("/dump")?)?;
     assert_eq!(dump["ready"], true);
     assert!(!dump.to_string().contains("k1"), "a dump holds no key");
+    assert!(!gateway.page("/knowledge")?.contains("k1"), "keys are for peers only");
     Ok(())
 }
