--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,12 +1,10 @@
 //! Announcements between hosts, over UDP.
 //!
-//! A datagram begins with its number and the number of the last one that its sender had from the
-//! receiver. The echo bounds its age: it was sent after the echoed one. Without that, a datagram
-//! that waited while its receiver was suspended would make an old proof look fresh.
+//! Each datagram begins with a header that bounds its age, see [`crate::echo`].
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -21,7 +19,10 @@
 };
 use wasabi_policy::board::Share;
 
-use crate::site::Site;
+use crate::{
+    echo::{Echoes, HEADER_BYTES, Opening},
+    site::Site,
+};
 
 /// Between two announcements of a small fleet, while requests are placed.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -49,27 +50,16 @@
 /// The largest datagram that is received.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
-/// Announcements whose time of sending is remembered.
-const REMEMBERED: usize = 128;
-/// The two numbers before the announcement.
-const HEADER_BYTES: usize = 16;
-
-/// The numbers of announcements sent and received.
-#[derive(Default)]
-struct Echoes {
-    /// The number of the next announcement. Begins at random, so that an echo of a former life is
-    /// not taken for one of this life.
-    next: u64,
-    /// When the last ones were sent.
-    sent: VecDeque<(u64, Instant)>,
-    /// The last number heard from each address.
-    heard: HashMap<SocketAddr, u64>,
+/// An announcement and the opening that its ages belong to.
+struct Announcement {
+    opening: Opening,
+    beat: Beat,
 }
 
 /// Sends and receives announcements until the process ends.
 pub async fn run(site: Rc<Site>, socket: UdpSocket) {
     let first = u64::from(rand::random::<u32>()) << 24;
-    let echoes = RefCell::new(Echoes { next: first, ..Echoes::default() });
+    let echoes = RefCell::new(Echoes::new(first));
     tokio::join!(send(&site, &socket, &echoes), receive(&site, &socket, &echoes));
 }
 
@@ -89,8 +79,8 @@
             () = tokio::time::sleep(next.saturating_duration_since(site.now())) => {}
             // Peers rest on a fresh proof, so they hear of it at once.
             () = site.proven.notified() => {
-                let bare = beat(site, false, false);
-                spread(site, socket, echoes, &bare, Duration::ZERO, |_| true).await;
+                let bare = announcement(site, echoes, false, false);
+                spread(site, socket, &bare, Duration::ZERO, |_| true).await;
                 continue;
             }
         }
@@ -101,8 +91,8 @@
         }
         let with_counts =
             counted.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
-        let beat = beat(site, true, with_counts && !large);
-        let empty = beat.shares.as_ref().is_none_or(Vec::is_empty) && !with_counts;
+        let full = announcement(site, echoes, true, with_counts && !large);
+        let empty = full.beat.shares.as_ref().is_none_or(Vec::is_empty) && !with_counts;
         let rested = quiet_since.is_none_or(|at| now.saturating_duration_since(at) >= QUIET_PERIOD);
         if empty && !rested {
             continue;
@@ -112,23 +102,22 @@
             counted = Some(now);
         }
         if !large {
-            spread(site, socket, echoes, &beat, Duration::ZERO, |_| true).await;
+            spread(site, socket, &full, Duration::ZERO, |_| true).await;
             continue;
         }
         if with_counts {
-            let counts = self::beat(site, false, true);
+            let counts = announcement(site, echoes, false, true);
             let holders = holders(site);
-            spread(site, socket, echoes, &counts, Duration::ZERO, |peer| holders.contains(peer))
-                .await;
+            spread(site, socket, &counts, Duration::ZERO, |peer| holders.contains(peer)).await;
         }
         let near = near_peers(site);
-        spread(site, socket, echoes, &beat, Duration::ZERO, |peer| near.contains(peer)).await;
-        far.absorb(&beat);
+        spread(site, socket, &full, Duration::ZERO, |peer| near.contains(peer)).await;
+        far.absorb(&full.beat);
         rounds += 1;
         if rounds.is_multiple_of(FAR_ROUNDS) {
-            let beat = far.take(beat);
+            let full = Announcement { beat: far.take(full.beat), ..full };
             let pace = period.mul_f64(PACED_SHARE);
-            spread(site, socket, echoes, &beat, pace, |peer| !near.contains(peer)).await;
+            spread(site, socket, &full, pace, |peer| !near.contains(peer)).await;
         }
     }
 }
@@ -186,12 +175,11 @@
 async fn spread(
     site: &Site,
     socket: &UdpSocket,
-    echoes: &RefCell<Echoes>,
-    beat: &Beat,
+    announcement: &Announcement,
     pace: Duration,
     wanted: impl Fn(&SocketAddr) -> bool,
 ) {
-    let bytes = match serde_json::to_vec(beat) {
+    let bytes = match serde_json::to_vec(&announcement.beat) {
         Ok(bytes) => bytes,
         Err(e) => {
             let cause = e.to_string();
@@ -202,15 +190,12 @@
     let peers = site.peers.borrow().all().map(|(_, peer)| peer.address).collect::<Vec<_>>();
     let peers: Vec<SocketAddr> = peers.into_iter().filter(wanted).collect();
     let pause = pace.div_f64((peers.len() as f64 / BATCH as f64).max(1.0));
-    let number = echoes.borrow_mut().number(site.now());
     for (sent, peer) in peers.into_iter().enumerate() {
         if sent > 0 && sent % BATCH == 0 && !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
-        let echo = echoes.borrow().heard.get(&peer).copied().unwrap_or(0);
         let mut datagram = Vec::with_capacity(HEADER_BYTES + bytes.len());
-        datagram.extend_from_slice(&number.to_be_bytes());
-        datagram.extend_from_slice(&echo.to_be_bytes());
+        datagram.extend_from_slice(&announcement.opening.header(peer));
         datagram.extend_from_slice(&bytes);
         if socket.send_to(&datagram, peer).await.is_err() {
             metrics::counter!("wasabi_gossip_failures_total").increment(1);
@@ -218,6 +203,17 @@
     }
 }
 
+/// Opens an announcement, then reads what it tells.
+fn announcement(
+    site: &Site,
+    echoes: &RefCell<Echoes>,
+    with_shares: bool,
+    with_counts: bool,
+) -> Announcement {
+    let opening = echoes.borrow_mut().open(site.now());
+    Announcement { opening, beat: beat(site, with_shares, with_counts) }
+}
+
 fn beat(site: &Site, with_shares: bool, with_counts: bool) -> Beat {
     let now = site.now();
     let settings = site.settings.borrow();
@@ -275,27 +271,6 @@
     }
 }
 
-impl Echoes {
-    /// Returns the number of an announcement that is sent now.
-    fn number(&mut self, now: Instant) -> u64 {
-        self.next += 1;
-        self.sent.push_back((self.next, now));
-        if self.sent.len() > REMEMBERED {
-            self.sent.pop_front();
-        }
-        self.next
-    }
-
-    /// Takes in a header; returns a time before which the datagram was not sent, if that is known.
-    fn heard(&mut self, from: SocketAddr, header: &[u8]) -> Option<Instant> {
-        let (number, echo) = header.split_at(HEADER_BYTES / 2);
-        let number = u64::from_be_bytes(number.try_into().ok()?);
-        let echo = u64::from_be_bytes(echo.try_into().ok()?);
-        self.heard.insert(from, number);
-        self.sent.iter().find(|(sent, _)| *sent == echo).map(|(_, at)| *at)
-    }
-}
-
 /// Takes in an announcement that was not sent before `asked`.
 fn take(site: &Site, from: SocketAddr, beat: &Beat, asked: Option<Instant>) {
     let now = site.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod duty;
+pub mod echo;
 pub mod events;
 pub mod follow;
 pub mod front;
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -29,6 +29,9 @@
 /// Beyond this many waiting lines, those about requests are dropped.
 const REQUEST_LINES: usize = RING_LINES * 3 / 4;
 
+/// How long a process that ends waits for its last lines; a reader that is there takes a line within
+/// milliseconds.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// How often a stopping process looks whether its lines are written.
 const DRAIN_POLL: Duration = Duration::from_millis(2);
 
@@ -52,6 +55,13 @@
         Self { lines, dropped, pending }
     }
 
+    /// Writes the last lines of a process that ends; says so if the reader does not take them.
+    pub fn finish(&self) {
+        if !self.drain(LAST_LINES) {
+            eprintln!("the last log lines could not be written in time");
+        }
+    }
+
     /// Waits until every line is written, but not longer than `limit`; returns whether it is.
     pub fn drain(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
@@ -108,7 +118,7 @@
 
 /// Starts logging for `host` to standard output; `RUST_LOG` sets the level, `info` otherwise.
 ///
-/// The ring is to be drained before the process ends.
+/// The process calls [`Ring::finish`] before it ends.
 pub fn start(host: &str) -> Ring {
     let ring = Ring::start(io::stdout());
     start_with(host, ring.clone());
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -18,6 +18,7 @@
 use wasabi_core::{time, units::Revision};
 use wasabi_entry::server;
 use wasabi_lease::witness::Process;
+use wasabi_logs::Ring;
 use wasabi_peer::server::Host;
 
 use crate::{
@@ -31,8 +32,9 @@
 const WORKERS: usize = 2;
 const FLUSH_PAUSE: Duration = Duration::from_millis(200);
 
-/// Runs the host until it is told to stop; a second signal ends it at once.
-pub fn run(settings: Settings) -> anyhow::Result<()> {
+/// Runs the host until it is told to stop; a second signal ends it at once, and `logs` are written
+/// before.
+pub fn run(settings: Settings, logs: Ring) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .enable_all()
@@ -76,7 +78,7 @@
         incarnation = status.incarnation.as_str();
         "listening"
     );
-    serve(&runtime, parts, &status, operator, listener)
+    serve(&runtime, parts, &status, operator, listener, logs)
 }
 
 /// Makes the parts follow the configuration.
@@ -96,6 +98,7 @@
     status: &Status,
     operator: Port,
     listener: TcpListener,
+    logs: Ring,
 ) -> anyhow::Result<()> {
     let ending = Arc::new(Ending::default());
     let mut threads = tasks::start(&parts, status, &ending);
@@ -119,7 +122,7 @@
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals cannot be taken")?;
     signals.forever().next();
     info!(running = parts.context.running.len(); "stopping");
-    end_on_second_signal(signals, parts.clone());
+    end_on_second_signal(signals, parts.clone(), logs);
     parts.context.contact.set_leaving();
     parts.live.leave();
     parts.desks.refresh();
@@ -167,10 +170,11 @@
     flushed && recorded && sent
 }
 
-fn end_on_second_signal(mut signals: Signals, parts: Arc<Parts>) {
+fn end_on_second_signal(mut signals: Signals, parts: Arc<Parts>, logs: Ring) {
     std::thread::spawn(move || {
         if signals.forever().next().is_some() {
             warn!(cut = parts.context.running.len(); "second signal; running requests are cut");
+            logs.finish();
             process::exit(1);
         }
     });
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -106,7 +106,7 @@
         head.push_str(&format!("content-length: {}\r\nconnection: close\r\n\r\n", self.body.len()));
         socket.write_all(head.as_bytes())?;
         socket.write_all(&self.body)?;
-        Ok(Pending { reader: BufReader::new(socket) })
+        Ok(Pending { reader: BufReader::new(socket), head: None, first: None })
     }
 
     /// Sends the request and gets the whole answer.
@@ -123,8 +123,15 @@
 /// A request that was sent.
 pub struct Pending {
     reader: BufReader<TcpStream>,
+    /// The head, once `wait_first` has read it.
+    head: Option<Head>,
+    /// The first chunk, once `wait_first` has read it.
+    first: Option<Vec<u8>>,
 }
 
+/// The status and the headers of an answer.
+type Head = (u16, Vec<(String, String)>);
+
 impl Pending {
     /// Gets the whole answer.
     pub fn answer(mut self) -> anyhow::Result<Answer> {
@@ -186,17 +193,20 @@
         Ok(stream)
     }
 
-    /// Waits for the first chunk of the answer, and leaves the rest unread.
+    /// Waits for the first chunk of the answer.
     pub fn wait_first(&mut self) -> anyhow::Result<u16> {
-        let (status, _) = self.head()?;
+        let head = self.head()?;
+        let status = head.0;
         if status == 200 {
-            self.chunk()?;
+            self.first = self.chunk()?;
         }
+        self.head = Some(head);
         Ok(status)
     }
 
     /// Reads on after `wait_first` to the end; returns the text read and whether it ended well.
     pub fn rest(mut self) -> (String, bool) {
+        self.first = None;
         let mut text = String::new();
         loop {
             match self.chunk() {
@@ -207,7 +217,10 @@
         }
     }
 
-    fn head(&mut self) -> anyhow::Result<(u16, Vec<(String, String)>)> {
+    fn head(&mut self) -> anyhow::Result<Head> {
+        if let Some(head) = self.head.take() {
+            return Ok(head);
+        }
         let mut line = String::new();
         self.reader.read_line(&mut line)?;
         let status = line.split(' ').nth(1).context("no status")?.parse()?;
@@ -222,6 +235,9 @@
     }
 
     fn chunk(&mut self) -> anyhow::Result<Option<Vec<u8>>> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
         let mut line = String::new();
         self.reader.read_line(&mut line)?;
         let length = usize::from_str_radix(line.trim(), 16)?;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -365,7 +365,9 @@
         let slot = self.enter(work.priority);
         let number = self.begin(&work, bytes);
         if !self.cached(&work.prompt) {
-            thread::sleep(self.pace.lock().first_token);
+            // Copied first: a guard inside the call would be held while it sleeps.
+            let first_token = self.pace.lock().first_token;
+            thread::sleep(first_token);
         }
         let complete = if work.stream {
             let mut out = request.into_writer();
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -3,7 +3,7 @@
 //! With `--once` it checks itself and ends; otherwise it stays up until Ctrl-C.
 #![forbid(unsafe_code)]
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use anyhow::{Context as _, ensure};
 use wasabi_config::{log, parse};
@@ -11,6 +11,7 @@
     io::Store,
     time::{self, Clock as _, System},
 };
+use wasabi_logs::Ring;
 use wasabi_node::{host, settings};
 use wasabi_remote::{http::Endpoint, store::Remote};
 use wasabi_standin::{
@@ -63,7 +64,7 @@
     let text = rig::settings("demo", &platform.url()).to_string();
     let settings = settings::parse(&text).map_err(|problems| anyhow::anyhow!("{problems:?}"))?;
     thread::spawn(move || {
-        if let Err(e) = host::run(settings) {
+        if let Err(e) = host::run(settings, Ring::start(io::sink())) {
             eprintln!("{e:#}");
         }
         std::process::exit(0);
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -7,7 +7,6 @@
     env, fs,
     path::{Path, PathBuf},
     process::ExitCode,
-    time::Duration,
 };
 
 use flags::{Gateway, Wasabirouter, WasabirouterCmd};
@@ -20,8 +19,6 @@
 
 const EXIT_SETTINGS: u8 = 2;
 const EXIT_FAILED: u8 = 1;
-/// How long a process that ends waits for its last log lines.
-const LAST_LINES: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     let flags = Wasabirouter::from_env_or_exit();
@@ -80,7 +77,7 @@
 
 fn start(settings: Settings) -> ExitCode {
     let ring = logs::start(settings.host.as_str());
-    ended(host::run(settings), &ring)
+    ended(host::run(settings, ring.clone()), &ring)
 }
 
 /// Writes the last lines and returns the exit code.
@@ -88,8 +85,6 @@
     if let Err(e) = &run {
         log::error!("{e:#}");
     }
-    if !ring.drain(LAST_LINES) {
-        eprintln!("the last log lines could not be written in time");
-    }
+    ring.finish();
     if run.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) }
 }
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -2,12 +2,12 @@
 
 mod common;
 
-use std::thread;
+use std::{thread, time::Duration};
 
 use common::{key_of, programs};
 use serde_json::json;
 use wasabi_standin::{
-    caller::{Call, Stream},
+    caller::{Call, Pending, Stream},
     engine::{self, Pace},
     process::wait_until,
     rig::{Rig, Size},
@@ -114,17 +114,46 @@
     Ok(())
 }
 
-/// All slots run the lowest tier, through every host; a request of the highest tier preempts, is
-/// served, and the preempted answers still arrive whole.
+/// All slots run the lowest tier, through every host, and have delivered something; a request of the
+/// highest tier preempts, is served, and the preempted answers still arrive whole.
 #[test]
 fn a_higher_tier_preempts_and_nothing_is_lost() -> anyhow::Result<()> {
     let rig = Rig::start(programs(), &three_hosts(1))?;
     wait_agreed(&rig)?;
+    let low = |i: usize| costing(&rig, &format!("low{i}"), 150).send(rig.hosts[i % 3].callers);
+    let mut streams = (0..4).map(low).collect::<Result<Vec<_>, _>>()?;
+    for stream in &mut streams {
+        assert_eq!(stream.wait_first()?, 200);
+    }
+    streams.extend((4..6).map(low).collect::<Result<Vec<_>, _>>()?);
+    assert_eq!(rig.engines[0].running(), 4, "all slots are taken");
+    preempt(&rig, streams)?;
+    let resumed = rig.engines[0].records().iter().filter(|r| r.resume_from > 0).count();
+    assert!(resumed >= 1, "a preempted request went on where it was");
+    Ok(())
+}
+
+/// A request that is preempted before its first token has nothing to go on from; it begins anew.
+#[test]
+fn a_request_preempted_before_its_first_token_begins_anew() -> anyhow::Result<()> {
+    let pace = Pace { first_token: Duration::from_millis(300), ..Pace::default() };
+    let rig = Rig::start(programs(), &Size { pace, ..three_hosts(1) })?;
+    wait_agreed(&rig)?;
     let streams = (0..6)
         .map(|i| costing(&rig, &format!("low{i}"), 150).send(rig.hosts[i % 3].callers))
         .collect::<Result<Vec<_>, _>>()?;
     wait_until("all slots are taken", || rig.engines[0].running() == 4)?;
-    let high = check(&rig, "now").stream(rig.hosts[0].callers)?;
+    preempt(&rig, streams)?;
+    let records = rig.engines[0].records();
+    let low = records.iter().filter(|record| record.priority > 0).collect::<Vec<_>>();
+    assert!(low.len() > 6, "a request ran twice: {low:?}");
+    assert!(low.iter().all(|record| record.resume_from == 0), "{low:?}");
+    Ok(())
+}
+
+/// Calls for the highest tier while `streams` take all slots, and checks that all arrive whole.
+fn preempt(rig: &Rig, streams: Vec<Pending>) -> anyhow::Result<()> {
+    let high = check(rig, "now").stream(rig.hosts[0].callers)?;
     assert!(high.complete, "{:?}", high.error);
     let unfinished = rig.engines[0].records().iter().filter(|record| record.complete).count();
     assert!(unfinished <= 1, "the request did not wait for a free slot");
@@ -133,8 +162,6 @@
         assert!(stream.complete, "{:?}", stream.error);
         assert_eq!(stream.text, engine::answer(&format!("low{i}"), 150));
     }
-    let resumed = rig.engines[0].records().iter().filter(|r| r.resume_from > 0).count();
-    assert!(resumed >= 1, "a preempted request went on where it was");
     Ok(())
 }
 
