Requests that are stuck move elsewhere; slow readers get their whole answer

Change: policy::stall says when a request shows too little progress, by what was expected, the present strain and what whole answers usually take. Its server counts as failing; a request that may run twice takes another place first and leaves the old one then, within the budget of repeats. Tests without the bench (tests/network.rs): stuck reads, writes and streams, silent connections, early answers, answers without a length, answers twice, lost answers of orders. The stuck ones are new behaviour; the others passed at once but one: a caller that paused reading for 1.5 s was cut off (65,550 bytes came of 26 MB), since the limit for servers that acknowledge nothing stood on callers' sockets too, and a full window counts for it. Callers have the idle limit of the configuration now.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -97,11 +97,12 @@
 
 async fn caller(site: Rc<Site>, stream: TcpStream) {
     let _open = Open::connection(&site);
-    if http::prepare(&stream).is_err() {
+    let limits = site.config().map(|(catalog, _)| catalog.limits).unwrap_or_default();
+    // A caller may pause reading for as long as it may be idle.
+    if http::prepare(&stream, limits.idle_timeout).is_err() {
         // The caller has gone already.
         return;
     }
-    let limits = site.config().map(|(catalog, _)| catalog.limits).unwrap_or_default();
     let service = {
         let site = site.clone();
         service_fn(move |request: Request<Incoming>| {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 //! never sent again unless that is harmless, and is never called «not run».
 
 use std::{
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -38,6 +39,8 @@
 const TURNED_AWAY: usize = 2;
 /// The largest answer that is read whole before it is passed on.
 const MAX_WHOLE_BYTES: usize = 8 * 1024 * 1024;
+/// The cause of a send that showed no progress.
+pub const STUCK: &str = "stuck";
 
 /// A caller's request, read whole.
 pub struct Inbound {
@@ -120,14 +123,83 @@
                 return Err(error);
             }
         };
-        let outgoing = inbound.outgoing(None);
-        let outcome = attempt::send(site, &seat, &outgoing).await;
+        let (seat, outcome) = send(site, &inbound, &mut tries, seat, None).await;
         if let Some(done) = settle(site, &inbound, &mut tries, seat, outcome).await {
             return done;
         }
     }
 }
 
+/// Sends a request to the server of `seat`, and to others while it is stuck there and may run twice;
+/// returns what became of it and where.
+pub async fn send(
+    site: &Rc<Site>,
+    inbound: &Inbound,
+    tries: &mut Tries,
+    mut seat: Seat,
+    last_event: Option<u64>,
+) -> (Seat, Outcome) {
+    loop {
+        let moved = {
+            let outgoing = inbound.outgoing(last_event);
+            let mut sending = pin!(attempt::send(site, &seat, &outgoing));
+            match tokio::time::timeout(seat.stuck_after(), sending.as_mut()).await {
+                Ok(outcome) => Err(outcome),
+                Err(_) => {
+                    note_stuck(site, inbound, &seat);
+                    tries.ran += 1;
+                    let other = elsewhere(site, inbound, tries, &seat, last_event);
+                    match other {
+                        Some(other) => Ok(other),
+                        None => {
+                            tries.ran -= 1;
+                            Err(sending.await)
+                        }
+                    }
+                }
+            }
+        };
+        match moved {
+            Ok(other) => {
+                log_try(site, inbound, &seat, "unknown", STUCK);
+                seat = other;
+            }
+            Err(outcome) => return (seat, outcome),
+        }
+    }
+}
+
+/// Returns another place for a request that is stuck at `seat`; none if it has to stay there.
+pub fn elsewhere(
+    site: &Rc<Site>,
+    inbound: &Inbound,
+    tries: &mut Tries,
+    seat: &Seat,
+    last_event: Option<u64>,
+) -> Option<Seat> {
+    let cause = std::mem::replace(&mut tries.cause, STUCK);
+    tries.avoid.push(seat.place.member.id.clone());
+    let other = next(site, inbound, tries, last_event).ok();
+    let other = other.filter(|other| other.place.member.id != seat.place.member.id);
+    if other.is_none() {
+        tries.cause = cause;
+        tries.avoid.pop();
+    }
+    other
+}
+
+/// Notes that a request shows no progress at its server.
+pub fn note_stuck(site: &Site, inbound: &Inbound, seat: &Seat) {
+    let now = site.now();
+    seat.board(|board, place| board.stuck(now, place));
+    metrics::counter!("wasabi_gateway_stuck_total", "service" => inbound.permit.service.to_string())
+        .increment(1);
+    let since = now.saturating_duration_since(seat.place.since);
+    info!(target: wasabi_logs::REQUEST, request = inbound.head.id.as_str(),
+        server = seat.place.member.id.as_str(), placed_ms = since.as_millis() as u64,
+        expected_ms = seat.place.expected.as_millis() as u64; "no progress");
+}
+
 /// What a request has been through.
 #[derive(Default)]
 pub struct Tries {
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -269,6 +269,15 @@
         Self { site, service, place, end: End::Dropped }
     }
 
+    /// Returns how long from now the request counts as stuck if it shows nothing.
+    pub fn stuck_after(&self) -> Duration {
+        let now = self.site.now();
+        let boards = self.site.boards.borrow();
+        let limit = boards.get(&self.service).map(|board| board.stuck_after(now, &self.place));
+        let waited = now.saturating_duration_since(self.place.since);
+        limit.map_or(Duration::MAX, |limit| limit.saturating_sub(waited))
+    }
+
     /// Runs `action` on the board that the place is on.
     pub fn board(&self, action: impl FnOnce(&mut Board, &Place)) {
         if let Some(board) = self.site.boards.borrow_mut().get_mut(&self.service) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt as _;
 use hyper::{Response, StatusCode};
 use log::info;
-use wasabi_policy::board::End;
+use wasabi_policy::{board::End, stall};
 
 use crate::{
     answer::{Abort, Feed, Out},
@@ -62,6 +62,8 @@
 enum Ended {
     Complete,
     Broken(&'static str),
+    /// It shows no progress; there is a place elsewhere.
+    Stuck(Seat),
     CallerLeft,
     OutOfTime,
 }
@@ -83,13 +85,8 @@
                     self.log(&seat, "cut at the deadline", "");
                     return self.abort().await;
                 }
-                Ended::Broken(cause) => {
-                    seat.end = End::Failed;
-                    relay::log_try(&self.site, &self.inbound, &seat, "ran", cause);
-                    self.tries.avoid.push(seat.place.member.id.clone());
-                    self.tries.cause = cause;
-                    self.events.drop_rest();
-                    match self.resume(seat).await {
+                ended @ (Ended::Broken(_) | Ended::Stuck(_)) => {
+                    match self.leave(seat, ended).await {
                         Some((next, going)) => {
                             seat = next;
                             answer = going;
@@ -101,16 +98,43 @@
         }
     }
 
+    /// Leaves a server whose part of the stream has ended early; returns where the stream goes on.
+    async fn leave(&mut self, mut seat: Seat, ended: Ended) -> Option<(Seat, Answer)> {
+        let (cause, next) = match ended {
+            Ended::Stuck(next) => (relay::STUCK, Some(next)),
+            Ended::Broken(cause) => {
+                seat.end = End::Failed;
+                self.tries.avoid.push(seat.place.member.id.clone());
+                self.tries.cause = cause;
+                (cause, None)
+            }
+            Ended::Complete | Ended::CallerLeft | Ended::OutOfTime => return None,
+        };
+        relay::log_try(&self.site, &self.inbound, &seat, "ran", cause);
+        self.events.drop_rest();
+        drop(seat);
+        self.resume(next).await
+    }
+
     /// Passes on one server's part of the stream.
     async fn pass(&mut self, seat: &mut Seat, answer: Answer) -> Ended {
         let Answer { response, reply, lease } = answer;
         let mut body = response.into_body();
+        let mut quiet = seat.stuck_after();
+        let mut watched = true;
         loop {
             let left = self.inbound.deadline.saturating_duration_since(self.site.now());
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.feed.closed() => return Ended::CallerLeft,
                 () = tokio::time::sleep(left) => return Ended::OutOfTime,
+                () = tokio::time::sleep(quiet), if watched => {
+                    watched = false;
+                    match self.elsewhere(seat) {
+                        Some(next) => return Ended::Stuck(next),
+                        None => continue,
+                    }
+                }
             };
             let bytes = match frame {
                 None => break,
@@ -120,6 +144,7 @@
             let Some(events) = self.events.push(&bytes) else { continue };
             self.note_start(seat);
             self.note_gap();
+            (quiet, watched) = (stall::BETWEEN_EVENTS, true);
             if !self.give(events).await {
                 return Ended::CallerLeft;
             }
@@ -132,6 +157,13 @@
         Ended::Complete
     }
 
+    /// Notes that the stream shows no progress; returns a place elsewhere, if it may go on there.
+    fn elsewhere(&mut self, seat: &Seat) -> Option<Seat> {
+        relay::note_stuck(&self.site, &self.inbound, seat);
+        let last = self.events.last();
+        relay::elsewhere(&self.site, &self.inbound, &mut self.tries, seat, last)
+    }
+
     /// Notes the first event of a server's part.
     fn note_start(&mut self, seat: &Seat) {
         if self.began {
@@ -167,15 +199,19 @@
         self.feed.send(Ok(bytes)).await.is_ok()
     }
 
-    /// Continues the stream at another server, after the last event that was passed on.
-    async fn resume(&mut self, broken: Seat) -> Option<(Seat, Answer)> {
-        drop(broken);
+    /// Continues the stream at another server, at `place` if there is one already, after the last
+    /// event that was passed on.
+    async fn resume(&mut self, mut place: Option<Seat>) -> Option<(Seat, Answer)> {
         if !self.inbound.permit.route.kind.is_repeatable() {
             return None;
         }
         loop {
             let last = self.events.last();
-            let mut seat = match relay::next(&self.site, &self.inbound, &mut self.tries, last) {
+            let found = match place.take() {
+                Some(seat) => Ok(seat),
+                None => relay::next(&self.site, &self.inbound, &mut self.tries, last),
+            };
+            let seat = match found {
                 Ok(seat) => seat,
                 Err(error) => {
                     let permit = Some(&self.inbound.permit);
@@ -184,9 +220,9 @@
                     return None;
                 }
             };
-            let outgoing = self.inbound.outgoing(last);
-            let outcome = tokio::select! {
-                outcome = attempt::send(&self.site, &seat, &outgoing) => outcome,
+            let sending = relay::send(&self.site, &self.inbound, &mut self.tries, seat, last);
+            let (mut seat, outcome) = tokio::select! {
+                sent = sending => sent,
                 () = self.feed.closed() => return None,
             };
             let cause = match outcome {
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -19,7 +19,11 @@
     units::{Domain, HostId, ServerId},
 };
 
-use crate::{cache::Cache, trouble::Trouble};
+use crate::{
+    cache::Cache,
+    stall::{self, Usual},
+    trouble::Trouble,
+};
 
 /// Prompt tokens that an engine reads in a millisecond, until observed; from the engines' sheet.
 const PREFILL_TOKENS_PER_MS: f64 = 56.9;
@@ -165,6 +169,8 @@
     late_news: bool,
     /// How many times longer first events took lately than expected, as of the time beside it.
     strain: (f64, Option<Instant>),
+    /// How long the answers of plain servers take.
+    usual: Usual,
     servers: BTreeMap<ServerId, Server>,
 }
 
@@ -207,6 +213,7 @@
             engine: None,
             late_news: false,
             strain: (1.0, None),
+            usual: Usual::default(),
             servers: BTreeMap::new(),
         }
     }
@@ -293,10 +300,29 @@
         })
     }
 
+    /// Returns how long after it was placed a request counts as stuck that has shown nothing.
+    pub fn stuck_after(&self, now: Instant, place: &Place) -> Duration {
+        match self.engine {
+            Some(_) => stall::first_event(place.expected, self.strain(now)),
+            None => self.usual.limit(),
+        }
+    }
+
+    /// Takes in that a request is stuck at its server.
+    pub fn stuck(&mut self, now: Instant, place: &Place) {
+        if let Some(server) = self.of(place) {
+            server.trouble.fail(now);
+        }
+    }
+
     /// Takes in that the first event, or the whole answer of a plain server, has come.
     pub fn started(&mut self, now: Instant, place: &Place) {
         let plain = self.engine.is_none();
-        let took = now.saturating_duration_since(place.since).as_secs_f64();
+        let took = now.saturating_duration_since(place.since);
+        if plain {
+            self.usual.observe(took);
+        }
+        let took = took.as_secs_f64();
         let factor = (took / place.expected.as_secs_f64().max(1e-3)).clamp(1.0, MAX_STRAIN);
         let strain = self.strain(now);
         self.strain = (strain + STRAIN_WEIGHT * (factor - strain), Some(now));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod queue;
 pub mod ration;
 pub mod servers;
+pub mod stall;
 pub mod ticket;
 pub mod trouble;
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -255,3 +255,60 @@
         second_host.end(now, &b, End::Served);
     }
 }
+
+/// Requests count as stuck only well after what first events take at present.
+#[test]
+fn a_busy_service_is_not_taken_to_be_stuck() {
+    let start = Instant::now();
+    let mut board = board(start, Some(ENGINE), 2);
+    let prompt = short(1);
+    let place = board.place(start, &ask(&prompt, 5_000, 3)).expect("a place");
+    let calm = board.stuck_after(start, &place);
+    assert!(calm > place.expected * 3 && calm < SECOND, "{calm:?}");
+    let mut now = start;
+    for i in 0..40 {
+        let place = board.place(now, &ask(&short(10 + i), 5_000, 3)).expect("a place");
+        now += place.expected * 4;
+        board.started(now, &place);
+        board.end(now, &place, End::Served);
+    }
+    let busy = board.stuck_after(now, &place);
+    assert!(busy > place.expected * 4 * 2, "{busy:?}");
+}
+
+/// Whole answers count as stuck by what answers of the service usually take.
+#[test]
+fn whole_answers_are_late_by_what_is_usual() {
+    let start = Instant::now();
+    let mut board = board(start, None, 2);
+    let plain = Ask { prompt: None, patience: SECOND, urgency: 3, avoid: &[] };
+    let first = board.place(start, &plain).expect("a place");
+    let before = board.stuck_after(start, &first);
+    for i in 1..=60 {
+        let now = start + SECOND * i;
+        let place = board.place(now, &plain).expect("a place");
+        board.started(now + Duration::from_millis(200), &place);
+        board.end(now, &place, End::Served);
+    }
+    assert!(board.stuck_after(start, &first) > before);
+    assert!(board.stuck_after(start, &first) > Duration::from_millis(200 * 4));
+}
+
+/// A server that left a request without progress gets no more while others are free, until it has
+/// shown that it answers.
+#[test]
+fn a_server_with_a_stuck_request_is_avoided_for_a_while() {
+    let start = Instant::now();
+    let mut board = board(start, None, 2);
+    let plain = Ask { prompt: None, patience: SECOND, urgency: 3, avoid: &[] };
+    let stuck = board.place(start, &plain).expect("a place");
+    board.stuck(start, &stuck);
+    for i in 0..4 {
+        let place = board.place(start + Duration::from_millis(i), &plain).expect("a place");
+        assert_ne!(id(&place), id(&stuck));
+    }
+    let later = start + SECOND * 20;
+    let ids: Vec<String> =
+        (0..8).map(|_| id(&board.place(later, &plain).expect("a place"))).collect();
+    assert!(ids.contains(&id(&stuck)), "it is tried again: {ids:?}");
+}
--- /dev/null
+++ b/tests/network.rs
@@ -0,0 +1,303 @@
+//! The gateway over connections that fall silent, answer early, badly or twice, and callers that
+//! read slowly.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::Shutdown,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use wasabi_stand::{
+    caller::{self, Request},
+    gateway::wait,
+    proxy::{Harm, Proxy},
+    raw::{self, Raw},
+    rig::Rig,
+    server::Act,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+/// The longest that a request may take which moves away from a stuck server; its route's target for
+/// the first event is half a second, and it is noticed within a second.
+const MOVED: Duration = Duration::from_millis(2_000);
+
+fn ran(rig: &Rig, id: &str) -> usize {
+    let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+    arrivals.filter(|arrival| arrival.id == id && arrival.ran).count()
+}
+
+fn events(body: &str) -> Vec<u64> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+#[test]
+fn a_read_that_is_stuck_is_answered_elsewhere() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.server("p1").always(Some(Act::Hang));
+    for i in 0..6 {
+        let begun = Instant::now();
+        let answer =
+            Request::new("GET", "/read/x", &format!("a{i}")).send(gateway.ports.callers)?;
+        assert_eq!(answer.status, 200);
+        assert!(begun.elapsed() < MOVED, "{:?}", begun.elapsed());
+    }
+    let stuck = rig.server("p1").arrivals();
+    assert!(!stuck.is_empty(), "the server that hangs was never tried");
+    wait("the stuck requests to be withdrawn", || {
+        rig.server("p1").arrivals().iter().all(|arrival| arrival.left.is_some())
+    })
+}
+
+/// A write may have run, so it stays; servers that hang get less of the work that follows.
+#[test]
+fn a_write_that_is_stuck_runs_once_and_its_server_is_avoided() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    rig.server("p1").always(Some(Act::Hang));
+    rig.server("p2").always(Some(Act::Hang));
+    let mut request = Request::new("POST", "/write/x", "b1");
+    request.deadline = Duration::from_millis(1_500);
+    let begun = Instant::now();
+    assert_eq!(request.send(to)?.status, 504);
+    assert!(begun.elapsed() < Duration::from_millis(2_000), "{:?}", begun.elapsed());
+    assert_eq!(ran(&rig, "b1"), 1);
+    let (hung, other) = match rig.server("p1").arrivals().is_empty() {
+        true => ("p2", "p1"),
+        false => ("p1", "p2"),
+    };
+    rig.server(other).always(None);
+    let before = rig.server(hung).arrivals().len();
+    for i in 0..5 {
+        let answer = Request::new("POST", "/write/x", &format!("b2{i}")).send(to)?;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(rig.server(hung).arrivals().len(), before, "{hung} is avoided");
+    Ok(())
+}
+
+#[test]
+fn a_stream_that_stalls_goes_on_elsewhere() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    for (id, act) in [("c1", Act::Hang), ("c2", Act::StallAfter(0)), ("c3", Act::StallAfter(4))] {
+        rig.server("e1").plan(act);
+        rig.server("e2").plan(Act::Serve);
+        let begun = Instant::now();
+        let answer = Request::new("POST", "/chat/x", id).send(gateway.ports.callers)?;
+        assert!(answer.complete, "{id}");
+        assert_eq!(events(&answer.body), (1..=10).collect::<Vec<_>>(), "{id}");
+        assert!(begun.elapsed() < MOVED + Duration::from_millis(500), "{:?}", begun.elapsed());
+    }
+    Ok(())
+}
+
+/// One that must not run twice is not moved: it is broken off when the time is up.
+#[test]
+fn a_stream_that_must_not_run_twice_is_not_moved() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    for server in ["e1", "e2"] {
+        rig.server(server).always(Some(Act::StallAfter(2)));
+    }
+    let mut request = Request::new("POST", "/long/x", "d1");
+    request.deadline = Duration::from_millis(2_500);
+    let answer = request.send(gateway.ports.callers)?;
+    assert!(!answer.complete);
+    assert_eq!(events(&answer.body), [1, 2]);
+    assert_eq!(ran(&rig, "d1"), 1);
+    Ok(())
+}
+
+/// Open connections fall silent for good while new ones to the same server work.
+#[test]
+fn connections_that_fall_silent_are_left() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let (_, at) = rig.servers[2];
+    let proxy = Proxy::start(rig.runtime.handle(), at)?;
+    rig.only("app", proxy.address);
+    // The proxy stands before p1, so the entry has its name.
+    let entry = rig.store.get("servers", "x1").expect("the entry was written");
+    rig.store.remove("servers", "x1");
+    rig.store.put("servers", "p1", entry);
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    assert_eq!(Request::new("GET", "/read/x", "e1").send(to)?.status, 200);
+    proxy.set(Harm::Silence);
+    let mut request = Request::new("GET", "/read/x", "e2");
+    request.deadline = Duration::from_millis(1_000);
+    let begun = Instant::now();
+    assert_eq!(request.send(to)?.status, 504);
+    assert!(begun.elapsed() < Duration::from_millis(1_300), "{:?}", begun.elapsed());
+    proxy.set(Harm::None);
+    assert_eq!(Request::new("GET", "/read/x", "e3").send(to)?.status, 200);
+    Ok(())
+}
+
+/// The server answers before it has read a long upload, and reads on later; the rest of the upload
+/// still reaches it, and the connection is used again only after that.
+#[test]
+fn an_early_answer_to_a_long_upload_is_delivered() -> anyhow::Result<()> {
+    const BYTES: usize = 900_000;
+    let rig = Rig::start(PROGRAM)?;
+    let read = Arc::new(AtomicUsize::new(0));
+    let seen = read.clone();
+    let server = Raw::start(move |mut stream, _| {
+        loop {
+            let head = raw::read_head(&mut stream)?;
+            if head.is_empty() {
+                return Ok(());
+            }
+            let length: usize = raw::header(&head, "content-length").parse().unwrap_or(0);
+            let status = if length > 0 { 413 } else { 200 };
+            stream.write_all(raw::signed(&head, status, "content-length: 5\r\n").as_bytes())?;
+            stream.write_all(b"early")?;
+            thread::sleep(Duration::from_millis(300));
+            let mut body = vec![0; length];
+            stream.read_exact(&mut body)?;
+            if body.iter().all(|byte| *byte == b'u') {
+                seen.fetch_add(body.len(), Ordering::SeqCst);
+            }
+        }
+    })?;
+    rig.only("app", server.address);
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    let mut request = Request::new("POST", "/write/x", "f1");
+    request.body = vec![b'u'; BYTES];
+    let begun = Instant::now();
+    let answer = request.send(to)?;
+    assert_eq!((answer.status, answer.body.as_str()), (413, "early"));
+    assert!(begun.elapsed() < Duration::from_millis(280), "{:?}", begun.elapsed());
+    assert_eq!(Request::new("GET", "/read/x", "f2").send(to)?.body, "early");
+    wait("the rest of the upload", || read.load(Ordering::SeqCst) == BYTES)
+}
+
+/// An answer without a length ends with its connection; one that is reset on the way is not whole.
+#[test]
+fn an_answer_without_a_length_is_whole_only_if_it_ends_well() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let server = Raw::start(|mut stream, number| {
+        let head = raw::read_head(&mut stream)?;
+        stream.write_all(raw::signed(&head, 200, "").as_bytes())?;
+        stream.write_all(b"part one, ")?;
+        if number % 2 == 1 {
+            // Closing with unread bytes would do as well; lingering for no time is the plain way.
+            socket_reset(&stream)?;
+            return Ok(());
+        }
+        stream.write_all(b"part two")?;
+        stream.shutdown(Shutdown::Both)
+    })?;
+    rig.only("app", server.address);
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    let whole = Request::new("GET", "/read/x", "g1").send(to)?;
+    assert_eq!((whole.status, whole.body.as_str()), (200, "part one, part two"));
+    assert!(whole.complete);
+    let cut = Request::new("POST", "/write/x", "g2").send(to)?;
+    assert_eq!(cut.status, 502, "{cut:?}");
+    Ok(())
+}
+
+/// A second answer that nobody asked for reaches no caller.
+#[test]
+fn an_answer_that_nobody_asked_for_is_dropped() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let server = Raw::start(|mut stream, _| {
+        loop {
+            let head = raw::read_head(&mut stream)?;
+            if head.is_empty() {
+                return Ok(());
+            }
+            let id = raw::header(&head, "request-id");
+            let answer = raw::signed(&head, 200, &format!("content-length: {}\r\n", id.len()));
+            let twice = format!("{answer}{id}").repeat(2);
+            stream.write_all(twice.as_bytes())?;
+        }
+    })?;
+    rig.only("app", server.address);
+    let gateway = rig.gateway("g1")?;
+    for i in 0..8 {
+        let id = format!("h{i}");
+        let answer = Request::new("GET", "/read/x", &id).send(gateway.ports.callers)?;
+        assert_eq!((answer.status, answer.body.as_str()), (200, id.as_str()));
+    }
+    assert!(server.connections() >= 8, "no connection with unread bytes is used again");
+    Ok(())
+}
+
+/// A caller that stops reading for a while holds up nobody, takes no memory without bound, and gets
+/// its whole answer.
+#[test]
+fn a_slow_reader_gets_its_answer_and_holds_up_nobody() -> anyhow::Result<()> {
+    const EVENTS: usize = 400;
+    const EVENT_BYTES: usize = 64 * 1024;
+    let rig = Rig::start(PROGRAM)?;
+    let written = Arc::new(AtomicUsize::new(0));
+    let count = written.clone();
+    let server = Raw::start(move |mut stream, _| {
+        let head = raw::read_head(&mut stream)?;
+        let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        stream.write_all(raw::signed(&head, 200, extra).as_bytes())?;
+        for event in 1..=EVENTS {
+            let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
+            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            count.fetch_add(text.len(), Ordering::SeqCst);
+        }
+        stream.write_all(b"0\r\n\r\n")
+    })?;
+    rig.only("llm", server.address);
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    let mut slow = Request::new("POST", "/chat/x", "i1").open(to)?;
+    thread::sleep(Duration::from_millis(1_000));
+    let held = written.load(Ordering::SeqCst);
+    assert!(held < EVENTS * EVENT_BYTES / 2, "{held} bytes are held for one caller");
+    assert_eq!(Request::new("GET", "/read/x", "i2").send(to)?.status, 200);
+    thread::sleep(Duration::from_millis(1_500));
+    let answer = caller::read(&mut slow)?;
+    assert!(answer.complete, "{} bytes came", answer.body.len());
+    assert_eq!(events(&answer.body).len(), EVENTS);
+    Ok(())
+}
+
+/// An order whose answer is lost is repeated, and never differs while nothing else has changed.
+#[test]
+fn an_order_whose_answer_is_lost_is_repeated_as_it_was() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    rig.configure(1, |config| {
+        config["services"][0]["scaling"] = json!({"min": 1, "max": 6, "boot_s": 3.0,
+            "zone_prices": {"d1": 1.0}, "spot_price": 0.3});
+    });
+    rig.duties.set_loses_answers(true);
+    let _gateway = rig.gateway("g1")?;
+    let orders = || {
+        let calls = rig.duties.calls().into_iter();
+        calls.filter(|call| call.path == "/scale").collect::<Vec<_>>()
+    };
+    wait("repeated orders", || orders().len() >= 4)?;
+    rig.duties.set_loses_answers(false);
+    thread::sleep(Duration::from_millis(2_500));
+    let settled = orders();
+    for cheap in [true, false] {
+        let kind = settled.iter().filter(|call| call.body["spot"].as_bool() == Some(cheap));
+        let counts = kind.map(|call| call.body["desired"].clone()).collect::<Vec<_>>();
+        assert!(counts.windows(2).all(|pair| pair[0] == pair[1]), "{counts:?}");
+    }
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(orders().len(), settled.len(), "an answered order is not repeated at once");
+    Ok(())
+}
+
+fn socket_reset(stream: &std::net::TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- a/tests/stand/src/caller.rs
+++ b/tests/stand/src/caller.rs
@@ -37,6 +37,8 @@
     pub deadline: Duration,
     /// Further headers.
     pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -49,6 +51,7 @@
             key: Some("k1".to_string()),
             deadline: Duration::from_secs(10),
             headers: Vec::new(),
+            body: Vec::new(),
         }
     }
 
@@ -75,8 +78,9 @@
         for (name, value) in &self.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        head.push_str("content-length: 0\r\n\r\n");
+        head.push_str(&format!("content-length: {}\r\n\r\n", self.body.len()));
         stream.write_all(head.as_bytes())?;
+        stream.write_all(&self.body)?;
         Ok(())
     }
 
--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gateway;
 pub mod net;
 pub mod proxy;
+pub mod raw;
 pub mod rig;
 pub mod server;
 pub mod soak;
--- /dev/null
+++ b/tests/stand/src/raw.rs
@@ -0,0 +1,80 @@
+//! A backend server whose every byte is scripted, for answers that no HTTP library would send.
+
+use std::{
+    io::Read as _,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// A request that nobody sends any more ends the script.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The server.
+pub struct Raw {
+    /// Where it listens.
+    pub address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Raw {
+    /// Starts a server that runs `script` on each connection, with the connection's number from 0.
+    pub fn start(
+        script: impl Fn(TcpStream, usize) -> std::io::Result<()> + Send + Sync + 'static,
+    ) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let address = listener.local_addr()?;
+        let connections = Arc::new(AtomicUsize::new(0));
+        let counted = connections.clone();
+        let script = Arc::new(script);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let number = counted.fetch_add(1, Ordering::SeqCst);
+                let script = script.clone();
+                thread::spawn(move || {
+                    stream.set_read_timeout(Some(PATIENCE))?;
+                    script(stream, number)
+                });
+            }
+        });
+        Ok(Self { address, connections })
+    }
+
+    /// Returns how many connections it has taken.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+}
+
+/// Reads one head; an empty one means that the peer has closed.
+pub fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte)? == 0 {
+            return Ok(String::new());
+        }
+        head.push(byte[0]);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// Returns the value of a header of a head.
+pub fn header(head: &str, name: &str) -> String {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut values = lines.filter(|(found, _)| found.eq_ignore_ascii_case(name));
+    values.next().map(|(_, value)| value.trim().to_string()).unwrap_or_default()
+}
+
+/// Returns the head of a signed answer to the request with `head`, with `extra` header lines.
+pub fn signed(head: &str, status: u16, extra: &str) -> String {
+    let id = header(head, "request-id");
+    format!(
+        "HTTP/1.1 {status} X\r\nrequest-id: {id}\r\nresponse-signature: s\r\n\
+         server-load: 1,0,8\r\n{extra}\r\n"
+    )
+}
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -68,6 +68,17 @@
         Ok(())
     }
 
+    /// Makes a server at `address` the only one of its service.
+    pub fn only(&self, service: &str, address: SocketAddr) {
+        for (server, _) in self.servers.iter().filter(|(server, _)| server.service == service) {
+            self.store.remove("servers", &server.id);
+        }
+        let entry = json!({"service": service, "address": address.to_string(), "zone": "d1",
+            "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+            "born": 1_000});
+        self.store.put("servers", "x1", entry);
+    }
+
     /// Returns a server by its name.
     pub fn server(&self, id: &str) -> &Arc<Server> {
         let found = self.servers.iter().find(|(server, _)| server.id == id);
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -41,6 +41,8 @@
     BreakAfter(u64),
     /// Begins and never answers.
     Hang,
+    /// Streams this many events and then nothing more.
+    StallAfter(u64),
 }
 
 /// A request that reached a server.
@@ -167,6 +169,10 @@
                     () = tokio::time::sleep(self.pace) => {}
                     () = feed.closed() => return self.note_left(arrival),
                 }
+                if matches!(act, Act::StallAfter(whole) if event > whole) {
+                    feed.closed().await;
+                    return self.note_left(arrival);
+                }
                 let text = format!("id: {event}\ndata: event {event}\n\n");
                 let broken = matches!(act, Act::BreakAfter(whole) if event > whole);
                 let bytes = if broken { Bytes::from_static(b"id: ") } else { Bytes::from(text) };
