The time of day is held by the steady clock while most clocks jump

Cause: the true time was the median of the hosts' clocks heard lately. Change: hosts hold the time that was agreed on and carry it forward by the steady clock; clocks change it by more than 250 ms only after they have contradicted it for a minute. A host that starts among wrong clocks takes the time that a peer has held longest. A correction is logged with its evidence.

--- a/crates/belief/src/beat.rs
+++ b/crates/belief/src/beat.rs
@@ -24,6 +24,9 @@
         pub leaving: bool,
         /// The host's time of day, in milliseconds since 1970.
         pub wall_ms: u64,
+        /// The time of day that the host takes for true, in milliseconds since 1970, and for how
+        /// many milliseconds that has been held.
+        pub truth_ms: (u64, u64),
         /// The configuration that the host has, and the age of its proof.
         pub catalog: Option<(Revision, u64)>,
         /// The digest of the list of backend servers that the host has, and the age of its proof.
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -97,6 +97,7 @@
         domain: "d".parse().expect("a name"),
         leaving: false,
         wall_ms: 1_000,
+        truth_ms: (1_000, 0),
         catalog: Some((Revision(4), 200)),
         members: None,
         fence: None,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -47,6 +47,8 @@
 const COUNTS_PERIOD: Duration = Duration::from_millis(700);
 /// Usage windows in an announcement: the present one and those that are not reported yet.
 const COUNT_WINDOWS: usize = 4;
+/// The time of day in an announcement counts if it was sent within this time before.
+const PROMPT: Duration = Duration::from_millis(1_000);
 /// The largest datagram that is received.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -220,6 +222,7 @@
     let catalog = site.catalog.borrow();
     let catalog = catalog.version().zip(catalog.age(now));
     let members = site.members.borrow().proof(now);
+    let truth = site.truth.borrow();
     let mut boards = site.boards.borrow_mut();
     let hosts = site.hosts();
     boards.values_mut().for_each(|board| board.set_hosts(hosts));
@@ -237,6 +240,7 @@
         domain: settings.domain.clone(),
         leaving: site.stopping.get().is_some(),
         wall_ms: time::unix_ms(site.clock.wall()),
+        truth_ms: (truth.now_ms(now), truth.held(now).as_millis() as u64),
         catalog: catalog.map(|(version, age)| (version, age.as_millis() as u64)),
         members: members.map(|(digest, age)| (digest, age.as_millis() as u64)),
         fence: site.lease.borrow().fence(now),
@@ -277,8 +281,13 @@
     if site.peers.borrow_mut().heard(now, from, beat) {
         info!(peer = beat.host.as_str(), incarnation = beat.incarnation.as_str(); "peer heard");
     }
-    site.truth.borrow_mut().heard(now, &beat.host, beat.wall_ms);
+    site.heard_clock(&beat.host, beat.wall_ms);
     if let Some(asked) = asked {
+        // An announcement that waited tells a time that has passed.
+        if now.saturating_duration_since(asked) < PROMPT {
+            let (truth_ms, held_ms) = beat.truth_ms;
+            site.told(&beat.host, truth_ms, Duration::from_millis(held_ms));
+        }
         let ago = |ms: u64| asked.checked_sub(Duration::from_millis(ms)).unwrap_or(asked);
         if let Some((version, age)) = beat.catalog {
             site.catalog.borrow_mut().confirm(version, ago(age));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -59,7 +59,7 @@
     let duties = settings.duties.map(|at| Box::new(duties::Remote::new(at)) as Box<dyn Duties>);
     let site = Rc::new(Site::new(settings.clone(), Box::new(Boot::default()), store, duties));
     let wall = time::unix_ms(System.wall());
-    site.truth.borrow_mut().heard(site.now(), &settings.host, wall);
+    site.heard_clock(&settings.host, wall);
     info!(version = env!("CARGO_PKG_VERSION"), incarnation = site.incarnation.as_str(),
         domain = settings.domain.as_str(), callers = settings.callers.to_string().as_str();
         "started");
@@ -97,7 +97,7 @@
     loop {
         let host = site.settings.borrow().host.clone();
         let wall = time::unix_ms(site.clock.wall());
-        site.truth.borrow_mut().heard(site.now(), &host, wall);
+        site.heard_clock(&host, wall);
         tokio::time::sleep(PERIOD).await;
     }
 }
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use log::info;
+use log::{info, warn};
 use tokio::sync::Notify;
 use wasabi_belief::{
     catalog, counts,
@@ -22,7 +22,7 @@
     member::Member,
     objects::{Duties, Objects},
     time::Clock,
-    units::{Incarnation, PoolId, Window, WorkspaceId},
+    units::{HostId, Incarnation, PoolId, Window, WorkspaceId},
 };
 use wasabi_policy::{
     board::{Board, End, Place},
@@ -172,6 +172,29 @@
         self.counts.borrow_mut().count(window, &self.incarnation, workspace);
     }
 
+    /// Takes in what the clock of `host` shows.
+    pub fn heard_clock(&self, host: &HostId, wall_ms: u64) {
+        let changed = self.truth.borrow_mut().heard(self.now(), host, wall_ms);
+        if changed {
+            self.note_time("clocks", host);
+        }
+    }
+
+    /// Takes in the time of day that `host` has held for `held`.
+    pub fn told(&self, host: &HostId, truth_ms: u64, held: Duration) {
+        let changed = self.truth.borrow_mut().told(self.now(), truth_ms, held);
+        if changed {
+            self.note_time("peer", host);
+        }
+    }
+
+    fn note_time(&self, evidence: &'static str, host: &HostId) {
+        let now = self.now();
+        let truth = self.truth.borrow();
+        warn!(now_ms = truth.now_ms(now), held_ms = truth.held(now).as_millis() as u64,
+            evidence = evidence, from = host.as_str(); "time of day corrected");
+    }
+
     /// Returns the present usage window.
     pub fn window(&self) -> Window {
         let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
