A model of batching engines in virtual time, and load -- decide

standin::batch reads prompts in chunks beside the tokens of running answers, by the figures of the engines' sheet; examples/load/decide plays requests against plain placement (least in flight, all see all), the router's boards with late and lost announcements, and an all-knowing placement.

--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -36,9 +36,14 @@
     if !route.kind.is_stream() {
         return time.mul_f64(PLAIN_SHARE);
     }
+    first_event(route.target, time, returning)
+}
+
+/// Returns the longest wait for the first event of a stream whose target is `target`.
+pub fn first_event(target: Duration, time: Duration, returning: bool) -> Duration {
     match returning {
         true => time.mul_f64(RETURNING_SHARE),
-        false => route.target.mul_f64(TARGET_SHARE),
+        false => target.mul_f64(TARGET_SHARE),
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the outside systems, for tests, examples and benchmarks; never shipped.
 #![forbid(unsafe_code)]
 
+pub mod batch;
 pub mod caller;
 pub mod chaos;
 pub mod engine;
--- /dev/null
+++ b/examples/load/decide/policy.rs
@@ -0,0 +1,299 @@
+//! Who decides where requests go.
+
+use std::time::{Duration, Instant};
+
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use wasabi_core::{
+    catalog,
+    member::{Member, Phase},
+    units::{HostId, PoolId, ServerId, Tokens},
+};
+use wasabi_policy::{
+    board::{Ask, Board, End, Place, Refusal, Share},
+    patience,
+};
+use wasabi_standin::batch::Engine;
+
+use super::scenario::{Class, Request, Scenario};
+
+/// What a policy decides for a request.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// The engine that runs it, and how urgent the engine takes it for.
+    Place(usize, u8),
+    /// It is refused and may come back after this many milliseconds.
+    Refuse(f64),
+}
+
+/// A policy; times are milliseconds since the start of the play.
+pub trait Policy {
+    /// Decides on a request whose caller still waits `left_ms`.
+    fn place(
+        &mut self,
+        now: f64,
+        number: usize,
+        request: &Request,
+        left_ms: f64,
+        engines: &[Engine],
+    ) -> Verdict;
+    /// Takes in that the first event of a request has come.
+    fn started(&mut self, now: f64, number: usize, request: &Request);
+    /// Takes in that a request has ended, whole or not.
+    fn ended(&mut self, now: f64, number: usize, request: &Request, whole: bool);
+    /// Lets the hosts tell each other what is due.
+    fn tick(&mut self, now: f64);
+}
+
+/// First come, first served, where the fewest requests run; all see all.
+pub struct LeastInFlight {
+    running: Vec<u32>,
+    /// The engine of each request that runs, by its number.
+    at: Vec<Option<usize>>,
+}
+
+impl LeastInFlight {
+    pub fn new(scenario: &Scenario, requests: usize) -> Self {
+        Self { running: vec![0; scenario.engines * scenario.domains], at: vec![None; requests] }
+    }
+}
+
+impl Policy for LeastInFlight {
+    fn place(&mut self, _: f64, number: usize, _: &Request, _: f64, _: &[Engine]) -> Verdict {
+        let least = (0..self.running.len()).min_by_key(|engine| self.running[*engine]);
+        let engine = least.unwrap_or(0);
+        self.running[engine] += 1;
+        self.at[number] = Some(engine);
+        Verdict::Place(engine, 0)
+    }
+
+    fn started(&mut self, _: f64, _: usize, _: &Request) {}
+
+    fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
+        if let Some(engine) = self.at[number].take() {
+            self.running[engine] -= 1;
+        }
+    }
+
+    fn tick(&mut self, _: f64) {}
+}
+
+/// Knows at once what every engine does and keeps, takes the soonest, and refuses what would come
+/// too late.
+pub struct Clairvoyant {
+    classes: Vec<Class>,
+}
+
+impl Clairvoyant {
+    pub fn new(scenario: &Scenario) -> Self {
+        Self { classes: scenario.classes.clone() }
+    }
+}
+
+impl Policy for Clairvoyant {
+    fn place(
+        &mut self,
+        _: f64,
+        _: usize,
+        request: &Request,
+        left_ms: f64,
+        engines: &[Engine],
+    ) -> Verdict {
+        let class = self.classes[request.class];
+        let urgency = patience::urgency(None, class.rank);
+        let waits = engines.iter().map(|engine| engine.ahead_ms(&request.prompt, urgency));
+        let soonest = waits.enumerate().min_by(|(_, a), (_, b)| a.total_cmp(b));
+        match soonest {
+            Some((engine, wait_ms)) if wait_ms <= left_ms => Verdict::Place(engine, urgency),
+            _ => Verdict::Refuse(f64::INFINITY),
+        }
+    }
+
+    fn started(&mut self, _: f64, _: usize, _: &Request) {}
+
+    fn ended(&mut self, _: f64, _: usize, _: &Request, _: bool) {}
+
+    fn tick(&mut self, _: f64) {}
+}
+
+/// The router's own boards, one a host, which tell each other of their requests as hosts do.
+pub struct Boards {
+    start: Instant,
+    scenario: Scenario,
+    boards: Vec<Board>,
+    names: Vec<HostId>,
+    places: Vec<Option<(Place, End)>>,
+    /// What peers of other domains have not been told yet, by host.
+    unsaid: Vec<Vec<(ServerId, Share)>>,
+    next_ms: Vec<f64>,
+    rounds: Vec<u32>,
+    random: StdRng,
+}
+
+/// Hosts hear each other about so often at this size; see `gossip`.
+const PERIOD_MS: f64 = 100.0;
+const SMALL_FLEET: f64 = 10.0;
+const LARGE_FLEET: usize = 30;
+const FAR_ROUNDS: u32 = 4;
+/// The part of the announcements that get lost.
+const LOSS: f64 = 0.03;
+
+impl Boards {
+    pub fn new(scenario: &Scenario, requests: usize, seed: u64) -> anyhow::Result<Self> {
+        let start = Instant::now();
+        let service: PoolId = "llm".parse()?;
+        let mut members = Vec::new();
+        for number in 0..scenario.engines * scenario.domains {
+            members.push(Member {
+                id: format!("e{number}").parse()?,
+                born_ms: 1,
+                service: service.clone(),
+                address: "127.0.0.1:1".parse()?,
+                domain: domain(scenario, number)?,
+                slots: scenario.shape.slots as u32,
+                phase: Phase::Ready,
+                cheap: true,
+            });
+        }
+        let engine = catalog::Engine {
+            slots: scenario.shape.slots as u32,
+            memory: Tokens(scenario.shape.memory),
+            event_tokens: scenario.shape.event_tokens,
+        };
+        let mut boards = Vec::new();
+        let mut names = Vec::new();
+        for number in 0..scenario.hosts {
+            let mut board = Board::new(domain(scenario, number)?);
+            board.set(start, Some(engine), &members);
+            board.set_hosts(scenario.hosts);
+            boards.push(board);
+            names.push(format!("h{number}").parse()?);
+        }
+        let mut random = StdRng::seed_from_u64(seed);
+        let next_ms = (0..scenario.hosts).map(|_| random.random_range(0.0..PERIOD_MS)).collect();
+        Ok(Self {
+            start,
+            scenario: scenario.clone(),
+            boards,
+            names,
+            places: vec![None; requests],
+            unsaid: vec![Vec::new(); scenario.hosts],
+            next_ms,
+            rounds: vec![0; scenario.hosts],
+            random,
+        })
+    }
+
+    fn time(&self, now: f64) -> Instant {
+        self.start + Duration::from_secs_f64(now / 1e3)
+    }
+
+    fn tell(&mut self, now: f64, from: usize, near: bool, shares: &[(ServerId, Share)]) {
+        let time = self.time(now);
+        let domains = self.scenario.domains;
+        for to in 0..self.boards.len() {
+            let wanted = to != from && (to % domains == from % domains) == near;
+            if wanted && self.random.random::<f64>() >= LOSS {
+                self.boards[to].merge(time, &self.names[from], shares);
+            }
+        }
+    }
+
+    /// Lets one host tell the others what it runs.
+    fn announce(&mut self, now: f64, host: usize) {
+        let shares = self.boards[host].announce();
+        self.tell(now, host, true, &shares);
+        if self.boards.len() < LARGE_FLEET {
+            return self.tell(now, host, false, &shares);
+        }
+        absorb(&mut self.unsaid[host], &shares);
+        self.rounds[host] += 1;
+        if self.rounds[host].is_multiple_of(FAR_ROUNDS) {
+            let unsaid = std::mem::take(&mut self.unsaid[host]);
+            self.tell(now, host, false, &unsaid);
+        }
+    }
+}
+
+impl Policy for Boards {
+    fn place(
+        &mut self,
+        now: f64,
+        number: usize,
+        request: &Request,
+        left_ms: f64,
+        _: &[Engine],
+    ) -> Verdict {
+        let class = self.scenario.classes[request.class];
+        let left = Duration::from_secs_f64(left_ms / 1e3);
+        let timeout = Duration::from_secs_f64(class.timeout_ms / 1e3);
+        let target = Duration::from_secs_f64(class.target_ms / 1e3);
+        let returning = patience::is_returning(left, timeout);
+        let limit = patience::first_event(target, left, returning);
+        let ask = Ask {
+            prompt: Some(&request.prompt),
+            patience: limit,
+            urgency: patience::urgency(None, class.rank),
+            avoid: &[],
+        };
+        let draw = self.random.random();
+        let time = self.time(now);
+        match self.boards[request.host].place(time, &ask) {
+            Ok(place) => {
+                let id = place.member.id.as_str().trim_start_matches('e').parse().unwrap_or(0);
+                let urgency = place.urgency;
+                self.places[number] = Some((place, End::Dropped));
+                Verdict::Place(id, urgency)
+            }
+            Err(Refusal::TooLate(wait)) => {
+                let pause = patience::come_back(wait, limit, left, draw);
+                Verdict::Refuse(pause.as_secs_f64() * 1e3)
+            }
+            Err(Refusal::NoServer) => Verdict::Refuse(f64::INFINITY),
+        }
+    }
+
+    fn started(&mut self, now: f64, number: usize, request: &Request) {
+        let time = self.time(now);
+        if let Some((place, _)) = &self.places[number] {
+            self.boards[request.host].started(time, place);
+        }
+    }
+
+    fn ended(&mut self, now: f64, number: usize, request: &Request, whole: bool) {
+        let time = self.time(now);
+        if let Some((place, _)) = self.places[number].take() {
+            let end = if whole { End::Served } else { End::Dropped };
+            self.boards[request.host].end(time, &place, end);
+        }
+    }
+
+    fn tick(&mut self, now: f64) {
+        let heard = match self.boards.len() < LARGE_FLEET {
+            true => self.boards.len(),
+            false => self.boards.len() / self.scenario.domains,
+        };
+        let period = PERIOD_MS * (heard as f64 / SMALL_FLEET).max(1.0);
+        for host in 0..self.boards.len() {
+            if self.next_ms[host] <= now {
+                self.next_ms[host] = now + period;
+                self.announce(now, host);
+            }
+        }
+    }
+}
+
+fn absorb(unsaid: &mut Vec<(ServerId, Share)>, shares: &[(ServerId, Share)]) {
+    for (_, share) in unsaid.iter_mut() {
+        (share.running, share.light, share.tokens) = (0, 0, 0);
+    }
+    for (id, share) in shares {
+        match unsaid.iter_mut().find(|(known, _)| known == id) {
+            Some((_, known)) => known.absorb(share),
+            None => unsaid.push((id.clone(), share.clone())),
+        }
+    }
+}
+
+fn domain(scenario: &Scenario, number: usize) -> anyhow::Result<wasabi_core::units::Domain> {
+    Ok(format!("d{}", number % scenario.domains).parse()?)
+}
--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -1,12 +1,15 @@
 //! Load on real host processes: `run WORKLOAD` compares policies, `border` measures overhead.
+//! `decide SCENARIO` plays placement alone, in virtual time.
 //!
 //! ```text
 //! cargo run --release --example load -- run budjet-deadline --policy tiers --seed 1
 //! cargo run --release --example load -- border --seed 1
+//! cargo run --release --example load -- decide large --seed 1
 //! ```
 #![forbid(unsafe_code)]
 
 mod border;
+mod decide;
 mod drive;
 mod plot;
 mod report;
@@ -16,7 +19,8 @@
 use wasabi_standin::rig::Programs;
 
 const POLICIES: &[&str] = &["tiers", "fifo-round-robin", "fifo-least-in-flight", "strict"];
-const USAGE: &str = "load run WORKLOAD [--policy NAME|all] [--seed N] | load border [--seed N]";
+const USAGE: &str = "load run WORKLOAD [--policy NAME|all] [--seed N] | load border [--seed N] \
+     | load decide SCENARIO [--policy NAME|all] [--seed N]";
 
 fn main() -> anyhow::Result<()> {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -31,6 +35,14 @@
             let policy = option("--policy").unwrap_or_else(|| "all".to_string());
             run(name, &policy, seed)
         }
+        Some("decide") => {
+            let name = args.get(1).context(USAGE)?;
+            let policy = option("--policy").unwrap_or_else(|| "all".to_string());
+            let chosen = |known: &&str| policy == "all" || policy == **known;
+            let policies: Vec<&str> =
+                decide::POLICIES.iter().copied().filter(|known| chosen(&known)).collect();
+            decide::run(name, &policies, seed)
+        }
         Some("border") => border::run(&programs()?, seed),
         _ => bail!(USAGE),
     }
