Some engines are kept for interactive streams

Change: policy::lanes keeps a few engines of each domain for light streams, the same ones on all hosts, as many as the streams that run need; a long prompt there, or a stream elsewhere, costs 400 ms. Light is what has a short prompt, not what happens to be cached. The soft costs are removed.

--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -6,7 +6,7 @@
 //! placements at once and those of its peers as they are announced.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     hash::{DefaultHasher, Hash as _, Hasher as _},
     time::{Duration, Instant},
 };
@@ -21,6 +21,7 @@
 
 use crate::{
     cache::Cache,
+    lanes,
     stall::{self, Usual},
     trouble::Trouble,
 };
@@ -48,21 +49,17 @@
 const MAX_DELAY_MS: f64 = 200.0;
 /// The time over which the share of time that an engine spends on prefill is averaged.
 const DUTY_MEMORY: Duration = Duration::from_millis(1_000);
-/// A request whose prefill takes less is light, in milliseconds: it is interactive.
+/// A request whose whole prompt is read in less is light, in milliseconds: it is interactive.
 const LIGHT_WORK_MS: f64 = 40.0;
 /// What a server that fails all requests adds to the expected time, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
-/// Milliseconds added per running light stream and per share of time spent on prefill beyond
-/// `CALM_DUTY`, since long prompts delay the events of all streams beside them.
-const HARM_MS: f64 = 60.0;
-/// The share of time spent on prefill that leaves the pauses between events within their target.
-const CALM_DUTY: f64 = 0.55;
-/// What a light request expects to lose on an engine that does nothing but prefill.
-const CROWDED_MS: f64 = 400.0;
 /// Milliseconds added for a server in another failure domain.
 const DISTANCE_MS: f64 = 3.0;
 /// Milliseconds added for a server that is not the home of the request's session.
 const STRANGER_MS: f64 = 40.0;
+/// Milliseconds added for a light stream on an engine that is not kept for them, and for a long
+/// prompt on one that is.
+const LANE_MS: f64 = 400.0;
 /// How much the time that a server would spend on a request counts beside the caller's wait: work
 /// saved by a cached prefix leaves room for others.
 const WORK_WEIGHT: f64 = 1.0;
@@ -75,7 +72,7 @@
 /// they hear sooner.
 const MANY_HOSTS: usize = 30;
 /// Milliseconds added then for a server in another failure domain.
-const LATE_NEWS_MS: f64 = 120.0;
+const LATE_NEWS_MS: f64 = 40.0;
 /// Weight of one first event in the strain.
 const STRAIN_WEIGHT: f64 = 0.12;
 /// The strain halves in this time without first events, so that refusing everything ends.
@@ -255,6 +252,10 @@
             server.member.phase == Phase::Ready && !ask.avoid.contains(&server.member.id)
         });
         let home = self.home(ask);
+        let kept = match self.engine {
+            Some(engine) => self.kept(engine.slots),
+            None => BTreeSet::new(),
+        };
         let assumed = self.late_news;
         let strain = if self.late_news { self.strain(now) } else { 1.0 };
         let distance_ms = if self.late_news { LATE_NEWS_MS } else { DISTANCE_MS };
@@ -275,7 +276,8 @@
             let far = if server.member.domain == self.domain { 0.0 } else { distance_ms };
             let strange =
                 if home.as_ref().is_none_or(|home| home == id) { 0.0 } else { STRANGER_MS };
-            let cost = quote.first_ms + quote.extra_ms + failing_ms + far + strange;
+            let lane = if quote.light != kept.contains(id) { LANE_MS } else { 0.0 };
+            let cost = quote.first_ms + quote.extra_ms + failing_ms + far + strange + lane;
             let fits =
                 quote.has_room && quote.first_ms * strain <= ask.patience.as_secs_f64() * 1e3;
             if fits && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
@@ -440,6 +442,17 @@
         near.or_else(|| self.ready().map(|member| &member.id).max_by_key(|id| rank(id))).cloned()
     }
 
+    /// Returns the engines that are kept for light streams.
+    fn kept(&self, slots: u32) -> BTreeSet<ServerId> {
+        let ready = self.servers.iter().filter(|(_, s)| s.member.phase == Phase::Ready);
+        let engines = ready.map(|(id, server)| lanes::Engine {
+            id,
+            domain: &server.member.domain,
+            light: server.all().light,
+        });
+        lanes::kept(engines, slots)
+    }
+
     fn of(&mut self, place: &Place) -> Option<&mut Server> {
         let server = self.servers.get_mut(&place.member.id)?;
         (server.member.born_ms == place.member.born_ms).then_some(server)
@@ -451,7 +464,7 @@
 struct Quote {
     /// Until the first event or the answer.
     first_ms: f64,
-    /// What the choice costs besides: work, harm to others, pauses to come.
+    /// What the choice costs besides.
     extra_ms: f64,
     /// Prefill time.
     work_ms: f64,
@@ -492,21 +505,12 @@
             * self.slowness;
         let behind_ms = self.wait_ms(now, usize::from(ask.urgency));
         let wait_ms = behind_ms.max(self.wait_ms(now, LEVELS - 1).min(PROMPT_AHEAD_MS));
-        let light = work_ms < LIGHT_WORK_MS;
-        let duty = self.duty(now);
-        let crowded = (duty - CALM_DUTY).max(0.0);
-        let extra_ms = match light {
-            true => crowded * CROWDED_MS,
-            false => {
-                let after = duty + work_ms / DUTY_MEMORY.as_secs_f64() / 1e3 - CALM_DUTY;
-                after.max(0.0) * f64::from(all.light) * HARM_MS
-            }
-        };
+        let light = total / PREFILL_TOKENS_PER_MS < LIGHT_WORK_MS;
         let tokens = all.tokens + total as u64 + output;
         let memory = engine.memory.0 as f64 * MEMORY_SHARE;
         Quote {
             first_ms: wait_ms + work_ms + FIRST_EVENT_MS,
-            extra_ms: extra_ms + work_ms * WORK_WEIGHT,
+            extra_ms: work_ms * WORK_WEIGHT,
             work_ms,
             has_room: all.running < engine.slots && tokens as f64 <= memory,
             light,
--- /dev/null
+++ b/crates/policy/src/lanes.rs
@@ -0,0 +1,54 @@
+//! Engines that are kept for short interactive streams.
+//!
+//! Answers long prompts that come beside interactive streams: each chunk that an engine reads holds
+//! up the next token of all answers that it runs, so a few engines without long prompts serve many
+//! streams better than all engines with some. Hosts choose the same engines from the servers' names
+//! alone; only how many differs for a moment.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash as _, Hasher as _},
+};
+
+use wasabi_core::units::{Domain, ServerId};
+
+/// The part of an engine's slots that light streams fill before another engine is kept for them.
+const FILLED_SHARE: f64 = 0.5;
+/// The most engines of a domain that are kept, as a share.
+const MOST_SHARE: f64 = 0.5;
+
+/// An engine as the choice sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Engine<'a> {
+    /// Its name.
+    pub id: &'a ServerId,
+    /// Where it stands.
+    pub domain: &'a Domain,
+    /// How many light streams run there.
+    pub light: u32,
+}
+
+/// Returns the engines that are kept for light streams, each with `slots`.
+pub fn kept<'a>(engines: impl Iterator<Item = Engine<'a>>, slots: u32) -> BTreeSet<ServerId> {
+    let mut domains: BTreeMap<&Domain, Vec<Engine<'_>>> = BTreeMap::new();
+    for engine in engines {
+        domains.entry(engine.domain).or_default().push(engine);
+    }
+    let filled = (f64::from(slots) * FILLED_SHARE).max(1.0);
+    let mut kept = BTreeSet::new();
+    for mut engines in domains.into_values() {
+        engines.sort_by_key(|engine| (order(engine.id), engine.id));
+        let light: u32 = engines.iter().map(|engine| engine.light).sum();
+        let most = (engines.len() as f64 * MOST_SHARE) as usize;
+        let count = (f64::from(light) / filled).ceil() as usize;
+        kept.extend(engines.iter().take(count.min(most)).map(|engine| engine.id.clone()));
+    }
+    kept
+}
+
+/// Returns a place in an order that has nothing to do with the names.
+fn order(id: &ServerId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod capacity;
 pub mod desk;
 pub mod estimate;
+pub mod lanes;
 pub mod limits;
 pub mod patience;
 pub mod queue;
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -312,3 +312,51 @@
         (0..8).map(|_| id(&board.place(later, &plain).expect("a place"))).collect();
     assert!(ids.contains(&id(&stuck)), "it is tried again: {ids:?}");
 }
+
+/// Interactive streams and long prompts that come together run on engines of their own, whichever
+/// host places them; without streams no engine is kept free.
+#[test]
+fn long_prompts_keep_off_the_engines_of_interactive_streams() {
+    let start = Instant::now();
+    let mut one = board(start, Some(ENGINE), 8);
+    let mut other = board(start, Some(ENGINE), 8);
+    let mut now = start;
+    let mut engines: [BTreeMap<String, u32>; 2] = Default::default();
+    // Streams last for half a second, so that about 25 run at a time.
+    let mut streams = std::collections::VecDeque::new();
+    for i in 0..400_u64 {
+        now += Duration::from_millis(10);
+        let board = if i % 2 == 0 { &mut one } else { &mut other };
+        let (kind, prompt) = match i % 4 {
+            0..=2 => (0, short(10_000 + i)),
+            _ => (1, long(100 + i % 20, 20_000 + i)),
+        };
+        let Ok(place) = board.place(now, &ask(&prompt, 5_000, 3)) else { continue };
+        *engines[kind].entry(id(&place)).or_default() += 1;
+        board.started(now, &place);
+        match kind {
+            1 => board.end(now, &place, End::Served),
+            _ => streams.push_back((now + SECOND / 2, i % 2, place)),
+        }
+        while streams.front().is_some_and(|(until, _, _)| *until <= now) {
+            let Some((_, host, place)) = streams.pop_front() else { break };
+            let board = if host == 0 { &mut one } else { &mut other };
+            board.end(now, &place, End::Served);
+        }
+        let told = one.announce();
+        other.merge(now, &"a".parse().expect("a name"), &told);
+        let told = other.announce();
+        one.merge(now, &"b".parse().expect("a name"), &told);
+    }
+    let [streams, prompts] = engines;
+    let beside: u32 =
+        prompts.iter().filter(|(id, _)| streams.contains_key(*id)).map(|(_, n)| n).sum();
+    let all: u32 = prompts.values().sum();
+    assert!(beside * 10 < all, "{beside} of {all} long prompts beside streams: {streams:?}");
+    assert!(prompts.len() > 1, "{prompts:?}");
+    let mut alone = board(start, Some(ENGINE), 8);
+    let used: std::collections::BTreeSet<String> = (0..40)
+        .map(|i| id(&alone.place(start, &ask(&long(i, 1_000 + i), 5_000, 3)).expect("a place")))
+        .collect();
+    assert_eq!(used.len(), 8, "no engine is kept without streams");
+}
