--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -40,7 +40,7 @@
             let policy = option("--policy").unwrap_or_else(|| "all".to_string());
             let chosen = |known: &&str| policy == "all" || policy == **known;
             let policies: Vec<&str> =
-                decide::POLICIES.iter().copied().filter(|known| chosen(&known)).collect();
+                decide::POLICIES.iter().copied().filter(|known| chosen(known)).collect();
             decide::run(name, &policies, seed)
         }
         Some("border") => border::run(&programs()?, seed),
