A more urgent stream waits as long as less urgent ones beside it

Change: the limit follows the longest target of the streams that are no more urgent on the same service. Lease calls that fail are logged once in a row, not six times a second a host (197 lines in 26 s).

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -45,6 +45,7 @@
 
 async fn hold(site: &Site) {
     let mut held = None;
+    let mut failing = false;
     loop {
         tokio::time::sleep(TICK).await;
         let now = site.now();
@@ -55,10 +56,17 @@
         }
         let peer_holds = site.peers.borrow().live(now).any(|(_, peer)| peer.fence.is_some());
         let step = site.lease.borrow().step(now, peer_holds);
-        if let Err(e) = act(site, step).await {
-            metrics::counter!("wasabi_store_failures_total").increment(1);
-            let cause = e.to_string();
-            info!(cause = cause.as_str(); "lease call failed");
+        let waits = step == Step::Wait;
+        match act(site, step).await {
+            Ok(()) if waits => {}
+            Ok(()) => failing = false,
+            Err(e) => {
+                metrics::counter!("wasabi_store_failures_total").increment(1);
+                let cause = e.to_string();
+                if !std::mem::replace(&mut failing, true) {
+                    info!(cause = cause.as_str(); "lease calls fail");
+                }
+            }
         }
         let fence = site.lease.borrow().fence(site.now());
         if fence != held {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,7 +103,7 @@
         Err(_) => return Err((id, Error::new(Code::ReceiveTimeout, ""))),
     };
     let returning = head.patience.is_some_and(|patience| patience::is_returning(patience, timeout));
-    let patience = patience::limit(&permit.route, time, returning);
+    let patience = patience::limit(&permit.catalog, &permit.route, time, returning);
     Ok(Inbound { parts, head, body, arrived, permit, deadline, patience })
 }
 
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use wasabi_core::catalog::Route;
+use wasabi_core::catalog::{Catalog, Route};
 
 /// A first event that is expected within this part of the target is on time: the rest covers what
 /// the expectation misses.
@@ -32,11 +32,22 @@
 }
 
 /// Returns the longest wait for the first event, or for the answer of a plain request.
-pub fn limit(route: &Route, time: Duration, returning: bool) -> Duration {
+///
+/// A stream may wait as long as those of less urgent routes to the same services: it would otherwise
+/// be refused while they are taken, only since its target is shorter.
+pub fn limit(catalog: &Catalog, route: &Route, time: Duration, returning: bool) -> Duration {
     if !route.kind.is_stream() {
         return time.mul_f64(PLAIN_SHARE);
     }
-    first_event(route.target, time, returning)
+    let beside = catalog.routes.iter().filter(|other| {
+        other.kind.is_stream() && other.rank >= route.rank && shares_service(other, route)
+    });
+    let target = beside.map(|other| other.target).max().unwrap_or(route.target);
+    first_event(target.max(route.target), time, returning)
+}
+
+fn shares_service(a: &Route, b: &Route) -> bool {
+    a.backends.iter().any(|(service, _)| b.backends.iter().any(|(other, _)| other == service))
 }
 
 /// Returns the longest wait for the first event of a stream whose target is `target`.
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -6,7 +6,7 @@
 };
 
 use wasabi_core::{
-    catalog::{Kind, Route, Scaling},
+    catalog::{Catalog, Kind, Route, Scaling},
     member::{Member, Phase},
 };
 use wasabi_policy::{
@@ -36,8 +36,8 @@
 #[test]
 fn a_fresh_stream_waits_within_its_target_and_a_returning_one_longer() {
     let stream = route(Kind::Stream);
-    assert!(patience::limit(&stream, SECOND * 5, false) < stream.target);
-    assert!(patience::limit(&stream, SECOND * 3, true) > stream.target);
+    assert!(patience::limit(&Catalog::default(), &stream, SECOND * 5, false) < stream.target);
+    assert!(patience::limit(&Catalog::default(), &stream, SECOND * 3, true) > stream.target);
     assert!(!patience::is_returning(Duration::from_millis(4_300), SECOND * 5));
     assert!(patience::is_returning(Duration::from_millis(3_400), SECOND * 5));
 }
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -226,7 +226,10 @@
         let class = self.scenario.classes[request.class];
         let left = Duration::from_secs_f64(left_ms / 1e3);
         let timeout = Duration::from_secs_f64(class.timeout_ms / 1e3);
-        let target = Duration::from_secs_f64(class.target_ms / 1e3);
+        // As `patience::limit` does for routes.
+        let beside = self.scenario.classes.iter().filter(|other| other.rank >= class.rank);
+        let target_ms = beside.map(|other| other.target_ms).fold(class.target_ms, f64::max);
+        let target = Duration::from_secs_f64(target_ms / 1e3);
         let returning = patience::is_returning(left, timeout);
         let limit = patience::first_event(target, left, returning);
         let ask = Ask {
