--- a/examples/load/border.rs
+++ b/examples/load/border.rs
@@ -15,6 +15,8 @@
     rig::{Programs, Rig, Size},
 };
 
+use crate::gateway;
+
 const WARM_UP: usize = 50;
 const SAMPLES: usize = 1_000;
 const CALLERS: usize = 8;
@@ -28,7 +30,8 @@
     println!("seed {seed} (nothing is drawn)");
     first_byte(programs)?;
     short_calls(programs)?;
-    memory(programs)
+    memory(programs)?;
+    gateway::run(programs)
 }
 
 fn pace(slots: u32, interval: Duration) -> Pace {
--- /dev/null
+++ b/examples/load/gateway.rs
@@ -0,0 +1,128 @@
+//! What a gateway costs: processor time of short calls and of events, memory with open streams.
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use serde_json::json;
+use wasabi_stand::{
+    caller::{self, Request},
+    gateway::wait,
+    rig::Rig,
+    server::Act,
+};
+use wasabi_standin::{
+    process::{cpu_seconds, resident_bytes},
+    rig::Programs,
+};
+
+const CALLERS: usize = 8;
+const CALLS_EACH: usize = 250;
+const STREAMS_EACH: usize = 40;
+/// Events of one stream of the stand-in.
+const EVENTS: usize = 10;
+const OPEN_STREAMS: usize = 300;
+const ROUTES: usize = 100;
+const WORKSPACES: usize = 10;
+
+/// Measures and prints.
+pub fn run(programs: &Programs) -> anyhow::Result<()> {
+    let program = programs.router.to_string_lossy().into_owned();
+    let rig = Rig::start(&program)?;
+    configure(&rig);
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    let empty = resident_bytes(gateway.id());
+
+    let calls = CALLERS * CALLS_EACH;
+    let cpu = spent(gateway.id(), || each(|caller| call(to, caller)))?;
+    println!(
+        "gateway: {:.0} us of CPU a short call on kept connections, {calls} calls (target: 90)",
+        1e6 * cpu / calls as f64
+    );
+    let streams = CALLERS * STREAMS_EACH;
+    let cpu = spent(gateway.id(), || each(|caller| stream(to, caller)))?;
+    println!(
+        "gateway: {:.0} us of CPU an event, {streams} streams of {EVENTS} events",
+        1e6 * cpu / (streams * EVENTS) as f64
+    );
+
+    for engine in ["e1", "e2"] {
+        rig.server(engine).always(Some(Act::StallAfter(1)));
+    }
+    let open = (0..OPEN_STREAMS)
+        .map(|i| Request::new("POST", "/long/x", &format!("open{i}")).open(to))
+        .collect::<anyhow::Result<Vec<_>>>()?;
+    wait("all streams to run", || {
+        let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+        arrivals.filter(|arrival| arrival.id.starts_with("open")).count() >= OPEN_STREAMS
+    })?;
+    let mb = |bytes: u64| bytes as f64 / 1e6;
+    println!(
+        "gateway: {:.1} MB with {ROUTES} routes and {WORKSPACES} workspaces, {:.1} MB with \
+         {OPEN_STREAMS} open streams besides (target: 40)",
+        mb(empty),
+        mb(resident_bytes(gateway.id()))
+    );
+    drop(open);
+    Ok(())
+}
+
+fn configure(rig: &Rig) {
+    rig.configure(2, |config| {
+        let model = config["routes"][0].clone();
+        if let Some(routes) = config["routes"].as_array_mut() {
+            for number in routes.len()..ROUTES {
+                let mut route = model.clone();
+                route["name"] = json!(format!("r{number}"));
+                route["path_prefix"] = json!(format!("/more{number}/"));
+                routes.push(route);
+            }
+        }
+        if let Some(workspaces) = config["tenants"].as_array_mut() {
+            for number in workspaces.len()..WORKSPACES {
+                workspaces.push(json!({"name": format!("w{}", number + 1),
+                    "api_keys": [format!("k{}", number + 1)], "priority": 1}));
+            }
+        }
+        config["services"][0]["engine"]["slots"] = json!(400);
+        config["services"][0]["max_connections"] = json!(1_000);
+    });
+}
+
+/// Returns the processor time that `work` costs the process, in seconds.
+fn spent(process: u32, work: impl FnOnce() -> anyhow::Result<()>) -> anyhow::Result<f64> {
+    let before = cpu_seconds(process);
+    work()?;
+    Ok(cpu_seconds(process) - before)
+}
+
+/// Runs `work` as each of the callers at a time.
+fn each(work: impl Fn(usize) -> anyhow::Result<()> + Sync) -> anyhow::Result<()> {
+    thread::scope(|scope| {
+        let calling = |caller| {
+            let work = &work;
+            scope.spawn(move || work(caller))
+        };
+        let callers: Vec<_> = (0..CALLERS).map(calling).collect();
+        callers.into_iter().try_for_each(|caller| caller.join().expect("no panic"))
+    })
+}
+
+fn call(to: SocketAddr, caller: usize) -> anyhow::Result<()> {
+    let first = Request::new("GET", "/read/x", &format!("c{caller}"));
+    let mut connection = first.open(to)?;
+    anyhow::ensure!(caller::read(&mut connection)?.status == 200, "a call failed");
+    for number in 1..CALLS_EACH {
+        Request::new("GET", "/read/x", &format!("c{caller}-{number}")).write(&mut connection)?;
+        anyhow::ensure!(caller::read(&mut connection)?.status == 200, "a call failed");
+    }
+    Ok(())
+}
+
+fn stream(to: SocketAddr, caller: usize) -> anyhow::Result<()> {
+    for number in 0..STREAMS_EACH {
+        let answer = Request::new("POST", "/chat/x", &format!("s{caller}-{number}")).send(to)?;
+        anyhow::ensure!(answer.complete, "a stream failed");
+    }
+    thread::sleep(Duration::from_millis(100));
+    Ok(())
+}
--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -11,6 +11,7 @@
 mod border;
 mod decide;
 mod drive;
+mod gateway;
 mod plot;
 mod report;
 mod workload;
--- /dev/null
+++ b/tests/causes.rs
@@ -0,0 +1,201 @@
+//! Every cause that the gateway's metrics tell apart, brought about from outside.
+
+use std::{
+    collections::BTreeSet,
+    io::Write as _,
+    net::{Shutdown, SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use serde_json::json;
+use wasabi_stand::{
+    caller::{self, Request},
+    gateway::{self, Gateway, wait},
+    raw::{self, Raw},
+    rig::Rig,
+    server::Act,
+    store::Fault,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+
+/// Returns the values of a label of a metric.
+fn labels(gateway: &Gateway, metric: &str, label: &str) -> anyhow::Result<BTreeSet<String>> {
+    let page = gateway.page("/metrics")?;
+    let lines = page.lines().filter(|line| line.starts_with(&format!("{metric}{{")));
+    let mark = format!("{label}=\"");
+    let values = lines.filter_map(|line| line.split_once(&mark)?.1.split_once('"'));
+    Ok(values.map(|(value, _)| value.to_string()).collect())
+}
+
+fn causes(gateway: &Gateway) -> anyhow::Result<BTreeSet<String>> {
+    labels(gateway, "wasabi_gateway_failed_sends_total", "cause")
+}
+
+fn codes(gateway: &Gateway) -> anyhow::Result<BTreeSet<String>> {
+    labels(gateway, "wasabi_gateway_refusals_total", "code")
+}
+
+fn get(to: SocketAddr, path: &str, id: &str) -> anyhow::Result<caller::Answer> {
+    Request::new("GET", path, id).send(to)
+}
+
+fn hurried(method: &str, path: &str, id: &str, ms: u64) -> Request {
+    Request { deadline: Duration::from_millis(ms), ..Request::new(method, path, id) }
+}
+
+fn set(values: &[&str]) -> BTreeSet<String> {
+    values.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn sends_that_fail_at_servers() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    // The budget of repeats of a host that has just started covers the first of them only.
+    for act in [Act::Hang, Act::TurnAway, Act::LoseAnswer, Act::Cross, Act::Unsigned, Act::Fail] {
+        for server in ["p1", "p2"] {
+            rig.server(server).always(Some(act));
+        }
+        hurried("GET", "/read/x", &format!("{act:?}"), 1_500).send(to)?;
+    }
+    for server in ["e1", "e2"] {
+        rig.server(server).always(Some(Act::BreakAfter(2)));
+    }
+    hurried("POST", "/chat/x", "broken", 1_500).send(to)?;
+    let found = causes(&gateway)?;
+    let expected = set(&[
+        "turned away",
+        "connection broke",
+        "answer to another request",
+        "answer is not the server's own",
+        "stuck",
+        "stream broke off",
+    ]);
+    assert!(expected.is_subset(&found), "{found:?}");
+    Ok(())
+}
+
+#[test]
+fn a_stream_that_fails_to_go_on() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    rig.server("e1").always(Some(Act::BreakAfter(1)));
+    rig.server("e2").always(Some(Act::Fail));
+    wait("a stream that is not taken up again", || {
+        let sent = hurried("POST", "/chat/x", "more", 1_500).send(gateway.ports.callers);
+        sent.is_ok() && causes(&gateway).is_ok_and(|found| found.contains("failed to resume"))
+    })
+}
+
+#[test]
+fn sends_that_fail_on_connections() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let server = Raw::start(|mut stream, _| {
+        let head = raw::read_head(&mut stream)?;
+        let mut answer = |extra: &str, body: &str| {
+            stream.write_all(format!("{}{body}", raw::signed(&head, 200, extra)).as_bytes())
+        };
+        match raw::header(&head, "request-id").as_str() {
+            "cut" => answer("content-length: 50\r\n", "part")?,
+            "slow" => {
+                answer("content-length: 50\r\n", "part")?;
+                thread::sleep(Duration::from_secs(2));
+            }
+            "plain" => {
+                let answer =
+                    format!("HTTP/1.1 500 X\r\nrequest-id: plain\r\ncontent-length: 0\r\n\r\n");
+                stream.write_all(answer.as_bytes())?;
+            }
+            "hold" => thread::sleep(Duration::from_secs(3)),
+            _ => answer("content-length: 0\r\n", "")?,
+        }
+        stream.shutdown(Shutdown::Both)
+    })?;
+    rig.only("app", server.address);
+    rig.configure(2, |config| config["services"][1]["max_connections"] = json!(1));
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    for id in ["cut", "slow", "plain"] {
+        hurried("GET", "/read/x", id, 900).send(to)?;
+    }
+    // Four connections are allowed even if the server would take fewer.
+    let held: Vec<TcpStream> = (0..4)
+        .map(|_| hurried("POST", "/write/x", "hold", 2_500).open(to))
+        .collect::<anyhow::Result<_>>()?;
+    wait("all connections to be in use", || server.connections() >= 7)?;
+    hurried("GET", "/read/x", "more", 900).send(to)?;
+    drop(held);
+    let closed = std::net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
+    rig.only("app", closed);
+    wait("the address to be known", || {
+        hurried("GET", "/read/x", "none", 900).send(to).is_ok()
+            && causes(&gateway).is_ok_and(|found| found.contains("no connection"))
+    })?;
+    let found = causes(&gateway)?;
+    let expected = set(&[
+        "answer broke off",
+        "answer did not end in time",
+        "answer without a signature",
+        "connection limit",
+        "no connection",
+    ]);
+    assert!(expected.is_subset(&found), "{found:?}");
+    Ok(())
+}
+
+#[test]
+fn requests_that_are_refused() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    assert_eq!(get(to, "/nowhere/x", "a")?.status, 404);
+    let mut request = Request::new("GET", "/read/x", "b");
+    request.key = None;
+    assert_eq!(request.send(to)?.status, 401);
+    request.key = Some("other".to_string());
+    assert_eq!(request.send(to)?.status, 401);
+    let mut large = Request::new("POST", "/write/x", "c");
+    large.body = vec![b'x'; 1_100_000];
+    assert_eq!(large.send(to)?.status, 413);
+    let mut open = TcpStream::connect(to)?;
+    let head = "POST /write/x HTTP/1.1\r\nhost: site.example\r\nrequest-id: d\r\n\
+                deadline-ms: 400\r\nauthorization: Token k1\r\n";
+    open.write_all(format!("{head}content-length: 10\r\n\r\nhalf").as_bytes())?;
+    assert_eq!(caller::read(&mut open)?.status, 408);
+    let mut broken = TcpStream::connect(to)?;
+    broken.write_all(format!("{head}transfer-encoding: chunked\r\n\r\nzz\r\n").as_bytes())?;
+    // The connection may end before the answer is read.
+    let _ = caller::read(&mut broken);
+    for server in ["p1", "p2"] {
+        rig.server(server).always(Some(Act::TurnAway));
+    }
+    assert_eq!(get(to, "/read/x", "e")?.status, 503);
+    for server in ["p1", "p2"] {
+        rig.server(server).always(Some(Act::Hang));
+    }
+    assert_eq!(hurried("POST", "/write/x", "f", 600).send(to)?.status, 504);
+    rig.configure(2, |config| config["services"][0]["engine"]["slots"] = json!(0));
+    wait("a refusal for load", || {
+        hurried("POST", "/chat/x", "g", 900).send(to).is_ok_and(|answer| answer.status == 503)
+    })?;
+    rig.store.set_fault(Fault::Silent);
+    wait("a refusal for want of proof", || {
+        get(to, "/read/x", "h").is_ok_and(|answer| {
+            answer.status == 503 && codes(&gateway).is_ok_and(|codes| codes.contains("1205"))
+        })
+    })?;
+    let fresh = rig.launch("g2", rig.store_at, gateway::draw_ports()?)?;
+    let to = fresh.ports.callers;
+    wait("the port", || TcpStream::connect(to).is_ok())?;
+    assert_eq!(get(to, "/read/x", "i")?.status, 503);
+    let mut found = codes(&gateway)?;
+    found.extend(codes(&fresh)?);
+    let expected = set(&[
+        "1001", "1002", "1101", "1104", "1106", "1107", "1202", "1204", "1205", "1301", "1304",
+    ]);
+    assert!(expected.is_subset(&found), "{found:?}");
+    Ok(())
+}
--- a/tests/stand/src/gateway.rs
+++ b/tests/stand/src/gateway.rs
@@ -96,6 +96,11 @@
         Ok(Self { child, ports, settings: path, lines })
     }
 
+    /// Returns its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until the balancer would send connections.
     pub fn wait_ready(&self) -> anyhow::Result<()> {
         wait("readiness", || self.is_ready())
