--- a/tests/causes.rs
+++ b/tests/causes.rs
@@ -105,8 +105,7 @@
                 thread::sleep(Duration::from_secs(2));
             }
             "plain" => {
-                let answer =
-                    format!("HTTP/1.1 500 X\r\nrequest-id: plain\r\ncontent-length: 0\r\n\r\n");
+                let answer = "HTTP/1.1 500 X\r\nrequest-id: plain\r\ncontent-length: 0\r\n\r\n";
                 stream.write_all(answer.as_bytes())?;
             }
             "hold" => thread::sleep(Duration::from_secs(3)),
