Domains that lost all servers get new ones from any holder, and others make up for them

Change: every host remembers where servers of a service have been. While reclaimable ones are refused in a domain and still missing, the other domains order up to their most, and, if the engines spend 0.6 of their time on prompts, dearer ones fill what the limit leaves there. It lasts until the domain has its number again, so no order is undone by a pause between two tries. Tests: an emptied domain and another holder; making up, its end, and eleven refusals in between.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -29,11 +29,11 @@
         tokio::time::sleep(TICK).await;
         let held = duty::authority(site).map(|authority| authority.fence);
         if held != fence {
-            // What another holder ordered meanwhile is not known.
-            planners.clear();
+            planners.values_mut().for_each(Planner::begin);
             fence = held;
         }
         if held.is_none() {
+            observe(site, &mut planners);
             continue;
         }
         for (service, demands) in plans(site, &mut planners) {
@@ -47,6 +47,18 @@
     }
 }
 
+/// Lets the planners know where servers are, for the time when this host holds the duties.
+fn observe(site: &Site, planners: &mut BTreeMap<PoolId, Planner>) {
+    for member in site.members.borrow().get().iter() {
+        if !planners.contains_key(&member.service) {
+            planners.insert(member.service.clone(), Planner::default());
+        }
+        if let Some(planner) = planners.get_mut(&member.service) {
+            planner.observe(std::slice::from_ref(member));
+        }
+    }
+}
+
 fn plans(site: &Site, planners: &mut BTreeMap<PoolId, Planner>) -> Vec<(PoolId, Vec<Demand>)> {
     let Some((catalog, _)) = site.config() else { return Vec::new() };
     let members = site.members.borrow().get();
@@ -57,7 +69,8 @@
         let Ok(name) = name.parse::<PoolId>() else { continue };
         let own: Vec<_> = members.iter().filter(|m| m.service == name).cloned().collect();
         let planner = planners.entry(name.clone()).or_default();
-        let demands = planner.plan(now, &name, scaling, &own);
+        let busy = site.boards.borrow().get(&name).map_or(0.0, |board| board.duty(now));
+        let demands = planner.plan(now, &name, scaling, &own, busy);
         plans.push((name, demands));
     }
     plans
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -1,11 +1,12 @@
 //! How many backend servers of a service to order, where and of which kind.
 //!
 //! Answers deadline rushes on servers that are paid by the second: reclaimable servers cost a
-//! fraction, so they carry the load, spread over all failure domains; a few others stay in each
-//! domain, so that a domain whose reclaimable servers vanish still serves.
+//! fraction, so they carry the load, spread over all failure domains; a few others stay, so that a
+//! service whose reclaimable servers vanish still serves. While none are to be had in one domain, the
+//! other domains get more of them, and under load dearer ones fill the gap.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -25,6 +26,9 @@
 const REPEAT_AFTER: Duration = Duration::from_secs(4);
 /// Servers announce themselves one by one; nothing is ordered before they have had time to.
 const SETTLE: Duration = Duration::from_millis(2_000);
+/// Dearer servers stand in for reclaimable ones from this share of time on that the engines spend on
+/// prompts; below it the servers that are left serve the load without delay.
+const BUSY: f64 = 0.6;
 /// A refused order is tried again after this time.
 const DRY_PAUSE: Duration = Duration::from_secs(3);
 
@@ -34,43 +38,77 @@
 /// The orders of one service.
 #[derive(Debug, Default)]
 pub struct Planner {
-    /// When the first plan was made.
+    /// When this host made its first plan since it holds the duties.
     since: Option<Instant>,
+    /// Where servers of the service have been seen; all of them may vanish from a domain.
+    domains: BTreeSet<Domain>,
     /// The last order of each subject and when it was given.
     ordered: BTreeMap<Subject, (u32, Instant)>,
-    /// Subjects that were refused, until when they are left alone.
+    /// Subjects that were refused and have not reached their number since, with the time until when
+    /// they are left alone.
     dry: BTreeMap<Subject, Instant>,
 }
 
 impl Planner {
-    /// Returns the orders to give now.
+    /// Takes in where servers are; hosts that do not hold the duties do so too.
+    pub fn observe(&mut self, members: &[Member]) {
+        for member in members {
+            if !self.domains.contains(&member.domain) {
+                self.domains.insert(member.domain.clone());
+            }
+        }
+    }
+
+    /// Begins anew: what another holder ordered meanwhile is not known.
+    pub fn begin(&mut self) {
+        *self = Self { domains: std::mem::take(&mut self.domains), ..Self::default() };
+    }
+
+    /// Returns the orders to give now, while engines spend the share `busy` of their time on prompts.
     pub fn plan(
         &mut self,
         now: Instant,
         service: &PoolId,
         scaling: &Scaling,
         members: &[Member],
+        busy: f64,
     ) -> Vec<Demand> {
+        self.observe(members);
         let mut demands = Vec::new();
         let since = *self.since.get_or_insert(now);
         if now.saturating_duration_since(since) < SETTLE {
             return demands;
         }
         let cheapest = cheapest(scaling, members);
-        for domain in scaling.prices.keys() {
-            let here: Vec<&Member> = members.iter().filter(|m| m.domain == *domain).collect();
-            if here.is_empty() && !self.ordered.keys().any(|(known, _)| known == domain) {
-                continue;
-            }
-            let ready = |cheap: bool| {
-                let fits = |m: &&&Member| m.cheap == cheap && m.phase == Phase::Ready;
-                here.iter().filter(fits).count() as u32
+        let ready = |domain: &Domain, cheap: bool| {
+            let fits =
+                |m: &&Member| m.domain == *domain && m.cheap == cheap && m.phase == Phase::Ready;
+            members.iter().filter(fits).count() as u32
+        };
+        let domains: Vec<Domain> = scaling
+            .prices
+            .keys()
+            .filter(|domain| self.domains.contains(*domain))
+            .cloned()
+            .collect();
+        self.dry.retain(|(domain, cheap), _| {
+            let calm = calm(scaling, cheapest.as_ref() == Some(domain)).0;
+            !cheap || ready(domain, true) < calm
+        });
+        let is_dry = |domain: &Domain| self.dry.contains_key(&(domain.clone(), true));
+        let is_stretched = domains.iter().any(is_dry);
+        for domain in &domains {
+            let site = Site {
+                ready: (ready(domain, true), ready(domain, false)),
+                is_cheapest: cheapest.as_ref() == Some(domain),
+                is_dry: is_dry(domain),
+                is_stretched,
+                is_busy: busy >= BUSY,
             };
-            let (cheap, dear) =
-                self.wanted(now, domain, scaling, ready(true), ready(false), cheapest.as_ref());
+            let (cheap, dear) = wanted(scaling, site);
             for (kind, count) in [(true, cheap), (false, dear)] {
                 let subject = (domain.clone(), kind);
-                if self.is_due(now, &subject, count, ready(kind), scaling.boot) {
+                if self.is_due(now, &subject, count, ready(domain, kind), scaling.boot) {
                     demands.push(Demand {
                         service: service.clone(),
                         domain: domain.clone(),
@@ -86,7 +124,9 @@
     /// Takes in that an order was taken.
     pub fn taken(&mut self, now: Instant, demand: &Demand) {
         let subject = (demand.domain.clone(), demand.cheap);
-        self.dry.remove(&subject);
+        if let Some(until) = self.dry.get_mut(&subject) {
+            *until = now;
+        }
         self.ordered.insert(subject, (demand.count, now));
     }
 
@@ -95,31 +135,6 @@
         self.dry.insert((demand.domain.clone(), demand.cheap), now + DRY_PAUSE);
     }
 
-    /// Returns how many reclaimable and other servers a domain should have.
-    fn wanted(
-        &self,
-        now: Instant,
-        domain: &Domain,
-        scaling: &Scaling,
-        cheap_ready: u32,
-        dear_ready: u32,
-        cheapest: Option<&Domain>,
-    ) -> (u32, u32) {
-        if scaling.cheap_price.is_none() {
-            return (0, dear_ready.clamp(scaling.min, scaling.max));
-        }
-        let goal = (f64::from(scaling.max) * CHEAP_SHARE).ceil() as u32;
-        // A few servers that stay, where they cost least, serve even if all others vanish.
-        let kept = if cheapest == Some(domain) { KEPT_DEAR.min(scaling.max) } else { 0 };
-        let goal = goal.max(scaling.min).min(scaling.max - kept);
-        let dry = self.dry.get(&(domain.clone(), true)).is_some_and(|until| now < *until);
-        // The limit covers both kinds, so the others make room step by step.
-        let cheap = goal.min(scaling.max.saturating_sub(dear_ready));
-        let enough = cheap_ready >= cheap && !dry;
-        let dear = if enough { kept } else { dear_ready.max(kept) };
-        (cheap, dear)
-    }
-
     fn is_due(
         &self,
         now: Instant,
@@ -141,6 +156,48 @@
     }
 }
 
+/// One domain as the plan sees it.
+#[derive(Clone, Copy, Debug)]
+struct Site {
+    /// Reclaimable and other servers that take work.
+    ready: (u32, u32),
+    is_cheapest: bool,
+    /// Whether reclaimable ones were not to be had here and are still missing.
+    is_dry: bool,
+    /// Whether they are missing in some domain.
+    is_stretched: bool,
+    is_busy: bool,
+}
+
+/// Returns how many reclaimable and other servers a domain has in calm times.
+fn calm(scaling: &Scaling, is_cheapest: bool) -> (u32, u32) {
+    // A few servers that stay, where they cost least, serve even if all others vanish.
+    let kept = if is_cheapest { KEPT_DEAR.min(scaling.max) } else { 0 };
+    let goal = (f64::from(scaling.max) * CHEAP_SHARE).ceil() as u32;
+    (goal.max(scaling.min).min(scaling.max - kept), kept)
+}
+
+/// Returns how many reclaimable and other servers a domain should have.
+fn wanted(scaling: &Scaling, site: Site) -> (u32, u32) {
+    let (cheap_ready, dear_ready) = site.ready;
+    if scaling.cheap_price.is_none() {
+        return (0, dear_ready.clamp(scaling.min, scaling.max));
+    }
+    let (calm, kept) = calm(scaling, site.is_cheapest);
+    let cheap_goal = if site.is_stretched && !site.is_dry { scaling.max - kept } else { calm };
+    // The limit covers both kinds, so the others make room step by step.
+    let cheap = cheap_goal.min(scaling.max.saturating_sub(dear_ready));
+    let dear = match (site.is_dry, cheap_ready >= cheap.min(calm)) {
+        (true, _) if site.is_busy => {
+            let missing = calm.saturating_sub(cheap_ready);
+            dear_ready.max(kept.max(missing.min(scaling.max - calm)))
+        }
+        (false, true) => kept,
+        _ => dear_ready.max(kept),
+    };
+    (cheap, dear)
+}
+
 /// Returns the domain where a server costs least, among those that have any.
 fn cheapest(scaling: &Scaling, members: &[Member]) -> Option<Domain> {
     let used = scaling
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -135,7 +135,7 @@
 
 fn plan(planner: &mut Planner, now: Instant, scaling: &Scaling, members: &[Member]) -> Orders {
     let service = "s".parse().expect("a name");
-    let demands = planner.plan(now, &service, scaling, members);
+    let demands = planner.plan(now, &service, scaling, members, 0.2);
     demands.iter().for_each(|demand| planner.taken(now, demand));
     demands.into_iter().map(|d| ((d.domain.to_string(), d.cheap), d.count)).collect()
 }
@@ -177,13 +177,13 @@
     let mut planner = Planner::default();
     let scaling = scaling(Some(0.15));
     let service = "s".parse().expect("a name");
-    planner.plan(start, &service, &scaling, &members(3, 0));
+    planner.plan(start, &service, &scaling, &members(3, 0), 0.2);
     let now = start + SECOND * 3;
-    let demands = planner.plan(now, &service, &scaling, &members(3, 0));
+    let demands = planner.plan(now, &service, &scaling, &members(3, 0), 0.2);
     demands.iter().for_each(|demand| planner.refused(now, demand));
-    let again = planner.plan(now + SECOND, &service, &scaling, &members(3, 0));
+    let again = planner.plan(now + SECOND, &service, &scaling, &members(3, 0), 0.2);
     assert!(again.is_empty(), "{again:?}");
-    let later = planner.plan(now + SECOND * 4, &service, &scaling, &members(3, 0));
+    let later = planner.plan(now + SECOND * 4, &service, &scaling, &members(3, 0), 0.2);
     assert!(!later.is_empty());
 }
 
@@ -195,3 +195,66 @@
     let orders = plan(&mut planner, start + SECOND * 3, &scaling(None), &members(3, 0));
     assert!(orders.is_empty(), "{orders:?}");
 }
+
+/// The servers of `members(dear, cheap)` without those of one domain.
+fn without(domain: &str, dear: u32, cheap: u32) -> Vec<Member> {
+    let all = members(dear, cheap).into_iter();
+    all.filter(|member| member.domain.as_str() != domain).collect()
+}
+
+/// All servers of a domain are reclaimed, and another host takes the duties over.
+#[test]
+fn a_domain_that_lost_all_servers_gets_new_ones_from_any_holder() {
+    let start = Instant::now();
+    let scaling = scaling(Some(0.15));
+    let mut planner = Planner::default();
+    planner.observe(&members(0, 5));
+    planner.begin();
+    plan(&mut planner, start, &scaling, &without("d3", 0, 5));
+    let orders = plan(&mut planner, start + SECOND * 3, &scaling, &without("d3", 0, 5));
+    assert_eq!(orders.get(&("d3".to_string(), true)), Some(&5), "{orders:?}");
+}
+
+/// None are to be had in one domain: the others get more, and under load dearer ones are ordered
+/// there; all of it ends when they can be had again.
+#[test]
+fn a_domain_without_reclaimable_servers_is_made_up_for() {
+    let start = Instant::now();
+    let scaling = scaling(Some(0.15));
+    let service = "s".parse().expect("a name");
+    for (busy, dear) in [(0.3, None), (0.9, Some(1))] {
+        let mut planner = Planner::default();
+        planner.observe(&members(0, 5));
+        planner.plan(start, &service, &scaling, &without("d3", 0, 5), busy);
+        let now = start + SECOND * 3;
+        for demand in planner.plan(now, &service, &scaling, &without("d3", 0, 5), busy) {
+            if demand.domain.as_str() == "d3" {
+                planner.refused(now, &demand);
+            } else {
+                planner.taken(now, &demand);
+            }
+        }
+        let now = now + SECOND;
+        let demands = planner.plan(now, &service, &scaling, &without("d3", 0, 5), busy);
+        let count = |domain: &str, cheap: bool| {
+            let mut of = demands.iter().filter(|d| d.domain.as_str() == domain && d.cheap == cheap);
+            of.next().map(|demand| demand.count)
+        };
+        assert_eq!((count("d2", true), count("d3", true)), (Some(6), None), "{demands:?}");
+        assert_eq!(count("d3", false), dear, "{demands:?}");
+        demands.iter().for_each(|demand| planner.taken(now, demand));
+        for second in 1..12 {
+            let now = now + SECOND * second;
+            for demand in planner.plan(now, &service, &scaling, &without("d3", 0, 6), busy) {
+                match (demand.domain.as_str(), demand.cheap) {
+                    ("d3", true) => planner.refused(now, &demand),
+                    ("d2", true) => assert_eq!(demand.count, 6, "no order is undone yet"),
+                    _ => planner.taken(now, &demand),
+                }
+            }
+        }
+        let later = now + SECOND * 20;
+        let orders = plan(&mut planner, later, &scaling, &members(0, 5));
+        assert_eq!(orders.get(&("d2".to_string(), true)), Some(&5), "{orders:?}");
+    }
+}
