Counts of usage that got lost are asked for; orders do not undo each other

Change: an announcement says up to which window its counts are complete; before it seals a window, the holder asks the peers whose counts are not, over TCP. Change: what fills a gap stays until the domain has its own; a refusal pauses any order; orders go out together.

--- a/crates/belief/src/beat.rs
+++ b/crates/belief/src/beat.rs
@@ -35,8 +35,15 @@
         pub fence: Option<Epoch>,
         /// What the host runs on each server, by service; none if this announcement leaves it out.
         pub shares: Option<Shares>,
-        /// Requests that began to run in recent windows, as counted by this life of the host;
-        /// sent with some announcements only.
-        pub counts: Vec<(Window, BTreeMap<WorkspaceId, u64>)>,
+        /// What this life of the host counted; none if this announcement leaves it out.
+        pub counts: Option<Tally>,
+    }
+
+    /// Requests that began to run at one life of a host.
+    pub struct Tally {
+        /// The window that was the present one.
+        pub present: Window,
+        /// Running totals of the last windows, the present one included.
+        pub windows: Vec<(Window, BTreeMap<WorkspaceId, u64>)>,
     }
 }
--- a/crates/belief/src/counts.rs
+++ b/crates/belief/src/counts.rs
@@ -14,6 +14,9 @@
 #[derive(Debug, Default)]
 pub struct Table {
     windows: BTreeMap<Window, BTreeMap<Incarnation, Counts>>,
+    /// The window that was the present one when a life of a host last told its counts; those before
+    /// it are complete from that life.
+    told: BTreeMap<Incarnation, Window>,
 }
 
 impl Table {
@@ -34,6 +37,17 @@
         self.forget();
     }
 
+    /// Takes in that a life of a host told all its counts while `present` was the present window.
+    pub fn told(&mut self, from: &Incarnation, present: Window) {
+        let known = self.told.entry(from.clone()).or_insert(present);
+        *known = (*known).max(present);
+    }
+
+    /// Returns whether the counts of a window are complete from a life of a host.
+    pub fn is_complete(&self, window: Window, from: &Incarnation) -> bool {
+        self.told.get(from).is_some_and(|present| window < *present)
+    }
+
     /// Returns what this life of the host counted lately.
     pub fn own(&self, me: &Incarnation, windows: usize) -> Vec<(Window, Counts)> {
         let own = self.windows.iter().rev().take(windows);
@@ -55,5 +69,6 @@
         let Some((newest, _)) = self.windows.last_key_value() else { return };
         let oldest = Window(newest.0.saturating_sub(KEPT_WINDOWS));
         self.windows = self.windows.split_off(&oldest);
+        self.told.retain(|_, present| *present >= oldest);
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -45,8 +45,6 @@
 const QUIET_PERIOD: Duration = Duration::from_millis(300);
 /// Between two announcements of usage counts.
 const COUNTS_PERIOD: Duration = Duration::from_millis(700);
-/// Usage windows in an announcement: the present one and those that are not reported yet.
-const COUNT_WINDOWS: usize = 4;
 /// The time of day in an announcement counts if it was sent within this time before.
 const PROMPT: Duration = Duration::from_millis(1_000);
 /// The largest datagram that is received.
@@ -230,10 +228,7 @@
         let shares = boards.iter_mut().map(|(service, board)| (service.clone(), board.announce()));
         shares.filter(|(_, shares)| !shares.is_empty()).collect()
     });
-    let counts = match with_counts {
-        true => site.counts.borrow().own(&site.incarnation, COUNT_WINDOWS),
-        false => Vec::new(),
-    };
+    let counts = with_counts.then(|| site.tally());
     Beat {
         host: settings.host.clone(),
         incarnation: site.incarnation.clone(),
@@ -302,7 +297,7 @@
             board.merge(now, &beat.host, shares.map_or(&[], |(_, shares)| shares.as_slice()));
         }
     }
-    for (window, counts) in &beat.counts {
-        site.counts.borrow_mut().merge(*window, &beat.incarnation, counts);
+    if let Some(tally) = &beat.counts {
+        site.take_tally(&beat.incarnation, tally);
     }
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -58,10 +58,13 @@
             (StatusCode::OK, Bytes::from(metrics.render()))
         }
         "/dump" => (StatusCode::OK, Bytes::from(dump(site).to_string())),
-        share::PATH if audience == Audience::Peers => match share::render(site) {
-            Some(body) => (StatusCode::OK, body),
-            None => (StatusCode::NOT_FOUND, Bytes::new()),
-        },
+        share::PATH | share::COUNTS_PATH if audience == Audience::Peers => {
+            let body = match path {
+                share::PATH => share::render(site),
+                _ => share::render_counts(site),
+            };
+            body.map_or((StatusCode::NOT_FOUND, Bytes::new()), |body| (StatusCode::OK, body))
+        }
         _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"try /health, /metrics or /dump\n")),
     };
     let mut answer = Response::new(Full::new(body));
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use futures_util::future::join_all;
 use log::{info, warn};
 use wasabi_core::{
     objects::{Demand, Verdict},
@@ -37,12 +38,22 @@
             continue;
         }
         for (service, demands) in plans(site, &mut planners) {
-            for demand in demands {
-                let Some(planner) = planners.get_mut(&service) else { continue };
-                if !order(site, planner, &demand).await {
-                    tokio::time::sleep(RETRY_PAUSE).await;
+            // One that is not answered does not hold up the others.
+            let orders = demands.iter().map(|demand| order(site, demand));
+            let verdicts = join_all(orders).await;
+            let now = site.now();
+            let Some(planner) = planners.get_mut(&service) else { continue };
+            for (demand, verdict) in demands.iter().zip(&verdicts) {
+                match verdict {
+                    Some(Verdict::Taken) => planner.taken(now, demand),
+                    // A lost lease shows at its next renewal; here it means that none are to be had.
+                    Some(Verdict::Refused) => planner.refused(now, demand),
+                    Some(Verdict::Busy) | None => {}
                 }
             }
+            if verdicts.iter().any(|verdict| matches!(verdict, Some(Verdict::Busy) | None)) {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
 }
@@ -76,31 +87,23 @@
     plans
 }
 
-/// Gives an order; returns whether it was answered.
-async fn order(site: &Site, planner: &mut Planner, demand: &Demand) -> bool {
+/// Gives an order; returns the verdict, if it was answered.
+async fn order(site: &Site, demand: &Demand) -> Option<Verdict> {
     let (Some(duties), Some(authority)) = (&site.duties, duty::authority(site)) else {
-        return false;
+        return None;
     };
-    let verdict = timely(duties.order(&authority, demand), CALL_TIMEOUT).await;
-    let now = site.now();
-    match verdict {
+    match timely(duties.order(&authority, demand), CALL_TIMEOUT).await {
         Ok(verdict) => {
             info!(service = demand.service.as_str(), domain = demand.domain.as_str(),
                 count = demand.count, cheap = demand.cheap, fence = authority.fence.0,
                 verdict:? = verdict; "servers ordered");
-            match verdict {
-                Verdict::Taken => planner.taken(now, demand),
-                // A lost lease shows at its next renewal; here it means that none are to be had.
-                Verdict::Refused => planner.refused(now, demand),
-                Verdict::Busy => return false,
-            }
-            true
+            Some(verdict)
         }
         Err(e) => {
             let cause = e.to_string();
             warn!(service = demand.service.as_str(), domain = demand.domain.as_str(),
                 cause = cause.as_str(); "order not answered");
-            false
+            None
         }
     }
 }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,5 +1,5 @@
-//! What a host that cannot reach the store takes from its peers: configuration and servers, each
-//! with the age of its proof.
+//! What hosts take from each other on request: configuration and servers, each with the age of its
+//! proof, if the store cannot be reached; counts of usage, if announcements of them got lost.
 
 use std::{
     net::SocketAddr,
@@ -8,18 +8,22 @@
 
 use bytes::Bytes;
 use hyper::{Method, header::HeaderMap};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use wasabi_belief::beat::Tally;
 use wasabi_core::{
     catalog::Catalog,
     errors::{self, Result},
     member::Member,
+    units::Incarnation,
 };
 use wasabi_platform::http::Client;
 
 use crate::site::Site;
 
-/// Where peers serve it.
+/// Where peers serve what they believe.
 pub const PATH: &str = "/knowledge";
+/// Where peers serve what they counted.
+pub const COUNTS_PATH: &str = "/counts";
 /// How long a peer may take.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -42,16 +46,32 @@
     serde_json::to_vec(&knowledge).ok().map(Bytes::from)
 }
 
-/// Takes what a peer believes. Ages count from before the peer was asked.
-pub async fn pull(site: &Site, peer: SocketAddr) -> Result<()> {
-    let asked = site.now();
+/// Returns what this life of the host counted lately.
+pub fn render_counts(site: &Site) -> Option<Bytes> {
+    serde_json::to_vec(&(&site.incarnation, site.tally())).ok().map(Bytes::from)
+}
+
+/// Takes what a peer counted.
+pub async fn pull_counts(site: &Site, peer: SocketAddr) -> Result<()> {
+    let (from, tally): (Incarnation, Tally) = ask(peer, COUNTS_PATH).await?;
+    site.take_tally(&from, &tally);
+    Ok(())
+}
+
+async fn ask<T: DeserializeOwned>(peer: SocketAddr, path: &str) -> Result<T> {
     let client = Client::new(peer);
-    let call = client.call(Method::GET, PATH, HeaderMap::new(), None);
+    let call = client.call(Method::GET, path, HeaderMap::new(), None);
     let answer = tokio::time::timeout(PULL_TIMEOUT, call)
         .await
         .map_err(|_| errors::unavailable("peer timed out"))??;
-    let knowledge: Knowledge = serde_json::from_slice(&answer.body)
-        .map_err(|e| errors::unavailable(format!("peer's answer: {e}")))?;
+    serde_json::from_slice(&answer.body)
+        .map_err(|e| errors::unavailable(format!("peer's answer: {e}")))
+}
+
+/// Takes what a peer believes. Ages count from before the peer was asked.
+pub async fn pull(site: &Site, peer: SocketAddr) -> Result<()> {
+    let asked = site.now();
+    let knowledge: Knowledge = ask(peer, PATH).await?;
     let ago =
         |ms: u64| -> Instant { asked.checked_sub(Duration::from_millis(ms)).unwrap_or(asked) };
     if let Some((catalog, age)) = knowledge.catalog {
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -11,6 +11,7 @@
 use log::{info, warn};
 use tokio::sync::Notify;
 use wasabi_belief::{
+    beat::Tally,
     catalog, counts,
     lease::{self, Lease},
     members,
@@ -33,6 +34,8 @@
 
 /// A host without a proof of its configuration from within this time takes no new connections.
 const READY_PROOF: Duration = Duration::from_millis(4_000);
+/// Usage windows that a host tells: the present one and those that are not reported yet.
+const COUNT_WINDOWS: usize = 4;
 
 /// The state of a gateway.
 pub struct Site {
@@ -172,6 +175,21 @@
         self.counts.borrow_mut().count(window, &self.incarnation, workspace);
     }
 
+    /// Returns what this host counted lately.
+    pub fn tally(&self) -> Tally {
+        let windows = self.counts.borrow().own(&self.incarnation, COUNT_WINDOWS);
+        Tally { present: self.window(), windows }
+    }
+
+    /// Takes in what a life of another host counted.
+    pub fn take_tally(&self, from: &Incarnation, tally: &Tally) {
+        let mut counts = self.counts.borrow_mut();
+        for (window, of) in &tally.windows {
+            counts.merge(*window, from, of);
+        }
+        counts.told(from, tally.present);
+    }
+
     /// Takes in what the clock of `host` shows.
     pub fn heard_clock(&self, host: &HostId, wall_ms: u64) {
         let changed = self.truth.borrow_mut().heard(self.now(), host, wall_ms);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -2,8 +2,9 @@
 //!
 //! A successor repeats what is sealed, so no window is ever reported with two figures.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use futures_util::future::join_all;
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use wasabi_belief::counts::Counts;
@@ -13,7 +14,7 @@
     units::{Epoch, Version, Window},
 };
 
-use crate::{duty, follow::timely, site::Site};
+use crate::{duty, follow::timely, share, site::Site};
 
 /// How often ended windows are looked for.
 const TICK: Duration = Duration::from_millis(300);
@@ -23,6 +24,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Between two tries of a report that got no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// Peers that are asked for their counts at a time, so that their answers do not fill the link.
+const ASKED_AT_ONCE: usize = 16;
 /// Sealed windows that the record keeps; a window is due two windows after its end.
 const SEALED_WINDOWS: usize = 8;
 /// Windows before the newest that a new holder still reports.
@@ -80,6 +83,7 @@
         let next = self.reported.map_or(oldest, |window| Window(window.0 + 1)).max(oldest);
         for window in (next.0..=newest.0).map(Window) {
             if !self.sealed.windows.contains_key(&window) {
+                collect(site, window).await;
                 self.seal(site, window).await?;
             }
             self.report(site, window).await?;
@@ -154,6 +158,26 @@
     }
 }
 
+/// Asks the peers whose announcements of their counts for the whole window did not arrive: links that
+/// are full lose them.
+async fn collect(site: &Site, window: Window) {
+    let missing: Vec<SocketAddr> = {
+        let (peers, counts) = (site.peers.borrow(), site.counts.borrow());
+        let silent = peers.live(site.now()).filter(|(_, peer)| {
+            peer.incarnation.as_ref().is_none_or(|life| !counts.is_complete(window, life))
+        });
+        silent.map(|(_, peer)| peer.address).collect()
+    };
+    let mut failed = 0;
+    for peers in missing.chunks(ASKED_AT_ONCE) {
+        let asked = peers.iter().map(|peer| share::pull_counts(site, *peer));
+        failed += join_all(asked).await.iter().filter(|answer| answer.is_err()).count();
+    }
+    if !missing.is_empty() {
+        info!(window = window.0, asked = missing.len(), failed = failed; "counts asked for");
+    }
+}
+
 /// Returns the newest window that has ended long enough ago.
 fn newest_ended(site: &Site) -> Option<Window> {
     let length_ms = (site.settings.borrow().bounds.usage_window_s * 1e3) as u64;
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -44,9 +44,10 @@
     domains: BTreeSet<Domain>,
     /// The last order of each subject and when it was given.
     ordered: BTreeMap<Subject, (u32, Instant)>,
-    /// Subjects that were refused and have not reached their number since, with the time until when
-    /// they are left alone.
-    dry: BTreeMap<Subject, Instant>,
+    /// Subjects that were refused, until when they are left alone.
+    refused: BTreeMap<Subject, Instant>,
+    /// Domains where reclaimable servers were refused and are still missing.
+    dry: BTreeSet<Domain>,
 }
 
 impl Planner {
@@ -91,19 +92,17 @@
             .filter(|domain| self.domains.contains(*domain))
             .cloned()
             .collect();
-        self.dry.retain(|(domain, cheap), _| {
-            let calm = calm(scaling, cheapest.as_ref() == Some(domain)).0;
-            !cheap || ready(domain, true) < calm
+        self.dry.retain(|domain| {
+            ready(domain, true) < calm(scaling, cheapest.as_ref() == Some(domain)).0
         });
-        let is_dry = |domain: &Domain| self.dry.contains_key(&(domain.clone(), true));
-        let is_stretched = domains.iter().any(is_dry);
         for domain in &domains {
             let site = Site {
                 ready: (ready(domain, true), ready(domain, false)),
                 is_cheapest: cheapest.as_ref() == Some(domain),
-                is_dry: is_dry(domain),
-                is_stretched,
+                is_dry: self.dry.contains(domain),
+                is_stretched: !self.dry.is_empty(),
                 is_busy: busy >= BUSY,
+                dear_ordered: self.ordered.get(&(domain.clone(), false)).map_or(0, |(n, _)| *n),
             };
             let (cheap, dear) = wanted(scaling, site);
             for (kind, count) in [(true, cheap), (false, dear)] {
@@ -124,15 +123,16 @@
     /// Takes in that an order was taken.
     pub fn taken(&mut self, now: Instant, demand: &Demand) {
         let subject = (demand.domain.clone(), demand.cheap);
-        if let Some(until) = self.dry.get_mut(&subject) {
-            *until = now;
-        }
+        self.refused.remove(&subject);
         self.ordered.insert(subject, (demand.count, now));
     }
 
     /// Takes in that an order was refused: none are to be had there at the moment.
     pub fn refused(&mut self, now: Instant, demand: &Demand) {
-        self.dry.insert((demand.domain.clone(), demand.cheap), now + DRY_PAUSE);
+        self.refused.insert((demand.domain.clone(), demand.cheap), now + DRY_PAUSE);
+        if demand.cheap {
+            self.dry.insert(demand.domain.clone());
+        }
     }
 
     fn is_due(
@@ -143,7 +143,7 @@
         ready: u32,
         boot: Duration,
     ) -> bool {
-        if self.dry.get(subject).is_some_and(|until| now < *until) {
+        if self.refused.get(subject).is_some_and(|until| now < *until) {
             return false;
         }
         match self.ordered.get(subject) {
@@ -167,6 +167,8 @@
     /// Whether they are missing in some domain.
     is_stretched: bool,
     is_busy: bool,
+    /// How many others were ordered last.
+    dear_ordered: u32,
 }
 
 /// Returns how many reclaimable and other servers a domain has in calm times.
@@ -187,14 +189,14 @@
     let cheap_goal = if site.is_stretched && !site.is_dry { scaling.max - kept } else { calm };
     // The limit covers both kinds, so the others make room step by step.
     let cheap = cheap_goal.min(scaling.max.saturating_sub(dear_ready));
-    let dear = match (site.is_dry, cheap_ready >= cheap.min(calm)) {
-        (true, _) if site.is_busy => {
-            let missing = calm.saturating_sub(cheap_ready);
-            dear_ready.max(kept.max(missing.min(scaling.max - calm)))
-        }
-        (false, true) => kept,
-        _ => dear_ready.max(kept),
+    let filling = match site.is_dry {
+        // Those that were ordered while the engines were busy stay until the domain has its own.
+        true if site.is_busy => calm.saturating_sub(cheap_ready).min(scaling.max - calm),
+        true => site.dear_ordered.min(scaling.max - calm),
+        false => 0,
     };
+    let enough = cheap_ready >= cheap.min(calm) && !site.is_dry;
+    let dear = if enough { kept } else { dear_ready.max(kept).max(filling) };
     (cheap, dear)
 }
 
