--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -102,7 +102,7 @@
                 is_dry: self.dry.contains(domain),
                 is_stretched: !self.dry.is_empty(),
                 is_busy: busy >= BUSY,
-                dear_ordered: self.ordered.get(&(domain.clone(), false)).map_or(0, |(n, _)| *n),
+                dear_ordered: self.ordered.get(&(domain.clone(), false)).map(|(count, _)| *count),
             };
             let (cheap, dear) = wanted(scaling, site);
             for (kind, count) in [(true, cheap), (false, dear)] {
@@ -167,8 +167,8 @@
     /// Whether they are missing in some domain.
     is_stretched: bool,
     is_busy: bool,
-    /// How many others were ordered last.
-    dear_ordered: u32,
+    /// How many others this holder ordered last.
+    dear_ordered: Option<u32>,
 }
 
 /// Returns how many reclaimable and other servers a domain has in calm times.
@@ -192,11 +192,12 @@
     let filling = match site.is_dry {
         // Those that were ordered while the engines were busy stay until the domain has its own.
         true if site.is_busy => calm.saturating_sub(cheap_ready).min(scaling.max - calm),
-        true => site.dear_ordered.min(scaling.max - calm),
+        true => site.dear_ordered.unwrap_or(0).min(scaling.max - calm),
         false => 0,
     };
     let enough = cheap_ready >= cheap.min(calm) && !site.is_dry;
-    let dear = if enough { kept } else { dear_ready.max(kept).max(filling) };
+    let standing = site.dear_ordered.unwrap_or(dear_ready);
+    let dear = if enough { kept } else { standing.max(kept).max(filling) };
     (cheap, dear)
 }
 
