--- a/examples/load/gateway.rs
+++ b/examples/load/gateway.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, thread, time::Duration};
 
-use serde_json::json;
 use wasabi_stand::{
     caller::{self, Request},
     rig::Rig,
@@ -27,7 +26,7 @@
 pub fn run(programs: &Programs) -> anyhow::Result<()> {
     let program = programs.router.to_string_lossy().into_owned();
     let rig = Rig::start(&program)?;
-    configure(&rig);
+    rig.configure_large(2, ROUTES, WORKSPACES);
     let gateway = rig.gateway("g1")?;
     let to = gateway.ports.callers;
     let empty = resident_bytes(gateway.id());
@@ -70,28 +69,6 @@
     Ok(())
 }
 
-fn configure(rig: &Rig) {
-    rig.configure(2, |config| {
-        let model = config["routes"][0].clone();
-        if let Some(routes) = config["routes"].as_array_mut() {
-            for number in routes.len()..ROUTES {
-                let mut route = model.clone();
-                route["name"] = json!(format!("r{number}"));
-                route["path_prefix"] = json!(format!("/more{number}/"));
-                routes.push(route);
-            }
-        }
-        if let Some(workspaces) = config["tenants"].as_array_mut() {
-            for number in workspaces.len()..WORKSPACES {
-                workspaces.push(json!({"name": format!("w{}", number + 1),
-                    "api_keys": [format!("k{}", number + 1)], "priority": 1}));
-            }
-        }
-        config["services"][0]["engine"]["slots"] = json!(400);
-        config["services"][0]["max_connections"] = json!(1_000);
-    });
-}
-
 /// Returns the processor time that `work` costs the process, in seconds.
 fn spent(process: u32, work: impl FnOnce() -> anyhow::Result<()>) -> anyhow::Result<f64> {
     let before = cpu_seconds(process);
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -119,6 +119,30 @@
         self.store.put("config", "main", config);
     }
 
+    /// Writes a configuration with many routes and workspaces, and engines that run hundreds of
+    /// requests.
+    pub fn configure_large(&self, version: u64, routes: usize, workspaces: usize) {
+        self.configure(version, |config| {
+            let model = config["routes"][0].clone();
+            if let Some(list) = config["routes"].as_array_mut() {
+                for number in list.len()..routes {
+                    let mut route = model.clone();
+                    route["name"] = json!(format!("r{number}"));
+                    route["path_prefix"] = json!(format!("/more{number}/"));
+                    list.push(route);
+                }
+            }
+            if let Some(list) = config["tenants"].as_array_mut() {
+                for number in list.len() + 1..=workspaces {
+                    list.push(json!({"name": format!("w{number}"),
+                        "api_keys": [format!("k{number}")], "priority": 1}));
+                }
+            }
+            config["services"][0]["engine"]["slots"] = json!(400);
+            config["services"][0]["max_connections"] = json!(1_000);
+        });
+    }
+
     /// Starts a gateway and waits until it is ready.
     pub fn gateway(&self, name: &str) -> anyhow::Result<Gateway> {
         let gateway = self.launch(name, self.store_at, gateway::draw_ports()?)?;
