--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -58,7 +58,7 @@
 /// Milliseconds added for a server that is not the home of the request's session.
 const STRANGER_MS: f64 = 40.0;
 /// Milliseconds added for a light stream on an engine that is not kept for them, and for a long
-/// prompt on one that is.
+/// prompt on one that is: about the target of a first event, so that they mix only in an overload.
 const LANE_MS: f64 = 400.0;
 /// How much the time that a server would spend on a request counts beside the caller's wait: work
 /// saved by a cached prefix leaves room for others.
--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -12,9 +12,10 @@
 
 use wasabi_core::units::{Domain, ServerId};
 
-/// The part of an engine's slots that light streams fill before another engine is kept for them.
+/// The part of an engine's slots that light streams fill before another engine is kept for them; at
+/// half, a step takes about 6 ms, and a burst finds room.
 const FILLED_SHARE: f64 = 0.5;
-/// The most engines of a domain that are kept, as a share.
+/// The most engines of a domain that are kept, as a share; long prompts are most of the work.
 const MOST_SHARE: f64 = 0.5;
 
 /// An engine as the choice sees it.
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -7,14 +7,16 @@
 
 use std::time::Duration;
 
-/// A first event is late at this many times the expected delay, with the present strain.
+/// A first event is late at this many times the expected delay, with the present strain; the strain
+/// follows the mean, and single delays are about twice as long.
 const FIRST_FACTOR: f64 = 3.0;
 /// Added to that: expectations of short waits miss by about this much, in milliseconds.
 const FIRST_MARGIN_MS: f64 = 500.0;
 /// A stream that has begun is stuck after this long without an event; pauses beside long prompts
 /// stay below it.
 pub const BETWEEN_EVENTS: Duration = Duration::from_millis(1_500);
-/// A whole answer is late at this many times the usual delay.
+/// A whole answer is late at this many times the usual delay: a plain server queues three requests
+/// for each one that it runs, and those are not stuck.
 const ANSWER_FACTOR: f64 = 6.0;
 /// The least delay at which a whole answer is late, in milliseconds.
 const LEAST_ANSWER_MS: f64 = 250.0;
