--- a/examples/load/decide/mod.rs
+++ b/examples/load/decide/mod.rs
@@ -9,12 +9,12 @@
 
 use self::{
     play::Fate,
-    policy::{Boards, Clairvoyant, LeastInFlight, Policy},
+    policy::{AllKnowing, Boards, LeastInFlight, Policy},
     scenario::{Class, Request, Scenario},
 };
 
 /// The policies that can be played.
-pub const POLICIES: &[&str] = &["least-in-flight", "boards", "clairvoyant"];
+pub const POLICIES: &[&str] = &["least-in-flight", "boards", "all-knowing", "all-knowing-lanes"];
 /// Windows whose worst is shown.
 const WINDOW_MS: f64 = 2_000.0;
 
@@ -24,7 +24,7 @@
     let requests = scenario::requests(&scenario, seed)?;
     println!("{} with seed {seed}: {} requests", scenario.name, requests.len());
     println!(
-        "{:<16} {:<6} {:>6} {:>7} {:>6} {:>7} {:>6} {:>8} {:>8} {:>6} {:>6}",
+        "{:<18} {:<6} {:>6} {:>7} {:>6} {:>7} {:>6} {:>8} {:>8} {:>6} {:>6}",
         "policy",
         "class",
         "asked",
@@ -41,14 +41,17 @@
         let mut chosen: Box<dyn Policy> = match *policy {
             "least-in-flight" => Box::new(LeastInFlight::new(&scenario, requests.len())),
             "boards" => Box::new(Boards::new(&scenario, requests.len(), seed)?),
-            _ => Box::new(Clairvoyant::new(&scenario)),
+            other => {
+                let lanes = other == "all-knowing-lanes";
+                Box::new(AllKnowing::new(&scenario, requests.len(), lanes)?)
+            }
         };
         let fates = play::play(&scenario, &requests, &mut *chosen);
         for (number, class) in scenario.classes.iter().enumerate() {
             print_class(policy, class, &of_class(&requests, &fates, number));
         }
         let all = worth(&scenario, &requests, &fates, |_| true);
-        println!("{policy:<16} all {:>69.3} {:>6.3}", all, worst(&scenario, &requests, &fates));
+        println!("{policy:<18} all {:>69.3} {:>6.3}", all, worst(&scenario, &requests, &fates));
     }
     Ok(())
 }
@@ -106,7 +109,7 @@
     };
     let worth: f64 = fates.iter().map(|fate| value(class, fate)).sum();
     println!(
-        "{policy:<16} {:<6} {:>6} {on_time:>7} {late:>6} {refused:>7} {:>6} {:>8.0} {:>8.0} {:>6.3}",
+        "{policy:<18} {:<6} {:>6} {on_time:>7} {late:>6} {refused:>7} {:>6} {:>8.0} {:>8.0} {:>6.3}",
         class.name,
         fates.len(),
         fates.len() - on_time - late - refused,
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -1,20 +1,23 @@
 //! Who decides where requests go.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use wasabi_core::{
     catalog,
     member::{Member, Phase},
-    units::{HostId, PoolId, ServerId, Tokens},
+    units::{Domain, HostId, PoolId, ServerId, Tokens},
 };
 use wasabi_policy::{
     board::{Ask, Board, End, Place, Refusal, Share},
-    patience,
+    lanes, patience,
 };
 use wasabi_standin::batch::Engine;
 
-use super::scenario::{Class, Request, Scenario};
+use super::scenario::{Request, Scenario};
 
 /// What a policy decides for a request.
 #[derive(Clone, Debug)]
@@ -78,39 +81,87 @@
 }
 
 /// Knows at once what every engine does and keeps, takes the soonest, and refuses what would come
-/// too late.
-pub struct Clairvoyant {
-    classes: Vec<Class>,
+/// too late. With `lanes` it keeps the same engines for short streams as the boards do.
+pub struct AllKnowing {
+    scenario: Scenario,
+    names: Vec<ServerId>,
+    domains: Vec<Domain>,
+    lanes: bool,
+    /// Short streams on each engine.
+    light: Vec<u32>,
+    /// The engine of each short stream that runs, by its number.
+    at: Vec<Option<usize>>,
 }
 
-impl Clairvoyant {
-    pub fn new(scenario: &Scenario) -> Self {
-        Self { classes: scenario.classes.clone() }
+/// As the boards count it.
+const LANE_MS: f64 = 400.0;
+
+impl AllKnowing {
+    pub fn new(scenario: &Scenario, requests: usize, lanes: bool) -> anyhow::Result<Self> {
+        let engines = scenario.engines * scenario.domains;
+        let names = (0..engines).map(|number| Ok(format!("e{number}").parse()?));
+        Ok(Self {
+            names: names.collect::<anyhow::Result<_>>()?,
+            domains: (0..engines).map(|n| domain(scenario, n)).collect::<anyhow::Result<_>>()?,
+            scenario: scenario.clone(),
+            lanes,
+            light: vec![0; engines],
+            at: vec![None; requests],
+        })
+    }
+
+    fn kept(&self) -> BTreeSet<ServerId> {
+        let engines = self.names.iter().zip(&self.domains).zip(&self.light);
+        let engines = engines.map(|((id, domain), light)| lanes::Engine {
+            id,
+            domain,
+            order: lanes::order(id),
+            light: *light,
+        });
+        let kept = lanes::kept(engines, self.scenario.shape.slots as u32);
+        kept.into_iter().cloned().collect()
     }
 }
 
-impl Policy for Clairvoyant {
+impl Policy for AllKnowing {
     fn place(
         &mut self,
         _: f64,
-        _: usize,
+        number: usize,
         request: &Request,
         left_ms: f64,
         engines: &[Engine],
     ) -> Verdict {
-        let class = self.classes[request.class];
+        let class = self.scenario.classes[request.class];
         let urgency = patience::urgency(None, class.rank);
-        let waits = engines.iter().map(|engine| engine.ahead_ms(&request.prompt, urgency));
-        let soonest = waits.enumerate().min_by(|(_, a), (_, b)| a.total_cmp(b));
-        match soonest {
-            Some((engine, wait_ms)) if wait_ms <= left_ms => Verdict::Place(engine, urgency),
+        let is_light = class.rank == 0;
+        let kept = if self.lanes { self.kept() } else { BTreeSet::new() };
+        let cost = |(number, engine): (usize, &Engine)| {
+            let wait_ms = engine.ahead_ms(&request.prompt, urgency);
+            let apart = self.lanes && kept.contains(&self.names[number]) != is_light;
+            (number, wait_ms, wait_ms + if apart { LANE_MS } else { 0.0 })
+        };
+        let costs = engines.iter().enumerate().map(cost);
+        let least = costs.min_by(|(_, _, a), (_, _, b)| a.total_cmp(b));
+        match least {
+            Some((engine, wait_ms, _)) if wait_ms <= left_ms => {
+                if is_light {
+                    self.light[engine] += 1;
+                    self.at[number] = Some(engine);
+                }
+                Verdict::Place(engine, urgency)
+            }
             _ => Verdict::Refuse(f64::INFINITY),
         }
     }
 
     fn started(&mut self, _: f64, _: usize, _: &Request) {}
 
-    fn ended(&mut self, _: f64, _: usize, _: &Request, _: bool) {}
+    fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
+        if let Some(engine) = self.at[number].take() {
+            self.light[engine] -= 1;
+        }
+    }
 
     fn tick(&mut self, _: f64) {}
 }
@@ -297,6 +348,6 @@
     }
 }
 
-fn domain(scenario: &Scenario, number: usize) -> anyhow::Result<wasabi_core::units::Domain> {
+fn domain(scenario: &Scenario, number: usize) -> anyhow::Result<Domain> {
     Ok(format!("d{}", number % scenario.domains).parse()?)
 }
