A stopping host takes no stream that would outlast it

Callers that have not noticed a stop come for three seconds; a line-check taken 3.07 s after SIGTERM ran for 4.7 s and was cut when the host's time was over. Streams are up to 955 tokens long, and with the engines that are kept for them half full (a step of 6.4 ms, a third more on slow ones) the longest last 8 s.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -245,6 +245,11 @@
             return Err(unavailable("no budget to repeat"));
         }
     }
+    if tries.sent == 0 && outlasts_host(site, inbound, now) {
+        let wait =
+            patience::pause(rand::rng().random(), inbound.deadline - now.min(inbound.deadline));
+        return Err(answer::come_back(Code::Stopping, "it would be cut off here", wait));
+    }
     admit::recheck(site, permit).map_err(|e| e.ran(ran))?;
     let patience = match tries.sent {
         0 => inbound.patience,
@@ -285,6 +290,13 @@
     }
 }
 
+/// Returns whether a stream may last longer than this host, which is stopping. Callers may still come
+/// for some seconds; it is better for them to go elsewhere at once than to be cut off.
+fn outlasts_host(site: &Site, inbound: &Inbound, now: Instant) -> bool {
+    let (Some(end), Some(prompt)) = (site.stop_end(), &inbound.head.prompt) else { return false };
+    inbound.permit.route.kind.is_stream() && now + patience::longest(prompt) > end
+}
+
 /// Handles what became of a send; none if the request may be sent again.
 async fn settle(
     site: &Rc<Site>,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,13 +25,11 @@
     duty, follow, front, gossip,
     operator::{self, Audience},
     settings::{self, Settings},
-    site::Site,
+    site::{STOP_MARGIN, Site},
 };
 
 /// How often the settings file is looked at, since it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
-/// How long before the end of its time a stopping host ends whatever still runs.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// How often a stopping host looks whether its requests have ended.
 const STOP_TICK: Duration = Duration::from_millis(50);
 /// Bounds of the latency histograms in seconds, from a cached prefix to the longest timeout.
@@ -120,8 +118,7 @@
 async fn stop(site: &Site) {
     let begun = site.now();
     site.stopping.set(Some(begun));
-    let limit = Duration::from_secs_f64(site.settings.borrow().bounds.stop_s);
-    let end = begun + limit.saturating_sub(STOP_MARGIN);
+    let end = site.stop_end().unwrap_or(begun);
     info!(running = site.running.get(); "stopping");
     let passed = |since: Instant| site.now().saturating_duration_since(since);
     // Callers' connections close when their requests have ended.
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -34,6 +34,8 @@
 
 /// A host without a proof of its configuration from within this time takes no new connections.
 const READY_PROOF: Duration = Duration::from_millis(4_000);
+/// How long before the end of its time a stopping host ends whatever still runs.
+pub const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Usage windows that a host tells: the present one and those that are not reported yet.
 const COUNT_WINDOWS: usize = 4;
 
@@ -175,6 +177,12 @@
         self.counts.borrow_mut().count(window, &self.incarnation, workspace);
     }
 
+    /// Returns when a stopping host ends, whatever still runs.
+    pub fn stop_end(&self) -> Option<Instant> {
+        let limit = Duration::from_secs_f64(self.settings.borrow().bounds.stop_s);
+        self.stopping.get().map(|begun| begun + limit.saturating_sub(STOP_MARGIN))
+    }
+
     /// Returns what this host counted lately.
     pub fn tally(&self) -> Tally {
         let windows = self.counts.borrow().own(&self.incarnation, COUNT_WINDOWS);
--- a/crates/policy/src/lanes.rs
+++ b/crates/policy/src/lanes.rs
@@ -12,9 +12,10 @@
 
 use wasabi_core::units::{Domain, ServerId};
 
-/// The part of an engine's slots that light streams fill before another engine is kept for them; at
-/// half, a step takes about 6 ms, and a burst finds room.
-const FILLED_SHARE: f64 = 0.5;
+/// The part of an engine's slots that light streams fill before another engine is kept for them. A
+/// step of the engine then takes about 5 ms, so that the longest streams end within the time that a
+/// stopping host has.
+const FILLED_SHARE: f64 = 0.3;
 /// The most engines of a domain that are kept, as a share; long prompts are most of the work.
 const MOST_SHARE: f64 = 0.5;
 
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
-use wasabi_core::catalog::{Catalog, Route};
+use wasabi_core::{
+    call::Prompt,
+    catalog::{Catalog, Route},
+};
 
 /// A first event that is expected within this part of the target is on time: the rest covers what
 /// the expectation misses.
@@ -22,6 +25,9 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(300);
 /// Callers honour pauses up to this part of the time that they have left.
 const HONOURED_SHARE: f64 = 0.33;
+/// A token of an answer on a slower engine with many streams, in milliseconds: a step of 5 to 6 ms,
+/// a third longer, and now and then a prompt in between.
+const TOKEN_MS: f64 = 9.0;
 /// Urgency has ten levels: the workspace's rank decides, then the route's among three.
 const ROUTE_LEVELS: u8 = 3;
 const LEAST_URGENT: u8 = 9;
@@ -67,6 +73,11 @@
     level.saturating_add(within).min(LEAST_URGENT)
 }
 
+/// Returns how long a stream may last on a busy engine, as far as its prompt tells.
+pub fn longest(prompt: &Prompt) -> Duration {
+    Duration::from_secs_f64(f64::from(prompt.output) * TOKEN_MS / 1e3)
+}
+
 /// Returns when a request that was refused for its expected wait may come back.
 ///
 /// `draw` is uniform in 0 to 1 and spreads the callers of a burst.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -417,3 +417,26 @@
     assert!(!gateway.page("/knowledge")?.contains("k1"), "keys are for peers only");
     Ok(())
 }
+
+/// A stopping host still takes callers who have not noticed; a stream that would outlast it is sent
+/// away unrun, a short one is served.
+#[test]
+fn a_stopping_host_takes_no_stream_that_would_outlast_it() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.gateway("g1")?;
+    let to = gateway.ports.callers;
+    let stream = |id: &str, tokens: u32| {
+        let mut request = Request::new("POST", "/chat/x", id);
+        request.headers.push(("token-usage".to_string(), format!("100,{tokens}")));
+        request.headers.push(("prompt-prefix".to_string(), "5c1e07a2:100".to_string()));
+        request.send(to)
+    };
+    assert!(stream("v0", 2_000)?.complete, "it is served while the host stays");
+    gateway.signal("TERM")?;
+    wait("the stop", || !gateway.said("stopping").is_empty())?;
+    let long = stream("v1", 2_000)?;
+    assert_eq!((long.status, ran(&rig, "v1")), (503, 0));
+    assert!(long.headers.contains_key("retry-after"));
+    assert!(stream("v2", 50)?.complete);
+    Ok(())
+}
