--- a/crates/logs/tests/ring.rs
+++ b/crates/logs/tests/ring.rs
@@ -10,6 +10,8 @@
 
 /// Blocks in its first write until it is let go.
 struct Stuck {
+    /// Tells that the first write has begun.
+    entered: mpsc::Sender<()>,
     gate: mpsc::Receiver<()>,
     open: bool,
     out: Arc<std::sync::Mutex<Vec<u8>>>,
@@ -18,6 +20,8 @@
 impl Write for Stuck {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         if !self.open {
+            // The test may have ended.
+            let _ = self.entered.send(());
             self.open = self.gate.recv().is_ok();
         }
         self.out.lock().expect("the lock is whole").extend_from_slice(bytes);
@@ -33,7 +37,11 @@
 fn a_reader_that_stops_blocks_nobody_and_loses_request_lines_first() {
     let (open, gate) = mpsc::channel();
     let out = Arc::new(std::sync::Mutex::new(Vec::new()));
-    let mut ring = Ring::start(Stuck { gate, open: false, out: out.clone() });
+    let (entered, stuck) = mpsc::channel();
+    let mut ring = Ring::start(Stuck { entered, gate, open: false, out: out.clone() });
+    // Until the writer is stuck, it still reports what was dropped and counts anew.
+    ring.write_all(b"first\n").expect("writes never fail");
+    stuck.recv().expect("the writer writes");
     for i in 0..20_000 {
         let line = format!("{{\"message\":\"placed\",\"module\":\"request\",\"n\":{i}}}\n");
         ring.write_all(line.as_bytes()).expect("writes never fail");
