--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -1,117 +1,214 @@
-//! Usage of hosts whose announcements of their counts get lost.
-
-use std::{
-    collections::BTreeMap,
-    io::Write as _,
-    net::{SocketAddr, TcpListener, UdpSocket},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    thread,
-    time::{Duration, SystemTime},
+//! Usage: windows are sealed once, reported once, and add up to what callers received.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{key_of, programs, total};
+use wasabi_core::io::Report;
+use wasabi_standin::{
+    caller::Call,
+    platform::Platform,
+    process::wait_until,
+    proxy::{Mode, Proxy},
+    rig::{self, Rig, Size},
 };
 
-use serde_json::json;
-use wasabi_belief::beat::{Beat, Tally};
-use wasabi_core::units::{HostId, Incarnation, Window};
-use wasabi_stand::{gateway::wait, raw, rig::Rig};
+/// Checks the platform's own record of all reports.
+fn check_reports(platform: &Platform) {
+    let mut windows: BTreeMap<u64, Report> = BTreeMap::new();
+    for report in platform.reports() {
+        let first = windows.entry(report.window.0).or_insert_with(|| report.clone());
+        assert_eq!(first.lines, report.lines, "window {} has two figures", report.window);
+        assert_eq!(first.reporter, report.reporter, "window {} has two reporters", report.window);
+    }
+}
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
-/// The usage window of the stand-in's settings.
-const WINDOW_MS: u64 = 5_000;
-/// What the peer counts in each window.
-const COUNT: u64 = 7;
+fn reported_tokens(platform: &Platform, workspace: &str) -> u64 {
+    let mut windows: BTreeMap<u64, Report> = BTreeMap::new();
+    for report in platform.reports() {
+        windows.insert(report.window.0, report);
+    }
+    let lines = windows.values().flat_map(|report| &report.lines);
+    let lines = lines.filter(|line| line.workspace.as_str() == workspace);
+    lines.map(|line| line.figures.completion.0).sum()
+}
 
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
+fn serve(rig: &Rig, calls: usize) -> anyhow::Result<u64> {
+    let mut received = 0;
+    for i in 0..calls {
+        let key = key_of(&rig.sample.lab);
+        let call = Call::chat(key, "costing", &format!("call {i}"), 3 + i as u64 % 5);
+        let host = &rig.hosts[i % rig.hosts.len()];
+        received += call.stream(host.callers)?.tokens;
+    }
+    Ok(received)
 }
 
-fn tally() -> Tally {
-    let present = Window(wall_ms() / WINDOW_MS);
-    let counts = BTreeMap::from([("w2".parse().expect("a name"), COUNT)]);
-    let windows = (0..4).map(|ago| (Window(present.0 - ago), counts.clone())).collect();
-    Tally { present, windows }
+/// Returns the index of the host that holds the usage lease.
+fn holder(rig: &Rig) -> Option<usize> {
+    let object = rig.platform.state().objects.get("lease/usage")?;
+    let record: serde_json::Value = serde_json::from_str(&object.value).ok()?;
+    let incarnation = record["holder"]["incarnation"].as_str()?.to_string();
+    rig.hosts
+        .iter()
+        .position(|host| host.dump().is_ok_and(|dump| dump["incarnation"] == incarnation.as_str()))
 }
 
-/// A peer that is heard but whose counts are in no announcement; asked, it tells them.
-struct Peer {
-    at: SocketAddr,
-    asked: Arc<AtomicU64>,
-    stop: Arc<AtomicBool>,
+fn wait_holder(rig: &Rig) -> anyhow::Result<usize> {
+    let mut found = None;
+    wait_until("a host holds the usage lease", || {
+        found = holder(rig);
+        found.is_some()
+    })?;
+    Ok(found.unwrap_or_default())
+}
+
+/// Waits until all tokens are reported and some more windows have followed, and checks the sums.
+fn check_sums(rig: &Rig, received: u64) -> anyhow::Result<()> {
+    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
+    wait_windows(rig, 2)?;
+    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
+    check_reports(&rig.platform);
+    Ok(())
+}
+
+fn wait_windows(rig: &Rig, count: usize) -> anyhow::Result<()> {
+    let before = rig.platform.reports().len();
+    wait_until("windows are reported", || rig.platform.reports().len() >= before + count)
+}
+
+#[test]
+fn reports_add_up_to_what_callers_received() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 3, engines: 2, ..Size::default() })?;
+    let received = serve(&rig, 30)?;
+    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
+    wait_windows(&rig, 2)?;
+    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
+    assert_eq!(total(&rig.platform, "lab").requests, 30);
+    check_reports(&rig.platform);
+    Ok(())
 }
 
-impl Peer {
-    fn start(to: SocketAddr) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
-        let at = listener.local_addr()?;
-        let socket = UdpSocket::bind(at)?;
-        let host: HostId = "peer".parse()?;
-        let life = Incarnation::fresh(&host);
-        let asked = Arc::new(AtomicU64::new(0));
-        let stop = Arc::new(AtomicBool::new(false));
-        let (count, over) = (asked.clone(), stop.clone());
-        let told = life.clone();
-        thread::spawn(move || -> anyhow::Result<()> {
-            for mut stream in listener.incoming().map_while(Result::ok) {
-                raw::read_head(&mut stream)?;
-                count.fetch_add(1, Ordering::SeqCst);
-                let body = serde_json::to_string(&(&told, tally()))?;
-                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
-                stream.write_all(format!("{head}{body}").as_bytes())?;
-            }
-            Ok(())
-        });
-        thread::spawn(move || -> anyhow::Result<()> {
-            let mut number = 0_u64;
-            while !over.load(Ordering::SeqCst) {
-                number += 1;
-                let beat = Beat {
-                    host: host.clone(),
-                    incarnation: life.clone(),
-                    domain: "d1".parse()?,
-                    leaving: false,
-                    wall_ms: wall_ms(),
-                    truth_ms: (wall_ms(), 0),
-                    catalog: None,
-                    members: None,
-                    fence: None,
-                    shares: None,
-                    counts: None,
-                };
-                let mut datagram = number.to_be_bytes().to_vec();
-                datagram.extend_from_slice(&0_u64.to_be_bytes());
-                datagram.extend_from_slice(&postcard::to_allocvec(&beat)?);
-                socket.send_to(&datagram, to)?;
-                thread::sleep(Duration::from_millis(200));
-            }
-            Ok(())
-        });
-        Ok(Self { at, asked, stop })
+#[test]
+fn lost_answers_change_no_figure() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 2, engines: 2, ..Size::default() })?;
+    let mut received = 0;
+    for _ in 0..6 {
+        rig.platform.fault(|faults| (faults.lose_answers, faults.lose_reports) = (2, 1));
+        received += serve(&rig, 6)?;
     }
+    rig.platform.fault(|faults| (faults.lose_answers, faults.lose_reports) = (0, 0));
+    check_sums(&rig, received)
 }
 
-impl Drop for Peer {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::SeqCst);
+/// The holder is paused past its lease, another takes over, the first goes on.
+#[test]
+fn a_paused_reporter_never_doubles_a_window() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 3, engines: 2, ..Size::default() })?;
+    let mut received = serve(&rig, 6)?;
+    for _ in 0..2 {
+        let paused = wait_holder(&rig)?;
+        rig.hosts[paused].pause();
+        let others: Vec<usize> = (0..3).filter(|i| *i != paused).collect();
+        for i in &others {
+            let call = Call::chat(key_of(&rig.sample.lab), "costing", "meanwhile", 4);
+            received += call.stream(rig.hosts[*i].callers)?.tokens;
+        }
+        wait_until("another holds the lease", || {
+            let object = rig.platform.state().objects.get("lease/usage");
+            let value = object.map_or(String::new(), |object| object.value);
+            !value.contains(&format!("host-{paused}:"))
+        })?;
+        wait_windows(&rig, 2)?;
+        rig.hosts[paused].resume();
+        received += serve(&rig, 6)?;
     }
+    check_sums(&rig, received)
+}
+
+/// A report that is held back in the network while its sender's lease goes to another host.
+#[test]
+fn a_held_back_report_is_no_second_report() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 0, engines: 1, ..Size::default() })?;
+    let billing = Proxy::start(rig.platform.address())?;
+    let mut settings = rig.settings("first");
+    settings["usage"] = serde_json::json!(billing.url());
+    rig.add_host_with("first", &settings)?;
+    rig.wait_revision(&rig.hosts[0], 1)?;
+    wait_holder(&rig)?;
+    rig.add_host("second")?;
+    rig.wait_revision(&rig.hosts[1], 1)?;
+    billing.set(Mode::Hold);
+    let received = serve(&rig, 4)?;
+    wait_until("a window is sealed that is not sent", || {
+        let windows = rig.platform.state().objects.list("usage/window/", "", 1_000);
+        windows.iter().any(|object| object.value.contains("\"sent\":false"))
+    })?;
+    rig.hosts[0].pause();
+    wait_until("the second holds the lease", || holder_name(&rig).contains("second:"))?;
+    wait_windows(&rig, 2)?;
+    billing.set(Mode::Pass);
+    rig.hosts[0].resume();
+    check_sums(&rig, received)
+}
+
+fn holder_name(rig: &Rig) -> String {
+    let object = rig.platform.state().objects.get("lease/usage");
+    object.map_or(String::new(), |object| object.value)
 }
 
+/// A killed host's windows are reported by another only on evidence, and its counts are lost only
+/// as far as they were not flushed.
 #[test]
-fn counts_whose_announcements_are_lost_are_asked_for() -> anyhow::Result<()> {
-    let rig = Rig::start(PROGRAM)?;
-    let gateway = rig.gateway("g1")?;
-    let peer = Peer::start(gateway.ports.peers)?;
-    let first = wall_ms() / WINDOW_MS + 1;
-    wait("a window that the peer was part of", || {
-        let sealed = rig.store.get("usage", "sealed").unwrap_or_default();
-        sealed["windows"].as_object().is_some_and(|windows| {
-            windows.keys().any(|window| window.parse().is_ok_and(|window: u64| window >= first))
-        })
+fn windows_of_a_killed_reporter_are_reported_on_evidence() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 3, engines: 2, ..Size::default() })?;
+    let received = serve(&rig, 9)?;
+    wait_until("all is reported", || reported_tokens(&rig.platform, "lab") >= received)?;
+    let dead = wait_holder(&rig)?;
+    rig.platform.fault(|faults| faults.lose_reports = u32::MAX);
+    wait_until("the holder has sealed a window that it cannot settle", || {
+        let windows = rig.platform.state().objects.list("usage/window/", "", 1_000);
+        let open = windows.iter().filter(|o| o.value.contains("\"sent\":false"));
+        open.clone().any(|o| o.value.contains(&format!("\"incarnation\":\"host-{dead}:")))
     })?;
-    let sealed = rig.store.get("usage", "sealed").unwrap_or_default();
-    assert_eq!(sealed["windows"][first.to_string()], json!({"w2": COUNT}), "{sealed}");
-    assert!(peer.asked.load(Ordering::SeqCst) >= 1, "{} was never asked", peer.at);
+    rig.hosts[dead].kill();
+    rig.platform.fault(|faults| faults.lose_reports = 0);
+    rig.unlist_host(&format!("host-{dead}"));
+    rig.hosts.remove(dead);
+    wait_until("every window is settled", || {
+        let windows = rig.platform.state().objects.list("usage/window/", "", 1_000);
+        let open = windows.iter().filter(|o| o.value.contains("\"sent\":false")).count();
+        open <= 1 && !holder_name(&rig).contains(&format!("host-{dead}:"))
+    })?;
+    wait_windows(&rig, 2)?;
+    let mut windows: BTreeMap<u64, Report> = BTreeMap::new();
+    for report in rig.platform.reports() {
+        let first = windows.entry(report.window.0).or_insert_with(|| report.clone());
+        assert_eq!(first.lines, report.lines, "window {} has two figures", report.window);
+    }
+    assert_eq!(reported_tokens(&rig.platform, "lab"), received);
     Ok(())
 }
+
+#[test]
+fn an_outage_delays_reports_and_loses_none() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &Size { hosts: 2, engines: 2, ..Size::default() })?;
+    let mut received = serve(&rig, 4)?;
+    rig.platform.fault(|faults| faults.down = true);
+    received += serve(&rig, 8)?;
+    rig.platform.fault(|faults| faults.down = false);
+    received += serve(&rig, 4)?;
+    check_sums(&rig, received)
+}
+
+#[test]
+fn settings_of_a_second_reporter_do_not_matter() -> anyhow::Result<()> {
+    let mut rig = Rig::start(programs(), &Size { hosts: 1, ..Size::default() })?;
+    let mut settings = rig::settings("short", &rig.platform.url());
+    settings["times"]["usage_window_ms"] = serde_json::json!(100);
+    rig.add_host_with("short", &settings)?;
+    rig.wait_revision(&rig.hosts[1], 1)?;
+    let received = serve(&rig, 10)?;
+    check_sums(&rig, received)
+}
