Tests of the gateway count runs and read events in one place

The stand-ins say how often an attempt ran and which events an answer has; both stood in gateway.rs and network.rs, the second also in the soak. A server's entry in the store is written once. Assertions are unchanged.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -17,16 +17,6 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
 
-fn ran(rig: &Rig, id: &str) -> usize {
-    let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
-    arrivals.filter(|arrival| arrival.id == id && arrival.ran).count()
-}
-
-fn events(body: &str) -> Vec<u64> {
-    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
-    ids.filter_map(|id| id.parse().ok()).collect()
-}
-
 #[test]
 fn a_calm_day_is_served() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
@@ -39,7 +29,7 @@
     assert!(write.body.ends_with("to a2"), "{}", write.body);
     let chat = Request::new("POST", "/chat/x", "a3").send(to)?;
     assert!(chat.complete);
-    assert_eq!(events(&chat.body), (1..=10).collect::<Vec<_>>());
+    assert_eq!(chat.events(), (1..=10).collect::<Vec<_>>());
     Ok(())
 }
 
@@ -91,7 +81,7 @@
     assert_eq!(request.send(to)?.status, 401);
     request.key = None;
     assert_eq!(request.send(to)?.status, 401);
-    assert_eq!(ran(&rig, "c2"), 0);
+    assert_eq!(rig.ran("c2"), 0);
     Ok(())
 }
 
@@ -104,7 +94,7 @@
         rig.server("p2").plan(act);
         let answer = Request::new("POST", "/write/x", id).send(gateway.ports.callers)?;
         assert!(matches!(answer.status, 502 | 504), "{id}: {}", answer.status);
-        assert_eq!(ran(&rig, id), 1, "{id}");
+        assert_eq!(rig.ran(id), 1, "{id}");
         rig.server("p1").plan(Act::Serve);
         for server in ["p1", "p2"] {
             // Takes the act that was not used.
@@ -126,13 +116,13 @@
         let id = format!("e{i}");
         let answer = Request::new("POST", "/write/x", &id).send(gateway.ports.callers)?;
         assert_eq!(answer.status, 200);
-        assert_eq!(ran(&rig, &id), 1);
+        assert_eq!(rig.ran(&id), 1);
     }
     rig.server("p2").always(Some(Act::TurnAway));
     let answer = Request::new("POST", "/write/x", "e9").send(gateway.ports.callers)?;
     assert_eq!(answer.status, 503);
     assert!(answer.headers.contains_key("retry-after"));
-    assert_eq!(ran(&rig, "e9"), 0);
+    assert_eq!(rig.ran("e9"), 0);
     Ok(())
 }
 
@@ -161,14 +151,14 @@
     let answer = Request::new("POST", "/chat/x", "h1").send(gateway.ports.callers)?;
     // Both servers break off, so the route's two attempts are spent.
     assert!(!answer.complete);
-    assert_eq!(events(&answer.body), [1, 2, 3, 4]);
-    assert_eq!(ran(&rig, "h1"), 2);
+    assert_eq!(answer.events(), [1, 2, 3, 4]);
+    assert_eq!(rig.ran("h1"), 2);
     rig.server("e1").always(Some(Act::BreakAfter(6)));
     let mut whole = 0;
     for i in 0..3 {
         let answer =
             Request::new("POST", "/chat/x", &format!("h2{i}")).send(gateway.ports.callers)?;
-        assert_eq!(events(&answer.body), (1..=10).collect::<Vec<_>>());
+        assert_eq!(answer.events(), (1..=10).collect::<Vec<_>>());
         whole += usize::from(answer.complete);
     }
     assert_eq!(whole, 3);
@@ -183,8 +173,8 @@
     rig.server("e2").always(Some(Act::BreakAfter(3)));
     let answer = Request::new("POST", "/long/x", "i1").send(gateway.ports.callers)?;
     assert!(!answer.complete);
-    assert_eq!(events(&answer.body), [1, 2, 3]);
-    assert_eq!(ran(&rig, "i1"), 1);
+    assert_eq!(answer.events(), [1, 2, 3]);
+    assert_eq!(rig.ran("i1"), 1);
     Ok(())
 }
 
@@ -195,7 +185,7 @@
     for (path, id) in [("/chat/x", "j1"), ("/write/x", "j2")] {
         rig.servers.iter().for_each(|(server, _)| server.always(Some(Act::Hang)));
         let stream = Request::new("POST", path, id).open(gateway.ports.callers)?;
-        wait("arrival", || ran(&rig, id) == 1)?;
+        wait("arrival", || rig.ran(id) == 1)?;
         drop(stream);
         let gone = Instant::now();
         wait("the end at the server", || {
@@ -257,7 +247,7 @@
     assert!(away.elapsed() < Duration::from_millis(5_000), "{:?}", away.elapsed());
     let refused = send("m3")?;
     assert!(refused.headers.contains_key("retry-after"));
-    assert_eq!(ran(&rig, "m3"), 0);
+    assert_eq!(rig.ran("m3"), 0);
     assert_eq!(send("m4")?.status, 503);
     rig.store.set_fault(Fault::None);
     wait("service", || send("m5").is_ok_and(|answer| answer.status == 200))
@@ -435,7 +425,7 @@
     gateway.signal("TERM")?;
     wait("the stop", || !gateway.said("stopping").is_empty())?;
     let long = stream("v1", 2_000)?;
-    assert_eq!((long.status, ran(&rig, "v1")), (503, 0));
+    assert_eq!((long.status, rig.ran("v1")), (503, 0));
     assert!(long.headers.contains_key("retry-after"));
     assert!(stream("v2", 50)?.complete);
     Ok(())
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -27,16 +27,6 @@
 /// the first event is half a second, and it is noticed within a second.
 const MOVED: Duration = Duration::from_millis(2_000);
 
-fn ran(rig: &Rig, id: &str) -> usize {
-    let arrivals = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
-    arrivals.filter(|arrival| arrival.id == id && arrival.ran).count()
-}
-
-fn events(body: &str) -> Vec<u64> {
-    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
-    ids.filter_map(|id| id.parse().ok()).collect()
-}
-
 #[test]
 fn a_read_that_is_stuck_is_answered_elsewhere() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
@@ -69,7 +59,7 @@
     let begun = Instant::now();
     assert_eq!(request.send(to)?.status, 504);
     assert!(begun.elapsed() < Duration::from_millis(2_000), "{:?}", begun.elapsed());
-    assert_eq!(ran(&rig, "b1"), 1);
+    assert_eq!(rig.ran("b1"), 1);
     let (hung, other) = match rig.server("p1").arrivals().is_empty() {
         true => ("p2", "p1"),
         false => ("p1", "p2"),
@@ -94,7 +84,7 @@
         let begun = Instant::now();
         let answer = Request::new("POST", "/chat/x", id).send(gateway.ports.callers)?;
         assert!(answer.complete, "{id}");
-        assert_eq!(events(&answer.body), (1..=10).collect::<Vec<_>>(), "{id}");
+        assert_eq!(answer.events(), (1..=10).collect::<Vec<_>>(), "{id}");
         assert!(begun.elapsed() < MOVED + Duration::from_millis(500), "{:?}", begun.elapsed());
     }
     Ok(())
@@ -112,8 +102,8 @@
     request.deadline = Duration::from_millis(2_500);
     let answer = request.send(gateway.ports.callers)?;
     assert!(!answer.complete);
-    assert_eq!(events(&answer.body), [1, 2]);
-    assert_eq!(ran(&rig, "d1"), 1);
+    assert_eq!(answer.events(), [1, 2]);
+    assert_eq!(rig.ran("d1"), 1);
     Ok(())
 }
 
@@ -266,7 +256,7 @@
     thread::sleep(Duration::from_millis(1_500));
     let answer = caller::read(&mut slow)?;
     assert!(answer.complete, "{} bytes came", answer.body.len());
-    assert_eq!(events(&answer.body).len(), EVENTS);
+    assert_eq!(answer.events().len(), EVENTS);
     Ok(())
 }
 
--- a/tests/stand/src/caller.rs
+++ b/tests/stand/src/caller.rs
@@ -90,6 +90,14 @@
     }
 }
 
+impl Answer {
+    /// Returns the numbers of the events of a stream, in order.
+    pub fn events(&self) -> Vec<u64> {
+        let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
 /// Reads one answer; a connection that closes before any byte is an error.
 pub fn read(stream: &mut TcpStream) -> anyhow::Result<Answer> {
     let mut bytes = Vec::new();
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -8,7 +8,7 @@
 use crate::{
     duties::Duties,
     gateway::{self, Gateway, Ports},
-    server::Server,
+    server::{self, Server},
     store::Store,
 };
 
@@ -73,10 +73,13 @@
         for (server, _) in self.servers.iter().filter(|(server, _)| server.service == service) {
             self.store.remove("servers", &server.id);
         }
-        let entry = json!({"service": service, "address": address.to_string(), "zone": "d1",
-            "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
-            "born": 1_000});
-        self.store.put("servers", "x1", entry);
+        self.store.put("servers", "x1", server::entry(service, address, "ready"));
+    }
+
+    /// Returns how often a caller's attempt ran, on all servers together.
+    pub fn ran(&self, id: &str) -> usize {
+        let arrivals = self.servers.iter().flat_map(|(server, _)| server.arrivals());
+        arrivals.filter(|arrival| arrival.id == id && arrival.ran).count()
     }
 
     /// Returns a server by its name.
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -108,9 +108,7 @@
 
     /// Returns the server's entry in the store.
     pub fn entry(&self, address: SocketAddr, state: &str) -> Value {
-        json!({"service": self.service, "address": address.to_string(), "zone": "d1",
-            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
-            "born": 1_000})
+        entry(&self.service, address, state)
     }
 
     /// Plans what is done with the next request.
@@ -198,6 +196,12 @@
     }
 }
 
+/// Returns the entry in the store of a server of `service` at `address`.
+pub fn entry(service: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"service": service, "address": address.to_string(), "zone": "d1", "version": "v1",
+        "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1_000})
+}
+
 /// Notes that nobody waits any more when it is dropped before it is told otherwise.
 struct Waiting {
     server: Arc<Server>,
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -401,8 +401,7 @@
         let own = !answer.complete || answer.body.ends_with(&format!(" to {id}"));
         return (!own).then(|| format!("{id} got {:?}", answer.body));
     }
-    let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
-    let events: Vec<u64> = ids.filter_map(|id| id.trim().parse().ok()).collect();
+    let events = answer.events();
     let in_order = events.iter().copied().eq(1..=events.len() as u64);
     let whole = !answer.complete || events.len() == 10;
     (!in_order || !whole).then(|| format!("{id} got events {events:?}, {}", answer.complete))
