The board's account of one server stands in a file of its own; untold shares are kept in one way

board.rs held two things: placement, and what is known of each server (queue, prefill estimate, counts). The second is ledger.rs now; what hosts tell each other is share.rs. How announcements are gathered for peers that hear rarely stood in gossip.rs and again in the play of decisions: both use share::Untold.

--- a/crates/belief/src/beat.rs
+++ b/crates/belief/src/beat.rs
@@ -6,7 +6,7 @@
     data,
     units::{Domain, Epoch, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId},
 };
-use wasabi_policy::board::Share;
+use wasabi_policy::share::Share;
 
 /// What a host runs on each server, by service.
 pub type Shares = Vec<(PoolId, Vec<(ServerId, Share)>)>;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -14,11 +14,8 @@
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use wasabi_belief::beat::Beat;
-use wasabi_core::{
-    time,
-    units::{PoolId, ServerId},
-};
-use wasabi_policy::board::Share;
+use wasabi_core::{time, units::PoolId};
+use wasabi_policy::share::Untold;
 
 use crate::{
     echo::{Echoes, HEADER_BYTES, Opening},
@@ -125,26 +122,19 @@
 
 /// What the peers of other failure domains have not been told yet.
 #[derive(Default)]
-struct Far(BTreeMap<PoolId, BTreeMap<ServerId, Share>>);
+struct Far(BTreeMap<PoolId, Untold>);
 
 impl Far {
     fn absorb(&mut self, beat: &Beat) {
         for (service, shares) in beat.shares.iter().flatten() {
-            let known = self.0.entry(service.clone()).or_default();
-            // Servers that the announcement leaves out run nothing any more.
-            known.values_mut().for_each(|share| {
-                (share.running, share.light, share.tokens) = (0, 0, 0);
-            });
-            for (server, share) in shares {
-                known.entry(server.clone()).or_default().absorb(share);
-            }
+            self.0.entry(service.clone()).or_default().absorb(shares);
         }
     }
 
     /// Returns the announcement with all that was absorbed.
     fn take(&mut self, beat: Beat) -> Beat {
         let shares = std::mem::take(&mut self.0).into_iter();
-        let shares = shares.map(|(service, shares)| (service, shares.into_iter().collect()));
+        let shares = shares.map(|(service, mut untold)| (service, untold.take()));
         Beat { shares: Some(shares.collect()), ..beat }
     }
 }
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -4,7 +4,7 @@
 
 use wasabi_belief::beat::Beat;
 use wasabi_core::units::{HostId, Incarnation, Revision, ServerId};
-use wasabi_policy::board::Share;
+use wasabi_policy::share::Share;
 
 /// What one packet of an Ethernet carries over UDP.
 const PACKET_BYTES: usize = 1_472;
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -11,34 +11,20 @@
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
 use wasabi_core::{
     call::{Load, Prompt},
     catalog::Engine,
-    member::{Member, Phase},
+    member::Member,
     units::{Domain, HostId, ServerId},
 };
 
 use crate::{
-    cache::Cache,
     lanes,
+    ledger::{Counts, LEVELS, Quote, Server},
+    share::Share,
     stall::{self, Usual},
-    trouble::Trouble,
 };
 
-/// Prompt tokens that an engine reads in a millisecond, until observed; from the engines' sheet.
-const PREFILL_TOKENS_PER_MS: f64 = 56.9;
-/// Tokens of a prompt that an engine reads in one step; from the engines' sheet.
-const CHUNK_TOKENS: f64 = 2048.0;
-/// The least time of a step in milliseconds; from the engines' sheet.
-const STEP_MS: f64 = 3.09;
-/// What each running request adds to a step, in milliseconds; from the engines' sheet.
-const STEP_MS_PER_RUNNING: f64 = 0.102;
-/// Attention time in milliseconds per million pairs of tokens; from the engines' sheet.
-const PAIRS_MS_PER_MILLION: f64 = 0.165;
-/// From sending a request to its first event on an idle engine, without its prefill, in
-/// milliseconds: the engine's own 13 ms, and the way there and back.
-const FIRST_EVENT_MS: f64 = 18.0;
 /// The most that a learned speed departs from the sheet, either way.
 const MAX_SPEED_FACTOR: f64 = 4.0;
 /// Weight of a new observation of speed.
@@ -47,10 +33,6 @@
 const DELAY_WEIGHT: f64 = 0.5;
 /// The most that one observation adds, in milliseconds.
 const MAX_DELAY_MS: f64 = 200.0;
-/// The time over which the share of time that an engine spends on prefill is averaged.
-const DUTY_MEMORY: Duration = Duration::from_millis(1_000);
-/// A request whose whole prompt is read in less is light, in milliseconds: it is interactive.
-const LIGHT_WORK_MS: f64 = 40.0;
 /// What a server that fails all requests adds to the expected time, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
 /// Milliseconds added for a server in another failure domain.
@@ -60,13 +42,6 @@
 /// Milliseconds added for a light stream on an engine that is not kept for them, and for a long
 /// prompt on one that is: about the target of a first event, so that they mix only in an overload.
 const LANE_MS: f64 = 400.0;
-/// How much the time that a server would spend on a request counts beside the caller's wait: work
-/// saved by a cached prefix leaves room for others.
-const WORK_WEIGHT: f64 = 1.0;
-/// The part of its memory that an engine fills before it has to preempt.
-const MEMORY_SHARE: f64 = 0.92;
-/// How many requests may wait at a plain server for each one that it runs.
-const WAITING_PER_SLOT: u32 = 3;
 /// From this many hosts on, announcements of other failure domains are a second old. A session is
 /// then taken to be cached at its home, and hosts prefer the servers of their own domain, of which they
 /// hear sooner.
@@ -79,30 +54,9 @@
 const STRAIN_MEMORY: Duration = Duration::from_millis(1_500);
 /// The greatest strain.
 const MAX_STRAIN: f64 = 8.0;
-/// Levels of urgency.
-const LEVELS: usize = 10;
-/// A more urgent request waits for the prompt that is being read, in milliseconds at most: about
-/// two chunks beside the tokens of other requests, as measured.
-const PROMPT_AHEAD_MS: f64 = 130.0;
 /// What peers announced is forgotten after this time without news.
 const PEER_MEMORY: Duration = Duration::from_millis(2_500);
 
-/// What one host announces of its requests on one server.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Share {
-    /// Requests that run there.
-    pub running: u32,
-    /// Those of them that are light streams.
-    pub light: u32,
-    /// Tokens of prompts and answers that they hold.
-    pub tokens: u64,
-    /// Prefill time in milliseconds that was placed there since the last announcement, by urgency.
-    pub added_ms: BTreeMap<u8, f64>,
-    /// The shared parts of prompts that the server has to read for the first time, placed there since
-    /// the last announcement.
-    pub parts: Vec<(u64, u32)>,
-}
-
 /// What a request asks of a server.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -181,48 +135,6 @@
     counts: Vec<(ServerId, Counts)>,
 }
 
-/// Requests that run on a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Counts {
-    running: u32,
-    light: u32,
-    tokens: u64,
-}
-
-#[derive(Debug)]
-struct Server {
-    member: Member,
-    /// Its place in the order by which engines are kept for light streams.
-    order: u64,
-    /// How much slower it reads prompts than the sheet says.
-    slowness: f64,
-    /// By urgency: when its virtual prefill queue has no work left that goes before such a request.
-    /// Never later for a more urgent level.
-    free_at: [Instant; LEVELS],
-    /// Prefill milliseconds of the last `DUTY_MEMORY`, decayed up to `duty_at`.
-    duty_ms: f64,
-    duty_at: Instant,
-    /// This host's own requests, and what it has not announced yet.
-    own: Share,
-    /// The sum of what `Board::peers` holds for this server.
-    theirs: Counts,
-    cache: Cache,
-    trouble: Trouble,
-}
-
-impl Share {
-    /// Takes in a later announcement of the same host and server.
-    pub fn absorb(&mut self, later: &Share) {
-        self.running = later.running;
-        self.light = later.light;
-        self.tokens = later.tokens;
-        for (urgency, ms) in &later.added_ms {
-            *self.added_ms.entry(*urgency).or_default() += ms;
-        }
-        self.parts.extend_from_slice(&later.parts);
-    }
-}
-
 impl Board {
     /// Gets a board without servers, for a host in `domain`.
     pub fn new(domain: Domain) -> Self {
@@ -270,7 +182,7 @@
 
     /// Returns the servers that may get new work.
     pub fn ready(&self) -> impl Iterator<Item = &Member> {
-        self.servers.values().map(|s| &s.member).filter(|m| m.phase == Phase::Ready)
+        self.servers.values().filter(|server| server.is_ready()).map(|server| &server.member)
     }
 
     /// Gives the request a place on the server that is expected to serve it soonest.
@@ -278,9 +190,7 @@
         self.forget_peers(now);
         let mut best: Option<(f64, Quote, &ServerId)> = None;
         let mut least_ms = f64::INFINITY;
-        let spare = self.servers.values().any(|server| {
-            server.member.phase == Phase::Ready && !ask.avoid.contains(&server.member.id)
-        });
+        let spare = self.ready().any(|member| !ask.avoid.contains(&member.id));
         let home = self.home(ask);
         let kept = match self.engine {
             Some(engine) => self.kept(engine.slots),
@@ -291,7 +201,7 @@
         let distance_ms = if self.late_news { LATE_NEWS_MS } else { DISTANCE_MS };
         for (id, server) in &self.servers {
             let avoided = ask.avoid.contains(id);
-            if server.member.phase != Phase::Ready || (avoided && spare) {
+            if !server.is_ready() || (avoided && spare) {
                 continue;
             }
             let quote = match self.engine {
@@ -325,7 +235,7 @@
 
     /// Returns the places that are taken and all places of the servers that take new work.
     pub fn fill(&self) -> (u32, u32) {
-        let ready = self.servers.values().filter(|s| s.member.phase == Phase::Ready);
+        let ready = self.servers.values().filter(|server| server.is_ready());
         ready.fold((0, 0), |(taken, all), server| {
             (taken + server.all().running, all + server.member.slots)
         })
@@ -446,7 +356,7 @@
 
     /// Returns the mean share of time that the engines spend on prefill.
     pub fn duty(&self, now: Instant) -> f64 {
-        let ready = self.servers.values().filter(|s| s.member.phase == Phase::Ready);
+        let ready = self.servers.values().filter(|server| server.is_ready());
         let (sum, count) = ready.fold((0.0, 0), |(sum, n), s| (sum + s.duty(now), n + 1));
         if count == 0 { 0.0 } else { sum / f64::from(count) }
     }
@@ -491,7 +401,7 @@
 
     /// Returns the engines that are kept for light streams.
     fn kept(&self, slots: u32) -> BTreeSet<&ServerId> {
-        let ready = self.servers.iter().filter(|(_, s)| s.member.phase == Phase::Ready);
+        let ready = self.servers.iter().filter(|(_, server)| server.is_ready());
         let engines = ready.map(|(id, server)| lanes::Engine {
             id,
             domain: &server.member.domain,
@@ -506,153 +416,3 @@
         (server.member.born_ms == place.member.born_ms).then_some(server)
     }
 }
-
-/// What a server is expected to do for a request.
-#[derive(Clone, Copy, Debug)]
-struct Quote {
-    /// Until the first event or the answer.
-    first_ms: f64,
-    /// What the choice costs besides.
-    extra_ms: f64,
-    /// Prefill time.
-    work_ms: f64,
-    has_room: bool,
-    light: bool,
-}
-
-impl Server {
-    fn new(now: Instant, member: Member, memory: u64) -> Self {
-        Self {
-            order: lanes::order(&member.id),
-            member,
-            slowness: 1.0,
-            free_at: [now; LEVELS],
-            duty_ms: 0.0,
-            duty_at: now,
-            own: Share::default(),
-            theirs: Counts::default(),
-            cache: Cache::new(memory),
-            trouble: Trouble::default(),
-        }
-    }
-
-    /// Returns what an engine is expected to do; `kept` if it has the shared parts of the prompt.
-    fn quote_engine(&self, now: Instant, ask: &Ask, engine: &Engine, kept: bool) -> Quote {
-        let all = self.all();
-        let (total, output) =
-            ask.prompt.map_or((0.0, 0), |p| (f64::from(p.tokens), u64::from(p.output)));
-        let cached = ask.prompt.map_or(0, |prompt| match (kept, prompt.parts.split_last()) {
-            (true, Some((_, shared))) => shared.iter().map(|part| part.tokens).sum(),
-            _ => self.cache.cached(prompt),
-        });
-        let fresh = (total - f64::from(cached)).max(1.0);
-        let pairs = fresh * (f64::from(cached) + fresh / 2.0) / 1e6;
-        let step_ms = STEP_MS + STEP_MS_PER_RUNNING * f64::from(all.running);
-        let work_ms = (fresh / PREFILL_TOKENS_PER_MS
-            + (fresh / CHUNK_TOKENS).ceil() * step_ms
-            + pairs * PAIRS_MS_PER_MILLION)
-            * self.slowness;
-        let behind_ms = self.wait_ms(now, usize::from(ask.urgency));
-        let wait_ms = behind_ms.max(self.wait_ms(now, LEVELS - 1).min(PROMPT_AHEAD_MS));
-        let light = total / PREFILL_TOKENS_PER_MS < LIGHT_WORK_MS;
-        let tokens = all.tokens + total as u64 + output;
-        let memory = engine.memory.0 as f64 * MEMORY_SHARE;
-        Quote {
-            first_ms: wait_ms + work_ms + FIRST_EVENT_MS,
-            extra_ms: work_ms * WORK_WEIGHT,
-            work_ms,
-            has_room: all.running < engine.slots && tokens as f64 <= memory,
-            light,
-        }
-    }
-
-    fn quote_plain(&self) -> Quote {
-        let running = self.all().running;
-        let slots = self.member.slots.max(1);
-        Quote {
-            first_ms: 0.0,
-            extra_ms: f64::from(running) / f64::from(slots) * 100.0,
-            work_ms: 0.0,
-            has_room: running < slots * (1 + WAITING_PER_SLOT),
-            light: false,
-        }
-    }
-
-    fn take(&mut self, now: Instant, ask: &Ask, quote: Quote) -> Place {
-        let tokens = ask.prompt.map_or(0, |p| u64::from(p.tokens) + u64::from(p.output));
-        self.own.running += 1;
-        self.own.light += u32::from(quote.light);
-        self.own.tokens += tokens;
-        *self.own.added_ms.entry(ask.urgency).or_default() += quote.work_ms;
-        self.add_work(now, ask.urgency, quote.work_ms);
-        if let Some(prompt) = ask.prompt {
-            for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
-                // Peers know of the others already.
-                if !self.cache.holds(part.id) {
-                    self.own.parts.push((part.id, part.tokens));
-                }
-                self.cache.touch(now, part.id, part.tokens);
-            }
-        }
-        Place {
-            member: self.member.clone(),
-            since: now,
-            expected: Duration::from_secs_f64(quote.first_ms / 1e3),
-            work_ms: quote.work_ms,
-            urgency: ask.urgency,
-            light: quote.light,
-            tokens,
-        }
-    }
-
-    fn add_work(&mut self, now: Instant, urgency: u8, ms: f64) {
-        self.delay(now, urgency, ms.max(0.0));
-        self.duty_ms = self.duty(now) * DUTY_MEMORY.as_secs_f64() * 1e3 + ms;
-        self.duty_at = now;
-    }
-
-    /// Lengthens the virtual queue for requests of this urgency and less urgent ones.
-    fn delay(&mut self, now: Instant, urgency: u8, ms: f64) {
-        for free_at in &mut self.free_at[usize::from(urgency).min(LEVELS - 1)..] {
-            *free_at = (*free_at).max(now) + Duration::from_secs_f64(ms / 1e3);
-        }
-    }
-
-    /// Returns how long the work takes that goes before a request of this urgency.
-    fn wait_ms(&self, now: Instant, urgency: usize) -> f64 {
-        let free_at = self.free_at[urgency.min(LEVELS - 1)];
-        free_at.saturating_duration_since(now).as_secs_f64() * 1e3
-    }
-
-    /// Returns the share of time spent on prefill lately; above 1 if work piles up.
-    fn duty(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.duty_at).as_secs_f64();
-        let memory = DUTY_MEMORY.as_secs_f64();
-        self.duty_ms * (-age / memory).exp() / (memory * 1e3)
-    }
-
-    /// Returns what runs here by this host's and its peers' accounts.
-    fn all(&self) -> Counts {
-        let mut all = self.theirs;
-        all.add(Counts {
-            running: self.own.running,
-            light: self.own.light,
-            tokens: self.own.tokens,
-        });
-        all
-    }
-}
-
-impl Counts {
-    fn add(&mut self, other: Self) {
-        self.running += other.running;
-        self.light += other.light;
-        self.tokens += other.tokens;
-    }
-
-    fn remove(&mut self, other: Self) {
-        self.running -= other.running;
-        self.light -= other.light;
-        self.tokens -= other.tokens;
-    }
-}
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -11,7 +11,10 @@
     member::{Member, Phase},
     units::{HostId, ServerId, Tokens},
 };
-use wasabi_policy::board::{Ask, Board, End, Place, Refusal, Share};
+use wasabi_policy::{
+    board::{Ask, Board, End, Place, Refusal},
+    share::Share,
+};
 
 const ENGINE: Engine = Engine { slots: 64, memory: Tokens(300_000), event_tokens: 6 };
 const SECOND: Duration = Duration::from_secs(1);
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -12,8 +12,9 @@
     units::{Domain, HostId, PoolId, ServerId, Tokens},
 };
 use wasabi_policy::{
-    board::{Ask, Board, End, Place, Refusal, Share},
+    board::{Ask, Board, End, Place, Refusal},
     lanes, patience,
+    share::{Share, Untold},
 };
 use wasabi_standin::batch::Engine;
 
@@ -174,7 +175,7 @@
     names: Vec<HostId>,
     places: Vec<Option<(Place, End)>>,
     /// What peers of other domains have not been told yet, by host.
-    unsaid: Vec<Vec<(ServerId, Share)>>,
+    untold: Vec<Untold>,
     next_ms: Vec<f64>,
     rounds: Vec<u32>,
     random: StdRng,
@@ -227,7 +228,7 @@
             boards,
             names,
             places: vec![None; requests],
-            unsaid: vec![Vec::new(); scenario.hosts],
+            untold: (0..scenario.hosts).map(|_| Untold::default()).collect(),
             next_ms,
             rounds: vec![0; scenario.hosts],
             random,
@@ -256,11 +257,11 @@
         if self.boards.len() < LARGE_FLEET {
             return self.tell(now, host, false, &shares);
         }
-        absorb(&mut self.unsaid[host], &shares);
+        self.untold[host].absorb(&shares);
         self.rounds[host] += 1;
         if self.rounds[host].is_multiple_of(FAR_ROUNDS) {
-            let unsaid = std::mem::take(&mut self.unsaid[host]);
-            self.tell(now, host, false, &unsaid);
+            let untold = self.untold[host].take();
+            self.tell(now, host, false, &untold);
         }
     }
 }
@@ -336,18 +337,6 @@
     }
 }
 
-fn absorb(unsaid: &mut Vec<(ServerId, Share)>, shares: &[(ServerId, Share)]) {
-    for (_, share) in unsaid.iter_mut() {
-        (share.running, share.light, share.tokens) = (0, 0, 0);
-    }
-    for (id, share) in shares {
-        match unsaid.iter_mut().find(|(known, _)| known == id) {
-            Some((_, known)) => known.absorb(share),
-            None => unsaid.push((id.clone(), share.clone())),
-        }
-    }
-}
-
 fn domain(scenario: &Scenario, number: usize) -> anyhow::Result<Domain> {
     Ok(format!("d{}", number % scenario.domains).parse()?)
 }
