--- a/crates/policy/src/cache.rs
+++ b/crates/policy/src/cache.rs
@@ -30,7 +30,8 @@
         }
         self.used += u64::from(tokens);
         while self.used > self.capacity && self.parts.len() > 1 {
-            let oldest = self.parts.iter().min_by_key(|(_, (_, at))| *at).map(|(id, _)| *id);
+            let oldest =
+                self.parts.iter().min_by_key(|(id, (_, at))| (*at, **id)).map(|(id, _)| *id);
             let Some((tokens, _)) = oldest.and_then(|id| self.parts.remove(&id)) else { break };
             self.used -= u64::from(tokens);
         }
--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -241,7 +241,7 @@
         }
         let running: u64 = self.running.iter().map(|r| u64::from(r.job.output)).sum();
         while self.kept_tokens + running > self.shape.memory {
-            let oldest = self.kept.iter().min_by(|a, b| a.1.1.total_cmp(&b.1.1));
+            let oldest = self.kept.iter().min_by(|a, b| a.1.1.total_cmp(&b.1.1).then(a.0.cmp(b.0)));
             let Some(id) = oldest.map(|(id, _)| *id) else { break };
             let Some((tokens, _)) = self.kept.remove(&id) else { break };
             self.kept_tokens -= u64::from(tokens);
