A required setting that is null is named as a problem

The gateway's reader let null pass a required setting without a problem: the settings were refused with no line that says why. Test red before: no line named host.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -139,11 +139,11 @@
     name: &str,
     problems: &mut Vec<Error>,
 ) -> Option<T> {
-    if !fields.contains_key(name) {
+    let Some(value) = fields.remove(name) else {
         problems.push(problem(name, "is missing"));
         return None;
-    }
-    optional(fields, name, problems)
+    };
+    read(value, name, problems)
 }
 
 fn optional<T: DeserializeOwned>(
@@ -152,5 +152,9 @@
     problems: &mut Vec<Error>,
 ) -> Option<T> {
     let value = fields.remove(name).filter(|value| !value.is_null())?;
+    read(value, name, problems)
+}
+
+fn read<T: DeserializeOwned>(value: Value, name: &str, problems: &mut Vec<Error>) -> Option<T> {
     serde_json::from_value(value).map_err(|e| problems.push(problem(name, &e.to_string()))).ok()
 }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -97,3 +97,11 @@
     assert_eq!(refused.status().as_u16(), 503);
     assert_eq!(refused.headers()["retry-after"], "1.25");
 }
+
+/// A setting that is null is as wrong as one that is missing, and is named.
+#[test]
+fn a_setting_that_is_null_is_named() {
+    let problems = settings::parse(r#"{"host": null, "domain": null}"#).expect_err("not valid");
+    let named = |name: &str| problems.iter().any(|problem| problem.to_string().contains(name));
+    assert!(named("host: ") && named("domain: "), "{problems:?}");
+}
