One send is a step of its own; small twins in relay, orders and the play are one

relay::send told its two ends apart by a Result that meant neither success nor failure; Sent names them. The refusal with a pause stood twice in relay::next, the count of requests in flight twice in the play.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -61,12 +61,8 @@
 /// Lets the planners know where servers are, for the time when this host holds the duties.
 fn observe(site: &Site, planners: &mut BTreeMap<PoolId, Planner>) {
     for member in site.members.borrow().get().iter() {
-        if !planners.contains_key(&member.service) {
-            planners.insert(member.service.clone(), Planner::default());
-        }
-        if let Some(planner) = planners.get_mut(&member.service) {
-            planner.observe(std::slice::from_ref(member));
-        }
+        let planner = planners.entry(member.service.clone()).or_default();
+        planner.observe(std::slice::from_ref(member));
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,35 +140,47 @@
     last_event: Option<u64>,
 ) -> (Seat, Outcome) {
     loop {
-        let moved = {
-            let outgoing = inbound.outgoing(last_event);
-            let mut sending = pin!(attempt::send(site, &seat, &outgoing));
-            match tokio::time::timeout(seat.stuck_after(), sending.as_mut()).await {
-                Ok(outcome) => Err(outcome),
-                Err(_) => {
-                    note_stuck(site, inbound, &seat);
-                    tries.ran += 1;
-                    let other = elsewhere(site, inbound, tries, &seat, last_event);
-                    match other {
-                        Some(other) => Ok(other),
-                        None => {
-                            tries.ran -= 1;
-                            Err(sending.await)
-                        }
-                    }
-                }
-            }
-        };
-        match moved {
-            Ok(other) => {
+        match send_once(site, inbound, tries, &seat, last_event).await {
+            Sent::Settled(outcome) => return (seat, outcome),
+            Sent::Stuck(other) => {
                 log_try(site, inbound, &seat, "unknown", STUCK);
                 seat = other;
             }
-            Err(outcome) => return (seat, outcome),
         }
     }
 }
 
+/// What became of one send.
+enum Sent {
+    /// It came to an end.
+    Settled(Outcome),
+    /// It shows no progress; there is a place elsewhere.
+    Stuck(Seat),
+}
+
+/// Sends a request to the server of `seat`, until it is stuck there and has a place elsewhere.
+async fn send_once(
+    site: &Rc<Site>,
+    inbound: &Inbound,
+    tries: &mut Tries,
+    seat: &Seat,
+    last_event: Option<u64>,
+) -> Sent {
+    let outgoing = inbound.outgoing(last_event);
+    let mut sending = pin!(attempt::send(site, seat, &outgoing));
+    if let Ok(outcome) = tokio::time::timeout(seat.stuck_after(), sending.as_mut()).await {
+        return Sent::Settled(outcome);
+    }
+    note_stuck(site, inbound, seat);
+    // It counts as run there if it moves.
+    tries.ran += 1;
+    if let Some(other) = elsewhere(site, inbound, tries, seat, last_event) {
+        return Sent::Stuck(other);
+    }
+    tries.ran -= 1;
+    Sent::Settled(sending.await)
+}
+
 /// Returns another place for a request that is stuck at `seat`; none if it has to stay there.
 pub fn elsewhere(
     site: &Rc<Site>,
@@ -225,12 +237,13 @@
     let permit = &inbound.permit;
     let now = site.now();
     let ran = if tries.ran > 0 { Ran::Unknown } else { Ran::No };
-    let unavailable = |detail: &str| {
-        let wait =
-            patience::pause(rand::rng().random(), inbound.deadline - now.min(inbound.deadline));
-        answer::come_back(Code::ServerUnavailable, detail, wait).ran(ran)
+    let left = inbound.deadline.saturating_duration_since(now);
+    let refuse = |code: Code, detail: &str| {
+        let wait = patience::pause(rand::rng().random(), left);
+        answer::come_back(code, detail, wait).ran(ran)
     };
-    if inbound.deadline.saturating_duration_since(now) < attempt::LEAST_TIME {
+    let unavailable = |detail: &str| refuse(Code::ServerUnavailable, detail);
+    if left < attempt::LEAST_TIME {
         return Err(Error::new(Code::AnswerTimeout, tries.cause).ran(Ran::Unknown));
     }
     if tries.sent > 0 {
@@ -246,14 +259,12 @@
         }
     }
     if tries.sent == 0 && outlasts_host(site, inbound, now) {
-        let wait =
-            patience::pause(rand::rng().random(), inbound.deadline - now.min(inbound.deadline));
-        return Err(answer::come_back(Code::Stopping, "it would be cut off here", wait));
+        return Err(refuse(Code::Stopping, "it would be cut off here"));
     }
     admit::recheck(site, permit).map_err(|e| e.ran(ran))?;
     let patience = match tries.sent {
         0 => inbound.patience,
-        _ => inbound.deadline.saturating_duration_since(now),
+        _ => left,
     };
     let ask = Ask {
         prompt: inbound.head.prompt.as_ref(),
@@ -282,7 +293,6 @@
         }
         Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
         Err(Refusal::TooLate(wait)) => {
-            let left = inbound.deadline.saturating_duration_since(now);
             let pause = patience::come_back(wait, inbound.patience, left, rand::rng().random());
             let detail = format!("expected {} ms", wait.as_millis());
             Err(answer::come_back(Code::Overloaded, detail, pause).ran(ran))
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -53,11 +53,7 @@
 impl Planner {
     /// Takes in where servers are; hosts that do not hold the duties do so too.
     pub fn observe(&mut self, members: &[Member]) {
-        for member in members {
-            if !self.domains.contains(&member.domain) {
-                self.domains.insert(member.domain.clone());
-            }
-        }
+        self.domains.extend(members.iter().map(|member| member.domain.clone()));
     }
 
     /// Begins anew: what another holder ordered meanwhile is not known.
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -50,32 +50,51 @@
 
 /// First come, first served, where the fewest requests run; all see all.
 pub struct LeastInFlight {
-    running: Vec<u32>,
-    /// The engine of each request that runs, by its number.
+    running: InFlight,
+}
+
+/// Requests that run on each engine.
+struct InFlight {
+    count: Vec<u32>,
+    /// The engine of each request that is counted, by its number.
     at: Vec<Option<usize>>,
 }
 
+impl InFlight {
+    fn new(scenario: &Scenario, requests: usize) -> Self {
+        Self { count: vec![0; scenario.engines * scenario.domains], at: vec![None; requests] }
+    }
+
+    fn begin(&mut self, number: usize, engine: usize) {
+        self.count[engine] += 1;
+        self.at[number] = Some(engine);
+    }
+
+    fn end(&mut self, number: usize) {
+        if let Some(engine) = self.at[number].take() {
+            self.count[engine] -= 1;
+        }
+    }
+}
+
 impl LeastInFlight {
     pub fn new(scenario: &Scenario, requests: usize) -> Self {
-        Self { running: vec![0; scenario.engines * scenario.domains], at: vec![None; requests] }
+        Self { running: InFlight::new(scenario, requests) }
     }
 }
 
 impl Policy for LeastInFlight {
     fn place(&mut self, _: f64, number: usize, _: &Request, _: f64, _: &[Engine]) -> Verdict {
-        let least = (0..self.running.len()).min_by_key(|engine| self.running[*engine]);
-        let engine = least.unwrap_or(0);
-        self.running[engine] += 1;
-        self.at[number] = Some(engine);
+        let count = &self.running.count;
+        let engine = (0..count.len()).min_by_key(|engine| count[*engine]).unwrap_or(0);
+        self.running.begin(number, engine);
         Verdict::Place(engine, 0)
     }
 
     fn started(&mut self, _: f64, _: usize, _: &Request) {}
 
     fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
-        if let Some(engine) = self.at[number].take() {
-            self.running[engine] -= 1;
-        }
+        self.running.end(number);
     }
 
     fn tick(&mut self, _: f64) {}
@@ -88,10 +107,8 @@
     names: Vec<ServerId>,
     domains: Vec<Domain>,
     lanes: bool,
-    /// Short streams on each engine.
-    light: Vec<u32>,
-    /// The engine of each short stream that runs, by its number.
-    at: Vec<Option<usize>>,
+    /// Short streams only.
+    light: InFlight,
 }
 
 /// As the boards count it.
@@ -106,13 +123,12 @@
             domains: (0..engines).map(|n| domain(scenario, n)).collect::<anyhow::Result<_>>()?,
             scenario: scenario.clone(),
             lanes,
-            light: vec![0; engines],
-            at: vec![None; requests],
+            light: InFlight::new(scenario, requests),
         })
     }
 
     fn kept(&self) -> BTreeSet<ServerId> {
-        let engines = self.names.iter().zip(&self.domains).zip(&self.light);
+        let engines = self.names.iter().zip(&self.domains).zip(&self.light.count);
         let engines = engines.map(|((id, domain), light)| lanes::Engine {
             id,
             domain,
@@ -147,8 +163,7 @@
         match least {
             Some((engine, wait_ms, _)) if wait_ms <= left_ms => {
                 if is_light {
-                    self.light[engine] += 1;
-                    self.at[number] = Some(engine);
+                    self.light.begin(number, engine);
                 }
                 Verdict::Place(engine, urgency)
             }
@@ -159,9 +174,7 @@
     fn started(&mut self, _: f64, _: usize, _: &Request) {}
 
     fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
-        if let Some(engine) = self.at[number].take() {
-            self.light[engine] -= 1;
-        }
+        self.light.end(number);
     }
 
     fn tick(&mut self, _: f64) {}
