gateway: logs and metrics state how the end of an answer was marked

They now have framing, bytes, events, last_event and partial_bytes (the field cause, which was always empty, is gone), and wasabi_gateway_response_ends_total counts ends by outcome and framing. What is passed on is as before.

Test: causes: ends_of_answers_are_counted_by_framing; causes, gateway and network pass.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -57,6 +57,18 @@
         pub last_event: Option<u64>,
     }
 
+    /// How the end of a response body is marked (RFC 9112, section 6.3).
+    #[derive(Copy, Default)]
+    pub enum Framing {
+        /// The head states the length.
+        Length,
+        /// The body comes in chunks, of which the last one is marked.
+        Chunked,
+        /// The body ends with its connection, so its end alone does not show that it is complete.
+        #[default]
+        Close,
+    }
+
     /// The head of a backend server's response.
     #[derive(Default)]
     pub struct ResponseHead {
@@ -69,6 +81,8 @@
         /// Whether the body has a content coding. Servers apply none, so an intermediary changed
         /// the body.
         pub encoded: bool,
+        /// How the end of the body is marked.
+        pub framing: Framing,
         /// The load reported by the server.
         pub load: Option<Load>,
         /// How long the server keeps an idle connection open, if stated.
@@ -87,3 +101,24 @@
         pub slots: u32,
     }
 }
+
+impl Framing {
+    /// Returns the framing of a response with these headers present; chunks take precedence over a
+    /// length.
+    pub fn of(has_transfer_encoding: bool, has_content_length: bool) -> Self {
+        match (has_transfer_encoding, has_content_length) {
+            (true, _) => Self::Chunked,
+            (false, true) => Self::Length,
+            (false, false) => Self::Close,
+        }
+    }
+
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -9,6 +9,8 @@
     partial: BytesMut,
     /// The last id among the events passed on.
     last_id: Option<u64>,
+    /// Number of events passed on.
+    count: u64,
 }
 
 impl Splitter {
@@ -17,6 +19,16 @@
         self.last_id
     }
 
+    /// Returns the number of events passed on.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Returns how many bytes follow the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Adds bytes and returns the events that they complete, if any.
     ///
     /// Events whose id is not greater than the last one are dropped: a server that resumes a stream
@@ -32,6 +44,7 @@
                 continue;
             }
             self.last_id = id.or(self.last_id);
+            self.count += 1;
             out.unsplit(event);
         }
         (!out.is_empty()).then(|| out.freeze())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use log::info;
 use rand::Rng as _;
 use wasabi_core::{
-    call::RequestHead,
+    call::{Framing, RequestHead},
     errors::{Code, Error, Ran, Result},
     units::ServerId,
 };
@@ -435,10 +435,12 @@
     state.count_usage(inbound.admission.workspace.as_ref());
     guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
     guard.end = if parts.status.is_server_error() { End::Failed } else { End::Served };
+    let bytes = body.len() as u64;
     let mut response = Response::new(ResponseBody::Full(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = reply::forwarded_headers(&parts.headers);
-    log_completed(state, inbound, guard, "answered", parts.status, "");
+    let received = Received { framing: reply.framing, bytes, ..Received::default() };
+    log_completed(state, inbound, guard, "answered", parts.status, &received);
     Ok(response)
 }
 
@@ -456,6 +458,21 @@
     }
 }
 
+/// What was received of a response body by the time it ended.
+#[derive(Default)]
+pub struct Received {
+    /// How its end was marked.
+    pub framing: Framing,
+    /// Bytes of the body; of a stream, those of this server's part.
+    pub bytes: u64,
+    /// Events of the whole stream that were passed on.
+    pub events: u64,
+    /// The id of the last event passed on; 0 if none had one.
+    pub last_event: u64,
+    /// Bytes after the last complete event.
+    pub partial_bytes: usize,
+}
+
 /// Logs and counts the end of a send that got a response; the request may be sent again after a
 /// 5xx.
 pub fn log_completed(
@@ -464,7 +481,7 @@
     guard: &PlacementGuard,
     outcome: &'static str,
     status: StatusCode,
-    cause: &str,
+    received: &Received,
 ) {
     let admission = &inbound.admission;
     let took = state.now().saturating_duration_since(inbound.arrived);
@@ -473,10 +490,14 @@
         .increment(1);
     metrics::histogram!("wasabi_gateway_request_seconds", "rank" => rank)
         .record(took.as_secs_f64());
+    metrics::counter!("wasabi_gateway_response_ends_total", "outcome" => outcome,
+        "framing" => received.framing.name())
+    .increment(1);
     info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
         route = admission.route.name.as_str(), server = guard.placement.member.id.as_str(),
         rank = admission.rank, status = status.as_u16(), took_ms = took.as_millis() as u64,
-        cause = cause; "{outcome}");
+        framing = received.framing.name(), bytes = received.bytes, events = received.events,
+        last_event = received.last_event, partial_bytes = received.partial_bytes; "{outcome}");
 }
 
 /// Logs and counts a failed send; `ran` says whether the server ran the request.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,12 +8,13 @@
 use http_body_util::BodyExt as _;
 use hyper::{Response, StatusCode};
 use log::info;
+use wasabi_core::call::Framing;
 use wasabi_policy::{balancer::End, stuck};
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
     events::Splitter,
-    relay::{self, AdmittedRequest, SendHistory},
+    relay::{self, AdmittedRequest, Received, SendHistory},
     response::{Abort, BodySender, ResponseBody},
     state::{CountGuard, PlacementGuard, State},
 };
@@ -39,6 +40,9 @@
         events: Splitter::default(),
         first_event_seen: false,
         last_event_at: None,
+        framing: Framing::default(),
+        received_bytes: 0,
+        partial_bytes: 0,
     };
     tokio::task::spawn_local(async move {
         let _running = running;
@@ -58,6 +62,12 @@
     first_event_seen: bool,
     /// When the last events were received.
     last_event_at: Option<Instant>,
+    /// How the end of the current server's part is marked.
+    framing: Framing,
+    /// Bytes received of the current server's part.
+    received_bytes: u64,
+    /// Bytes after the last complete event when the last part ended.
+    partial_bytes: usize,
 }
 
 /// How one server's part of a stream ended.
@@ -76,15 +86,15 @@
             match self.forward(&mut guard, backend_response).await {
                 PartEnd::Complete => {
                     guard.end = End::Served;
-                    self.log_completed(&guard, "streamed", "");
+                    self.log_completed(&guard, "streamed");
                     return;
                 }
                 PartEnd::CallerLeft => {
-                    self.log_completed(&guard, "caller left", "");
+                    self.log_completed(&guard, "caller left");
                     return;
                 }
                 PartEnd::OutOfTime => {
-                    self.log_completed(&guard, "cut at the deadline", "");
+                    self.log_completed(&guard, "cut at the deadline");
                     return self.abort().await;
                 }
                 ended @ (PartEnd::Broken(_) | PartEnd::Stuck(_)) => {
@@ -131,6 +141,7 @@
     ) -> PartEnd {
         let BackendResponse { http, reply, connection } = backend_response;
         let mut body = http.into_body();
+        (self.framing, self.received_bytes) = (reply.framing, 0);
         let mut stuck_timeout = guard.time_until_stuck();
         let mut stuck_timer_armed = true;
         loop {
@@ -152,6 +163,7 @@
                 Some(Err(_)) => return PartEnd::Broken("stream broke off"),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            self.received_bytes += bytes.len() as u64;
             let Some(events) = self.events.push(&bytes) else { continue };
             self.record_first_event(guard);
             self.record_event_gap();
@@ -160,6 +172,7 @@
                 return PartEnd::CallerLeft;
             }
         }
+        self.partial_bytes = self.events.partial_bytes();
         let trailing = self.events.finish();
         if !trailing.is_empty() && !self.send(trailing).await {
             return PartEnd::CallerLeft;
@@ -280,7 +293,14 @@
         let _ = self.sender.send(Err(Abort)).await;
     }
 
-    fn log_completed(&self, guard: &PlacementGuard, outcome: &'static str, cause: &str) {
-        relay::log_completed(&self.state, &self.inbound, guard, outcome, StatusCode::OK, cause);
+    fn log_completed(&self, guard: &PlacementGuard, outcome: &'static str) {
+        let received = Received {
+            framing: self.framing,
+            bytes: self.received_bytes,
+            events: self.events.count(),
+            last_event: self.events.last_id().unwrap_or(0),
+            partial_bytes: self.partial_bytes,
+        };
+        relay::log_completed(&self.state, &self.inbound, guard, outcome, StatusCode::OK, &received);
     }
 }
--- a/tests/causes.rs
+++ b/tests/causes.rs
@@ -155,6 +155,27 @@
     Ok(())
 }
 
+#[test]
+fn ends_of_answers_are_counted_by_framing() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    let to = gateway.addresses.callers;
+    let framings = || label_values(&gateway, "wasabi_gateway_response_ends_total", "framing");
+    get(to, "/read/x", "a")?;
+    Request::new("POST", "/chat/x", "b").send(to)?;
+    assert_eq!(framings()?, string_set(&["length", "chunked"]));
+    let server = Server::start(|mut stream, _| {
+        let head = scripted::read_head(&mut stream)?;
+        stream.write_all(scripted::signed(&head, 200, "").as_bytes())?;
+        stream.shutdown(Shutdown::Both)
+    })?;
+    rig.replace_servers("app", server.address);
+    wait_for("an answer that ends with its connection", || {
+        get(to, "/read/x", "c").is_ok()
+            && framings().is_ok_and(|framings| framings.contains("close"))
+    })
+}
+
 #[test]
 fn refusals_are_counted_by_code() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
