--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a backend server of plain calls; it records every execution, so that tests can find
 //! calls that ran more than once.
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{io::Write as _, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -18,6 +18,9 @@
 pub struct Faults {
     /// Executes the call and then closes the connection without a response.
     pub lose_response: bool,
+    /// Executes the call, sends a part of the response without a length or chunks, and closes the
+    /// connection in an orderly way.
+    pub cut_response: bool,
     /// Delay of the response after the execution.
     pub response_delay: Duration,
 }
@@ -100,6 +103,15 @@
             drop(request.into_writer());
             return;
         }
-        http::respond(request, 200, json!({"receipt": receipt}).to_string());
+        let answer = json!({"receipt": receipt}).to_string();
+        if faults.cut_response {
+            let part = &answer[..answer.len() / 2];
+            let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+            let mut out = request.into_writer();
+            let written = out.write_all(format!("{head}{part}").as_bytes());
+            let _ = written.and_then(|()| out.flush());
+            return;
+        }
+        http::respond(request, 200, answer);
     }
 }
--- /dev/null
+++ b/tests/answer_ends.rs
@@ -0,0 +1,109 @@
+//! Answers of backend servers that end early, however their end is framed.
+
+use std::{io::Write as _, net::Shutdown};
+
+use wasabi_core::call::Framing;
+use wasabi_stand::{
+    caller::{Request, Response},
+    rig::Rig,
+    scripted::{self, Server},
+    server,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+const FRAMINGS: [Framing; 3] = [Framing::Close, Framing::Chunked, Framing::Length];
+const EVENTS: &str = "content-type: text/event-stream\r\n";
+const JSON: &str = "content-type: application/json\r\n";
+/// Two events and a part of a third.
+const CUT_STREAM: &str = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: ev";
+
+/// Starts a server that answers each request with `body` and closes the connection in an orderly
+/// way.
+fn serve(framing: Framing, kind: &'static str, body: &'static str) -> anyhow::Result<Server> {
+    Server::start(move |mut stream, _| {
+        let head = scripted::read_head(&mut stream)?;
+        stream.write_all(scripted::framed(&head, framing, kind, body).as_bytes())?;
+        stream.shutdown(Shutdown::Both)
+    })
+}
+
+/// Sends one request to `path` in a deployment whose servers of `service` answer with `body`.
+fn fetch(
+    service: &str,
+    path: &str,
+    framing: Framing,
+    kind: &'static str,
+    body: &'static str,
+) -> anyhow::Result<Response> {
+    let rig = Rig::start(PROGRAM)?;
+    rig.replace_servers(service, serve(framing, kind, body)?.address);
+    let gateway = rig.start_gateway("g1")?;
+    Request::new("POST", path, "a1").send(gateway.addresses.callers)
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_never_looks_complete() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let response = fetch("llm", "/long/x", framing, EVENTS, CUT_STREAM)?;
+        assert_eq!(response.event_ids(), [1, 2], "{framing:?}");
+        assert!(!response.complete, "{framing:?}: {}", response.body);
+    }
+    Ok(())
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_goes_on_elsewhere() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let rig = Rig::start(PROGRAM)?;
+        let cut = serve(framing, EVENTS, CUT_STREAM)?;
+        rig.store.remove("servers", "e1");
+        rig.store.put("servers", "x1", server::store_object("llm", cut.address, "ready"));
+        let gateway = rig.start_gateway("g1")?;
+        while cut.connections() == 0 {
+            let response = Request::new("POST", "/chat/x", "b1").send(gateway.addresses.callers)?;
+            assert_eq!(response.event_ids(), (1..=10).collect::<Vec<_>>(), "{framing:?}");
+            assert!(response.complete, "{framing:?}");
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_is_passed_on_whole() -> anyhow::Result<()> {
+    const WHOLE: &str = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n";
+    for framing in FRAMINGS {
+        let response = fetch("llm", "/long/x", framing, EVENTS, WHOLE)?;
+        assert_eq!((response.body.as_str(), response.complete), (WHOLE, true), "{framing:?}");
+    }
+    Ok(())
+}
+
+#[test]
+fn a_stream_without_events_is_complete_only_if_its_framing_says_so() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let response = fetch("llm", "/long/x", framing, EVENTS, "")?;
+        assert_eq!(response.complete, framing != Framing::Close, "{framing:?}");
+    }
+    Ok(())
+}
+
+/// A server may answer a streaming route with a document, for example with an error report.
+#[test]
+fn a_document_on_a_streaming_route_is_passed_on_whole() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let response = fetch("llm", "/long/x", framing, JSON, "{\"a\": 1}")?;
+        assert_eq!((response.body.as_str(), response.complete), ("{\"a\": 1}", true));
+    }
+    Ok(())
+}
+
+#[test]
+fn a_buffered_answer_that_ends_early_is_not_passed_on() -> anyhow::Result<()> {
+    for (framing, kind, body) in
+        [(Framing::Close, JSON, "{\"a\": 1, \"b"), (Framing::Length, EVENTS, CUT_STREAM)]
+    {
+        let response = fetch("app", "/write/x", framing, kind, body)?;
+        assert_eq!(response.status, 502, "{kind}: {response:?}");
+    }
+    Ok(())
+}
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -127,6 +127,26 @@
     Ok(())
 }
 
+#[test]
+fn an_answer_that_ends_early_is_never_stored_as_the_outcome() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &two_hosts())?;
+    let cut_responses = |cut: bool| {
+        for service in &rig.services {
+            service.update_faults(|faults| faults.cut_response = cut);
+        }
+    };
+    cut_responses(true);
+    let first = keyed_call(&rig, "x").fetch(rig.hosts[0].callers)?;
+    assert_eq!((first.code(), first.ran().as_deref()), (Some(1302), Some("unknown")));
+    cut_responses(false);
+    for host in &rig.hosts {
+        let again = keyed_call(&rig, "x").fetch(host.callers)?;
+        assert_eq!((again.code(), again.ran().as_deref()), (Some(1404), Some("unknown")));
+    }
+    assert_eq!(execution_count(&rig, "x"), 1);
+    Ok(())
+}
+
 #[test]
 fn without_the_store_a_call_is_truly_not_run() -> anyhow::Result<()> {
     let rig = Rig::start(programs(), &two_hosts())?;
--- a/tests/stand/src/scripted.rs
+++ b/tests/stand/src/scripted.rs
@@ -11,6 +11,10 @@
     time::Duration,
 };
 
+use wasabi_core::call::Framing;
+
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+const LAST_CHUNK: &str = "0\r\n\r\n";
 /// Ends a script whose next request does not arrive.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -80,3 +84,16 @@
          server-load: 1,0,8\r\n{extra}\r\n"
     )
 }
+
+/// Returns a signed response to the request with `head`, its body framed as stated. With
+/// `Framing::Close` the connection must be closed after it.
+pub fn framed(head: &str, framing: Framing, extra: &str, body: &str) -> String {
+    let (length, chunk) = (body.len(), format!("{:x}\r\n{body}\r\n", body.len()));
+    let (header, body) = match framing {
+        Framing::Length => (format!("content-length: {length}\r\n"), body.to_string()),
+        Framing::Chunked if body.is_empty() => (CHUNKED.to_string(), LAST_CHUNK.to_string()),
+        Framing::Chunked => (CHUNKED.to_string(), chunk + LAST_CHUNK),
+        Framing::Close => (String::new(), body.to_string()),
+    };
+    signed(head, 200, &format!("{extra}{header}")) + &body
+}
