A stream that ends inside an event is broken off, however its end is framed

Cause: the gateway took the end of the body for the end of the stream. For an answer with neither a length nor chunks, the body ends when the connection does, and a crash closes it in an orderly way. What was left in the splitter, a part of an event, was sent on, followed by the gateway's own last chunk; the send counted as served, so the stream was not resumed.

Change: the end of a stream is judged by its events. One splitter for both ways in (crates/answer) tells whether a stream ends inside an event; such a part is broken off and goes on at another server if the route allows it, else the caller's connection is broken. A part that ends with its connection and has no event shows nothing and counts as broken too. An answer with another media type on a streaming route is buffered, not split.

--- /dev/null
+++ b/crates/answer/src/broken.rs
@@ -0,0 +1,41 @@
+//! Why an answer is not whole.
+
+use std::fmt;
+
+use wasabi_core::errors::{Code, Error, Ran};
+
+/// Why an answer is not whole, although its end may look complete to HTTP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// An event has more bytes than are buffered.
+    EventTooLarge,
+    /// The stream ended before the blank line of its last event.
+    InsideEvent,
+    /// The stream ended with its connection, before its first event.
+    NoEvent,
+}
+
+impl Broken {
+    /// Returns the cause as logs and metrics name it.
+    pub fn cause(self) -> &'static str {
+        match self {
+            Self::EventTooLarge => "an event is too large",
+            Self::InsideEvent => "stream ended inside an event",
+            Self::NoEvent => "stream ended without an event",
+        }
+    }
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.cause())
+    }
+}
+
+impl std::error::Error for Broken {}
+
+impl From<Broken> for Error {
+    fn from(broken: Broken) -> Self {
+        Self::new(Code::AnswerBroken, broken.cause()).ran(Ran::Unknown)
+    }
+}
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -69,6 +69,20 @@
         Close,
     }
 
+    /// What a response body contains, by its media type.
+    #[derive(Copy, Default)]
+    pub enum Content {
+        /// No media type is stated.
+        #[default]
+        Unstated,
+        /// Server-sent events.
+        Events,
+        /// A JSON document.
+        Json,
+        /// Anything else.
+        Other,
+    }
+
     /// The head of a backend server's response.
     #[derive(Default)]
     pub struct ResponseHead {
@@ -83,6 +97,8 @@
         pub encoded: bool,
         /// How the end of the body is marked.
         pub framing: Framing,
+        /// What the body contains.
+        pub content: Content,
         /// The load reported by the server.
         pub load: Option<Load>,
         /// How long the server keeps an idle connection open, if stated.
@@ -122,3 +138,22 @@
         }
     }
 }
+
+impl Content {
+    /// Returns the content for the value of a `content-type` header.
+    pub fn of(content_type: Option<&str>) -> Self {
+        let Some(value) = content_type else { return Self::Unstated };
+        let media_type = value.split(';').next().unwrap_or_default().trim().to_ascii_lowercase();
+        match media_type.as_str() {
+            "text/event-stream" => Self::Events,
+            "application/json" => Self::Json,
+            other if other.ends_with("+json") => Self::Json,
+            _ => Self::Other,
+        }
+    }
+
+    /// Returns whether the body may be server-sent events.
+    pub fn may_be_events(self) -> bool {
+        matches!(self, Self::Events | Self::Unstated)
+    }
+}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, StatusCode, header};
 use tokio::{sync::oneshot, time};
 use tokio_util::sync::CancellationToken;
+use wasabi_answer::events::Splitter;
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
     io::UsageTotals,
@@ -198,7 +199,7 @@
         granted_at: std::time::Instant,
         reply: &mut Reply,
     ) -> Result<AttemptEnd> {
-        let mut splitter = sse::Splitter::default();
+        let mut splitter = Splitter::default();
         let mut limit = self.ctx.options.first_part_timeout;
         loop {
             while let Some(event) = splitter.next_event() {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,19 +1,22 @@
-//! Splits a stream of server-sent events, so that only complete events are passed on.
+//! The events of one stream, which may come from several servers in turn.
 
 use bytes::{Bytes, BytesMut};
+use wasabi_answer::{broken::Broken, events::Splitter};
+use wasabi_core::call::Framing;
 
-/// Splits bytes into complete events and drops events that were already passed on.
+/// Passes on complete events only, and each of them once.
 #[derive(Debug, Default)]
-pub struct Splitter {
-    /// The bytes of an event that is not complete yet.
-    partial: BytesMut,
+pub struct Sequence {
+    splitter: Splitter,
     /// The last id among the events passed on.
     last_id: Option<u64>,
     /// Number of events passed on.
     count: u64,
+    /// Whether the current server has sent an event.
+    part_has_event: bool,
 }
 
-impl Splitter {
+impl Sequence {
     /// Returns the last id among the events passed on; events without an id do not change it.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -26,60 +29,62 @@
 
     /// Returns how many bytes follow the last complete event.
     pub fn partial_bytes(&self) -> usize {
-        self.partial.len()
+        self.splitter.partial_bytes()
+    }
+
+    /// Starts the part of another server; the bytes of an incomplete event are discarded.
+    pub fn start_part(&mut self) {
+        self.splitter.discard_partial();
+        self.part_has_event = false;
     }
 
     /// Adds bytes and returns the events that they complete, if any.
     ///
     /// Events whose id is not greater than the last one are dropped: a server that resumes a stream
     /// may repeat them.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.partial.extend_from_slice(bytes);
+    ///
+    /// Errors: `EventTooLarge` if an event is too large.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, Broken> {
+        self.splitter.push(bytes)?;
         let mut out = BytesMut::new();
-        while let Some(end) = event_length(&self.partial) {
-            let event = self.partial.split_to(end);
-            let id = event_id(&event);
-            let duplicate = matches!((id, self.last_id), (Some(id), Some(last)) if id <= last);
-            if duplicate {
-                continue;
-            }
-            self.last_id = id.or(self.last_id);
-            self.count += 1;
-            out.unsplit(event);
+        while let Some(event) = self.splitter.next_event() {
+            self.accept(&event, &mut out);
         }
-        (!out.is_empty()).then(|| out.freeze())
+        Ok((!out.is_empty()).then(|| out.freeze()))
     }
 
-    /// Returns the bytes after the last complete event, at the end of the stream.
-    pub fn finish(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-
-    /// Discards the bytes of an incomplete event, since the stream broke off within it.
-    pub fn discard_partial(&mut self) {
-        self.partial.clear();
+    /// Ends the current server's part, whose end was marked by `framing`; returns the rest to pass
+    /// on, if any.
+    ///
+    /// Errors: `InsideEvent`, or `NoEvent` if neither its framing nor an event shows that the
+    /// server has sent all of it.
+    pub fn finish(&mut self, framing: Framing) -> Result<Option<Bytes>, Broken> {
+        let rest = self.splitter.finish()?;
+        let mut out = BytesMut::new();
+        if let Some(event) = rest {
+            self.accept(&event, &mut out);
+        }
+        if framing == Framing::Close && !self.part_has_event {
+            return Err(Broken::NoEvent);
+        }
+        Ok((!out.is_empty()).then(|| out.freeze()))
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let blank = at == line_start || (at == line_start + 1 && bytes[line_start] == b'\r');
-        if blank {
-            return Some(at + 1);
+    fn accept(&mut self, event: &[u8], out: &mut BytesMut) {
+        self.part_has_event = true;
+        let id = event_id(event);
+        if matches!((id, self.last_id), (Some(id), Some(last)) if id <= last) {
+            return;
         }
-        line_start = at + 1;
+        self.last_id = id.or(self.last_id);
+        self.count += 1;
+        out.extend_from_slice(event);
     }
-    None
 }
 
 /// Returns the number in the event's first `id` field, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -156,7 +156,7 @@
         match send_once(state, inbound, history, &guard, last_event).await {
             SendProgress::Finished(outcome) => return (guard, outcome),
             SendProgress::Stuck(other) => {
-                log_failed_send(state, inbound, &guard, "unknown", STUCK);
+                log_failed_send(state, inbound, &guard, "unknown", STUCK, None);
                 guard = other;
             }
         }
@@ -351,7 +351,8 @@
                 guard.with_balancer(|balancer, placement| balancer.observe(now, placement, load));
             }
             history.possible_runs += 1;
-            if admission.route.kind.is_stream() && status.is_success() {
+            let may_be_events = backend_response.reply.content.may_be_events();
+            if admission.route.kind.is_stream() && status.is_success() && may_be_events {
                 return Some(Ok(stream::start(
                     state,
                     inbound.clone(),
@@ -380,7 +381,7 @@
             guard.end = if cause == "turned away" { End::Rejected } else { End::Failed };
             history.avoid.push(guard.placement.member.id.clone());
             history.last_cause = cause;
-            log_failed_send(state, inbound, &guard, "not run", cause);
+            log_failed_send(state, inbound, &guard, "not run", cause, None);
             None
         }
         Outcome::Unknown(cause) => {
@@ -409,7 +410,7 @@
     guard.end = End::Failed;
     history.avoid.push(guard.placement.member.id.clone());
     history.last_cause = cause;
-    log_failed_send(state, inbound, guard, "unknown", cause);
+    log_failed_send(state, inbound, guard, "unknown", cause, None);
 }
 
 /// Buffers a response, so that the caller gets no part of one that breaks off. Once it is complete,
@@ -500,20 +501,25 @@
         last_event = received.last_event, partial_bytes = received.partial_bytes; "{outcome}");
 }
 
-/// Logs and counts a failed send; `ran` says whether the server ran the request.
+/// Logs and counts a failed send; `ran` says whether the server ran the request, `received` what
+/// arrived of a stream that broke off.
 pub fn log_failed_send(
     state: &State,
     inbound: &AdmittedRequest,
     guard: &PlacementGuard,
     ran: &'static str,
     cause: &'static str,
+    received: Option<&Received>,
 ) {
     let since_placed = state.now().saturating_duration_since(guard.placement.since);
     metrics::counter!("wasabi_gateway_failed_sends_total", "ran" => ran, "cause" => cause)
         .increment(1);
     info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
         server = guard.placement.member.id.as_str(), ran = ran, cause = cause,
-        after_ms = since_placed.as_millis() as u64; "send failed");
+        after_ms = since_placed.as_millis() as u64,
+        framing = received.map_or("", |received| received.framing.name()),
+        events = received.map_or(0, |received| received.events),
+        partial_bytes = received.map_or(0, |received| received.partial_bytes); "send failed");
 }
 
 /// Logs and counts a request that the gateway ends with an error, or a stream that it cannot
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
-    events::Splitter,
+    events::Sequence,
     relay::{self, AdmittedRequest, Received, SendHistory},
     response::{Abort, BodySender, ResponseBody},
     state::{CountGuard, PlacementGuard, State},
@@ -37,12 +37,11 @@
         inbound,
         history,
         sender,
-        events: Splitter::default(),
+        events: Sequence::default(),
         first_event_seen: false,
         last_event_at: None,
         framing: Framing::default(),
         received_bytes: 0,
-        partial_bytes: 0,
     };
     tokio::task::spawn_local(async move {
         let _running = running;
@@ -57,7 +56,7 @@
     inbound: Rc<AdmittedRequest>,
     history: SendHistory,
     sender: BodySender,
-    events: Splitter,
+    events: Sequence,
     /// Whether any event has been received.
     first_event_seen: bool,
     /// When the last events were received.
@@ -66,8 +65,6 @@
     framing: Framing,
     /// Bytes received of the current server's part.
     received_bytes: u64,
-    /// Bytes after the last complete event when the last part ended.
-    partial_bytes: usize,
 }
 
 /// How one server's part of a stream ended.
@@ -127,8 +124,8 @@
             }
             PartEnd::Complete | PartEnd::CallerLeft | PartEnd::OutOfTime => return None,
         };
-        relay::log_failed_send(&self.state, &self.inbound, &guard, "ran", cause);
-        self.events.discard_partial();
+        let received = self.received();
+        relay::log_failed_send(&self.state, &self.inbound, &guard, "ran", cause, Some(&received));
         drop(guard);
         self.resume(next).await
     }
@@ -142,6 +139,7 @@
         let BackendResponse { http, reply, connection } = backend_response;
         let mut body = http.into_body();
         (self.framing, self.received_bytes) = (reply.framing, 0);
+        self.events.start_part();
         let mut stuck_timeout = guard.time_until_stuck();
         let mut stuck_timer_armed = true;
         loop {
@@ -164,18 +162,24 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.received_bytes += bytes.len() as u64;
-            let Some(events) = self.events.push(&bytes) else { continue };
-            self.record_first_event(guard);
-            self.record_event_gap();
+            let events = match self.events.push(&bytes) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(broken) => return PartEnd::Broken(broken.cause()),
+            };
             (stuck_timeout, stuck_timer_armed) = (stuck::EVENT_GAP_TIMEOUT, true);
-            if !self.send(events).await {
+            if !self.pass_on(guard, events).await {
                 return PartEnd::CallerLeft;
             }
         }
-        self.partial_bytes = self.events.partial_bytes();
-        let trailing = self.events.finish();
-        if !trailing.is_empty() && !self.send(trailing).await {
-            return PartEnd::CallerLeft;
+        match self.events.finish(reply.framing) {
+            Ok(None) => {}
+            Ok(Some(last_event)) => {
+                if !self.pass_on(guard, last_event).await {
+                    return PartEnd::CallerLeft;
+                }
+            }
+            Err(broken) => return PartEnd::Broken(broken.cause()),
         }
         connection.release(self.state.now(), reply.keep_alive);
         PartEnd::Complete
@@ -221,9 +225,11 @@
         }
     }
 
-    /// Sends to the caller; returns whether it is still connected.
-    async fn send(&self, bytes: Bytes) -> bool {
-        self.sender.send(Ok(bytes)).await.is_ok()
+    /// Passes events on to the caller; returns whether it is still connected.
+    async fn pass_on(&mut self, guard: &PlacementGuard, events: Bytes) -> bool {
+        self.record_first_event(guard);
+        self.record_event_gap();
+        self.sender.send(Ok(events)).await.is_ok()
     }
 
     /// Resumes the stream at another server after the last event that was forwarded, first at
@@ -269,7 +275,8 @@
             };
             let cause = match outcome {
                 Outcome::Responded(backend_response)
-                    if backend_response.http.status() == StatusCode::OK =>
+                    if backend_response.http.status() == StatusCode::OK
+                        && backend_response.reply.content.may_be_events() =>
                 {
                     self.history.possible_runs += 1;
                     return Some((guard, *backend_response));
@@ -281,7 +288,7 @@
             };
             guard.end = End::Failed;
             // Logged as "unknown" even if the send did not run.
-            relay::log_failed_send(&self.state, &self.inbound, &guard, "unknown", cause);
+            relay::log_failed_send(&self.state, &self.inbound, &guard, "unknown", cause, None);
             self.history.possible_runs += u32::from(cause != "turned away");
             self.history.avoid.push(guard.placement.member.id.clone());
             self.history.last_cause = cause;
@@ -294,13 +301,17 @@
     }
 
     fn log_completed(&self, guard: &PlacementGuard, outcome: &'static str) {
-        let received = Received {
+        let (status, received) = (StatusCode::OK, self.received());
+        relay::log_completed(&self.state, &self.inbound, guard, outcome, status, &received);
+    }
+
+    fn received(&self) -> Received {
+        Received {
             framing: self.framing,
             bytes: self.received_bytes,
             events: self.events.count(),
             last_event: self.events.last_id().unwrap_or(0),
-            partial_bytes: self.partial_bytes,
-        };
-        relay::log_completed(&self.state, &self.inbound, guard, outcome, StatusCode::OK, &received);
+            partial_bytes: self.events.partial_bytes(),
+        }
     }
 }
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use wasabi_core::errors::{Code, Error, Ran};
-use wasabi_gateway::{events::Splitter, response, settings};
+use wasabi_answer::broken::Broken;
+use wasabi_core::{
+    call::Framing,
+    errors::{Code, Error, Ran},
+};
+use wasabi_gateway::{events::Sequence, response, settings};
 
 fn event(id: u64) -> String {
     format!("id: {id}\r\ndata: text {id}\n\n")
@@ -13,14 +17,14 @@
 quickcheck! {
     fn events_come_out_whole_and_in_order_however_they_are_cut(cuts: Vec<u8>, count: u8) -> bool {
         let text: String = (1..=u64::from(count % 20)).map(event).collect();
-        let mut splitter = Splitter::default();
+        let mut events = Sequence::default();
         let mut out = Vec::new();
         let mut rest = text.as_bytes();
         let mut cuts = cuts.into_iter();
         while !rest.is_empty() {
             let at = usize::from(cuts.next().unwrap_or(7)).clamp(1, rest.len());
             let (part, left) = rest.split_at(at);
-            if let Some(whole) = splitter.push(part) {
+            if let Ok(Some(whole)) = events.push(part) {
                 if !whole.ends_with(b"\n\n") {
                     return false;
                 }
@@ -28,32 +32,33 @@
             }
             rest = left;
         }
-        out == text.as_bytes() && splitter.finish().is_empty()
+        out == text.as_bytes() && events.finish(Framing::Chunked) == Ok(None)
     }
 
     fn a_stream_that_goes_on_has_no_gap_and_no_repeat(broken: u8, overlap: u8) -> bool {
         let last = u64::from(broken % 10) + 1;
-        let mut splitter = Splitter::default();
+        let mut events = Sequence::default();
         let mut out = Vec::new();
         let first: String = (1..=last).map(event).collect();
-        out.extend(splitter.push(first.as_bytes()).unwrap_or_default());
-        splitter.push(b"id: 99\nda");
-        splitter.discard_partial();
+        out.extend(events.push(first.as_bytes()).ok().flatten().unwrap_or_default());
+        let partial = events.push(b"id: 99\nda");
+        events.start_part();
         let from = last.saturating_sub(u64::from(overlap % 4)) + 1;
         let second: String = (from..=12).map(event).collect();
-        out.extend(splitter.push(second.as_bytes()).unwrap_or_default());
+        out.extend(events.push(second.as_bytes()).ok().flatten().unwrap_or_default());
         let expected: String = (1..=12).map(event).collect();
-        out == expected.as_bytes() && splitter.last_id() == Some(12)
+        partial == Ok(None) && out == expected.as_bytes() && events.last_id() == Some(12)
     }
 }
 
 #[test]
 fn events_without_an_id_pass() {
-    let mut splitter = Splitter::default();
-    let whole = splitter.push(b": comment\n\nevent: x\ndata: y\n\nid: 3\ndata\n\nrest");
-    let whole = whole.expect("events");
+    let mut events = Sequence::default();
+    let whole = events.push(b": comment\n\nevent: x\ndata: y\n\nid: 3\ndata\n\nrest");
+    let whole = whole.expect("small events").expect("events");
     assert_eq!(&whole[..], b": comment\n\nevent: x\ndata: y\n\nid: 3\ndata\n\n");
-    assert_eq!(&splitter.finish()[..], b"rest");
+    assert_eq!(events.partial_bytes(), b"rest".len());
+    assert_eq!(events.finish(Framing::Chunked), Err(Broken::InsideEvent));
 }
 
 const VALID_SETTINGS: &str = r#"{"host": "h", "domain": "d", "callers": "127.0.0.1:1",
