A streamed body is complete only if its producer says so

What callers could see: an answer that was broken off without a word of its producer looked complete, and events just before a break could be lost.

A task that panicked, or in the entry a caller too slow for the marker of a broken answer to be queued in time, closed the queue, and hyper sent the last chunk. In the gateway, the error that breaks a response off was returned to hyper before the events queued ahead of it were flushed.

Change: one streamed body for both ways in (crates/answer): its producer marks the answer as finished, and if it goes away without that, the body ends with an error after the parts before it.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -1,5 +1,6 @@
-//! The bodies of backend servers' answers: where their events end, and whether they are whole.
+//! The bodies of answers: where their events end, whether they are whole, and how they are passed on.
 #![forbid(unsafe_code)]
 
+pub mod body;
 pub mod broken;
 pub mod events;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use hyper::{Response, StatusCode, header};
 use tokio::{sync::oneshot, time};
-use tokio_util::sync::CancellationToken;
-use wasabi_answer::events::Splitter;
+use wasabi_answer::{
+    body::{self, Producer},
+    events::Splitter,
+};
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
     io::UsageTotals,
@@ -16,7 +19,7 @@
 
 use crate::{
     backend_call::{self, Reply},
-    body::{Part, ResponseBody, Streamed},
+    body::ResponseBody,
     chat::{self, Usage},
     context::Context,
     dispatch::Grant,
@@ -47,33 +50,30 @@
 /// failed.
 pub async fn run(ctx: Arc<Context>, job: Job) -> Result<Response<ResponseBody>> {
     let (started_sender, started) = oneshot::channel();
-    let (sender, parts) = flume::bounded(MAX_BUFFERED_PARTS);
-    let caller_gone = CancellationToken::new();
-    let guard = caller_gone.clone().drop_guard();
     let workspace = job.workspace_id().clone();
+    let counting_ctx = ctx.clone();
+    let (producer, body) = body::channel(MAX_BUFFERED_PARTS, move |tokens| {
+        let figures = UsageTotals { completion: tokens, ..UsageTotals::default() };
+        counting_ctx.counter.add(&workspace, &figures);
+    });
     let request = job.request_id.clone();
     let task = StreamTask {
-        ctx: ctx.clone(),
+        ctx,
         job,
         started: Some(started_sender),
-        parts: sender,
-        caller_gone,
+        producer,
         received_tokens: Tokens(0),
         usage: Usage::default(),
         sent: false,
     };
     tokio::spawn(task.run());
     started.await.unwrap_or_else(|_| Err(Error::new(Code::Internal, "the stream ended")))?;
-    let on_taken = move |tokens| {
-        let figures = UsageTotals { completion: tokens, ..UsageTotals::default() };
-        ctx.counter.add(&workspace, &figures);
-    };
     let response = Response::builder()
         .status(StatusCode::OK)
         .header(header::CONTENT_TYPE, "text/event-stream")
         .header(header::CACHE_CONTROL, "no-cache")
         .header("x-request-id", request.as_str());
-    Ok(response.body(Streamed::body(parts, guard, on_taken)).expect("the parts are valid"))
+    Ok(response.body(body.boxed_unsync()).expect("the parts are valid"))
 }
 
 /// Produces the parts of one streamed answer.
@@ -82,9 +82,8 @@
     job: Job,
     /// Signals that the first part is ready or that the request has failed; `None` afterwards.
     started: Option<oneshot::Sender<Result<()>>>,
-    parts: flume::Sender<Part>,
-    /// Cancelled when the caller disconnects.
-    caller_gone: CancellationToken,
+    /// Passes the answer on; the caller gets a broken answer unless it is finished.
+    producer: Producer,
     /// Tokens received from backend servers so far, over all attempts.
     received_tokens: Tokens,
     /// The last token counts that a server reported.
@@ -123,6 +122,7 @@
             let server = grant.server.name.clone();
             match self.attempt(&grant).await {
                 AttemptEnd::Complete => {
+                    self.producer.finish();
                     grant.end(Outcome::Done);
                     self.job.observe_length(&self.ctx, self.received_tokens);
                     return Ok(());
@@ -149,7 +149,7 @@
     async fn acquire(&self, resumed: bool, avoid: Option<ServerId>) -> Result<Option<Grant>> {
         let ticket = self.job.ticket(&self.ctx, resumed, avoid);
         tokio::select! {
-            () = self.caller_gone.cancelled() => Ok(None),
+            () = self.producer.caller_gone().cancelled() => Ok(None),
             () = self.job.running.cancel.cancelled() => Err(Error::new(Code::KeyWithdrawn, "")),
             grant = self.ctx.dispatch.request_grant(ticket) => grant.map(Some),
         }
@@ -159,7 +159,7 @@
     async fn attempt(&mut self, grant: &Grant) -> AttemptEnd {
         let granted_at = self.ctx.clock.now();
         let cancel = self.job.running.cancel.clone();
-        let caller_gone = self.caller_gone.clone();
+        let caller_gone = self.producer.caller_gone().clone();
         let stop = grant.stop.clone();
         tokio::select! {
             biased;
@@ -234,9 +234,9 @@
         if let Some(started) = self.started.take() {
             let _ = started.send(Ok(()));
         }
-        let sending_part = self.parts.send_async(Part::Data(event, tokens));
+        let sending_part = self.producer.send(event, tokens);
         match time::timeout(self.ctx.options.write_timeout, sending_part).await {
-            Ok(queued) => queued.is_ok(),
+            Ok(queued) => queued,
             Err(_) => {
                 self.job.close_connection.cancel();
                 false
@@ -258,10 +258,7 @@
             return;
         }
         let text = response::error_text(&e, &self.job.request_id);
-        if self.send_part(sse::event(&text), Tokens(0)).await {
-            let broken = self.parts.send_async(Part::Broken);
-            let _ = time::timeout(self.ctx.options.write_timeout, broken).await;
-        }
+        self.send_part(sse::event(&text), Tokens(0)).await;
         if e.code == Code::KeyWithdrawn {
             self.close_connection_soon();
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,6 +1,7 @@
 //! Responses to callers: the gateway's own error responses, and the bodies of all responses.
 
 use std::{
+    io,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
@@ -13,53 +14,29 @@
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use serde_json::json;
-use tokio::sync::mpsc;
+use wasabi_answer::body::Streamed;
 use wasabi_core::errors::{Code, Error, Ran};
 
-/// A body error that makes hyper close the caller's connection before the response is complete.
-#[derive(Debug)]
-pub struct Abort;
-
-impl std::fmt::Display for Abort {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the response was broken off")
-    }
-}
-
-impl std::error::Error for Abort {}
-
-/// The sender of a streamed body's chunks.
-pub type BodySender = mpsc::Sender<Result<Bytes, Abort>>;
-
 /// The body of a response.
 pub enum ResponseBody {
     /// A buffered body; empty once it has been polled.
     Full(Bytes),
-    /// A body that is forwarded as its chunks arrive.
-    Stream(mpsc::Receiver<Result<Bytes, Abort>>),
-}
-
-impl ResponseBody {
-    /// Creates a streamed body and its sender, which waits while the caller does not read.
-    pub fn stream() -> (BodySender, Self) {
-        const MAX_QUEUED_CHUNKS: usize = 4;
-        let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
-        (sender, Self::Stream(chunks))
-    }
+    /// A body that is passed on as it arrives.
+    Stream(Streamed),
 }
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = Abort;
+    type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
             Self::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Stream(chunks) => chunks.poll_recv(cx).map_ok(Frame::data),
+            Self::Stream(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,17 +8,21 @@
 use http_body_util::BodyExt as _;
 use hyper::{Response, StatusCode};
 use log::info;
-use wasabi_core::call::Framing;
+use wasabi_answer::body::{self, Producer};
+use wasabi_core::{call::Framing, units::Tokens};
 use wasabi_policy::{balancer::End, stuck};
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
     events::Sequence,
     relay::{self, AdmittedRequest, Received, SendHistory},
-    response::{Abort, BodySender, ResponseBody},
+    response::ResponseBody,
     state::{CountGuard, PlacementGuard, State},
 };
 
+/// Parts that are queued for a slow caller.
+const MAX_QUEUED_PARTS: usize = 4;
+
 /// Starts a task that forwards a stream, and returns the response that it feeds.
 pub fn start(
     state: &Rc<State>,
@@ -27,8 +31,8 @@
     guard: PlacementGuard,
     backend_response: BackendResponse,
 ) -> Response<ResponseBody> {
-    let (sender, body) = ResponseBody::stream();
-    let mut response = Response::new(body);
+    let (producer, body) = body::channel(MAX_QUEUED_PARTS, |_| {});
+    let mut response = Response::new(ResponseBody::Stream(body));
     *response.status_mut() = backend_response.http.status();
     *response.headers_mut() = attempt::stream_headers(backend_response.http.headers());
     let running = CountGuard::request(state);
@@ -36,7 +40,7 @@
         state: state.clone(),
         inbound,
         history,
-        sender,
+        producer,
         events: Sequence::default(),
         first_event_seen: false,
         last_event_at: None,
@@ -55,7 +59,8 @@
     state: Rc<State>,
     inbound: Rc<AdmittedRequest>,
     history: SendHistory,
-    sender: BodySender,
+    /// Passes the stream on; the caller gets a broken response unless it is finished.
+    producer: Producer,
     events: Sequence,
     /// Whether any event has been received.
     first_event_seen: bool,
@@ -82,6 +87,7 @@
         loop {
             match self.forward(&mut guard, backend_response).await {
                 PartEnd::Complete => {
+                    self.producer.finish();
                     guard.end = End::Served;
                     self.log_completed(&guard, "streamed");
                     return;
@@ -92,7 +98,7 @@
                 }
                 PartEnd::OutOfTime => {
                     self.log_completed(&guard, "cut at the deadline");
-                    return self.abort().await;
+                    return;
                 }
                 ended @ (PartEnd::Broken(_) | PartEnd::Stuck(_)) => {
                     match self.switch_server(guard, ended).await {
@@ -100,7 +106,7 @@
                             guard = next;
                             backend_response = next_response;
                         }
-                        None => return self.abort().await,
+                        None => return,
                     }
                 }
             }
@@ -146,7 +152,7 @@
             let remaining = self.inbound.deadline.saturating_duration_since(self.state.now());
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = self.sender.closed() => return PartEnd::CallerLeft,
+                () = self.producer.caller_gone().cancelled() => return PartEnd::CallerLeft,
                 () = tokio::time::sleep(remaining) => return PartEnd::OutOfTime,
                 () = tokio::time::sleep(stuck_timeout), if stuck_timer_armed => {
                     stuck_timer_armed = false;
@@ -229,7 +235,7 @@
     async fn pass_on(&mut self, guard: &PlacementGuard, events: Bytes) -> bool {
         self.record_first_event(guard);
         self.record_event_gap();
-        self.sender.send(Ok(events)).await.is_ok()
+        self.producer.send(events, Tokens(0)).await
     }
 
     /// Resumes the stream at another server after the last event that was forwarded, first at
@@ -271,7 +277,7 @@
             );
             let (mut guard, outcome) = tokio::select! {
                 sent = sending => sent,
-                () = self.sender.closed() => return None,
+                () = self.producer.caller_gone().cancelled() => return None,
             };
             let cause = match outcome {
                 Outcome::Responded(backend_response)
@@ -295,11 +301,6 @@
         }
     }
 
-    async fn abort(self) {
-        // An error means that the caller has left, so there is nothing to break off.
-        let _ = self.sender.send(Err(Abort)).await;
-    }
-
     fn log_completed(&self, guard: &PlacementGuard, outcome: &'static str) {
         let (status, received) = (StatusCode::OK, self.received());
         relay::log_completed(&self.state, &self.inbound, guard, outcome, status, &received);
