Documents and stores' answers that end with their connection must be whole

What callers could see: half a JSON document passed on as the answer, with a length added; in the entry, half an answer stored as the outcome of a call that may not run twice, and returned to each repeat for good. From the store: a refused write (409) or a missing object (404) whose body was cut counted as an answer.

Change: crates/answer judges a body that was received to its end, for both ways in and for the client of the store, the duties and the peers: an event stream must not end inside an event, however it is framed and on whichever route; a JSON document that ends with its connection must parse. Other answers that end with an orderly close stay whole: nothing tells them apart.

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -13,6 +13,8 @@
     InsideEvent,
     /// The stream ended with its connection, before its first event.
     NoEvent,
+    /// A JSON document without a length or chunks is incomplete.
+    InsideDocument,
 }
 
 impl Broken {
@@ -22,6 +24,7 @@
             Self::EventTooLarge => "an event is too large",
             Self::InsideEvent => "stream ended inside an event",
             Self::NoEvent => "stream ended without an event",
+            Self::InsideDocument => "answer ended inside a document",
         }
     }
 }
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod body;
 pub mod broken;
 pub mod events;
+pub mod whole;
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -67,6 +67,8 @@
         /// The body ends with its connection, so its end alone does not show that it is complete.
         #[default]
         Close,
+        /// There is no body, whatever the headers say.
+        Absent,
     }
 
     /// What a response body contains, by its media type.
@@ -119,9 +121,17 @@
 }
 
 impl Framing {
-    /// Returns the framing of a response with these headers present; chunks take precedence over a
-    /// length.
-    pub fn of(has_transfer_encoding: bool, has_content_length: bool) -> Self {
+    /// Returns the framing of a response to `method` with this status and with these headers
+    /// present; chunks take precedence over a length.
+    pub fn of(
+        method: &str,
+        status: u16,
+        has_transfer_encoding: bool,
+        has_content_length: bool,
+    ) -> Self {
+        if method == "HEAD" || matches!(status, 100..200 | 204 | 304) {
+            return Self::Absent;
+        }
         match (has_transfer_encoding, has_content_length) {
             (true, _) => Self::Chunked,
             (false, true) => Self::Length,
@@ -135,6 +145,7 @@
             Self::Length => "length",
             Self::Chunked => "chunked",
             Self::Close => "close",
+            Self::Absent => "absent",
         }
     }
 }
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -10,7 +10,9 @@
 use hyper::{Request, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time};
+use wasabi_answer::whole;
 use wasabi_core::{
+    call::{Content, Framing},
     errors::{Code, Error, Ran, Result},
     note::Server,
     units::RequestId,
@@ -35,6 +37,8 @@
     pub content_type: Option<String>,
     /// The request id that the server returned in `x-request-id`, if any.
     pub echoed: Option<String>,
+    /// How the end of the body is marked.
+    framing: Framing,
     body: Incoming,
     _connection: Connection,
 }
@@ -66,6 +70,7 @@
         http1::handshake(TokioIo::new(socket)).await.map_err(|_| not_sent("handshake failed"))?;
     let connection = Connection(tokio::spawn(connection).abort_handle());
     let host = server.address.to_string().parse().expect("an address is a header value");
+    let method = request.method().clone();
     request.headers_mut().insert(header::HOST, host);
     request.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     let failed = |code: Code| Failure { sent: true, error: Error::new(code, "").ran(Ran::Unknown) };
@@ -73,10 +78,14 @@
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
     let response = response.map_err(|_| failed(Code::AnswerBroken))?;
     let text = |name: &str| head::single_value(response.headers(), name).ok().flatten();
+    let has = |name| response.headers().contains_key(name);
+    let (has_chunks, has_length) = (has(header::TRANSFER_ENCODING), has(header::CONTENT_LENGTH));
+    let status = response.status().as_u16();
     Ok(Reply {
-        status: response.status().as_u16(),
+        status,
         content_type: text("content-type"),
         echoed: text("x-request-id"),
+        framing: Framing::of(method.as_str(), status, has_chunks, has_length),
         body: response.into_body(),
         _connection: connection,
     })
@@ -98,7 +107,7 @@
 
     /// Reads the rest of the body within `limit`.
     ///
-    /// Errors: `AnswerBroken` if it has more than `max` bytes.
+    /// Errors: `AnswerBroken` if it has more than `max` bytes, or is not whole.
     pub async fn read_body(&mut self, limit: Duration, max: usize) -> Result<Bytes> {
         let deadline = time::Instant::now() + limit;
         let mut buffer = BytesMut::new();
@@ -110,6 +119,7 @@
             }
             buffer.extend_from_slice(&data);
         }
+        whole::check(self.framing, Content::of(self.content_type.as_deref()), &buffer)?;
         Ok(buffer.freeze())
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -154,7 +154,7 @@
     connection: connection_pool::PooledConnection,
 ) -> Outcome {
     let status = http.status();
-    let reply = reply::decode(status, http.headers());
+    let reply = reply::decode(&outgoing.parts.method, status, http.headers());
     if reply.id.as_ref().is_some_and(|id| *id != outgoing.head.id) {
         return Outcome::Unknown("answer to another request");
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use log::info;
 use rand::Rng as _;
+use wasabi_answer::{broken::Broken, whole};
 use wasabi_core::{
     call::{Framing, RequestHead},
     errors::{Code, Error, Ran, Result},
@@ -431,6 +432,7 @@
         Ok(Err(_)) => return Err("answer broke off"),
         Err(_) => return Err("answer did not end in time"),
     };
+    whole::check(reply.framing, reply.content, &body).map_err(Broken::cause)?;
     let now = state.now();
     connection.release(now, reply.keep_alive);
     state.count_usage(inbound.admission.workspace.as_ref());
--- a/tests/stand/src/scripted.rs
+++ b/tests/stand/src/scripted.rs
@@ -94,6 +94,7 @@
         Framing::Chunked if body.is_empty() => (CHUNKED.to_string(), LAST_CHUNK.to_string()),
         Framing::Chunked => (CHUNKED.to_string(), chunk + LAST_CHUNK),
         Framing::Close => (String::new(), body.to_string()),
+        Framing::Absent => (String::new(), String::new()),
     };
     signed(head, 200, &format!("{extra}{header}")) + &body
 }
