A broken stream resets the connection of an HTTP/1.0 caller

What callers could see: a stream that was broken off ended like a complete one for callers that speak HTTP/1.0, among them proxies with their default settings.

Change: both ways in wrap the caller's connection (answer::connection). Once it has seen an HTTP/1.0 request, its socket is set to be reset, and only the shutdown after a complete response undoes that; so a task or process that ends in the middle resets it too. Nothing changes for HTTP/1.1.

Before: a_broken_stream_resets_the_connection_of_a_caller_without_chunks failed on both ways in (answer_ends, caller_interface): the read ended with Ok after part of the stream. After: both pass.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod body;
 pub mod broken;
+pub mod connection;
 pub mod events;
 pub mod whole;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -2,14 +2,15 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioTimer;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
     time,
 };
 use tokio_util::sync::CancellationToken;
+use wasabi_answer::connection::Connection;
 
 use crate::{context::Context, serve};
 
@@ -53,7 +54,9 @@
     let head_timeout = ctx.options.head_timeout;
     let max_head = ctx.options.max_head;
     let service_close = close.clone();
-    let service = service_fn(move |request| {
+    let (connection, resetter) = Connection::new(socket);
+    let service = service_fn(move |request: Request<Incoming>| {
+        resetter.observe(request.version());
         let answering = serve::serve(ctx.clone(), request, service_close.clone());
         async move { Ok::<_, Infallible>(answering.await) }
     });
@@ -61,7 +64,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(max_head)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(connection, service);
     let mut serving = std::pin::pin!(serving);
     tokio::select! {
         _ = serving.as_mut() => return,
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -5,13 +5,14 @@
 use hyper::{
     Request,
     body::Incoming,
-    header::{CONNECTION, HeaderValue},
+    header::{self, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
+use wasabi_answer::connection::Connection;
 use wasabi_platform::http;
 
 use crate::{
@@ -110,14 +111,18 @@
         // The caller has already closed the connection.
         return;
     }
+    let (connection, resetter) = Connection::new(stream);
     let service = {
         let state = state.clone();
         service_fn(move |request: Request<Incoming>| {
             let state = state.clone();
+            resetter.observe(request.version());
             async move {
                 let mut response = relay::serve(state.clone(), request).await;
                 if state.stopping_since.get().is_some() {
-                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                    response
+                        .headers_mut()
+                        .insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(response)
             }
@@ -129,7 +134,7 @@
         .header_read_timeout(limits.idle_timeout)
         .auto_date_header(false)
         .max_buf_size(limits.max_head.0 as usize + EXTRA_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(connection, service);
     let mut connection = pin!(connection);
     tokio::select! {
         ended = connection.as_mut() => return count_broken(ended),
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -1,6 +1,10 @@
 //! Answers of backend servers that end early, however their end is framed.
 
-use std::{io::Write as _, net::Shutdown};
+use std::{
+    io::{Read as _, Write as _},
+    net::{Shutdown, TcpStream},
+    time::Duration,
+};
 
 use wasabi_core::call::Framing;
 use wasabi_stand::{
@@ -107,3 +111,27 @@
     }
     Ok(())
 }
+
+/// To an HTTP/1.0 caller, the end of the connection is the end of the stream.
+#[test]
+fn a_broken_stream_resets_the_connection_of_a_caller_without_chunks() -> anyhow::Result<()> {
+    const WHOLE: &str = "id: 1\ndata: event 1\n\n";
+    for (body, whole) in [(WHOLE, true), (CUT_STREAM, false)] {
+        let rig = Rig::start(PROGRAM)?;
+        rig.replace_servers("llm", serve(Framing::Chunked, EVENTS, body)?.address);
+        let gateway = rig.start_gateway("g1")?;
+        let mut caller = TcpStream::connect(gateway.addresses.callers)?;
+        caller.set_read_timeout(Some(Duration::from_secs(10)))?;
+        caller.write_all(
+            b"POST /long/x HTTP/1.0\r\nhost: site.example\r\nrequest-id: c1\r\n\
+              deadline-ms: 5000\r\nauthorization: Token k1\r\ncontent-length: 0\r\n\r\n",
+        )?;
+        let mut response = Vec::new();
+        let end = caller.read_to_end(&mut response);
+        let text = String::from_utf8_lossy(&response);
+        assert!(text.starts_with("HTTP/1.0 200"), "{text}");
+        assert_eq!(end.is_ok(), whole, "{end:?}: {text}");
+        assert!(!whole || text.ends_with(WHOLE), "{text}");
+    }
+    Ok(())
+}
--- a/tests/caller_interface.rs
+++ b/tests/caller_interface.rs
@@ -98,6 +98,34 @@
     Ok(())
 }
 
+/// To an HTTP/1.0 caller, the end of the connection is the end of the stream.
+#[test]
+fn a_broken_stream_resets_the_connection_of_a_caller_without_chunks() -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &two_engines())?;
+    let body = json!({"model": "costing", "max_tokens": 5, "messages": "x", "stream": true});
+    let (body, key) = (body.to_string(), secret_of(&rig.sample.lab));
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nhost: h\r\nauthorization: Bearer {key}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    for whole in [true, false] {
+        for engine in &rig.engines {
+            engine.update_faults(|faults| faults.cut_after = (!whole).then_some(3));
+        }
+        let mut caller = TcpStream::connect(rig.hosts[0].callers)?;
+        caller.set_read_timeout(Some(Duration::from_secs(20)))?;
+        caller.write_all(request.as_bytes())?;
+        let mut response = Vec::new();
+        let end = caller.read_to_end(&mut response);
+        let text = String::from_utf8_lossy(&response);
+        assert!(text.starts_with("HTTP/1.0 200"), "{text}");
+        assert_eq!(end.is_ok(), whole, "{end:?}: {text}");
+        assert_eq!(text.contains("[DONE]"), whole, "{text}");
+    }
+    Ok(())
+}
+
 #[test]
 fn an_answer_of_another_request_is_never_passed_on() -> anyhow::Result<()> {
     let rig = Rig::start(programs(), &two_engines())?;
