remote: a response that ends early is no response

What operators could see: an order, a conditional write or a claim whose answer was cut counted as refused, with certainty, though it may have taken effect.

A head cut after "HTTP/1.1 40" has the status 40, which the adapters read as a refusal; a cut 404 or 409 decided as well.

Change: a response without as many bytes as its content-length, or without one and without a complete JSON document, is StoreUnavailable: the outcome is unknown, and is looked up as after a lost answer.

Before: a_response_that_ends_early_leaves_the_outcome_unknown failed (PlatformRefused for "HTTP/1.1 2").

--- a/crates/remote/src/http.rs
+++ b/crates/remote/src/http.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
-use wasabi_core::errors::{self, Code, Error, Result};
+use wasabi_answer::whole;
+use wasabi_core::{
+    call::{Content, Framing},
+    errors::{self, Code, Error, Result},
+};
 
 /// The base address of an outside system and the time limit of calls to it.
 #[derive(Clone, Debug)]
@@ -51,6 +55,9 @@
         }
         let response = request.send().map_err(|e| call_failed(kind, &e.to_string()))?;
         let status = response.status_code as u16;
+        if !is_whole(&response) {
+            return Err(call_failed(kind, "the response broke off"));
+        }
         let body = response.as_str().map_err(|e| call_failed(kind, &e.to_string()))?.to_string();
         match status {
             429 => Err(Error::new(Code::StoreBusy, kind)),
@@ -60,6 +67,16 @@
     }
 }
 
+/// Returns whether a response was received to its end. `minreq` reports neither a head nor a body
+/// that ends early, so a response without a length must be a complete JSON document.
+fn is_whole(response: &minreq::Response) -> bool {
+    let body = response.as_bytes();
+    match response.header("content-length") {
+        Some(length) => length.trim().parse() == Ok(body.len()),
+        None => whole::check(Framing::Close, Content::Json, body).is_ok(),
+    }
+}
+
 fn call_failed(kind: &str, detail: &str) -> Error {
     metrics::counter!("wasabi_platform_failures_total").increment(1);
     errors::unavailable(format!("{kind}: {detail}"))
--- /dev/null
+++ b/crates/remote/tests/cut.rs
@@ -0,0 +1,73 @@
+//! Responses of the outside systems that end early.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
+
+use wasabi_core::{
+    errors::{Code, Error},
+    io::{Condition, Provider as _, Store as _},
+    units::Version,
+};
+use wasabi_remote::{http::Endpoint, provider, store};
+
+/// Responses that are cut at every kind of place, and that `minreq` reads without an error.
+const CUT: [&str; 7] = [
+    "HTTP/1.1 2",
+    "HTTP/1.1 40",
+    "HTTP/1.1 404",
+    "HTTP/1.1 409 Conflict\r\ncontent-len",
+    "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"version\": 7",
+    "HTTP/1.1 404 X\r\ncontent-length: 5\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nd\r\n{\"version\"",
+];
+
+/// Answers each connection with `response` and closes it.
+fn endpoint(response: &'static str) -> anyhow::Result<Endpoint> {
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let url = format!("http://{}", listener.local_addr()?);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut request = [0; 4096];
+            // What the client has sent does not matter here.
+            let _ = stream.read(&mut request).and_then(|_| stream.write_all(response.as_bytes()));
+        }
+    });
+    Ok(Endpoint::new(&url, Duration::from_secs(2)))
+}
+
+fn code<T>(result: Result<T, Error>) -> Option<Code> {
+    result.err().map(|e| e.code)
+}
+
+#[test]
+fn a_response_that_ends_early_leaves_the_outcome_unknown() -> anyhow::Result<()> {
+    for response in CUT {
+        let store = store::Client::new(endpoint(response)?);
+        let provider = provider::Client::new(endpoint(response)?);
+        let unknown = Some(Code::StoreUnavailable);
+        assert_eq!(code(store.put("k", "1", Condition::Absent)), unknown, "{response}");
+        assert_eq!(code(store.delete("k", Version(1))), unknown, "{response}");
+        assert_eq!(code(store.get("k")), unknown, "{response}");
+        assert_eq!(code(provider.is_accepted("i")), unknown, "{response}");
+    }
+    Ok(())
+}
+
+#[test]
+fn whole_responses_are_read() -> anyhow::Result<()> {
+    for response in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"version\":7}",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nd\r\n{\"version\":7}\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n{\"version\":7}",
+    ] {
+        let store = store::Client::new(endpoint(response)?);
+        assert_eq!(store.put("k", "1", Condition::Absent), Ok(Version(7)), "{response}");
+    }
+    let gone = store::Client::new(endpoint("HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n")?);
+    assert_eq!(gone.get("k").map(|found| found.is_none()), Ok(true));
+    Ok(())
+}
