lease: a release waits for a step in flight and is repeated

Cause: a renewal past its look at released wrote after the release had read the record, so the release conflicted with its own process and was given up. A first take-over in flight was worse: the release found nothing held, returned, and the take-over then put the ended process into the record. A release whose answer was lost was an error too.

Change: steps and the release of a lease make their calls one after the other; the release goes by the record and not by what is held, confirms a lost answer, and repeats itself if the record changed under it, as by an older renewal that had no answer.

--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use wasabi_core::{
     data,
-    errors::{Code, Error, Result},
+    errors::{self, Code, Error, Result},
     io::{self, Condition, Object, Store},
     time::Clock,
     units::{Epoch, Role, Version},
@@ -23,6 +23,9 @@
 
 use crate::failure_detector::{FailureDetector, Process};
 
+/// Attempts to write a release whose condition no longer holds.
+const MAX_RELEASE_ATTEMPTS: usize = 3;
+
 /// Parameters of a lease.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -64,6 +67,8 @@
     role: Role,
     me: Process,
     options: Options,
+    /// Held while a step or a release makes its calls.
+    calls: Mutex<()>,
     inner: Mutex<Inner>,
 }
 
@@ -73,6 +78,8 @@
     held: Option<Held>,
     /// The version of another holder's record as last seen, and when it was first seen.
     seen: Option<(Version, Instant)>,
+    /// Whether this process has ever tried to take the role.
+    may_be_recorded: bool,
     /// Set once this process has released the role.
     released: bool,
 }
@@ -94,8 +101,8 @@
         me: Process,
         options: Options,
     ) -> Self {
-        let inner = Mutex::new(Inner::default());
-        Self { store, clock, failure_detector, role, me, options, inner }
+        let (calls, inner) = (Mutex::default(), Mutex::default());
+        Self { store, clock, failure_detector, role, me, options, calls, inner }
     }
 
     /// The role that the lease is on.
@@ -116,6 +123,7 @@
 
     /// Takes, renews or observes the lease; call it about three times per lease length.
     pub fn step(&self) -> Result<()> {
+        let _calls = self.calls.lock();
         let sent = self.clock.now();
         let found = self.store.get(&self.key())?;
         if self.inner.lock().released {
@@ -134,22 +142,37 @@
         self.write(sent, condition, record.epoch + Epoch(1), record.renewal + 1)
     }
 
-    /// Releases the lease; this process does not take it again, even if the call fails.
+    /// Releases the lease, after a step that is in flight; this process does not take it again,
+    /// even if the call fails.
     pub fn release(&self) -> Result<()> {
-        let held = {
+        {
             let mut inner = self.inner.lock();
             inner.released = true;
-            inner.held.take()
-        };
-        let Some(held) = held else { return Ok(()) };
+            inner.held = None;
+        }
+        let _calls = self.calls.lock();
+        if !self.inner.lock().may_be_recorded {
+            return Ok(());
+        }
+        for _ in 0..MAX_RELEASE_ATTEMPTS {
+            match self.write_release() {
+                // A renewal without a response may have taken effect since the record was read.
+                Err(e) if e.code == Code::StoreConflict => {}
+                done => return done,
+            }
+        }
+        Err(errors::conflict(&self.key()))
+    }
+
+    /// Removes this process from the record, if it stands there.
+    fn write_release(&self) -> Result<()> {
         let Some(object) = self.store.get(&self.key())? else { return Ok(()) };
         let record: Record = io::parse(&object)?;
         if record.holder.as_ref() != Some(&self.me) {
             return Ok(());
         }
-        let free = Record { holder: None, epoch: held.epoch, renewal: record.renewal + 1 };
-        let condition = Condition::At(object.version);
-        self.store.put(&self.key(), &io::render(&free), condition).map(|_| ())
+        let free = Record { holder: None, epoch: record.epoch, renewal: record.renewal + 1 };
+        self.put_record(&free, Condition::At(object.version)).map(|_| ())
     }
 
     /// Whether the lease may be taken: it was released, or its record has been unchanged for the
@@ -176,9 +199,8 @@
 
     fn write(&self, sent: Instant, condition: Condition, epoch: Epoch, renewal: u64) -> Result<()> {
         let record = Record { holder: Some(self.me.clone()), epoch, renewal };
-        let text = io::render(&record);
-        let is_own = |found: &Object| found.value == text;
-        match io::put_confirmed(&*self.store, &self.key(), &text, condition, is_own) {
+        self.inner.lock().may_be_recorded = true;
+        match self.put_record(&record, condition) {
             Ok(_) => {
                 let until = sent + self.options.length.saturating_sub(self.options.margin);
                 let mut inner = self.inner.lock();
@@ -195,6 +217,12 @@
         }
     }
 
+    fn put_record(&self, record: &Record, condition: Condition) -> Result<Version> {
+        let text = io::render(record);
+        let is_own = |found: &Object| found.value == text;
+        io::put_confirmed(&*self.store, &self.key(), &text, condition, is_own)
+    }
+
     fn key(&self) -> String {
         key(&self.role)
     }
