tests: the ports of gateways stay reserved until they are bound

Ports were drawn by binding and released before the gateway bound them, so that another process could draw them, or an outgoing connection take them.

Change: the drawn socket stays bound, without listening, for as long as the test process runs. The kernel gives its port to nobody else; the gateway, which sets SO_REUSEADDR, binds it beside it.

--- a/tests/stand/src/gateway.rs
+++ b/tests/stand/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     io::{BufRead as _, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -17,6 +17,7 @@
 use anyhow::Context as _;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 /// The listen addresses of a gateway.
 #[derive(Clone, Copy, Debug)]
@@ -45,20 +46,30 @@
 /// Number of gateways started by this process; makes the names of settings files unique.
 static STARTED: AtomicU64 = AtomicU64::new(0);
 
-/// Picks four different free ports of 127.0.0.1.
+/// The sockets that hold picked ports for as long as this process runs.
+static RESERVATIONS: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+
+/// Picks four different free ports of 127.0.0.1 and reserves them for this process and its gateways.
 pub fn pick_ports() -> anyhow::Result<ListenAddresses> {
-    // The listeners stay open until all ports are picked, so that no port is picked twice.
-    let held: Vec<TcpListener> =
-        (0..4).map(|_| TcpListener::bind(("127.0.0.1", 0))).collect::<Result<_, _>>()?;
-    let address = |i: usize| held[i].local_addr();
     Ok(ListenAddresses {
-        callers: address(0)?,
-        ready: address(1)?,
-        peers: address(2)?,
-        operators: address(3)?,
+        callers: reserve_port()?,
+        ready: reserve_port()?,
+        peers: reserve_port()?,
+        operators: reserve_port()?,
     })
 }
 
+/// Binds a socket that does not listen: the kernel gives its port to no other process, but a
+/// listener that sets `SO_REUSEADDR`, as the gateway's do, can bind it.
+fn reserve_port() -> anyhow::Result<SocketAddr> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    let address = socket.local_addr()?.as_socket().context("not an IP address")?;
+    RESERVATIONS.lock().push(socket);
+    Ok(address)
+}
+
 /// Returns the settings of a gateway in failure domain `d1`; `store` and `duties` are the addresses
 /// of the platform's interfaces.
 pub fn settings(
@@ -107,6 +118,15 @@
         Ok(Self { child, addresses, settings_path: path, lines })
     }
 
+    /// Returns the size of the process's resident memory.
+    pub fn resident_bytes(&self) -> anyhow::Result<usize> {
+        const KIB: usize = 1024;
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()).context("no VmRSS")?;
+        Ok(kib.parse::<usize>()? * KIB)
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
