--- a/tests/network.rs
+++ b/tests/network.rs
@@ -28,6 +28,29 @@
 /// second; the rest is slack.
 const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// The size of a stream of [`serve_large_stream`].
+const EVENTS: usize = 400;
+const EVENT_BYTES: usize = 64 * 1024;
+
+/// Starts a server whose stream is larger than all buffers on its way, and returns it with the
+/// number of bytes of events that it has written.
+fn serve_large_stream() -> anyhow::Result<(Server, Arc<AtomicUsize>)> {
+    let written = Arc::new(AtomicUsize::new(0));
+    let count = written.clone();
+    let server = Server::start(move |mut stream, _| {
+        let head = scripted::read_head(&mut stream)?;
+        let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        stream.write_all(scripted::signed(&head, 200, extra).as_bytes())?;
+        for event in 1..=EVENTS {
+            let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
+            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            count.fetch_add(text.len(), Ordering::SeqCst);
+        }
+        stream.write_all(b"0\r\n\r\n")
+    })?;
+    Ok((server, written))
+}
+
 #[test]
 fn a_read_that_is_stuck_is_answered_elsewhere() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
@@ -236,29 +259,18 @@
 /// memory, and still gets its complete response.
 #[test]
 fn a_slow_reader_gets_its_answer_and_holds_up_nobody() -> anyhow::Result<()> {
-    const EVENTS: usize = 400;
-    const EVENT_BYTES: usize = 64 * 1024;
     let rig = Rig::start(PROGRAM)?;
-    let written = Arc::new(AtomicUsize::new(0));
-    let count = written.clone();
-    let server = Server::start(move |mut stream, _| {
-        let head = scripted::read_head(&mut stream)?;
-        let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-        stream.write_all(scripted::signed(&head, 200, extra).as_bytes())?;
-        for event in 1..=EVENTS {
-            let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
-            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
-            count.fetch_add(text.len(), Ordering::SeqCst);
-        }
-        stream.write_all(b"0\r\n\r\n")
-    })?;
+    let (server, written) = serve_large_stream()?;
     rig.replace_servers("llm", server.address);
     let gateway = rig.start_gateway("g1")?;
     let to = gateway.addresses.callers;
+    let resident_before = gateway.resident_bytes()?;
     let mut slow = Request::new("POST", "/chat/x", "i1").open(to)?;
     thread::sleep(Duration::from_millis(1_000));
     let buffered = written.load(Ordering::SeqCst);
     assert!(buffered < EVENTS * EVENT_BYTES / 2, "{buffered} bytes are buffered for one caller");
+    let held = gateway.resident_bytes()?.saturating_sub(resident_before);
+    assert!(held < EVENTS * EVENT_BYTES / 2, "the gateway holds {held} bytes for one caller");
     assert_eq!(Request::new("GET", "/read/x", "i2").send(to)?.status, 200);
     thread::sleep(Duration::from_millis(1_500));
     let response = caller::read(&mut slow)?;
@@ -267,6 +279,23 @@
     Ok(())
 }
 
+/// A caller that reads fast and then stops has as little buffered as one that never reads.
+#[test]
+fn a_reader_that_stops_after_a_fast_start_has_a_bounded_backlog() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let (server, written) = serve_large_stream()?;
+    rig.replace_servers("llm", server.address);
+    let gateway = rig.start_gateway("g1")?;
+    let mut caller = Request::new("POST", "/chat/x", "j1").open(gateway.addresses.callers)?;
+    socket2::SockRef::from(&caller).set_recv_buffer_size(EVENT_BYTES)?;
+    let mut start = vec![0; EVENTS * EVENT_BYTES / 3];
+    caller.read_exact(&mut start)?;
+    thread::sleep(Duration::from_millis(1_000));
+    let backlog = written.load(Ordering::SeqCst).saturating_sub(start.len());
+    assert!(backlog < EVENTS * EVENT_BYTES / 2, "{backlog} bytes are buffered for one caller");
+    Ok(())
+}
+
 /// A scaling order whose response is lost is repeated, with the same content as long as nothing
 /// else changes.
 #[test]
