gateway: peers tell the counts of incarnations that have ended

Cause: a holder that has just started asks live peers for what they counted themselves. The counts of incarnations that ended before it started are known to the peers that heard them, but were neither told nor asked for.

Change: the page of counts has the counts of this incarnation and of all that are not heard from any more, each with the window up to which it is complete. Pages of older hosts, with their own counts alone, are still read.

--- a/crates/belief/src/counts.rs
+++ b/crates/belief/src/counts.rs
@@ -50,11 +50,17 @@
         self.complete_before.get(from).is_some_and(|present| window < *present)
     }
 
-    /// The counts of incarnation `me` in the last `windows` windows for which any incarnation has
+    /// The incarnations that have reported their counts, each with the latest window that was
+    /// current when it did.
+    pub fn reporters(&self) -> impl Iterator<Item = (&Incarnation, Window)> {
+        self.complete_before.iter().map(|(from, present)| (from, *present))
+    }
+
+    /// The counts of an incarnation in the last `windows` windows for which any incarnation has
     /// counts, the newest first.
-    pub fn own(&self, me: &Incarnation, windows: usize) -> Vec<(Window, Counts)> {
-        let own = self.windows.iter().rev().take(windows);
-        own.filter_map(|(window, incarnations)| Some((*window, incarnations.get(me)?.clone())))
+    pub fn of(&self, from: &Incarnation, windows: usize) -> Vec<(Window, Counts)> {
+        let last = self.windows.iter().rev().take(windows);
+        last.filter_map(|(window, incarnations)| Some((*window, incarnations.get(from)?.clone())))
             .collect()
     }
 
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -170,7 +170,7 @@
     counts.merge(Window(7), &other, &[(workspace.clone(), 4)].into());
     counts.merge(Window(7), &other, &theirs);
     assert_eq!(counts.sum(Window(7))[&workspace], 8);
-    assert_eq!(counts.own(&me, 4), [(Window(7), [(workspace.clone(), 3)].into())]);
+    assert_eq!(counts.of(&me, 4), [(Window(7), [(workspace.clone(), 3)].into())]);
     for window in 8..40 {
         counts.count(Window(window), &me, &workspace);
     }
--- a/crates/gateway/src/peer_fetch.rs
+++ b/crates/gateway/src/peer_fetch.rs
@@ -25,7 +25,7 @@
 
 /// The path that serves the configuration and the backend servers.
 pub const SNAPSHOT_PATH: &str = "/knowledge";
-/// The path that serves the usage counts of this incarnation.
+/// The path that serves the usage counts of this incarnation and of those that have ended.
 pub const COUNTS_PATH: &str = "/counts";
 /// Timeout of a request to a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
@@ -37,6 +37,16 @@
     members: Option<(Vec<Member>, u64)>,
 }
 
+/// The body of a response to [`COUNTS_PATH`].
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum CountsPage {
+    /// The counts of all incarnations that the peer does not leave to others.
+    All(Vec<(Incarnation, CountReport)>),
+    /// Of hosts of older versions: their own counts.
+    Own(Incarnation, CountReport),
+}
+
 /// Returns this host's configuration and servers as JSON, for [`SNAPSHOT_PATH`].
 pub fn encode_snapshot(state: &State) -> Option<Bytes> {
     let now = state.now();
@@ -49,15 +59,23 @@
     serde_json::to_vec(&snapshot).ok().map(Bytes::from)
 }
 
-/// Returns this incarnation and its usage counts as JSON, for [`COUNTS_PATH`].
+/// Returns the usage counts of this incarnation, and of those that are not heard from any more, as
+/// JSON, for [`COUNTS_PATH`].
 pub fn encode_counts(state: &State) -> Option<Bytes> {
-    serde_json::to_vec(&(&state.incarnation, state.count_report())).ok().map(Bytes::from)
+    let mut reports = vec![(state.incarnation.clone(), state.count_report())];
+    reports.extend(state.count_reports_of_silent());
+    serde_json::to_vec(&reports).ok().map(Bytes::from)
 }
 
-/// Fetches and merges a peer's usage counts.
+/// Fetches and merges the usage counts that a peer knows.
 pub async fn fetch_counts(state: &State, peer: SocketAddr) -> Result<()> {
-    let (from, report): (Incarnation, CountReport) = fetch(peer, COUNTS_PATH).await?;
-    state.merge_usage(&from, &report);
+    let reports = match fetch(peer, COUNTS_PATH).await? {
+        CountsPage::All(reports) => reports,
+        CountsPage::Own(from, report) => vec![(from, report)],
+    };
+    for (from, report) in reports.iter().filter(|(from, _)| *from != state.incarnation) {
+        state.merge_usage(from, report);
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -49,6 +49,8 @@
     pub settings: RefCell<Settings>,
     /// Identifies this run of the process.
     pub incarnation: Incarnation,
+    /// When this run began.
+    pub started_at: Instant,
     /// Its monotonic time includes time in which the machine is suspended.
     pub clock: Box<dyn Clock>,
     /// The object store.
@@ -104,6 +106,7 @@
         };
         Self {
             incarnation: incarnation.clone(),
+            started_at: now,
             config: RefCell::default(),
             servers: RefCell::default(),
             balancers: RefCell::default(),
@@ -201,10 +204,33 @@
 
     /// Returns this host's own counts of the current and the previous usage windows.
     pub fn count_report(&self) -> CountReport {
-        let windows = self.usage_counts.borrow().own(&self.incarnation, ANNOUNCED_WINDOWS);
+        let windows = self.usage_counts.borrow().of(&self.incarnation, ANNOUNCED_WINDOWS);
         CountReport { present: self.usage_window(), windows }
     }
 
+    /// Returns the counts, as far as this host has heard them, of the incarnations that it does not
+    /// hear from any more.
+    pub fn count_reports_of_silent(&self) -> Vec<(Incarnation, CountReport)> {
+        let (counts, peers) = (self.usage_counts.borrow(), self.peers.borrow());
+        let is_live = |from: &Incarnation| {
+            peers.live(self.now()).any(|(_, peer)| peer.incarnation.as_ref() == Some(from))
+        };
+        let silent = counts.reporters().filter(|(from, _)| !is_live(from));
+        let report = |(from, present): (&Incarnation, Window)| {
+            let windows = counts.of(from, ANNOUNCED_WINDOWS);
+            (from.clone(), CountReport { present, windows })
+        };
+        silent.map(report).collect()
+    }
+
+    /// Whether this process ran from the beginning of a usage window on.
+    pub fn ran_since_start_of(&self, window: Window) -> bool {
+        let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
+        let now_ms = self.time_of_day.borrow().now_ms(self.now());
+        let uptime = self.now().saturating_duration_since(self.started_at);
+        now_ms.saturating_sub(uptime.as_millis() as u64) <= window.0 * length_ms
+    }
+
     /// Merges the counts of another host's incarnation.
     pub fn merge_usage(&self, from: &Incarnation, report: &CountReport) {
         let mut counts = self.usage_counts.borrow_mut();
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use wasabi_belief::counts::Counts;
+use wasabi_belief::{counts::Counts, peers::Peer};
 use wasabi_core::{
     errors::{self, Result},
     objects::{Authority, Verdict, Written},
@@ -167,14 +167,19 @@
 }
 
 /// Fetches the counts of the peers that have not announced them since the window ended: full links
-/// lose announcements.
+/// lose announcements. If this process started later than the window, it also asks other peers for
+/// the counts of incarnations that had ended by then.
 async fn fetch_missing_counts(state: &State, window: Window) {
     let missing: Vec<SocketAddr> = {
         let (peers, counts) = (state.peers.borrow(), state.usage_counts.borrow());
-        let incomplete = peers.live(state.now()).filter(|(_, peer)| {
+        let is_missing = |peer: &Peer| {
             peer.incarnation.as_ref().is_none_or(|life| !counts.is_complete(window, life))
-        });
-        incomplete.map(|(_, peer)| peer.address).collect()
+        };
+        let mut live: Vec<&Peer> = peers.live(state.now()).map(|(_, peer)| peer).collect();
+        live.sort_by_key(|peer| !is_missing(peer));
+        let incomplete = live.iter().filter(|peer| is_missing(peer)).count();
+        let witnesses = if state.ran_since_start_of(window) { 0 } else { MAX_CONCURRENT_PEERS };
+        live.iter().take(incomplete.max(witnesses)).map(|peer| peer.address).collect()
     };
     let mut failed = 0;
     for peers in missing.chunks(MAX_CONCURRENT_PEERS) {
