entry: a call cut during its first attempt may have run

What callers saw: a request whose key was withdrawn while a server worked on it was answered 1004 with ran "not run", a promise that was false; a caller that repeats it runs it twice.

Cause: whether a request may have been sent was recorded only when its attempt had ended, and a cancellation drops the attempt.

Change: the call records it before the first byte may leave, where a cancelled call keeps it.

Before: a_call_cut_during_its_first_attempt_may_have_run: "not run", buffered and streamed. After: it passes, with keys, caller_interface, idempotency and homes.

--- a/crates/entry/src/at_most_once.rs
+++ b/crates/entry/src/at_most_once.rs
@@ -117,7 +117,8 @@
         };
         let grant = grant.map_err(|error| Failure { sent: false, error })?;
         let server = grant.server.name.clone();
-        match buffered::attempt(ctx, job, &grant).await {
+        // A failure says whether this attempt was sent; the caller's cancellation does not end it.
+        match buffered::attempt(ctx, job, &grant, &mut false).await {
             Ok(answered) => {
                 grant.end(Outcome::Done);
                 return Ok(answered);
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -51,7 +51,8 @@
     }
 }
 
-/// Sends `request` to `server` and waits at most `limit` for the head of the response.
+/// Sends `request` to `server` and waits at most `limit` for the head of the response. `sent` is set
+/// before any byte of the request may be sent, so that it holds also if the call is cancelled.
 ///
 /// Connecting has a time limit of its own, `options.connect_timeout`.
 pub async fn send(
@@ -59,6 +60,7 @@
     server: &Server,
     mut request: Request<Full<Bytes>>,
     limit: Duration,
+    sent: &mut bool,
 ) -> Result<Reply, Failure> {
     let not_sent =
         |detail: &str| Failure { sent: false, error: Error::new(Code::ServerUnavailable, detail) };
@@ -74,6 +76,7 @@
     request.headers_mut().insert(header::HOST, host);
     request.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     let failed = |code: Code| Failure { sent: true, error: Error::new(code, "").ran(Ran::Unknown) };
+    *sent = true;
     let answering = time::timeout(limit, sender.send_request(request));
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
     let response = response.map_err(|_| failed(Code::AnswerBroken))?;
--- a/crates/entry/src/buffered.rs
+++ b/crates/entry/src/buffered.rs
@@ -54,9 +54,8 @@
     Ok(response::complete(answered.status, content_type, answered.body, &job.request_id))
 }
 
-/// Tries servers until one answers or the retries are used up. `sent` becomes true once
-/// an attempt has failed that may have reached a server. It is set only after the attempt, so a
-/// request that is cancelled during its first attempt is reported as not run even if it was sent.
+/// Tries servers until one answers or the retries are used up. `sent` is set before any byte of the
+/// request may be sent.
 async fn run_with_retries(
     ctx: &Arc<Context>,
     job: &Job,
@@ -68,7 +67,7 @@
         let ticket = job.ticket(ctx, retries > 0, avoid.take());
         let grant = ctx.dispatch.request_grant(ticket).await?;
         let server = grant.server.name.clone();
-        let failure = match attempt(ctx, job, &grant).await {
+        let failure = match attempt(ctx, job, &grant, sent).await {
             Ok(answered) => {
                 grant.end(Outcome::Done);
                 return Ok(answered);
@@ -76,7 +75,6 @@
             Err(failure) => failure,
         };
         grant.end(Outcome::Failed);
-        *sent |= failure.sent;
         retries += 1;
         let allowed = retries <= ctx.options.max_retries;
         if !allowed || !ctx.budget.lock().withdraw() {
@@ -86,13 +84,19 @@
     }
 }
 
-/// Sends the request to the granted server once and reads the complete answer.
-pub async fn attempt(ctx: &Context, job: &Job, grant: &Grant) -> Result<CompleteAnswer, Failure> {
+/// Sends the request to the granted server once and reads the complete answer. `sent` is set before
+/// any byte of the request may be sent.
+pub async fn attempt(
+    ctx: &Context,
+    job: &Job,
+    grant: &Grant,
+    sent: &mut bool,
+) -> Result<CompleteAnswer, Failure> {
     let granted_at = ctx.clock.now();
     let options = &ctx.options;
     let request = job.backend_request(Tokens(0));
     let mut reply =
-        backend_call::send(options, &grant.server, request, options.answer_timeout).await?;
+        backend_call::send(options, &grant.server, request, options.answer_timeout, sent).await?;
     let failed = |error: Error| Failure { sent: true, error };
     reply.check_echo(&job.request_id).map_err(failed)?;
     // A response to HEAD has no body, even if it has a `content-length`.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -174,16 +174,12 @@
         let request = self.job.backend_request(self.received_tokens);
         let ctx = self.ctx.clone();
         let options = &ctx.options;
-        let sending =
-            backend_call::send(options, &grant.server, request, options.first_part_timeout);
+        let limit = options.first_part_timeout;
+        let sending = backend_call::send(options, &grant.server, request, limit, &mut self.sent);
         let mut reply = match sending.await {
             Ok(reply) => reply,
-            Err(failure) => {
-                self.sent |= failure.sent;
-                return AttemptEnd::ServerFailed(failure.error);
-            }
+            Err(failure) => return AttemptEnd::ServerFailed(failure.error),
         };
-        self.sent = true;
         if reply.status != StatusCode::OK.as_u16() {
             return classify_error_status(reply.status);
         }
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -3,10 +3,13 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{programs, secret_of};
 use serde_json::{Value, json};
 use wasabi_standin::{
     caller::{Call, PendingResponse},
+    engine::Profile,
     process::{HostProcess, wait_until},
     proxy::{Mode, Proxy},
     rig::{self, Rig, Size},
@@ -51,6 +54,28 @@
     Ok(())
 }
 
+/// A request that a server may have run is not reported as "not run" when it is cut.
+#[test]
+fn a_call_cut_during_its_first_attempt_may_have_run() -> anyhow::Result<()> {
+    const UNANSWERED: Duration = Duration::from_secs(15);
+    let slow = Profile { first_token_delay: UNANSWERED, ..Profile::default() };
+    let rig = Rig::start(programs(), &Size { profile: slow, ..Size::default() })?;
+    rig.services[0].update_faults(|faults| faults.response_delay = UNANSWERED);
+    let (key, to) = (secret_of(&rig.sample.lab), rig.hosts[0].callers);
+    let plain = Call::get("/assets/1").bearer(key).send(to)?;
+    let streamed = Call::chat(key, "costing", "never answered", 5).send(to)?;
+    wait_until("both run", || {
+        rig.services[0].executions().len() == 1 && rig.engines[0].running() == 1
+    })?;
+    rig.apply(&withdrawal_note(&rig))?;
+    for pending in [plain, streamed] {
+        let response = pending.read()?;
+        assert_eq!(response.code(), Some(1004));
+        assert_eq!(response.ran().as_deref(), Some("unknown"));
+    }
+    Ok(())
+}
+
 #[test]
 fn withdrawal_reaches_a_host_cut_off_from_the_store() -> anyhow::Result<()> {
     let mut rig = Rig::start(programs(), &Size { hosts: 2, ..Size::default() })?;
