core: a failed confirming read leaves a write unknown

Suspected by reading, now seen: a conditional write whose answer was lost and whose confirming read was refused (429) returned StoreBusy, which promises that nothing was written. A claim of a call was then given up without being remembered; if it had taken effect it stood for the life of its process, and each repeat of the call on another host was answered that it still runs.

Change: put_confirmed returns the error of the write if the read fails.

Before: a_failed_confirming_read_leaves_the_write_unknown (StoreBusy) and a_claim_without_a_confirmation_is_cleared (Claimed) failed.

--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -218,8 +218,7 @@
 /// found does not meet `condition`. It means that this call wrote nothing, provided that no other
 /// writer replaced this call's object before the read. If the object is unchanged or missing after
 /// an unknown outcome, the write may still take effect, and its `StoreUnavailable` error is
-/// returned. If that read fails, its error is returned instead, although the write may have taken
-/// effect. Other errors are returned as they are.
+/// returned, as it is if that read fails. Other errors are returned as they are.
 pub fn put_confirmed(
     store: &dyn Store,
     key: &str,
@@ -228,9 +227,12 @@
     is_own: impl Fn(&Object) -> bool,
 ) -> Result<Version> {
     match store.put(key, value, condition) {
-        Err(unknown) if unknown.may_have_written() => match store.get(key)? {
-            Some(found) if is_own(&found) => Ok(found.version),
-            Some(found) if condition != Condition::At(found.version) => Err(errors::conflict(key)),
+        Err(unknown) if unknown.may_have_written() => match store.get(key) {
+            Ok(Some(found)) if is_own(&found) => Ok(found.version),
+            Ok(Some(found)) if condition != Condition::At(found.version) => {
+                Err(errors::conflict(key))
+            }
+            // A failed read says nothing about the write.
             _ => Err(unknown),
         },
         Err(e) if e.code == Code::StoreConflict => match store.get(key)? {
