once: no outcome is forgotten while the store is away

Suspected by reading, now seen: with 1,000 outcomes waiting for the store, each further one was dropped without a word. Its claim stayed unfinished: repeats were told that the call still runs, for the life of the process, and then that its outcome is unknown, though it was known.

Change: from 1,000 waiting outcomes on, the fact that a call ran is kept without its response; past 50,000, about 25 MB, the loss is logged as an error.

Before: no_outcome_is_forgotten_while_the_store_is_away found a claim still Claimed after the store was back. After: it passes, with idempotency and models.

--- a/crates/once/src/claims.rs
+++ b/crates/once/src/claims.rs
@@ -25,8 +25,11 @@
 /// The largest response body that is stored. Encoded as hexadecimal digits, it leaves room for the
 /// rest of the record in an object of a megabyte.
 const MAX_ANSWER_BYTES: usize = 450_000;
-/// The most outcomes, and the most abandoned claims, that wait for the store to be available again.
+/// The most outcomes that wait with their responses for the store to be available again, and the
+/// most abandoned claims.
 const MAX_PENDING: usize = 1_000;
+/// The most outcomes that wait at all; without its response one takes about half a kilobyte.
+const MAX_PENDING_FACTS: usize = 50_000;
 /// The retry delay stated to callers while the first request runs.
 const RUNNING_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// The retry delay stated to callers while the store is not available.
@@ -72,7 +75,8 @@
     clock: Arc<dyn Clock>,
     failure_detector: Arc<dyn FailureDetector>,
     me: Process,
-    /// Outcomes not yet known to be recorded; at most `MAX_PENDING`.
+    /// Outcomes not yet known to be recorded; at most `MAX_PENDING_FACTS`, and those after the first
+    /// `MAX_PENDING` without their responses.
     pending: Mutex<VecDeque<Claim>>,
     /// Claims abandoned because their write got no answer, and when; the write may still take
     /// effect.
@@ -284,12 +288,18 @@
         self.active.lock().remove(&record.token);
     }
 
-    /// Keeps an outcome for the next step, unless `MAX_PENDING` are kept already.
-    fn defer(&self, claim: Claim) {
+    /// Keeps an outcome for the next step. From `MAX_PENDING` outcomes on only the fact that the call
+    /// ran is kept, not its response.
+    fn defer(&self, mut claim: Claim) {
         let mut pending = self.pending.lock();
-        if pending.len() < MAX_PENDING {
-            pending.push_back(claim);
+        if pending.len() >= MAX_PENDING_FACTS {
+            log::error!(key = claim.key.as_str(); "the outcome of a call is lost");
+            return;
         }
+        if pending.len() >= MAX_PENDING && matches!(claim.record.progress, Progress::Ran(_)) {
+            claim.record.progress = Progress::RanTooLarge;
+        }
+        pending.push_back(claim);
     }
 
     /// Records `NotRun` for abandoned claims that did reach the store.
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -11,10 +11,13 @@
 use wasabi_lease::failure_detector::{NeverDetects, Process};
 use wasabi_once::{
     claims::{ClaimResult, Claims},
-    record::{Progress, Record},
+    record::{Progress, Record, StoredResponse},
 };
 use wasabi_standin::faulty_store::{CallResult, FaultyStore};
 
+/// More outcomes than are kept with their responses while the store is away.
+const OUTCOMES: usize = 1_001;
+
 fn claims(store: &Arc<FaultyStore>) -> anyhow::Result<Claims> {
     let me = Process { incarnation: "host-0:1".parse()?, peer: "127.0.0.1:1".parse()? };
     Ok(Claims::new(store.clone(), Arc::new(Manual::default()), Arc::new(NeverDetects), me))
@@ -28,6 +31,26 @@
     }
 }
 
+#[test]
+fn no_outcome_is_forgotten_while_the_store_is_away() -> anyhow::Result<()> {
+    let store = Arc::new(FaultyStore::default());
+    let claims = claims(&store)?;
+    let begun = (0..OUTCOMES)
+        .map(|number| begin(&claims, &format!("k{number}")))
+        .collect::<anyhow::Result<Vec<_>>>()?;
+    store.prescribe(std::iter::repeat_n(CallResult::Busy, OUTCOMES));
+    for claim in begun {
+        claims.record_ran(claim, StoredResponse::new(200, None, b"done"));
+    }
+    claims.step()?;
+    for object in store.objects.list("once/", "", OUTCOMES) {
+        let record: Record = io::parse(&object)?;
+        let ran = matches!(record.progress, Progress::Ran(_) | Progress::RanTooLarge);
+        assert!(ran, "{} is {:?}", object.key, record.progress);
+    }
+    Ok(())
+}
+
 /// The write may have taken effect, whatever the read that was to confirm it says.
 #[test]
 fn a_failed_confirming_read_leaves_the_write_unknown() {
