gateway: a server that says that it leaves gets no new request

The users' new contract: a server that leaves says so in all its answers, and a request that a caller sends later than drain_ms after such an answer must not reach it from that host, with the store or without. Until now only the list decided.

Change: the first answer with the header marks the instance (name and start of the process) as draining in the host's view of the servers, for all services and beside whatever a list or peer says; placement, affinity, resumes, repeats and orders follow it. Hosts tell their peers for 5 s, in what follows the announcement in its datagram: older hosts ignore it and send none.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -42,6 +42,15 @@
         pub counts: Option<CountReport>,
     }
 
+    /// What follows an [`Announcement`] in its datagram; hosts of older versions ignore it and send
+    /// none.
+    #[derive(Default)]
+    pub struct Addition {
+        /// Backend servers that have told the sender lately that they leave: id and start of the
+        /// process in milliseconds since the Unix epoch.
+        pub leaving_servers: Vec<(ServerId, u64)>,
+    }
+
     /// Counts of the requests that began to run in one incarnation of a host.
     pub struct CountReport {
         /// The current window at the time of the announcement.
--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use wasabi_core::{member::Member, units::ServerId};
+use wasabi_core::{
+    member::{Member, Phase},
+    units::ServerId,
+};
 
 /// A longer gap between two complete lists counts as an outage of the store. Entries lapse in the
 /// store after three missed heartbeats, also while the store is down. So after such a gap a missing
@@ -15,6 +18,15 @@
 /// Live servers restore their lapsed entries within this time after an outage.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long it is remembered that an instance said that it leaves. Lists may lag by seconds, and an
+/// instance never takes it back.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+/// The most instances that are remembered as leaving; the oldest are forgotten first.
+const MAX_LEAVING: usize = 4_096;
+
+/// One run of a server: its id and the start of its process in milliseconds since the Unix epoch.
+pub type Instance = (ServerId, u64);
+
 /// The list of backend servers. A server that is missing from a newer list is dropped at once,
 /// except during the grace period after an outage of the store.
 #[derive(Debug, Default)]
@@ -29,13 +41,45 @@
     confirmed_at: Option<Instant>,
     /// End of the grace period after the last outage.
     grace_until: Option<Instant>,
+    /// Instances that said that they leave, and when this host learned it.
+    leaving: BTreeMap<Instance, Instant>,
 }
 
 impl View {
-    /// The servers to use: those of the last list, and lapsed ones that are still kept.
+    /// The servers to use: those of the last list, and lapsed ones that are still kept. Instances
+    /// that said that they leave are draining, whatever the list says.
     pub fn get(&self) -> Vec<Member> {
         let lapsed = self.lapsed.values().map(|(member, _)| member);
-        self.listed.values().chain(lapsed).cloned().collect()
+        let mut members: Vec<Member> = self.listed.values().chain(lapsed).cloned().collect();
+        for member in &mut members {
+            if self.leaving.contains_key(&instance(member)) {
+                member.phase = Phase::Draining;
+            }
+        }
+        members
+    }
+
+    /// The instances of which this host learned since `since` that they leave, the latest first.
+    pub fn left_since(&self, since: Instant) -> Vec<Instance> {
+        let mut recent: Vec<(&Instance, &Instant)> =
+            self.leaving.iter().filter(|(_, learned)| **learned >= since).collect();
+        recent.sort_by_key(|(_, learned)| std::cmp::Reverse(**learned));
+        recent.into_iter().map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Records that an instance said that it leaves; returns whether that was new.
+    pub fn mark_leaving(&mut self, now: Instant, instance: Instance) -> bool {
+        if self.leaving.contains_key(&instance) {
+            return false;
+        }
+        self.leaving.retain(|_, since| now.saturating_duration_since(*since) < LEAVING_RETENTION);
+        if self.leaving.len() >= MAX_LEAVING {
+            let oldest = self.leaving.iter().min_by_key(|(_, since)| **since);
+            let oldest = oldest.map(|(instance, _)| instance.clone());
+            oldest.and_then(|instance| self.leaving.remove(&instance));
+        }
+        self.leaving.insert(instance, now);
+        true
     }
 
     /// The servers of the last list, without lapsed ones.
@@ -94,6 +138,11 @@
     }
 }
 
+/// The instance that a member announces.
+pub fn instance(member: &Member) -> Instance {
+    (member.id.clone(), member.born_ms)
+}
+
 fn digest(members: &BTreeMap<ServerId, Member>) -> u64 {
     let mut hasher = DefaultHasher::new();
     members.hash(&mut hasher);
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -176,3 +176,26 @@
     }
     assert!(counts.sum(Window(7)).is_empty(), "old windows are removed");
 }
+
+#[test]
+fn an_instance_that_said_that_it_leaves_stays_draining_whatever_lists_say() {
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms);
+    let mut view = members::View::default();
+    let first = member("e1", 1);
+    view.offer(now, vec![first.clone(), member("e2", 2)], now);
+    assert!(view.mark_leaving(at(10), members::instance(&first)));
+    assert!(!view.mark_leaving(at(20), members::instance(&first)), "it is known already");
+    let phases = |view: &members::View| view.get().iter().map(|m| m.phase).collect::<Vec<_>>();
+    assert_eq!(phases(&view), [Phase::Draining, Phase::Ready]);
+    // A later list still names it as ready; after an outage it lapses and comes back.
+    view.offer(at(30), vec![first.clone(), member("e2", 2)], at(30));
+    assert_eq!(phases(&view), [Phase::Draining, Phase::Ready]);
+    view.offer(at(5_000), vec![member("e2", 2)], at(5_000));
+    view.offer(at(5_100), vec![first.clone(), member("e2", 2)], at(5_100));
+    assert_eq!(phases(&view), [Phase::Draining, Phase::Ready]);
+    // Another instance under the same name, and at the same address, is another server.
+    let second = Member { born_ms: 2, ..first };
+    view.offer(at(8_000), vec![second, member("e2", 2)], at(8_000));
+    assert_eq!(phases(&view), [Phase::Ready, Phase::Ready]);
+}
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -101,6 +101,9 @@
         pub framing: Framing,
         /// What the body contains.
         pub content: Content,
+        /// Whether the server that was asked says that it is about to leave. A response of another
+        /// server at its address does not count.
+        pub leaving: bool,
         /// The load reported by the server.
         pub load: Option<Load>,
         /// How long the server keeps an idle connection open, if stated.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, Uri, body::Incoming, header::HeaderMap, http::request::Parts};
+use wasabi_belief::members;
 use wasabi_core::{
     call::{ForwardedHead, RequestHead, ResponseHead},
     catalog::Kind,
@@ -90,7 +91,13 @@
         let sending = connection.inner().sender.try_send_request(request);
         match tokio::time::timeout(remaining, sending).await {
             Err(_) => return Outcome::TimedOut,
-            Ok(Ok(http)) => return classify_response(outgoing, http, connection),
+            Ok(Ok(http)) => {
+                let reply = reply::decode(&outgoing.parts.method, http.status(), http.headers());
+                if reply.leaving {
+                    state.mark_leaving(members::instance(member), "answer");
+                }
+                return classify_response(outgoing, http, reply, connection);
+            }
             Ok(Err(mut e)) => {
                 if e.take_message().is_none() {
                     return Outcome::Unknown("connection broke");
@@ -151,10 +158,10 @@
 fn classify_response(
     outgoing: &Outgoing<'_>,
     http: Response<Incoming>,
+    reply: ResponseHead,
     connection: connection_pool::PooledConnection,
 ) -> Outcome {
     let status = http.status();
-    let reply = reply::decode(&outgoing.parts.method, status, http.headers());
     if reply.id.as_ref().is_some_and(|id| *id != outgoing.head.id) {
         return Outcome::Unknown("answer to another request");
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,7 +13,7 @@
 
 use log::{info, warn};
 use tokio::net::UdpSocket;
-use wasabi_belief::announcement::Announcement;
+use wasabi_belief::announcement::{Addition, Announcement};
 use wasabi_core::{time, units::PoolId};
 use wasabi_policy::load_report::PendingReport;
 
@@ -49,11 +49,16 @@
 const MAX_TIME_OF_DAY_DELAY: Duration = Duration::from_millis(1_000);
 /// The size of the receive buffer.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+/// How long it is announced that a server leaves; by then the store lists it as draining or gone.
+const LEAVING_ANNOUNCED_FOR: Duration = Duration::from_secs(5);
+/// The most such servers in one announcement, the latest ones.
+const MAX_ANNOUNCED_LEAVING: usize = 16;
 
 /// An announcement and the header data of its datagrams; its ages were read after `template`.
 struct Outgoing {
     template: HeaderTemplate,
     announcement: Announcement,
+    addition: Addition,
 }
 
 /// Sends and receives announcements until the process ends.
@@ -178,7 +183,8 @@
     send_time: Duration,
     is_recipient: impl Fn(&SocketAddr) -> bool,
 ) {
-    let bytes = match postcard::to_allocvec(&outgoing.announcement) {
+    let content = (&outgoing.announcement, &outgoing.addition);
+    let bytes = match postcard::to_allocvec(&content) {
         Ok(bytes) => bytes,
         Err(e) => {
             let cause = e.to_string();
@@ -211,7 +217,20 @@
     with_counts: bool,
 ) -> Outgoing {
     let template = echoes.borrow_mut().begin(state.now());
-    Outgoing { template, announcement: collect_announcement(state, with_shares, with_counts) }
+    Outgoing {
+        template,
+        announcement: collect_announcement(state, with_shares, with_counts),
+        addition: collect_addition(state),
+    }
+}
+
+/// Collects the servers of which this host learned lately that they leave.
+fn collect_addition(state: &State) -> Addition {
+    let now = state.now();
+    let since = now.checked_sub(LEAVING_ANNOUNCED_FOR).unwrap_or(now);
+    let mut leaving_servers = state.servers.borrow().left_since(since);
+    leaving_servers.truncate(MAX_ANNOUNCED_LEAVING);
+    Addition { leaving_servers }
 }
 
 /// Collects what this host announces. With load reports it takes what the balancers have placed
@@ -254,12 +273,18 @@
             Ok((length, from)) => {
                 let decoded = buffer[..length].split_at_checked(HEADER_BYTES);
                 let decoded = decoded.and_then(|(header, body)| {
-                    Some((header, postcard::from_bytes::<Announcement>(body).ok()?))
+                    let (announcement, rest) = postcard::take_from_bytes(body).ok()?;
+                    // Hosts of older versions send no addition.
+                    let addition: Addition = postcard::from_bytes(rest).unwrap_or_default();
+                    Some((header, announcement, addition))
                 });
                 match decoded {
-                    Some((header, announcement)) => {
+                    Some((header, announcement, addition)) => {
                         let earliest_send = echoes.borrow_mut().receive(from, header);
                         apply(state, from, &announcement, earliest_send);
+                        for instance in addition.leaving_servers {
+                            state.mark_leaving(instance, "peer");
+                        }
                     }
                     None => metrics::counter!("wasabi_gossip_failures_total").increment(1),
                 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -177,6 +177,17 @@
         }
     }
 
+    /// Applies that the instance of a server leaves, as it said itself or as a peer announced;
+    /// `source` is for the log.
+    pub fn mark_leaving(&self, instance: members::Instance, source: &str) {
+        let (server, born_ms) = (instance.0.clone(), instance.1);
+        if !self.servers.borrow_mut().mark_leaving(self.now(), instance) {
+            return;
+        }
+        info!(server = server.as_str(), born_ms = born_ms, source = source; "backend server leaves");
+        self.refresh_balancers();
+    }
+
     /// Removes servers that were kept after an outage of the store and whose grace period is over.
     pub fn expire_servers(&self) {
         if self.servers.borrow_mut().expire(self.now()) {
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -83,6 +83,10 @@
     planned: VecDeque<Behavior>,
     /// How requests are handled while `planned` is empty; `Serve` if unset.
     default: Option<Behavior>,
+    /// Whether all responses say that it leaves.
+    leaving: bool,
+    /// The `retry-after` header of responses that turn a request away.
+    retry_after: Option<String>,
     arrivals: Vec<Arrival>,
 }
 
@@ -123,6 +127,16 @@
         self.inner.lock().default = behavior;
     }
 
+    /// Sets whether all responses from now on say that the server leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.inner.lock().leaving = leaving;
+    }
+
+    /// Sets the `retry-after` header of responses that turn a request away.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        self.inner.lock().retry_after = value.map(str::to_string);
+    }
+
     /// Returns the requests received so far, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.inner.lock().arrivals.clone()
@@ -163,6 +177,19 @@
         headers.insert("server-load", HeaderValue::from_static("1,0,8"));
     }
 
+    /// Sets the headers that tell whether the server leaves and, of a response that turns a request
+    /// away, when it wants the next one.
+    fn set_state_headers(&self, response: &mut BoxResponse) {
+        let inner = self.inner.lock();
+        if inner.leaving {
+            response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        let wait = inner.retry_after.as_deref().filter(|_| response.status() == 503);
+        if let Some(wait) = wait.and_then(|wait| HeaderValue::from_str(wait).ok()) {
+            response.headers_mut().insert("retry-after", wait);
+        }
+    }
+
     /// Streams the events after number `after`, and records when the client goes away.
     fn stream_events(
         self: Arc<Self>,
@@ -257,6 +284,7 @@
                     guard.done = true;
                     let mut response = net::full_response(503, "");
                     response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+                    self.set_state_headers(&mut response);
                     return Some(response);
                 }
                 Behavior::Hang => std::future::pending().await,
@@ -273,6 +301,7 @@
             };
             guard.done = true;
             self.set_response_headers(&mut response, &id, behavior);
+            self.set_state_headers(&mut response);
             Some(response)
         })
     }
