policy: a server that names a time is left alone until then

The header was not read; a server that turned a request away was avoided for 100 ms.

Change: the balancer keeps a pause for each server (policy::pause): out of placement and of the choice of a session's affinity server, no failure, never shortened by a later answer, an hour at most; each host adds up to a quarter of it, 1 s at most, by its own draw, so that they do not all return at once. If every server pauses, the request is refused at once with the time until the first one is back. Values that are malformed, negative or zero are ignored.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -104,6 +104,9 @@
         /// Whether the server that was asked says that it is about to leave. A response of another
         /// server at its address does not count.
         pub leaving: bool,
+        /// For how long the server wants no request from this host, if it turned this one away and
+        /// stated a time.
+        pub retry_after: Option<Duration>,
         /// The load reported by the server.
         pub load: Option<Load>,
         /// How long the server keeps an idle connection open, if stated.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, Uri, body::Incoming, header::HeaderMap, http::request::Parts};
+use log::info;
+use rand::Rng as _;
 use wasabi_belief::members;
 use wasabi_core::{
     call::{ForwardedHead, RequestHead, ResponseHead},
@@ -96,6 +98,9 @@
                 if reply.leaving {
                     state.mark_leaving(members::instance(member), "answer");
                 }
+                if let Some(wait) = reply.retry_after {
+                    pause(state, guard, wait);
+                }
                 return classify_response(outgoing, http, reply, connection);
             }
             Ok(Err(mut e)) => {
@@ -117,6 +122,17 @@
     }
 }
 
+/// Takes the server out of placement for the time for which it wants no request.
+fn pause(state: &State, guard: &PlacementGuard, wait: Duration) {
+    let now = state.now();
+    let spread = rand::rng().random();
+    guard.with_balancer(|balancer, placement| balancer.pause(now, placement, wait, spread));
+    let member = &guard.placement.member;
+    metrics::counter!("wasabi_gateway_pauses_total", "service" => member.service.to_string())
+        .increment(1);
+    info!(server = member.id.as_str(), wait_ms = wait.as_millis() as u64; "backend server pauses");
+}
+
 /// Returns how many connections this host may open to one server: an equal share of the server's
 /// limit among the live hosts, at least [`MIN_CONNECTIONS`].
 fn connection_limit(state: &State, admission: &Admission) -> u32 {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -313,6 +313,10 @@
             Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
         }
         Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
+        Err(Refusal::Paused(wait)) => {
+            let wait = wait_limit::after_pause(wait, rand::rng().random());
+            Err(response::retry_later(Code::Overloaded, "all servers pause", wait).ran(ran))
+        }
         Err(Refusal::NoServerInTime(wait)) => {
             let pause = wait_limit::late_retry_delay(
                 wait,
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -100,6 +100,8 @@
 pub enum Refusal {
     /// No server of the service takes new work.
     NoServer,
+    /// All servers that take new work are paused; the time until the first one is back.
+    Paused(Duration),
     /// No server both has room for it and is expected to serve it within its max wait. Holds the
     /// least expected wait plus failure penalty of the servers, whether they have room or not;
     /// while announcements are stale, the wait is multiplied by the latency ratio. Servers that the
@@ -193,7 +195,17 @@
         self.stale_announcements = hosts >= STALE_ANNOUNCEMENTS_MIN_HOSTS;
     }
 
-    /// Returns the servers that take new work.
+    /// Records that the placement's server wants no request for `wait`; see [`Pause::begin`] for
+    /// `spread`. It is no failure of the server.
+    ///
+    /// [`Pause::begin`]: crate::pause::Pause::begin
+    pub fn pause(&mut self, now: Instant, place: &Placement, wait: Duration, spread: f64) {
+        if let Some(server) = self.server_of(place) {
+            server.pause.begin(now, wait, spread);
+        }
+    }
+
+    /// Returns the servers that take new work, paused ones included.
     pub fn ready(&self) -> impl Iterator<Item = &Member> {
         self.servers.values().filter(|server| server.is_ready()).map(|server| &server.member)
     }
@@ -208,8 +220,11 @@
         self.expire_peers(now);
         let mut best: Option<(f64, CostEstimate, &ServerId)> = None;
         let mut least_ms = f64::INFINITY;
-        let has_alternative = self.ready().any(|member| !ask.avoid.contains(&member.id));
-        let affinity = self.affinity_server(ask);
+        let has_alternative = self
+            .servers
+            .iter()
+            .any(|(id, server)| server.takes_work(now) && !ask.avoid.contains(id));
+        let affinity = self.affinity_server(now, ask);
         let reserved = match self.engine {
             Some(engine) => self.reserved(engine.slots),
             None => BTreeSet::new(),
@@ -223,7 +238,7 @@
         };
         for (id, server) in &self.servers {
             let avoided = ask.avoid.contains(id);
-            if !server.is_ready() || (avoided && has_alternative) {
+            if !server.takes_work(now) || (avoided && has_alternative) {
                 continue;
             }
             let estimate = match self.engine {
@@ -256,10 +271,12 @@
             }
         }
         let Some((estimate, id)) = best.map(|(_, estimate, id)| (estimate, id.clone())) else {
-            return Err(match least_ms.is_finite() {
-                true => Refusal::NoServerInTime(Duration::from_secs_f64(least_ms / 1e3)),
-                false => Refusal::NoServer,
-            });
+            if least_ms.is_finite() {
+                return Err(Refusal::NoServerInTime(Duration::from_secs_f64(least_ms / 1e3)));
+            }
+            let ready = self.servers.values().filter(|server| server.is_ready());
+            let first_back = ready.map(|server| server.pause.remaining(now)).min();
+            return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
         let server = self.servers.get_mut(&id).expect("the server was just found");
         Ok(server.assign(now, ask, estimate))
@@ -430,14 +447,15 @@
     ///
     /// Hosts that know the same servers choose the same one without any exchange, so that few
     /// engines read the prefix even while announcements are old.
-    fn affinity_server(&self, ask: &PlacementRequest) -> Option<ServerId> {
+    fn affinity_server(&self, now: Instant, ask: &PlacementRequest) -> Option<ServerId> {
         let [.., session, _] = ask.prompt?.parts.as_slice() else { return None };
         let score = |id: &ServerId| {
             let mut hasher = DefaultHasher::new();
             (session.id, id).hash(&mut hasher);
             hasher.finish()
         };
-        self.ready().map(|member| &member.id).max_by_key(|id| score(id)).cloned()
+        let working = self.servers.iter().filter(|(_, server)| server.takes_work(now));
+        working.map(|(id, _)| id).max_by_key(|id| score(id)).cloned()
     }
 
     /// Drops the counts of peers that have not announced anything for `PEER_COUNTS_TTL`.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,7 @@
 //! Two independent parts choose servers: [`scheduler`] queues the tickets of pools and grants them
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
-//! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`stuck`] and [`wait_limit`].
+//! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
 //! repeated sends.
 #![forbid(unsafe_code)]
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod load_report;
 pub mod moving_average;
+pub mod pause;
 pub mod prefix_cache;
 pub mod queue;
 pub mod repeat_budget;
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -12,6 +12,7 @@
     balancer::{Placement, PlacementRequest},
     failures::FailureHistory,
     load_report::LoadReport,
+    pause::Pause,
     prefix_cache::Cache,
     reservation,
 };
@@ -70,6 +71,7 @@
     pub(crate) peer_counts: Counts,
     pub(crate) cache: Cache,
     pub(crate) failures: FailureHistory,
+    pub(crate) pause: Pause,
 }
 
 /// Requests that run on a server.
@@ -107,10 +109,16 @@
             peer_counts: Counts::default(),
             cache: Cache::new(memory),
             failures: FailureHistory::default(),
+            pause: Pause::default(),
         }
     }
 
-    /// Returns whether the server takes new work.
+    /// Returns whether the server takes new work now: it is ready and not paused.
+    pub(crate) fn takes_work(&self, now: Instant) -> bool {
+        self.is_ready() && self.pause.remaining(now).is_zero()
+    }
+
+    /// Returns whether the server takes new work, at the latest when its pause is over.
     pub(crate) fn is_ready(&self) -> bool {
         self.member.phase == Phase::Ready
     }
--- a/crates/policy/src/wait_limit.rs
+++ b/crates/policy/src/wait_limit.rs
@@ -25,6 +25,8 @@
 /// The shortest delay before a retry that callers are asked for, unless `MAX_RETRY_DELAY_SHARE` of
 /// their time left is shorter.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Retries after a pause are spread over this part of it.
+const PAUSE_RETRY_SPREAD: f64 = 0.25;
 /// Callers wait for the retry delay only up to this share of the time that they have left.
 const MAX_RETRY_DELAY_SHARE: f64 = 0.33;
 /// The time of one answer token on a slow engine with many streams, in milliseconds: a step of 5 to
@@ -104,3 +106,9 @@
 pub fn unplaced_retry_delay(draw: f64, time_left: Duration) -> Duration {
     MIN_RETRY_DELAY.mul_f64(1.0 + draw).min(time_left.mul_f64(MAX_RETRY_DELAY_SHARE))
 }
+
+/// Returns the retry delay of a request whose servers all want none for `rest`, however long that
+/// is: an earlier retry would be refused too. `draw` is as for [`late_retry_delay`].
+pub fn after_pause(rest: Duration, draw: f64) -> Duration {
+    rest.max(MIN_RETRY_DELAY).mul_f64(1.0 + PAUSE_RETRY_SPREAD * draw)
+}
--- /dev/null
+++ b/crates/policy/tests/pause.rs
@@ -0,0 +1,115 @@
+//! Servers that want no request for a while.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use wasabi_core::member::{Member, Phase};
+use wasabi_policy::{
+    balancer::{Balancer, End, Placement, PlacementRequest, Refusal},
+    pause::Pause,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const SERVERS: usize = 4;
+
+fn balancer(now: Instant) -> Balancer {
+    let member = |i: usize| Member {
+        id: format!("s{i}").parse().expect("a name"),
+        born_ms: 1,
+        service: "app".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "d1".parse().expect("a name"),
+        slots: 6,
+        phase: Phase::Ready,
+        reclaimable: false,
+    };
+    let mut balancer = Balancer::new("d1".parse().expect("a name"));
+    balancer.set_servers(now, None, &(0..SERVERS).map(member).collect::<Vec<_>>());
+    balancer
+}
+
+fn place(balancer: &mut Balancer, now: Instant) -> Result<Placement, Refusal> {
+    let request = PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, avoid: &[] };
+    balancer.place(now, &request)
+}
+
+/// Places and ends one request a millisecond for `length`; returns how many each server got.
+fn play(
+    balancer: &mut Balancer,
+    start: Instant,
+    length: Duration,
+    mut answer: impl FnMut(&mut Balancer, Instant, &Placement) -> End,
+) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for ms in 0..length.as_millis() as u64 {
+        let now = start + Duration::from_millis(ms);
+        let Ok(placement) = place(balancer, now) else { continue };
+        *counts.entry(placement.member.id.to_string()).or_default() += 1;
+        let end = answer(balancer, now, &placement);
+        balancer.end(now, &placement, end);
+    }
+    counts
+}
+
+/// One server turns every request away for three seconds, each time with the rest of that time.
+#[test]
+fn under_load_a_pausing_server_gets_one_request_a_pause_and_the_others_take_the_rest() {
+    let start = Instant::now();
+    let mut balancer = balancer(start);
+    let counts = play(&mut balancer, start, SECOND * 3, |balancer, now, placement| {
+        if placement.member.id.as_str() != "s0" {
+            return End::Served;
+        }
+        balancer.pause(now, placement, start + SECOND * 3 - now, 0.5);
+        End::Rejected
+    });
+    assert_eq!(counts["s0"], 1, "{counts:?}");
+    let rest = counts.iter().filter(|(id, _)| id.as_str() != "s0");
+    assert_eq!(rest.map(|(_, count)| count).sum::<usize>(), 2_999, "{counts:?}");
+    let later = play(&mut balancer, start + SECOND * 5, SECOND, |_, _, _| End::Served);
+    assert!(later["s0"] > 100, "it is used again: {later:?}");
+}
+
+#[test]
+fn a_service_that_pauses_as_a_whole_is_refused_until_the_first_server_is_back() {
+    let now = Instant::now();
+    let mut balancer = balancer(now);
+    for wait in [9, 4, 30, 7] {
+        let placement = place(&mut balancer, now).expect("a server");
+        balancer.pause(now, &placement, SECOND * wait, 0.0);
+        balancer.end(now, &placement, End::Rejected);
+    }
+    assert_eq!(place(&mut balancer, now), Err(Refusal::Paused(SECOND * 4)));
+    assert_eq!(place(&mut balancer, now + SECOND * 3), Err(Refusal::Paused(SECOND)));
+    assert!(place(&mut balancer, now + SECOND * 4).is_ok());
+}
+
+#[test]
+fn a_pause_is_never_shortened_and_never_endless() {
+    let now = Instant::now();
+    let mut pause = Pause::default();
+    assert_eq!(pause.remaining(now), Duration::ZERO);
+    pause.begin(now, SECOND * 10, 0.0);
+    pause.begin(now + SECOND, Duration::from_millis(200), 0.0);
+    assert_eq!(pause.remaining(now + SECOND), SECOND * 9);
+    pause.begin(now + SECOND, SECOND * 20, 0.0);
+    assert_eq!(pause.remaining(now + SECOND), SECOND * 20, "a further answer extends it");
+    pause.begin(now, Duration::MAX, 1.0);
+    assert!(pause.remaining(now) <= Duration::from_secs(3_601));
+}
+
+#[test]
+fn hosts_come_back_spread_over_time_and_none_too_early() {
+    let now = Instant::now();
+    let back = (0..=10).map(|host| {
+        let mut pause = Pause::default();
+        pause.begin(now, SECOND * 2, f64::from(host) / 10.0);
+        pause.remaining(now)
+    });
+    let back: Vec<Duration> = back.collect();
+    assert_eq!(back[0], SECOND * 2);
+    assert_eq!(back[10], Duration::from_millis(2_500));
+    assert!(back.windows(2).all(|pair| pair[0] < pair[1]), "{back:?}");
+}
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -349,6 +349,7 @@
                 let retry_delay = wait_limit::late_retry_delay(wait, limit, left, draw);
                 Verdict::Refuse(retry_delay.as_secs_f64() * 1e3)
             }
+            Err(Refusal::Paused(wait)) => Verdict::Refuse(wait.as_secs_f64() * 1e3),
             Err(Refusal::NoServer) => Verdict::Refuse(f64::INFINITY),
         }
     }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -1,12 +1,13 @@
-//! Servers that say in their answers that they leave.
+//! Servers that say in their answers that they leave, or that they want no request for a while.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, thread, time::Duration};
 
 use serde_json::json;
 use wasabi_stand::{
     caller::Request,
     gateway::{Gateway, wait_for},
     rig::Rig,
+    server::Behavior,
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
@@ -80,3 +81,55 @@
     assert_eq!(rig.count_runs("z"), 0);
     Ok(())
 }
+
+#[test]
+fn a_server_that_names_a_time_is_left_alone_until_then() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    let to = gateway.addresses.callers;
+    rig.server("p1").set_behavior(Some(Behavior::TurnAway));
+    rig.server("p1").set_retry_after(Some("2.5"));
+    reach(&rig, "p1", &gateway)?;
+    assert_eq!(share_of(&rig, "p1", to, "a")?, 0);
+    rig.server("p1").set_behavior(None);
+    thread::sleep(Duration::from_millis(1_000));
+    assert_eq!(share_of(&rig, "p1", to, "b")?, 0, "the time is not over");
+    reach(&rig, "p1", &gateway)
+}
+
+#[test]
+fn callers_are_told_when_the_first_server_wants_requests_again() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    for (server, wait) in [("p1", "4"), ("p2", "60")] {
+        rig.server(server).set_behavior(Some(Behavior::TurnAway));
+        rig.server(server).set_retry_after(Some(wait));
+    }
+    let refuse = |id: &str| Request::new("POST", "/write/x", id).send(gateway.addresses.callers);
+    wait_for("both to turn a request away", || {
+        refuse("y").is_ok()
+            && ["p1", "p2"].iter().all(|server| !rig.server(server).arrivals().is_empty())
+    })?;
+    let before: usize = ["p1", "p2"].iter().map(|s| rig.server(s).arrivals().len()).sum();
+    let refused = refuse("z")?;
+    assert_eq!(refused.status, 503);
+    let wait: f64 = refused.headers["retry-after"].parse()?;
+    assert!((2.0..=6.5).contains(&wait), "the first server is back after 4 s, not {wait}");
+    let after: usize = ["p1", "p2"].iter().map(|s| rig.server(s).arrivals().len()).sum();
+    assert_eq!(after, before, "a server that wants nothing was asked");
+    Ok(())
+}
+
+#[test]
+fn unusable_times_are_ignored() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    for value in ["-3", "soon", "NaN", "inf", "1e400", "", "0"] {
+        rig.server("p1").set_behavior(Some(Behavior::TurnAway));
+        rig.server("p1").set_retry_after(Some(value));
+        reach(&rig, "p1", &gateway)?;
+        rig.server("p1").set_behavior(None);
+        reach(&rig, "p1", &gateway)?;
+    }
+    Ok(())
+}
