gateway: what rests on a store that was restored from an older copy is given up

The users' new contract: the store may come back from a copy some seconds old; what the system wrote since is gone, leases too, revisions are given out again, and Store-Era rises. Nothing of the gateway knew it. By the old rules a host whose name stood in a restored lease record took the lease at once with the token that a later holder had used; a new holder sealed a reported window again with other counts; a host that started served the older configuration.

Change: answers of an older era are dropped.

Tests: tests/restore.rs (6, real processes; the stand-in of the store makes backups and restores them), a generated one on the lease under restores, lost calls, lost answers and pauses.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -4,7 +4,9 @@
 
 use wasabi_core::{
     data,
-    units::{Domain, Epoch, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId},
+    units::{
+        Domain, Epoch, Era, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId,
+    },
 };
 use wasabi_policy::load_report::LoadReport;
 
@@ -49,6 +51,11 @@
         /// Backend servers that have told the sender lately that they leave: id and start of the
         /// process in milliseconds since the Unix epoch.
         pub leaving_servers: Vec<(ServerId, u64)>,
+        /// The latest era of the store that the sender knows, and for how many milliseconds it has
+        /// been known to be in force.
+        pub era: Option<(Era, u64)>,
+        /// The highest fencing token of the duties that the sender has heard of.
+        pub highest_fence: Epoch,
     }
 
     /// Counts of the requests that began to run in one incarnation of a host.
--- a/crates/belief/src/lease.rs
+++ b/crates/belief/src/lease.rs
@@ -71,6 +71,10 @@
     renew_at: Option<Instant>,
     /// After losing the lease, when this host may try to take it again.
     cooldown_until: Option<Instant>,
+    /// The highest fencing token that this host has heard of.
+    highest_fence: Epoch,
+    /// After a restore of the store, until when leases of the time before may be in force.
+    restored_until: Option<Instant>,
     /// The highest renewal number that this incarnation is known to have written.
     last_renewal: u64,
 }
@@ -87,6 +91,8 @@
             held: None,
             renew_at: None,
             cooldown_until: None,
+            highest_fence: Epoch(0),
+            restored_until: None,
             last_renewal: 0,
         }
     }
@@ -107,7 +113,8 @@
                 _ => StoreCall::Wait,
             };
         }
-        if self.cooldown_until.is_some_and(|until| now < until) || peer_holds {
+        let waits = [self.cooldown_until, self.restored_until];
+        if waits.into_iter().flatten().any(|until| now < until) || peer_holds {
             return StoreCall::Wait;
         }
         let recent = self
@@ -115,14 +122,14 @@
             .is_some_and(|at| now.saturating_duration_since(at) < self.times.renew_interval);
         match &self.seen {
             _ if self.last_read.is_none() => StoreCall::Read,
-            None => StoreCall::Create(self.record(Epoch(1))),
+            None => StoreCall::Create(self.record(self.next_fence())),
             Some((version, record, since)) => {
                 let expired = now.saturating_duration_since(*since) >= self.times.length;
                 // The record names this host: either a former incarnation, which cannot act any
                 // more, or this one, after a lost answer or after it lost the lease.
                 let is_own = record.holder.as_ref() == Some(&self.me);
                 if expired || is_own || record.holder.is_none() {
-                    return StoreCall::Replace(*version, self.record(Epoch(record.fence.0 + 1)));
+                    return StoreCall::Replace(*version, self.record(self.next_fence()));
                 }
                 if recent { StoreCall::Wait } else { StoreCall::Read }
             }
@@ -173,6 +180,28 @@
         self.renew_at = Some(now);
     }
 
+    /// Handles that the store was restored from an older copy. The record may be lost or that of an
+    /// earlier holder, so nobody acts under it, and nobody takes the lease before every lease that
+    /// was in force has expired.
+    pub fn on_restored(&mut self, now: Instant) {
+        self.held = None;
+        self.renew_at = None;
+        self.seen = None;
+        self.last_read = None;
+        self.restored_until = Some(now + self.times.length + self.times.margin);
+    }
+
+    /// Records that a host was heard to hold the lease under `fence`: a token that is taken later is
+    /// higher, also if the record of this one is lost.
+    pub fn note_fence(&mut self, fence: Epoch) {
+        self.highest_fence = self.highest_fence.max(fence);
+    }
+
+    /// The highest fencing token that this host has heard of.
+    pub fn highest_fence(&self) -> Epoch {
+        self.highest_fence
+    }
+
     /// Handles a call that was refused because of its fencing token: the lease is lost.
     pub fn on_fenced(&mut self, now: Instant) {
         self.drop_held(now);
@@ -200,9 +229,14 @@
             Some((known, _, since)) if *known == version => *since,
             _ => now,
         };
+        self.note_fence(record.fence);
         self.seen = Some((version, record, since));
     }
 
+    fn next_fence(&self) -> Epoch {
+        Epoch(self.highest_fence.0 + 1)
+    }
+
     fn drop_held(&mut self, now: Instant) {
         if self.held.take().is_some() {
             self.cooldown_until = Some(now + self.times.cooldown);
--- a/crates/belief/src/lib.rs
+++ b/crates/belief/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod cluster_clock;
 pub mod counts;
+pub mod era;
 pub mod host_record;
 pub mod lease;
 pub mod members;
--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -122,6 +122,12 @@
         before != self.get()
     }
 
+    /// Handles that the store was restored from an older copy: entries written since are missing until
+    /// their servers write them again, as after an outage.
+    pub fn on_restored(&mut self, now: Instant) {
+        self.grace_until = Some(now + OUTAGE_GRACE);
+    }
+
     /// Records that the list with this digest was complete at `confirmed_at`; ignored for any other
     /// digest.
     pub fn confirm(&mut self, digest: u64, confirmed_at: Instant) {
--- a/crates/belief/tests/lease.rs
+++ b/crates/belief/tests/lease.rs
@@ -167,3 +167,60 @@
     }
     QuickCheck::new().tests(200).quickcheck(property as fn(Vec<u8>) -> TestResult);
 }
+
+/// Hosts hear each other's tokens, and notice a restore of the store with its next answer.
+#[test]
+fn with_restores_too_at_most_one_host_acts_and_no_fence_has_two_holders() {
+    fn property(seed: Vec<u8>) -> TestResult {
+        if seed.len() < 40 {
+            return TestResult::discard();
+        }
+        let start = Instant::now();
+        let mut store = Store::default();
+        let mut history: Vec<Option<(Version, Record)>> = Vec::new();
+        let mut era = 0;
+        let mut hosts = [lease("a"), lease("b"), lease("c")];
+        let mut eras = [0; 3];
+        let mut holders: std::collections::BTreeMap<u64, usize> = Default::default();
+        for (i, byte) in seed.iter().cycle().take(900).enumerate() {
+            let now = start + Duration::from_millis(i as u64 * 100);
+            history.push(store.record.clone());
+            if i % 97 == 96 {
+                // The copy is some seconds old; versions are given out again from there.
+                let age = 1 + usize::from(*byte) % 60;
+                store.record = history[history.len().saturating_sub(age)].clone();
+                store.count = store.record.as_ref().map_or(0, |(version, _)| version.0);
+                era += 1;
+            }
+            for h in 0..hosts.len() {
+                let fault = match byte.rotate_left(h as u32 * 3) % 8 {
+                    0 => Fault::CallLost,
+                    1 => Fault::AnswerLost,
+                    2 => Fault::Paused,
+                    _ => Fault::None,
+                };
+                tick(&mut hosts[h], &mut store, now, false, fault);
+                if fault == Fault::None && eras[h] != era {
+                    eras[h] = era;
+                    hosts[h].on_restored(now);
+                }
+            }
+            let highest = hosts.iter().map(Lease::highest_fence).max();
+            highest
+                .into_iter()
+                .for_each(|fence| hosts.iter_mut().for_each(|h| h.note_fence(fence)));
+            let holding: Vec<usize> = (0..3).filter(|h| hosts[*h].fence(now).is_some()).collect();
+            if holding.len() > 1 {
+                return TestResult::error(format!("{holding:?} hold it at tick {i}"));
+            }
+            for h in holding {
+                let fence = hosts[h].fence(now).expect("it holds").0;
+                if *holders.entry(fence).or_insert(h) != h {
+                    return TestResult::error(format!("fencing token {fence} has two holders"));
+                }
+            }
+        }
+        TestResult::passed()
+    }
+    QuickCheck::new().tests(200).quickcheck(property as fn(Vec<u8>) -> TestResult);
+}
--- a/crates/core/src/objects.rs
+++ b/crates/core/src/objects.rs
@@ -10,7 +10,7 @@
     data,
     errors::Result,
     member::Member,
-    units::{Domain, Epoch, HostId, PoolId, Version, Window, WorkspaceId},
+    units::{Domain, Epoch, Era, HostId, PoolId, Version, Window, WorkspaceId},
 };
 
 /// The future of an asynchronous call to the platform.
@@ -73,7 +73,13 @@
 /// The platform's store of the configuration, the announced servers and the router's own objects.
 ///
 /// Reads are linearizable: each shows every write that was acknowledged before the read was sent.
+///
+/// The store may be restored from an older copy: what the router wrote since is gone, and versions
+/// are given out again. Responses of an older era than the latest one are errors.
 pub trait MetadataStore {
+    /// Returns the latest era that a response has stated; `None` before the first one.
+    fn era(&self) -> Option<Era>;
+
     /// Reads the latest configuration; `None` if none has been stored yet.
     fn catalog(&self) -> CallFuture<'_, Option<Catalog>>;
 
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -55,6 +55,11 @@
     Role
 );
 
+quantity!(
+    /// Counts how often the store was restored from an older copy; versions of different eras do
+    /// not compare.
+    Era
+);
 quantity!(
     /// A number of tokens.
     Tokens
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -36,6 +36,7 @@
 
 /// Returns the holder and fencing number for a call, if this host holds the lease.
 pub fn authority(state: &State) -> Option<Authority> {
+    state.check_era();
     let fence = state.lease.borrow().fence(state.now())?;
     Some(Authority { holder: state.settings.borrow().host.clone(), fence })
 }
@@ -59,6 +60,7 @@
             release(state).await;
             return;
         }
+        state.check_era();
         let peer_holds = state.peers.borrow().live(now).any(|(_, peer)| peer.fence.is_some());
         let call = state.lease.borrow().next_call(now, peer_holds);
         let idle = call == StoreCall::Wait;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -230,7 +230,9 @@
     let since = now.checked_sub(LEAVING_ANNOUNCED_FOR).unwrap_or(now);
     let mut leaving_servers = state.servers.borrow().left_since(since);
     leaving_servers.truncate(MAX_ANNOUNCED_LEAVING);
-    Addition { leaving_servers }
+    let era = state.era.borrow().age(now).map(|(era, age)| (era, age.as_millis() as u64));
+    let highest_fence = state.lease.borrow().highest_fence();
+    Addition { leaving_servers, era, highest_fence }
 }
 
 /// Collects what this host announces. With load reports it takes what the balancers have placed
@@ -282,9 +284,7 @@
                     Some((header, announcement, addition)) => {
                         let earliest_send = echoes.borrow_mut().receive(from, header);
                         apply(state, from, &announcement, earliest_send);
-                        for instance in addition.leaving_servers {
-                            state.mark_leaving(instance, "peer");
-                        }
+                        apply_addition(state, addition);
                     }
                     None => metrics::counter!("wasabi_gossip_failures_total").increment(1),
                 }
@@ -298,6 +298,19 @@
     }
 }
 
+/// Applies what a peer has added to its announcement.
+fn apply_addition(state: &State, addition: Addition) {
+    for instance in addition.leaving_servers {
+        state.mark_leaving(instance, "peer");
+    }
+    state.lease.borrow_mut().note_fence(addition.highest_fence);
+    if let Some((era, age_ms)) = addition.era {
+        let now = state.now();
+        let since = now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
+        state.observe_era(era, since, "peer");
+    }
+}
+
 /// Applies an announcement that was begun no earlier than `earliest_send`. Without that bound its
 /// ages only count as claims of the peer, and its agreed time of day is ignored.
 fn apply(
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -77,8 +77,7 @@
 /// are open then are still served.
 pub async fn run(state: Rc<State>, listener: TcpListener) {
     let since = state.now();
-    while !state.has_config_and_servers()
-        && state.now().saturating_duration_since(since) < STARTUP_WAIT
+    while !state.may_start_serving() && state.now().saturating_duration_since(since) < STARTUP_WAIT
     {
         tokio::time::sleep(STARTUP_POLL).await;
     }
--- a/crates/gateway/src/refresh.rs
+++ b/crates/gateway/src/refresh.rs
@@ -44,6 +44,11 @@
 const HOSTS_PERIOD: Duration = Duration::from_secs(10);
 /// Period of reading the host records while no peer is live or the own record is not written.
 const HOSTS_PERIOD_ALONE: Duration = Duration::from_secs(2);
+/// The range of the random delay, for each live host, before a host writes its record again after the
+/// store was restored.
+const RESTORE_SPREAD_PER_HOST: Duration = Duration::from_millis(10);
+/// The widest range of that delay.
+const MAX_RESTORE_SPREAD: Duration = Duration::from_millis(1_500);
 /// The object kind of the host records.
 const HOSTS_KIND: &str = "gateways";
 
@@ -88,6 +93,14 @@
         }
         threshold = random_threshold(&state);
         let read = dataset.read(&state).await;
+        state.check_era();
+        if dataset == Dataset::Catalog
+            && read.is_ok()
+            && let Some(peer) = peer_with_newer_catalog(&state)
+            && peer_fetch::fetch_snapshot(&state, peer).await.is_err()
+        {
+            metrics::counter!("wasabi_peer_failures_total").increment(1);
+        }
         if read.is_ok() != reachable {
             reachable = read.is_ok();
             log_store_state(dataset, &read);
@@ -173,6 +186,8 @@
             }
             Self::Members => {
                 let members = with_timeout(state.objects.members(), READ_TIMEOUT).await?;
+                // A list of a new era may lack entries; it must not count as an ordinary one.
+                state.check_era();
                 state.offer_servers(members, sent, "store");
             }
         }
@@ -225,6 +240,19 @@
     }
 }
 
+/// Returns a live peer that has a newer configuration than this host. After a read of the store that
+/// means that the peer has just learned of a change, or that the store was restored from an older
+/// copy.
+fn peer_with_newer_catalog(state: &State) -> Option<std::net::SocketAddr> {
+    let own = state.config.borrow().revision();
+    let peers = state.peers.borrow();
+    let newer = peers.live(state.now()).filter_map(|(_, peer)| {
+        let (version, _) = peer.catalog?;
+        (Some(version) > own).then_some((version, peer.address))
+    });
+    newer.max_by_key(|(version, _)| *version).map(|(_, address)| address)
+}
+
 /// Returns the live peer with the youngest proofs, if an own proof is old and the peer's is
 /// younger.
 fn freshest_peer(state: &State) -> Option<std::net::SocketAddr> {
@@ -252,6 +280,7 @@
 async fn maintain_host_records(state: Rc<State>) {
     let mut written = false;
     loop {
+        let restored = state.store_restored.notified();
         if !written {
             written = write_host_record(&state).await.is_ok();
         }
@@ -260,10 +289,20 @@
                 .into_iter()
                 .filter_map(|record| serde_json::from_value::<Host>(record.value).ok());
             state.peers.borrow_mut().merge_records(state.now(), hosts);
+            state.host_records_read.set(true);
         }
         state.peers.borrow_mut().remove_silent(state.now());
         let alone = state.live_hosts() < 2 || !written;
-        tokio::time::sleep(if alone { HOSTS_PERIOD_ALONE } else { HOSTS_PERIOD }).await;
+        let pause = if alone { HOSTS_PERIOD_ALONE } else { HOSTS_PERIOD };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = restored => {
+                written = false;
+                let spread = RESTORE_SPREAD_PER_HOST * state.live_hosts() as u32;
+                let spread = spread.min(MAX_RESTORE_SPREAD);
+                tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
+            }
+        }
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,7 +16,7 @@
     announcement::CountReport,
     catalog,
     cluster_clock::ClusterClock,
-    counts,
+    counts, era,
     lease::{self, Lease},
     members,
     peers::Peers,
@@ -26,7 +26,7 @@
     member::Member,
     objects::{DutyInterface, MetadataStore},
     time::Clock,
-    units::{HostId, Incarnation, PoolId, Window, WorkspaceId},
+    units::{Era, HostId, Incarnation, PoolId, Window, WorkspaceId},
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement},
@@ -67,11 +67,17 @@
     pub repeat_budgets: RefCell<BTreeMap<PoolId, Budget>>,
     /// The other hosts, as announced by themselves and recorded in the store.
     pub peers: RefCell<Peers>,
+    /// Whether the records of the other hosts have been read from the store.
+    pub host_records_read: Cell<bool>,
     /// The time of day agreed on with the other hosts.
     pub time_of_day: RefCell<ClusterClock>,
     /// Requests whose first event or complete response has arrived, by usage window, host and
     /// workspace.
     pub usage_counts: RefCell<counts::RequestCounts>,
+    /// The era of the store, and since when it is in force.
+    pub era: RefCell<era::View>,
+    /// Notified when the store was restored from an older copy.
+    pub store_restored: Notify,
     /// The lease that lets one host at a time report usage and order servers.
     pub lease: RefCell<Lease>,
     /// Connections to backend servers.
@@ -112,8 +118,11 @@
             balancers: RefCell::default(),
             repeat_budgets: RefCell::default(),
             peers: RefCell::new(Peers::new(host.clone())),
+            host_records_read: Cell::new(false),
             time_of_day: RefCell::new(ClusterClock::new(now)),
             usage_counts: RefCell::default(),
+            era: RefCell::default(),
+            store_restored: Notify::new(),
             lease: RefCell::new(Lease::new(host, incarnation, times)),
             connection_pool: Pool::default(),
             proof_renewed: Notify::new(),
@@ -143,6 +152,20 @@
         self.config().is_some() && self.servers.borrow().digest_age(self.now()).is_some()
     }
 
+    /// Returns whether a host that starts knows enough to serve: a configuration and a server list, and,
+    /// if there are other hosts, a configuration that is not older than that of one of them. The
+    /// store may have been restored from an older copy.
+    pub fn may_start_serving(&self) -> bool {
+        let own = self.config.borrow().revision();
+        let peers = self.peers.borrow();
+        let mut live = peers.live(self.now()).peekable();
+        let confirmed = match live.peek() {
+            None => self.host_records_read.get() && peers.all().next().is_none(),
+            Some(_) => live.all(|(_, peer)| peer.catalog.map(|(version, _)| version) <= own),
+        };
+        confirmed && self.has_config_and_servers()
+    }
+
     /// Returns whether the load balancer may send new connections: the configuration is proven
     /// recently, a server list is known and the host is not stopping.
     pub fn is_ready(&self) -> bool {
@@ -188,6 +211,37 @@
         self.refresh_balancers();
     }
 
+    /// Notices whether the store was restored since the last call. Must be called before acting under
+    /// anything that was read from the store or written to it.
+    pub fn check_era(&self) {
+        let now = self.now();
+        if let Some(era) = self.objects.era() {
+            self.observe_era(era, now, "store");
+        }
+    }
+
+    /// Takes in that the store was in `era` at `since`. If that is a newer one, everything that rests
+    /// on the contents of the older one is given up; `source` is for the log.
+    pub fn observe_era(&self, era: Era, since: Instant, source: &str) {
+        let Some(former) = self.era.borrow_mut().observe(era, since) else { return };
+        let now = self.now();
+        warn!(era = era.0, former = former.0, source = source; "store restored from an older copy");
+        metrics::counter!("wasabi_store_restores_total").increment(1);
+        self.lease.borrow_mut().on_restored(now);
+        self.servers.borrow_mut().on_restored(now);
+        self.store_restored.notify_waiters();
+    }
+
+    /// Returns whether what may be written to the store `delay` after the end of a usage window at
+    /// the earliest cannot have been lost in a restore, as far as this host knows the store's era.
+    pub fn era_covers(&self, window: Window, delay: Duration) -> bool {
+        let Some((_, age)) = self.era.borrow().age(self.now()) else { return true };
+        let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
+        let now_ms = self.time_of_day.borrow().now_ms(self.now());
+        let written_ms = (window.0 + 1) * length_ms + delay.as_millis() as u64;
+        now_ms.saturating_sub(age.as_millis() as u64) < written_ms
+    }
+
     /// Removes servers that were kept after an outage of the store and whose grace period is over.
     pub fn expire_servers(&self) {
         if self.servers.borrow_mut().expire(self.now()) {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -44,7 +44,17 @@
     windows: BTreeMap<Window, Counts>,
 }
 
-/// The holder's copy of the record, and the last window that it has reported.
+impl SealedUsage {
+    /// Forgets the oldest windows beyond [`KEPT_SEALED_WINDOWS`].
+    fn prune(&mut self) {
+        while self.windows.len() > KEPT_SEALED_WINDOWS {
+            self.windows.pop_first();
+        }
+    }
+}
+
+/// The last holder's copy of the record, and the last window that it has reported. The copy is kept
+/// after the duties are lost: the store may lose the record.
 #[derive(Default)]
 struct Reporter {
     /// The fencing number under which the copy is current; `None` if the record must be read again.
@@ -64,7 +74,7 @@
     loop {
         tokio::time::sleep(TICK).await;
         let Some(authority) = duty::authority(state) else {
-            reporter = Reporter::default();
+            reporter.fence = None;
             continue;
         };
         if let Err(e) = reporter.report_settled(state, &authority).await {
@@ -88,6 +98,12 @@
         let next = self.reported.map_or(oldest, |window| Window(window.0 + 1)).max(oldest);
         for window in (next.0..=newest.0).map(Window) {
             if !self.sealed.windows.contains_key(&window) {
+                if !state.era_covers(window, SETTLE_TIME) {
+                    // Its seal may be lost; a second one could have other counts.
+                    warn!(window = window.0; "usage not reported: it may have been before a restore");
+                    self.reported = Some(window);
+                    continue;
+                }
                 fetch_missing_counts(state, window).await;
                 self.seal(state, window).await?;
             }
@@ -99,13 +115,16 @@
     async fn load(&mut self, state: &State) -> Result<()> {
         let record =
             with_timeout(state.objects.read(RECORD_KIND, RECORD_NAME), CALL_TIMEOUT).await?;
+        let known = std::mem::take(&mut self.sealed);
         match record {
-            None => {
-                self.version = None;
-                self.sealed = SealedUsage::default();
-            }
+            None => self.version = None,
             Some(record) => self.set_record(record)?,
         }
+        // What a restored store has lost is written again with the next seal.
+        for (window, counts) in known.windows {
+            self.sealed.windows.entry(window).or_insert(counts);
+        }
+        self.sealed.prune();
         Ok(())
     }
 
@@ -122,9 +141,7 @@
         let mut sealed = self.sealed.clone();
         let counts = state.usage_counts.borrow().sum(window);
         sealed.windows.insert(window, counts);
-        while sealed.windows.len() > KEPT_SEALED_WINDOWS {
-            sealed.windows.pop_first();
-        }
+        sealed.prune();
         let value = serde_json::to_value(&sealed).map_err(|e| errors::internal(e.to_string()))?;
         let call = match self.version {
             None => state.objects.create(RECORD_KIND, RECORD_NAME, value),
--- /dev/null
+++ b/tests/restore.rs
@@ -0,0 +1,181 @@
+//! The store comes back from an older copy: what the router wrote since is gone.
+
+use std::{collections::BTreeMap, thread, time::Duration};
+
+use serde_json::Value;
+use wasabi_stand::{
+    caller::Request,
+    gateway::{Gateway, pick_ports, wait_for},
+    rig::Rig,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+/// A usage window and the wait until it is reported, in the gateway's settings.
+const REPORT_PERIOD: Duration = Duration::from_millis(7_500);
+
+/// Restores the store to `backup`; the operator and the servers write their objects again at once.
+fn restore(rig: &Rig, backup: &wasabi_stand::store::Backup) {
+    let others = rig.store.restore(backup);
+    rig.store.rewrite(others);
+}
+
+/// Waits until a host that is not `other` has made a call under the duties lease, and returns its
+/// name.
+fn holder(rig: &Rig, other: &str) -> anyhow::Result<String> {
+    wait_for("a holder of the duties", || {
+        rig.duties.calls().last().is_some_and(|call| call.holder != other)
+    })?;
+    Ok(rig.duties.calls().last().map(|call| call.holder.clone()).unwrap_or_default())
+}
+
+/// Each token has one holder and none falls; no window was accepted with two different counts.
+fn check_duties(rig: &Rig) {
+    let (mut holders, mut counts) = (BTreeMap::new(), BTreeMap::new());
+    for call in rig.duties.calls().iter().filter(|call| call.accepted) {
+        let holder = holders.entry(call.token).or_insert_with(|| call.holder.clone());
+        assert_eq!(*holder, call.holder, "token {} has two holders", call.token);
+        if call.path == "/usage" {
+            let known: &mut Value = counts
+                .entry(call.body["window"].to_string())
+                .or_insert_with(|| call.body["counts"].clone());
+            assert_eq!(*known, call.body["counts"], "window {}", call.body["window"]);
+        }
+    }
+}
+
+fn two_hosts(rig: &Rig) -> anyhow::Result<BTreeMap<String, Gateway>> {
+    let names = ["g1", "g2"];
+    names.iter().map(|name| Ok((name.to_string(), rig.start_gateway(name)?))).collect()
+}
+
+#[test]
+fn no_token_is_given_out_again_after_a_lost_takeover() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut hosts = two_hosts(&rig)?;
+    let first = holder(&rig, "")?;
+    let backup = rig.store.backup();
+    hosts.get_mut(&first).expect("it runs").kill();
+    let second = holder(&rig, &first)?;
+    restore(&rig, &backup);
+    // The record names the first host again, which has started again in the meantime.
+    let _again = rig.start_gateway(&first)?;
+    let calls = rig.duties.calls().len();
+    wait_for("duties in the new era", || rig.duties.calls().len() > calls + 2)?;
+    thread::sleep(REPORT_PERIOD);
+    check_duties(&rig);
+    assert!(!hosts[&second].log_lines("store restored from an older copy").is_empty());
+    Ok(())
+}
+
+/// The host that remembers the seal ends, and the next one never heard of the window.
+#[test]
+fn a_window_whose_seal_is_lost_is_never_reported_with_other_counts() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut first = rig.start_gateway("g1")?;
+    holder(&rig, "")?;
+    let backup = rig.store.backup();
+    for i in 0..5 {
+        Request::new("GET", "/read/x", &format!("a{i}")).send(first.addresses.callers)?;
+    }
+    wait_for("the window to be reported", || {
+        rig.duties.calls().iter().any(|call| call.body["counts"]["w1"] == 5)
+    })?;
+    restore(&rig, &backup);
+    first.kill();
+    let _second = rig.start_gateway("g2")?;
+    holder(&rig, "g1")?;
+    thread::sleep(REPORT_PERIOD);
+    check_duties(&rig);
+    Ok(())
+}
+
+/// The holder remembers what it has sealed and writes it again.
+#[test]
+fn a_holder_that_saw_the_restore_goes_on_with_what_it_sealed() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    holder(&rig, "")?;
+    let backup = rig.store.backup();
+    Request::new("GET", "/read/x", "a").send(gateway.addresses.callers)?;
+    let sealed = || rig.store.get("usage", "sealed").unwrap_or_default()["windows"].clone();
+    let with_request = || {
+        let windows = sealed().as_object().cloned().unwrap_or_default();
+        windows.into_iter().find(|(_, counts)| counts["w1"] == 1).map(|(window, _)| window)
+    };
+    wait_for("the window to be sealed", || with_request().is_some())?;
+    let window = with_request();
+    restore(&rig, &backup);
+    assert_eq!(with_request(), None);
+    wait_for("the seal again", || with_request() == window)?;
+    check_duties(&rig);
+    Ok(())
+}
+
+#[test]
+fn the_record_of_a_host_is_written_again() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let backup = rig.store.backup();
+    let _gateway = rig.start_gateway("g1")?;
+    wait_for("the record", || rig.store.get("gateways", "g1").is_some())?;
+    restore(&rig, &backup);
+    assert!(rig.store.get("gateways", "g1").is_none());
+    wait_for("the record again", || rig.store.get("gateways", "g1").is_some())
+}
+
+/// Servers whose entries are lost write them again within two seconds and are used meanwhile.
+#[test]
+fn servers_whose_entries_are_lost_are_kept_for_a_while() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let entries: Vec<Value> =
+        ["p1", "p2"].iter().filter_map(|id| rig.store.get("servers", id)).collect();
+    for id in ["p1", "p2"] {
+        rig.store.remove("servers", id);
+    }
+    let backup = rig.store.backup();
+    for (id, entry) in ["p1", "p2"].iter().zip(&entries) {
+        rig.store.put("servers", id, entry.clone());
+    }
+    let gateway = rig.start_gateway("g1")?;
+    let others = rig.store.restore(&backup);
+    wait_for("the restore to be noticed", || {
+        !gateway.log_lines("store restored from an older copy").is_empty()
+    })?;
+    for i in 0..4 {
+        let request = Request::new("GET", "/read/x", &format!("b{i}"));
+        assert_eq!(request.send(gateway.addresses.callers)?.status, 200);
+        thread::sleep(Duration::from_millis(200));
+    }
+    rig.store.rewrite(others);
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(Request::new("GET", "/read/x", "c").send(gateway.addresses.callers)?.status, 200);
+    Ok(())
+}
+
+/// A host that starts before the operator has written the configuration again takes it from a peer.
+#[test]
+fn a_host_that_starts_after_a_restore_does_not_bring_back_a_withdrawn_key() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let knows = rig.start_gateway("g1")?;
+    wait_for("the record", || rig.store.get("gateways", "g1").is_some())?;
+    let backup = rig.store.backup();
+    rig.configure(7, |config| {
+        config["tenants"][0]["api_keys"] = serde_json::json!(["k1b"]);
+    });
+    let send = |to, id: &str| Request::new("GET", "/read/x", id).send(to);
+    wait_for("the withdrawal", || {
+        send(knows.addresses.callers, "d").is_ok_and(|response| response.status == 401)
+    })?;
+    let others = rig.store.restore(&backup);
+    let starts = rig.launch("g2", rig.store_address, pick_ports()?)?;
+    let mut answers = Vec::new();
+    for i in 0..150 {
+        if let Ok(response) = send(starts.addresses.callers, &format!("e{i}")) {
+            answers.push(response.status);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert!(answers.contains(&401), "{answers:?}");
+    assert!(!answers.contains(&200), "a withdrawn key was accepted: {answers:?}");
+    rig.store.rewrite(others);
+    Ok(())
+}
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::Method;
+use hyper::{Method, header::HeaderValue};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
@@ -40,6 +40,15 @@
     /// Kind, name and value of every write over HTTP, oldest first.
     writes: Vec<(String, String, Value)>,
     calls: u64,
+    /// How often it was restored.
+    era: u64,
+}
+
+/// A copy of the contents, as a backup has it.
+#[derive(Clone)]
+pub struct Backup {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
 }
 
 impl Store {
@@ -77,6 +86,28 @@
         self.inner.lock().objects.get(&key).map(|(_, spec)| spec.clone())
     }
 
+    /// Returns a copy of the contents.
+    pub fn backup(&self) -> Backup {
+        let inner = self.inner.lock();
+        Backup { revision: inner.revision, objects: inner.objects.clone() }
+    }
+
+    /// Goes back to a copy: what was written since is gone, and revisions are given out again. The
+    /// returned objects are those of the operator and the servers, for [`Self::rewrite`].
+    pub fn restore(&self, backup: &Backup) -> Vec<(String, String, Value)> {
+        let mut inner = self.inner.lock();
+        let present = std::mem::replace(&mut inner.objects, backup.objects.clone());
+        inner.revision = backup.revision;
+        inner.era += 1;
+        let others = present.into_iter().map(|((kind, name), (_, value))| (kind, name, value));
+        others.filter(|(kind, _, _)| matches!(kind.as_str(), "config" | "servers")).collect()
+    }
+
+    /// Writes objects as the operator and the servers do after a restore.
+    pub fn rewrite(&self, objects: Vec<(String, String, Value)>) {
+        objects.into_iter().for_each(|(kind, name, value)| self.put(&kind, &name, value));
+    }
+
     /// Returns every value that was written to an object over HTTP, oldest first.
     pub fn history(&self, kind: &str, name: &str) -> Vec<Value> {
         let inner = self.inner.lock();
@@ -163,22 +194,35 @@
                 inner.calls += 1;
                 inner.fault
             };
-            match fault {
-                Fault::None => Some(self.execute(&request)),
-                Fault::Busy => Some(net::full_response(503, "")),
-                Fault::Silent => std::future::pending().await,
-                Fault::LosesAnswers => {
-                    if request.method() == Method::GET {
-                        return Some(self.execute(&request));
-                    }
-                    self.execute(&request);
-                    None
-                }
-                Fault::Slow(delay) => {
-                    tokio::time::sleep(delay).await;
-                    Some(self.execute(&request))
+            let mut response = self.clone().respond(&request, fault).await?;
+            let era = HeaderValue::from(self.inner.lock().era);
+            response.headers_mut().insert("store-era", era);
+            Some(response)
+        })
+    }
+}
+
+impl Store {
+    async fn respond(
+        self: Arc<Self>,
+        request: &ReceivedRequest,
+        fault: Fault,
+    ) -> Option<BoxResponse> {
+        match fault {
+            Fault::None => Some(self.execute(request)),
+            Fault::Busy => Some(net::full_response(503, "")),
+            Fault::Silent => std::future::pending().await,
+            Fault::LosesAnswers => {
+                if request.method() == Method::GET {
+                    return Some(self.execute(request));
                 }
+                self.execute(request);
+                None
             }
-        })
+            Fault::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                Some(self.execute(request))
+            }
+        }
     }
 }
