soak: restores of the store, and streams that end inside an event

Two more faults: the store goes back to a copy of one to seven faults ago, and the operator and the servers write their objects again up to half a second later; a server ends a stream inside an event as if it were whole. The checks are those of before: no token with two holders, no window with two counts, no withdrawn key, no incomplete stream that looks complete.

--- a/crates/belief/tests/lease.rs
+++ b/crates/belief/tests/lease.rs
@@ -35,6 +35,20 @@
     }
 }
 
+/// The number of the host that held the lease first under each fencing token.
+type Holders = std::collections::BTreeMap<u64, usize>;
+
+/// Returns what is wrong if two hosts hold the lease now, or one holds it under the token of another.
+fn holder_problem(hosts: &[Lease], now: Instant, holders: &mut Holders) -> Option<String> {
+    let holding: Vec<usize> = (0..hosts.len()).filter(|h| hosts[*h].fence(now).is_some()).collect();
+    if holding.len() > 1 {
+        return Some(format!("{holding:?} hold it"));
+    }
+    let fence = hosts[*holding.first()?].fence(now)?.0;
+    let first = *holders.entry(fence).or_insert(holding[0]);
+    (first != holding[0]).then(|| format!("fencing token {fence} has two holders"))
+}
+
 /// What happens to a host and its store call in one tick.
 #[derive(Clone, Copy, PartialEq)]
 enum Fault {
@@ -140,7 +154,7 @@
         let start = Instant::now();
         let mut store = Store::default();
         let mut hosts = [lease("a"), lease("b"), lease("c")];
-        let mut holders: std::collections::BTreeMap<u64, usize> = Default::default();
+        let mut holders = Holders::default();
         for (i, byte) in seed.iter().cycle().take(600).enumerate() {
             let now = start + Duration::from_millis(i as u64 * 100);
             for (h, lease) in hosts.iter_mut().enumerate() {
@@ -152,15 +166,8 @@
                 };
                 tick(lease, &mut store, now, false, fault);
             }
-            let holding: Vec<usize> = (0..3).filter(|h| hosts[*h].fence(now).is_some()).collect();
-            if holding.len() > 1 {
-                return TestResult::error(format!("{holding:?} hold it at tick {i}"));
-            }
-            for h in holding {
-                let fence = hosts[h].fence(now).expect("it holds").0;
-                if *holders.entry(fence).or_insert(h) != h {
-                    return TestResult::error(format!("fencing token {fence} has two holders"));
-                }
+            if let Some(problem) = holder_problem(&hosts, now, &mut holders) {
+                return TestResult::error(format!("{problem} at tick {i}"));
             }
         }
         TestResult::passed()
@@ -181,7 +188,7 @@
         let mut era = 0;
         let mut hosts = [lease("a"), lease("b"), lease("c")];
         let mut eras = [0; 3];
-        let mut holders: std::collections::BTreeMap<u64, usize> = Default::default();
+        let mut holders = Holders::default();
         for (i, byte) in seed.iter().cycle().take(900).enumerate() {
             let now = start + Duration::from_millis(i as u64 * 100);
             history.push(store.record.clone());
@@ -209,15 +216,8 @@
             highest
                 .into_iter()
                 .for_each(|fence| hosts.iter_mut().for_each(|h| h.note_fence(fence)));
-            let holding: Vec<usize> = (0..3).filter(|h| hosts[*h].fence(now).is_some()).collect();
-            if holding.len() > 1 {
-                return TestResult::error(format!("{holding:?} hold it at tick {i}"));
-            }
-            for h in holding {
-                let fence = hosts[h].fence(now).expect("it holds").0;
-                if *holders.entry(fence).or_insert(h) != h {
-                    return TestResult::error(format!("fencing token {fence} has two holders"));
-                }
+            if let Some(problem) = holder_problem(&hosts, now, &mut holders) {
+                return TestResult::error(format!("{problem} at tick {i}"));
             }
         }
         TestResult::passed()
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -40,6 +40,9 @@
     /// Streams the events up to this number and a part of the next, then aborts the connection; as
     /// `Serve` on a plain service.
     BreakAfter(u64),
+    /// Streams the events up to this number and a part of the next, and then ends the response as if
+    /// it were complete; as `Serve` on a plain service.
+    EndInside(u64),
     /// Runs it and never responds.
     Hang,
     /// Streams the events up to this number and then nothing more, with the connection kept open;
@@ -209,11 +212,16 @@
                     return self.record_client_gone(arrival);
                 }
                 let text = format!("id: {event}\ndata: event {event}\n\n");
-                let breaks = matches!(behavior, Behavior::BreakAfter(count) if event > count);
+                let ends = matches!(behavior, Behavior::EndInside(count) if event > count);
+                let breaks =
+                    ends || matches!(behavior, Behavior::BreakAfter(count) if event > count);
                 let bytes = if breaks { Bytes::from_static(b"id: ") } else { Bytes::from(text) };
                 if sender.send(Ok(Frame::data(bytes))).await.is_err() {
                     return self.record_client_gone(arrival);
                 }
+                if ends {
+                    return;
+                }
                 if breaks {
                     let error = std::io::Error::other("stream aborted");
                     // The client may be gone already.
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -22,7 +22,7 @@
     proxy::{NetworkFault, Proxy},
     rig::Rig,
     server::Behavior,
-    store::Fault,
+    store::{Backup, Fault},
 };
 
 const GATEWAYS: usize = 3;
@@ -33,6 +33,8 @@
 const KEY_WITHDRAWAL_LIMIT: Duration = Duration::from_secs(5);
 /// All gateways serve again within this time after the last fault has ended.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+/// The oldest copy from which the store is restored, in faults: about five seconds.
+const MAX_BACKUP_AGE_FAULTS: usize = 7;
 /// The pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(25);
 
@@ -73,6 +75,8 @@
     /// When each of the earlier keys was withdrawn.
     withdrawn: BTreeMap<usize, Instant>,
     config_version: u64,
+    /// Copies of the store, the oldest first, one for each fault.
+    backups: Vec<Backup>,
     outcome: Outcome,
     /// The faults in effect and when each ends.
     active_faults: Vec<(Instant, ActiveFault)>,
@@ -171,6 +175,7 @@
             key: Arc::default(),
             withdrawn: BTreeMap::new(),
             config_version: 10,
+            backups: Vec::new(),
             outcome: Outcome::default(),
             active_faults: Vec::new(),
             rig,
@@ -202,7 +207,8 @@
         let s = self.rng.random_range(0..self.server_proxies.len());
         let duration = Duration::from_millis(self.rng.random_range(300..4_000));
         let ends_at = Instant::now() + duration;
-        let description = match self.rng.random_range(0..12) {
+        self.backups.push(self.rig.store.backup());
+        let description = match self.rng.random_range(0..14) {
             0 | 1 => {
                 let slow = Fault::Slow(Duration::from_millis(200));
                 let faults = [Fault::Busy, Fault::Silent, Fault::LosesAnswers, slow];
@@ -223,6 +229,15 @@
                 self.active_faults.push((ends_at, ActiveFault::ServerProxy(s)));
                 format!("to server {s} {fault:?} for {duration:?}")
             }
+            12 | 13 => {
+                let age = self.rng.random_range(1..=MAX_BACKUP_AGE_FAULTS).min(self.backups.len());
+                let backup = &self.backups[self.backups.len() - age];
+                let others = self.rig.store.restore(backup);
+                thread::sleep(Duration::from_millis(self.rng.random_range(0..500)));
+                self.rig.store.rewrite(others);
+                self.backups.clear();
+                format!("store restored from a copy of {age} faults ago")
+            }
             5 | 6 => {
                 let planned = [
                     Behavior::TurnAway,
@@ -231,6 +246,7 @@
                     Behavior::Unsigned,
                     Behavior::Fail,
                     Behavior::BreakAfter(4),
+                    Behavior::EndInside(4),
                     Behavior::Hang,
                 ];
                 let behavior = planned[self.rng.random_range(0..planned.len())];
