fleet: an order whose effect shows late is done

Suspected by reading, now seen: an accepted order that was 15 minutes old was recorded as abandoned though its effect was in the platform's list; a stop that is abandoned may be given again.

Change: the effect is looked at before the time. Before: an_order_whose_effect_shows_late_is_done failed (Abandoned). After: crates/fleet/tests/intent.rs and orders pass.

--- a/crates/fleet/src/intent.rs
+++ b/crates/fleet/src/intent.rs
@@ -1,12 +1,16 @@
 //! Intents: a write-ahead log of the orders that the provisioner sends to the platform.
 
+use std::time::Duration;
+
 use wasabi_core::{
     data,
     errors::{Code, Result},
-    io::{self, Condition, Object, Order, Store},
+    io::{self, Action, Condition, Object, Order, ProvisionedServer, Store},
     units::{Epoch, Version},
 };
 
+/// An accepted order whose effect does not show within this time is abandoned.
+pub const EFFECT_TIMEOUT: Duration = Duration::from_secs(900);
 /// The prefix of the keys of intents.
 pub const PREFIX: &str = "fleet/intent/";
 
@@ -51,6 +55,28 @@
     pub record: Record,
 }
 
+impl Record {
+    /// The outcome of an accepted order that has had its effect or has waited for it for too long;
+    /// `None` while it may still come.
+    pub fn outcome(&self, rented: &[ProvisionedServer], waited: Duration) -> Option<Progress> {
+        if self.shows_effect(rented) {
+            return Some(Progress::Done);
+        }
+        (waited >= EFFECT_TIMEOUT).then_some(Progress::Abandoned)
+    }
+
+    /// Whether the platform's list shows the effect of the order.
+    pub fn shows_effect(&self, rented: &[ProvisionedServer]) -> bool {
+        match &self.order.action {
+            Action::Start { .. } => {
+                let intent = Some(self.order.intent.as_str());
+                rented.iter().any(|rented| rented.intent.as_deref() == intent)
+            }
+            Action::Stop { server } => rented.iter().all(|rented| rented.server.name != *server),
+        }
+    }
+}
+
 /// The name of an epoch's intent with this number. Names sort in the order in which the orders are
 /// sent.
 pub fn name(epoch: Epoch, number: u64) -> String {
--- a/crates/fleet/src/provisioner.rs
+++ b/crates/fleet/src/provisioner.rs
@@ -32,9 +32,6 @@
     view::Listing,
 };
 
-/// An accepted order whose effect does not show within this time is abandoned.
-const EFFECT_TIMEOUT: Duration = Duration::from_secs(900);
-
 /// What all hosts together report about demand and draining servers.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
@@ -143,9 +140,8 @@
         Ok(still_open)
     }
 
-    /// Marks as done the accepted orders whose effect shows. An order that this process first saw
-    /// accepted `EFFECT_TIMEOUT` ago or earlier is abandoned instead, whether its effect shows or
-    /// not.
+    /// Marks as done the accepted orders whose effect shows, and as abandoned those that this process
+    /// first saw accepted `EFFECT_TIMEOUT` ago or earlier.
     fn resolve_accepted(
         &self,
         inner: &mut Inner,
@@ -157,14 +153,8 @@
         for intent in taken {
             let name = &intent.record.order.intent;
             let since = *inner.first_seen.entry(name.clone()).or_insert(now);
-            let progress = match &intent.record.order.action {
-                _ if now.saturating_duration_since(since) >= EFFECT_TIMEOUT => Progress::Abandoned,
-                Action::Start { .. } if is_listed(rented, name) => Progress::Done,
-                Action::Stop { server } if !rented.iter().any(|r| r.server.name == *server) => {
-                    Progress::Done
-                }
-                _ => continue,
-            };
+            let waited = now.saturating_duration_since(since);
+            let Some(progress) = intent.record.outcome(rented, waited) else { continue };
             intent::record_outcome(&*self.store, intent, progress)?;
             inner.first_seen.remove(name);
         }
@@ -242,12 +232,7 @@
         let is_pending = matches!(intent.record.progress, Progress::Open | Progress::Taken);
         is_pending && order.pool == *pool && matches!(order.action, Action::Start { .. })
     });
-    starts.filter(|intent| !is_listed(rented, &intent.record.order.intent)).count() as u32
-}
-
-/// Whether the platform's list has the server that an intent started.
-fn is_listed(rented: &[ProvisionedServer], intent: &str) -> bool {
-    rented.iter().any(|rented| rented.intent.as_deref() == Some(intent))
+    starts.filter(|intent| !intent.record.shows_effect(rented)).count() as u32
 }
 
 /// Whether a stop of `server` is open, or was accepted.
