gateway: a restored store proves nothing until it was written again

The store had acknowledged the withdrawal while it turned every host away, and lost it in a restore; until the operator wrote it again, its older configuration passed for a fresh proof.

Change: for 2 s after a restore was first seen by any host, a configuration read from the store is applied but renews no proof, and a host that has none ignores it; a host that started after the restore drops the proof when a peer tells it. Peers' proofs are from before and count as ever.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -51,9 +51,9 @@
         /// Backend servers that have told the sender lately that they leave: id and start of the
         /// process in milliseconds since the Unix epoch.
         pub leaving_servers: Vec<(ServerId, u64)>,
-        /// The latest era of the store that the sender knows, and for how many milliseconds it has
-        /// been known to be in force.
-        pub era: Option<(Era, u64)>,
+        /// The latest era of the store that the sender knows, for how many milliseconds it has been
+        /// known to be in force, and whether a host saw the restore that began it.
+        pub era: Option<(Era, u64, bool)>,
         /// The highest fencing token of the duties that the sender has heard of.
         pub highest_fence: Epoch,
     }
--- a/crates/belief/src/catalog.rs
+++ b/crates/belief/src/catalog.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Forgets that the configuration was ever known to be the newest.
+    pub fn drop_proof(&mut self) {
+        self.confirmed_at = None;
+    }
+
     /// Records that `revision` was the newest at `confirmed_at`; ignored for any revision that is
     /// not in force.
     pub fn confirm(&mut self, revision: Revision, confirmed_at: Instant) {
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use wasabi_belief::{
-    announcement::Announcement, catalog, cluster_clock::ClusterClock, counts::RequestCounts,
+    announcement::Announcement, catalog, cluster_clock::ClusterClock, counts::RequestCounts, era,
     members, peers::Peers,
 };
 use wasabi_core::{
     catalog::Catalog,
     member::{Member, Phase},
-    units::{HostId, Incarnation, Revision, Window},
+    units::{Era, HostId, Incarnation, Revision, Window},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -200,3 +200,24 @@
     view.offer(at(8_000), vec![second, member("e2", 2)], at(8_000));
     assert_eq!(phases(&view), [Phase::Ready, Phase::Ready]);
 }
+
+#[test]
+fn a_restored_store_proves_nothing_until_it_has_had_time_to_be_written_again() {
+    let start = Instant::now();
+    let mut saw = era::View::default();
+    assert_eq!(saw.observe(start, Era(3)), None);
+    assert!(saw.is_settled(start), "a host that starts has seen no restore");
+    let restored = start + SECOND * 9;
+    assert_eq!(saw.observe(restored, Era(4)), Some(Era(3)));
+    assert_eq!(saw.observe(restored, Era(3)), None, "a late answer of the former era");
+    assert!(!saw.is_settled(restored + SECOND));
+    assert!(saw.is_settled(restored + SECOND * 2));
+    // A host that starts in between learns of it from a peer.
+    let mut starts = era::View::default();
+    let now = restored + SECOND;
+    assert_eq!(starts.observe(now, Era(4)), None);
+    assert!(starts.is_settled(now));
+    assert_eq!(starts.merge(saw.known().expect("it knows")), None);
+    assert!(!starts.is_settled(now));
+    assert_eq!(starts.known(), saw.known(), "it counts from the restore");
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,7 +13,10 @@
 
 use log::{info, warn};
 use tokio::net::UdpSocket;
-use wasabi_belief::announcement::{Addition, Announcement};
+use wasabi_belief::{
+    announcement::{Addition, Announcement},
+    era,
+};
 use wasabi_core::{time, units::PoolId};
 use wasabi_policy::load_report::PendingReport;
 
@@ -230,7 +233,10 @@
     let since = now.checked_sub(LEAVING_ANNOUNCED_FOR).unwrap_or(now);
     let mut leaving_servers = state.servers.borrow().left_since(since);
     leaving_servers.truncate(MAX_ANNOUNCED_LEAVING);
-    let era = state.era.borrow().age(now).map(|(era, age)| (era, age.as_millis() as u64));
+    let era = state.era.borrow().known().map(|known| {
+        let age = now.saturating_duration_since(known.since);
+        (known.era, age.as_millis() as u64, known.restored)
+    });
     let highest_fence = state.lease.borrow().highest_fence();
     Addition { leaving_servers, era, highest_fence }
 }
@@ -304,10 +310,10 @@
         state.mark_leaving(instance, "peer");
     }
     state.lease.borrow_mut().note_fence(addition.highest_fence);
-    if let Some((era, age_ms)) = addition.era {
+    if let Some((era, age_ms, restored)) = addition.era {
         let now = state.now();
         let since = now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now);
-        state.observe_era(era, since, "peer");
+        state.merge_era(era::Known { era, since, restored });
     }
 }
 
--- a/crates/gateway/src/refresh.rs
+++ b/crates/gateway/src/refresh.rs
@@ -180,8 +180,10 @@
         let sent = state.now();
         match self {
             Self::Catalog => {
-                if let Some(catalog) = with_timeout(state.objects.catalog(), READ_TIMEOUT).await? {
-                    state.offer_config(catalog, sent, "store");
+                let catalog = with_timeout(state.objects.catalog(), READ_TIMEOUT).await?;
+                state.check_era();
+                if let Some(catalog) = catalog {
+                    state.offer_stored_config(catalog, sent);
                 }
             }
             Self::Members => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -174,6 +174,20 @@
         proven && listed && self.stopping_since.get().is_none()
     }
 
+    /// Applies the configuration that the store had at `proof`. Shortly after a restore of the store
+    /// it proves nothing, since an acknowledged one may be lost until the operator has written it
+    /// again: then it does not renew the proof, and a host without one ignores it.
+    pub fn offer_stored_config(&self, catalog: Catalog, proof: Instant) {
+        let now = self.now();
+        if self.era.borrow().is_settled(now) {
+            return self.offer_config(catalog, proof, "store");
+        }
+        let staleness = self.config.borrow().staleness(now);
+        if let Some(proven) = staleness.and_then(|age| now.checked_sub(age)) {
+            self.offer_config(catalog, proven, "store");
+        }
+    }
+
     /// Applies a configuration that was current at `proof`, unless a newer one is in force;
     /// `source` is for the log.
     pub fn offer_config(&self, catalog: Catalog, proof: Instant, source: &str) {
@@ -214,16 +228,28 @@
     /// Notices whether the store was restored since the last call. Must be called before acting under
     /// anything that was read from the store or written to it.
     pub fn check_era(&self) {
+        let Some(era) = self.objects.era() else { return };
+        let former = self.era.borrow_mut().observe(self.now(), era);
+        self.give_up_older_era(former, era, "store");
+    }
+
+    /// Takes in what a peer knows of the store's era.
+    pub fn merge_era(&self, theirs: era::Known) {
         let now = self.now();
-        if let Some(era) = self.objects.era() {
-            self.observe_era(era, now, "store");
+        let was_settled = self.era.borrow().is_settled(now);
+        let former = self.era.borrow_mut().merge(theirs);
+        let settled = self.era.borrow().is_settled(now);
+        if former.is_none() && was_settled && !settled {
+            // This host started after the restore; what it has read may be an older copy.
+            self.config.borrow_mut().drop_proof();
         }
+        self.give_up_older_era(former, theirs.era, "peer");
     }
 
-    /// Takes in that the store was in `era` at `since`. If that is a newer one, everything that rests
-    /// on the contents of the older one is given up; `source` is for the log.
-    pub fn observe_era(&self, era: Era, since: Instant, source: &str) {
-        let Some(former) = self.era.borrow_mut().observe(era, since) else { return };
+    /// If there was a former era, gives up everything that rests on its contents; `source` is for the
+    /// log.
+    fn give_up_older_era(&self, former: Option<Era>, era: Era, source: &str) {
+        let Some(former) = former else { return };
         let now = self.now();
         warn!(era = era.0, former = former.0, source = source; "store restored from an older copy");
         metrics::counter!("wasabi_store_restores_total").increment(1);
@@ -235,7 +261,8 @@
     /// Returns whether what may be written to the store `delay` after the end of a usage window at
     /// the earliest cannot have been lost in a restore, as far as this host knows the store's era.
     pub fn era_covers(&self, window: Window, delay: Duration) -> bool {
-        let Some((_, age)) = self.era.borrow().age(self.now()) else { return true };
+        let Some(known) = self.era.borrow().known() else { return true };
+        let age = self.now().saturating_duration_since(known.since);
         let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
         let now_ms = self.time_of_day.borrow().now_ms(self.now());
         let written_ms = (window.0 + 1) * length_ms + delay.as_millis() as u64;
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -46,7 +46,7 @@
         .map(|number| (format!("i-{number:010x}").parse().expect("a name"), 1_796_351_968_201));
     let addition = Addition {
         leaving_servers: leaving.collect(),
-        era: Some((Era(1_000), 40_000_000)),
+        era: Some((Era(1_000), 40_000_000, true)),
         highest_fence: Epoch(1_000_000),
     };
     let datagram = postcard::to_allocvec(&(&announcement, &addition)).expect("it can be encoded");
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -7,6 +7,7 @@
     caller::Request,
     gateway::{Gateway, pick_ports, wait_for},
     rig::Rig,
+    store::Fault,
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
@@ -151,6 +152,40 @@
     Ok(())
 }
 
+/// No host has learned of the withdrawal when the store loses it.
+#[test]
+fn a_withdrawal_that_only_the_lost_store_knew_is_not_undone_by_the_restored_copy()
+-> anyhow::Result<()> {
+    const MAX_PROOF_AGE: Duration = Duration::from_millis(5_000);
+    let rig = Rig::start(PROGRAM)?;
+    let gateways = two_hosts(&rig)?;
+    let backup = rig.store.backup();
+    rig.store.set_fault(Fault::Busy);
+    rig.configure(7, |config| {
+        config["tenants"][0]["api_keys"] = serde_json::json!(["k1b"]);
+    });
+    thread::sleep(MAX_PROOF_AGE);
+    let others = rig.store.restore(&backup);
+    rig.store.set_fault(Fault::None);
+    let mut answers = Vec::new();
+    for i in 0..60 {
+        for gateway in gateways.values() {
+            let request = Request::new("GET", "/read/x", &format!("f{i}"));
+            answers.push(request.send(gateway.addresses.callers)?.status);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(!answers.contains(&200), "a withdrawn key was accepted: {answers:?}");
+    rig.store.rewrite(others);
+    wait_for("the other key", || {
+        gateways.values().all(|gateway| {
+            let request = Request::new("GET", "/read/x", "g");
+            let request = Request { key: Some("k1b".to_string()), ..request };
+            request.send(gateway.addresses.callers).is_ok_and(|response| response.status == 200)
+        })
+    })
+}
+
 /// A host that starts before the operator has written the configuration again takes it from a peer.
 #[test]
 fn a_host_that_starts_after_a_restore_does_not_bring_back_a_withdrawn_key() -> anyhow::Result<()> {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,14 +3,16 @@
 
 use wasabi_stand::soak;
 
-/// Seeds, each with the reason why it is in the list.
-const SEEDS: &[(u64, &str)] = &[(3, "the first seed")];
-const STEPS: usize = 8;
+/// Seeds with their number of faults, each with the reason why it is in the list.
+const SEEDS: &[(u64, usize, &str)] = &[
+    (3, 8, "the first seed"),
+    (3008, 20, "a withdrawn key was accepted after the store had lost its withdrawal"),
+];
 
 #[test]
 fn injected_faults_violate_no_guarantee() -> anyhow::Result<()> {
-    for (seed, cause) in SEEDS {
-        let outcome = soak::run(env!("CARGO_BIN_EXE_wasabirouter"), *seed, STEPS)?;
+    for (seed, steps, cause) in SEEDS {
+        let outcome = soak::run(env!("CARGO_BIN_EXE_wasabirouter"), *seed, *steps)?;
         let trace = &outcome.trace;
         assert!(
             outcome.violations.is_empty(),
