gateway: what a restore of the store undoes has a file of its own

Only moved, with the length of a usage window computed in one place; a copy of the sealed usage is no longer dropped if the record cannot be read. tests/restore.rs passes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod refresh;
 pub mod relay;
 pub mod response;
+pub mod restore;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,7 +26,7 @@
     member::Member,
     objects::{DutyInterface, MetadataStore},
     time::Clock,
-    units::{Era, HostId, Incarnation, PoolId, Window, WorkspaceId},
+    units::{HostId, Incarnation, PoolId, Window, WorkspaceId},
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement},
@@ -174,20 +174,6 @@
         proven && listed && self.stopping_since.get().is_none()
     }
 
-    /// Applies the configuration that the store had at `proof`. Shortly after a restore of the store
-    /// it proves nothing, since an acknowledged one may be lost until the operator has written it
-    /// again: then it does not renew the proof, and a host without one ignores it.
-    pub fn offer_stored_config(&self, catalog: Catalog, proof: Instant) {
-        let now = self.now();
-        if self.era.borrow().is_settled(now) {
-            return self.offer_config(catalog, proof, "store");
-        }
-        let staleness = self.config.borrow().staleness(now);
-        if let Some(proven) = staleness.and_then(|age| now.checked_sub(age)) {
-            self.offer_config(catalog, proven, "store");
-        }
-    }
-
     /// Applies a configuration that was current at `proof`, unless a newer one is in force;
     /// `source` is for the log.
     pub fn offer_config(&self, catalog: Catalog, proof: Instant, source: &str) {
@@ -225,50 +211,6 @@
         self.refresh_balancers();
     }
 
-    /// Notices whether the store was restored since the last call. Must be called before acting under
-    /// anything that was read from the store or written to it.
-    pub fn check_era(&self) {
-        let Some(era) = self.objects.era() else { return };
-        let former = self.era.borrow_mut().observe(self.now(), era);
-        self.give_up_older_era(former, era, "store");
-    }
-
-    /// Takes in what a peer knows of the store's era.
-    pub fn merge_era(&self, theirs: era::Known) {
-        let now = self.now();
-        let was_settled = self.era.borrow().is_settled(now);
-        let former = self.era.borrow_mut().merge(theirs);
-        let settled = self.era.borrow().is_settled(now);
-        if former.is_none() && was_settled && !settled {
-            // This host started after the restore; what it has read may be an older copy.
-            self.config.borrow_mut().drop_proof();
-        }
-        self.give_up_older_era(former, theirs.era, "peer");
-    }
-
-    /// If there was a former era, gives up everything that rests on its contents; `source` is for the
-    /// log.
-    fn give_up_older_era(&self, former: Option<Era>, era: Era, source: &str) {
-        let Some(former) = former else { return };
-        let now = self.now();
-        warn!(era = era.0, former = former.0, source = source; "store restored from an older copy");
-        metrics::counter!("wasabi_store_restores_total").increment(1);
-        self.lease.borrow_mut().on_restored(now);
-        self.servers.borrow_mut().on_restored(now);
-        self.store_restored.notify_waiters();
-    }
-
-    /// Returns whether what may be written to the store `delay` after the end of a usage window at
-    /// the earliest cannot have been lost in a restore, as far as this host knows the store's era.
-    pub fn era_covers(&self, window: Window, delay: Duration) -> bool {
-        let Some(known) = self.era.borrow().known() else { return true };
-        let age = self.now().saturating_duration_since(known.since);
-        let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
-        let now_ms = self.time_of_day.borrow().now_ms(self.now());
-        let written_ms = (window.0 + 1) * length_ms + delay.as_millis() as u64;
-        now_ms.saturating_sub(age.as_millis() as u64) < written_ms
-    }
-
     /// Removes servers that were kept after an outage of the store and whose grace period is over.
     pub fn expire_servers(&self) {
         if self.servers.borrow_mut().expire(self.now()) {
@@ -317,10 +259,9 @@
 
     /// Whether this process ran from the beginning of a usage window on.
     pub fn ran_since_start_of(&self, window: Window) -> bool {
-        let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
         let now_ms = self.time_of_day.borrow().now_ms(self.now());
         let uptime = self.now().saturating_duration_since(self.started_at);
-        now_ms.saturating_sub(uptime.as_millis() as u64) <= window.0 * length_ms
+        now_ms.saturating_sub(uptime.as_millis() as u64) <= window.0 * self.usage_window_ms()
     }
 
     /// Merges the counts of another host's incarnation.
@@ -359,8 +300,12 @@
 
     /// Returns the current usage window by the agreed time of day.
     pub fn usage_window(&self) -> Window {
-        let length_ms = (self.settings.borrow().bounds.usage_window_s * 1e3) as u64;
-        Window(self.time_of_day.borrow().now_ms(self.now()) / length_ms.max(1))
+        Window(self.time_of_day.borrow().now_ms(self.now()) / self.usage_window_ms())
+    }
+
+    /// Returns the length of a usage window in milliseconds, at least 1.
+    pub fn usage_window_ms(&self) -> u64 {
+        ((self.settings.borrow().bounds.usage_window_s * 1e3) as u64).max(1)
     }
 
     /// Returns the number of live hosts, this one included.
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -115,7 +115,7 @@
     async fn load(&mut self, state: &State) -> Result<()> {
         let record =
             with_timeout(state.objects.read(RECORD_KIND, RECORD_NAME), CALL_TIMEOUT).await?;
-        let known = std::mem::take(&mut self.sealed);
+        let known = self.sealed.clone();
         match record {
             None => self.version = None,
             Some(record) => self.set_record(record)?,
@@ -211,8 +211,7 @@
 
 /// Returns the newest window that ended at least [`SETTLE_TIME`] ago.
 fn newest_settled(state: &State) -> Option<Window> {
-    let length_ms = (state.settings.borrow().bounds.usage_window_s * 1e3) as u64;
     let now_ms = state.time_of_day.borrow().now_ms(state.now());
     let settled = now_ms.checked_sub(SETTLE_TIME.as_millis() as u64)?;
-    Some(Window((settled / length_ms.max(1)).checked_sub(1)?))
+    Some(Window((settled / state.usage_window_ms()).checked_sub(1)?))
 }
