--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -106,7 +106,7 @@
         pub leaving: bool,
         /// For how long the server wants no request from this host, if it turned this one away and
         /// stated a time.
-        pub retry_after: Option<Duration>,
+        pub pause: Option<Duration>,
         /// The load reported by the server.
         pub load: Option<Load>,
         /// How long the server keeps an idle connection open, if stated.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -98,7 +98,7 @@
                 if reply.leaving {
                     state.mark_leaving(members::instance(member), "answer");
                 }
-                if let Some(wait) = reply.retry_after {
+                if let Some(wait) = reply.pause {
                     pause(state, guard, wait);
                 }
                 return classify_response(outgoing, http, reply, connection);
