gateway: a host that starts has seen no restore of the store

The second answer of the store in the same era was taken for the sight of a restore, so for 2 s after its start a host did not renew proofs from the store, and one without a configuration ignored it.

Change: a host has seen a restore only if the era rises. Before: a_restored_store_proves_nothing_* failed with a second answer of the same era.

--- a/crates/belief/src/era.rs
+++ b/crates/belief/src/era.rs
@@ -26,7 +26,7 @@
 impl View {
     /// Takes in an era that the store stated now; returns the former era if this is a newer one.
     pub fn observe(&mut self, now: Instant, era: Era) -> Option<Era> {
-        self.merge(Known { era, since: now, restored: self.0.is_some() })
+        self.merge(Known { era, since: now, restored: false })
     }
 
     /// Takes in what a peer knows; returns the former era if the peer's is newer.
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -206,7 +206,8 @@
     let start = Instant::now();
     let mut saw = era::View::default();
     assert_eq!(saw.observe(start, Era(3)), None);
-    assert!(saw.is_settled(start), "a host that starts has seen no restore");
+    assert_eq!(saw.observe(start + SECOND, Era(3)), None);
+    assert!(saw.is_settled(start + SECOND), "a host that starts has seen no restore");
     let restored = start + SECOND * 9;
     assert_eq!(saw.observe(restored, Era(4)), Some(Era(3)));
     assert_eq!(saw.observe(restored, Era(3)), None, "a late answer of the former era");
