gateway: what a server says of its limit is decoded, logged and counted

The limit is decoded into the head of a response, held by instance with the time of the statement, logged when it changes, shown in the dump, and placements on servers with a limit are counted. A value that is not understood is logged once for each server. Placement is unchanged.

--- /dev/null
+++ b/crates/belief/src/limits.rs
@@ -0,0 +1,89 @@
+//! The rate limits that backend servers name, as this host knows them.
+//!
+//! A server names its limit in all its answers while it is in need. The limit ends when a later answer
+//! names none: one to a request that was sent after the limit was last named. Without such an answer
+//! it stays in force, however long ago it was named.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use wasabi_core::units::RequestRate;
+
+use crate::members::Instance;
+
+/// Statements about instances that are not listed any more are dropped after this time. Entries of
+/// live servers may be missing from a list for seconds.
+const RETENTION: Duration = Duration::from_secs(600);
+/// The most instances with a statement; the oldest ones are forgotten first.
+const MAX_STATEMENTS: usize = 4_096;
+
+/// What an instance last said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Statement {
+    /// The requests a second that it takes from all hosts together; `None` if it has lifted the
+    /// limit.
+    pub rate: Option<RequestRate>,
+    /// When it said so; never later than it can have.
+    pub at: Instant,
+}
+
+/// The statements of all instances that have ever named a limit.
+#[derive(Debug, Default)]
+pub struct View(BTreeMap<Instance, Statement>);
+
+impl View {
+    /// The limit of an instance that is in force.
+    pub fn limit(&self, instance: &Instance) -> Option<RequestRate> {
+        self.0.get(instance)?.rate
+    }
+
+    /// The instances with a limit in force.
+    pub fn limited(&self) -> impl Iterator<Item = (&Instance, RequestRate)> {
+        self.0.iter().filter_map(|(instance, stated)| Some((instance, stated.rate?)))
+    }
+
+    /// Records an answer that an instance gave to a request sent at `sent`; `rate` is the limit that
+    /// it names. Returns whether the limit in force has changed.
+    pub fn record_answer(
+        &mut self,
+        now: Instant,
+        instance: Instance,
+        rate: Option<RequestRate>,
+        sent: Instant,
+    ) -> bool {
+        match (rate, self.0.get(&instance)) {
+            (None, None) => false,
+            (None, Some(known)) if sent < known.at => false,
+            _ => self.record(instance, Statement { rate, at: now }),
+        }
+    }
+
+    /// Records a statement that a peer has passed on, unless a later one is known. Returns whether the
+    /// limit in force has changed.
+    pub fn merge(&mut self, instance: Instance, stated: Statement) -> bool {
+        let known = self.0.get(&instance);
+        if known.is_some_and(|known| known.at >= stated.at) {
+            return false;
+        }
+        self.record(instance, stated)
+    }
+
+    /// Drops old statements of instances other than those that `is_listed` accepts.
+    pub fn retain(&mut self, now: Instant, is_listed: impl Fn(&Instance) -> bool) {
+        self.0.retain(|instance, stated| {
+            is_listed(instance) || now.saturating_duration_since(stated.at) < RETENTION
+        });
+    }
+
+    fn record(&mut self, instance: Instance, stated: Statement) -> bool {
+        if self.0.len() >= MAX_STATEMENTS && !self.0.contains_key(&instance) {
+            let oldest = self.0.iter().min_by_key(|(_, stated)| stated.at);
+            let oldest = oldest.map(|(instance, _)| instance.clone());
+            oldest.and_then(|instance| self.0.remove(&instance));
+        }
+        let before = self.0.insert(instance, stated);
+        before.and_then(|before| before.rate) != stated.rate
+    }
+}
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -4,12 +4,12 @@
 
 use wasabi_belief::{
     announcement::Announcement, catalog, cluster_clock::ClusterClock, counts::RequestCounts, era,
-    members, peers::Peers,
+    limits, members, peers::Peers,
 };
 use wasabi_core::{
     catalog::Catalog,
     member::{Member, Phase},
-    units::{Era, HostId, Incarnation, Revision, Window},
+    units::{Era, HostId, Incarnation, RequestRate, Revision, Window},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -222,3 +222,38 @@
     assert!(!starts.is_settled(now));
     assert_eq!(starts.known(), saw.known(), "it counts from the restore");
 }
+
+#[test]
+fn a_limit_holds_until_a_later_answer_names_none() {
+    let start = Instant::now();
+    let instance: members::Instance = ("s1".parse().expect("a name"), 1);
+    let rate = RequestRate::new(3.5);
+    let mut view = limits::View::default();
+    assert!(!view.record_answer(start, instance.clone(), None, start), "it never named one");
+    assert!(view.record_answer(start + SECOND, instance.clone(), rate, start));
+    let early = view.record_answer(start + SECOND * 2, instance.clone(), None, start);
+    assert!(!early, "that request was sent before the limit was named");
+    assert_eq!(view.limit(&instance), rate);
+    view.retain(start + SECOND * 3_600, |_| true);
+    assert_eq!(view.limit(&instance), rate, "time alone lifts no limit");
+    assert!(view.record_answer(start + SECOND * 3, instance.clone(), None, start + SECOND * 2));
+    assert_eq!(view.limit(&instance), None);
+}
+
+#[test]
+fn the_later_statement_on_a_limit_counts_whoever_passes_it_on() {
+    let start = Instant::now();
+    let instance: members::Instance = ("s1".parse().expect("a name"), 1);
+    let stated = |rate: f64, s: u32| limits::Statement {
+        rate: RequestRate::new(rate),
+        at: start + SECOND * s,
+    };
+    let mut view = limits::View::default();
+    assert!(view.merge(instance.clone(), stated(2.0, 5)));
+    assert!(!view.merge(instance.clone(), stated(9.0, 4)));
+    assert!(!view.merge(instance.clone(), limits::Statement { rate: None, ..stated(0.0, 3) }));
+    assert_eq!(view.limit(&instance), RequestRate::new(2.0));
+    assert!(view.merge(instance, limits::Statement { rate: None, ..stated(0.0, 6) }));
+    assert_eq!(view.limited().count(), 0);
+    assert_eq!(view.limit(&("s1".parse().expect("a name"), 2)), None, "another instance");
+}
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     data,
-    units::{ServerId, WorkspaceId},
+    units::{RequestRate, ServerId, WorkspaceId},
 };
 
 data! {
@@ -107,6 +107,10 @@
         /// For how long the server wants no request from this host, if it turned this one away and
         /// stated a time.
         pub pause: Option<Duration>,
+        /// The requests a second that the server takes from all hosts together, if it names a limit.
+        pub limit: Option<RequestRate>,
+        /// The headers whose values were not understood; they count as absent.
+        pub malformed: Vec<String>,
         /// The load reported by the server.
         pub load: Option<Load>,
         /// How long the server keeps an idle connection open, if stated.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -89,6 +89,42 @@
     TokenRate
 );
 
+/// A number of requests a second, at least 0.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Returns the rate; `None` if it is negative or not finite.
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second >= 0.0 && per_second.is_finite()).then_some(Self(per_second))
+    }
+
+    /// Returns the requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl std::fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl std::str::FromStr for RequestRate {
+    type Err = crate::errors::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").unwrap_or(text).trim().parse().ok();
+        let invalid = || {
+            let detail = format!("{text:?} is not a number of requests a second");
+            crate::errors::Error::new(crate::errors::Code::HeadInvalid, detail)
+        };
+        number.and_then(Self::new).ok_or_else(invalid)
+    }
+}
+
 impl Revision {
     /// Returns the revision that follows this one.
     pub fn next(self) -> Self {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,13 +7,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, Uri, body::Incoming, header::HeaderMap, http::request::Parts};
+use hyper::{
+    Request, Response, StatusCode, Uri, body::Incoming, header::HeaderMap, http::request::Parts,
+};
 use log::info;
 use rand::Rng as _;
 use wasabi_belief::members;
 use wasabi_core::{
     call::{ForwardedHead, RequestHead, ResponseHead},
     catalog::Kind,
+    member::Member,
 };
 use wasabi_platform::{head, reply};
 
@@ -90,11 +93,16 @@
         let Some(request) = build_request(outgoing, guard, remaining) else {
             return Outcome::NotRun("the request cannot be sent on");
         };
+        let sent = state.now();
         let sending = connection.inner().sender.try_send_request(request);
         match tokio::time::timeout(remaining, sending).await {
             Err(_) => return Outcome::TimedOut,
             Ok(Ok(http)) => {
                 let reply = reply::decode(&outgoing.parts.method, http.status(), http.headers());
+                for header in &reply.malformed {
+                    state.log_malformed_header(&member.id, header);
+                }
+                record_limit(state, outgoing, member, http.status(), &reply, sent);
                 if reply.leaving {
                     state.mark_leaving(members::instance(member), "answer");
                 }
@@ -122,6 +130,22 @@
     }
 }
 
+/// Records what an answer to a request sent at `sent` says of the server's limit. Answers of another
+/// server at its address, or of none, say nothing of it.
+fn record_limit(
+    state: &State,
+    outgoing: &Outgoing<'_>,
+    member: &Member,
+    status: StatusCode,
+    reply: &ResponseHead,
+    sent: Instant,
+) {
+    let is_own = reply.id.as_ref() == Some(&outgoing.head.id) && (reply.signed || reply.not_run);
+    if status != StatusCode::MISDIRECTED_REQUEST && (is_own || reply.limit.is_some()) {
+        state.record_limit(members::instance(member), reply.limit, sent);
+    }
+}
+
 /// Takes the server out of placement for the time for which it wants no request.
 fn pause(state: &State, guard: &PlacementGuard, wait: Duration) {
     let now = state.now();
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -89,6 +89,7 @@
     }
     metrics::gauge!("wasabi_gateway_running").set(state.running_requests.get() as f64);
     metrics::gauge!("wasabi_live_hosts").set(state.live_hosts() as f64);
+    metrics::gauge!("wasabi_limited_servers").set(state.limits.borrow().limited().count() as f64);
     let held = state.lease.borrow().fence(now).is_some();
     metrics::gauge!("wasabi_duties_held").set(f64::from(u8::from(held)));
     for (service, balancer) in state.balancers.borrow().iter() {
@@ -127,6 +128,13 @@
                 "duties": peer.fence})
         })
         .collect();
+    let limits = state.limits.borrow();
+    let limits: Vec<Value> = limits
+        .limited()
+        .map(|((server, born_ms), rate)| {
+            json!({"server": server, "born_ms": born_ms, "per_second": rate})
+        })
+        .collect();
     json!({
         "host": state.settings.borrow().host,
         "incarnation": state.incarnation,
@@ -138,6 +146,7 @@
         "running": state.running_requests.get(),
         "duties": state.lease.borrow().fence(now),
         "services": services,
+        "limits": limits,
         "peers": peers,
     })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,10 +15,11 @@
 use log::info;
 use rand::Rng as _;
 use wasabi_answer::{broken::Broken, whole};
+use wasabi_belief::members;
 use wasabi_core::{
     call::{Framing, RequestHead},
     errors::{Code, Error, Ran, Result},
-    units::ServerId,
+    units::{RequestRate, ServerId},
 };
 use wasabi_platform::{head, reply};
 use wasabi_policy::{
@@ -301,6 +302,13 @@
         Ok(placement) => {
             drop(balancers);
             history.placements += 1;
+            let instance = members::instance(&placement.member);
+            let limit = state.limits.borrow().limit(&instance).map(RequestRate::per_second);
+            if limit.is_some() {
+                metrics::counter!("wasabi_gateway_limited_placements_total",
+                    "service" => placement.member.service.to_string())
+                .increment(1);
+            }
             let request = inbound.head.id.as_str();
             info!(target: wasabi_logs::REQUEST_TARGET, request = request,
                 server = placement.member.id.as_str(), sent = history.placements,
@@ -308,7 +316,7 @@
                 work_ms = placement.prefill_ms as u64,
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
-                version = admission.catalog.version.0,
+                version = admission.catalog.version.0, limit = limit,
                 after = history.last_cause, resumed_after = last_event.unwrap_or(0); "placed");
             Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -18,7 +18,7 @@
     cluster_clock::ClusterClock,
     counts, era,
     lease::{self, Lease},
-    members,
+    limits, members,
     peers::Peers,
 };
 use wasabi_core::{
@@ -26,7 +26,7 @@
     member::Member,
     objects::{DutyInterface, MetadataStore},
     time::Clock,
-    units::{HostId, Incarnation, PoolId, Window, WorkspaceId},
+    units::{HostId, Incarnation, PoolId, RequestRate, ServerId, Window, WorkspaceId},
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement},
@@ -40,6 +40,8 @@
 /// The part of `Bounds::stop_s` that is not spent on draining. After draining, the process
 /// waits half of this for the last announcement and ends.
 pub const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// The most headers of servers that are remembered as malformed; beyond, all are forgotten.
+const MAX_MALFORMED_HEADERS: usize = 1_024;
 /// Usage windows in an announcement: the current one and those that may not be reported yet.
 const ANNOUNCED_WINDOWS: usize = 4;
 
@@ -61,6 +63,10 @@
     pub config: RefCell<catalog::View>,
     /// The known backend servers and when the list was last proven complete.
     pub servers: RefCell<members::View>,
+    /// The rate limits that servers have named.
+    pub limits: RefCell<limits::View>,
+    /// Headers that servers have sent with values that were not understood, which are logged once.
+    malformed_headers: RefCell<BTreeSet<(ServerId, String)>>,
     /// Placement state by service.
     pub balancers: RefCell<BTreeMap<PoolId, Balancer>>,
     /// This host's part of the repeat budget by service.
@@ -115,6 +121,8 @@
             started_at: now,
             config: RefCell::default(),
             servers: RefCell::default(),
+            limits: RefCell::default(),
+            malformed_headers: RefCell::default(),
             balancers: RefCell::default(),
             repeat_budgets: RefCell::default(),
             peers: RefCell::new(Peers::new(host.clone())),
@@ -211,6 +219,39 @@
         self.refresh_balancers();
     }
 
+    /// Records the limit that an instance names in its answer to a request sent at `sent`, or that it
+    /// names none.
+    pub fn record_limit(
+        &self,
+        instance: members::Instance,
+        rate: Option<RequestRate>,
+        sent: Instant,
+    ) {
+        let now = self.now();
+        if self.limits.borrow_mut().record_answer(now, instance.clone(), rate, sent) {
+            self.apply_limit(&instance, "answer", Duration::ZERO);
+        }
+    }
+
+    /// Logs a limit that has changed; `source` says from whom the host knows it, `age` how long ago
+    /// the server stated it.
+    fn apply_limit(&self, instance: &members::Instance, source: &str, age: Duration) {
+        let rate = self.limits.borrow().limit(instance).map(RequestRate::per_second);
+        info!(server = instance.0.as_str(), born_ms = instance.1, per_second = rate,
+            source = source, age_ms = age.as_millis() as u64; "backend server's limit changed");
+    }
+
+    /// Logs that a server has sent a header whose value was not understood, once for each.
+    pub fn log_malformed_header(&self, server: &ServerId, header: &str) {
+        let mut known = self.malformed_headers.borrow_mut();
+        if known.len() >= MAX_MALFORMED_HEADERS {
+            known.clear();
+        }
+        if known.insert((server.clone(), header.to_string())) {
+            warn!(server = server.as_str(), header = header; "header of a backend server not understood");
+        }
+    }
+
     /// Removes servers that were kept after an outage of the store and whose grace period is over.
     pub fn expire_servers(&self) {
         if self.servers.borrow_mut().expire(self.now()) {
@@ -347,6 +388,10 @@
             let balancer = balancers.entry(name).or_insert_with(|| Balancer::new(domain.clone()));
             balancer.set_servers(now, service.engine, &servers);
         }
+        let listed = |limited: &members::Instance| {
+            members.iter().any(|member| members::instance(member) == *limited)
+        };
+        self.limits.borrow_mut().retain(now, listed);
         self.connection_pool.retain(&members);
     }
 
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -88,6 +88,8 @@
     default: Option<Behavior>,
     /// Whether all responses say that it leaves.
     leaving: bool,
+    /// The `server-limit` header of all responses.
+    limit: Option<String>,
     /// The `retry-after` header of responses that turn a request away.
     retry_after: Option<String>,
     arrivals: Vec<Arrival>,
@@ -140,6 +142,11 @@
         self.inner.lock().retry_after = value.map(str::to_string);
     }
 
+    /// Sets the limit that all responses from now on name; `None` for none.
+    pub fn set_limit(&self, value: Option<&str>) {
+        self.inner.lock().limit = value.map(str::to_string);
+    }
+
     /// Returns the requests received so far, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.inner.lock().arrivals.clone()
@@ -180,13 +187,18 @@
         headers.insert("server-load", HeaderValue::from_static("1,0,8"));
     }
 
-    /// Sets the headers that tell whether the server leaves and, of a response that turns a request
+    /// Sets the headers that tell whether the server leaves and how much it takes, and, of a response that turns a request
     /// away, when it wants the next one.
     fn set_state_headers(&self, response: &mut BoxResponse) {
         let inner = self.inner.lock();
         if inner.leaving {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
+        if let Some(limit) =
+            inner.limit.as_deref().and_then(|text| HeaderValue::from_str(text).ok())
+        {
+            response.headers_mut().insert("server-limit", limit);
+        }
         let wait = inner.retry_after.as_deref().filter(|_| response.status() == 503);
         if let Some(wait) = wait.and_then(|wait| HeaderValue::from_str(wait).ok()) {
             response.headers_mut().insert("retry-after", wait);
