gateway: hosts share the limit of requests that a server names

Callers saw nothing, but a server in need that had named 3.5 requests a second got 34 in 4 s (26 allowed), another with 1.5 got 15 (14 allowed).

Cause: a fact that binds all hosts together was not known to any of them.

Change: the statement of an instance is kept with its time, passed on in an announcement of its own (that with load reports fills a packet), and lifted only by a later answer. policy::pace gives each host a part: few senders for each server, chosen by rendezvous hashing, each at an equal share, so that the sum holds for fleets of 1 to 360 hosts. Placement, repeats, resumes and moves all pass it.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -5,7 +5,8 @@
 use wasabi_core::{
     data,
     units::{
-        Domain, Epoch, Era, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId,
+        Domain, Epoch, Era, HostId, Incarnation, PoolId, RequestRate, Revision, ServerId, Window,
+        WorkspaceId,
     },
 };
 use wasabi_policy::load_report::LoadReport;
@@ -58,6 +59,25 @@
         pub highest_fence: Epoch,
     }
 
+    /// What follows an [`Addition`] in its datagram, as that follows an announcement.
+    #[derive(Default)]
+    pub struct Extension {
+        /// What servers have said of their limits, a part of all statements that the sender knows.
+        pub limits: Vec<LimitReport>,
+    }
+
+    /// What a server last said of its limit, as far as the sender knows.
+    pub struct LimitReport {
+        /// The server.
+        pub server: ServerId,
+        /// The start of its process in milliseconds since the Unix epoch.
+        pub born_ms: u64,
+        /// The limit; `None` if it was lifted.
+        pub rate: Option<RequestRate>,
+        /// How many milliseconds ago the server said so.
+        pub age_ms: u64,
+    }
+
     /// Counts of the requests that began to run in one incarnation of a host.
     pub struct CountReport {
         /// The current window at the time of the announcement.
--- a/crates/belief/src/limits.rs
+++ b/crates/belief/src/limits.rs
@@ -44,6 +44,17 @@
         self.0.iter().filter_map(|(instance, stated)| Some((instance, stated.rate?)))
     }
 
+    /// At most `count` statements, those that follow `after`, and then the first ones again.
+    pub fn following(
+        &self,
+        after: Option<&Instance>,
+        count: usize,
+    ) -> impl Iterator<Item = (&Instance, &Statement)> {
+        let later = self.0.iter().filter(move |(instance, _)| Some(*instance) > after);
+        let first = self.0.iter().filter(move |(instance, _)| Some(*instance) <= after);
+        later.chain(first).take(count)
+    }
+
     /// Records an answer that an instance gave to a request sent at `sent`; `rate` is the limit that
     /// it names. Returns whether the limit in force has changed.
     pub fn record_answer(
--- a/crates/belief/src/peers.rs
+++ b/crates/belief/src/peers.rs
@@ -12,6 +12,9 @@
 
 /// A peer that has been silent for this long does not count as live.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A peer that has been silent for this long counts as one that sends nothing to servers. Until then
+/// its part of their limits stays its own.
+const SENDING_TIMEOUT: Duration = Duration::from_secs(10);
 /// A peer that has been silent for this long is removed; a record in the store may add it again.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -123,6 +126,15 @@
         self.known.iter().filter(move |(_, peer)| peer.is_live(now))
     }
 
+    /// The peers that may be sending to servers: those heard from or recorded lately, and all known ones
+    /// while none is live, since then it is this host that is cut off.
+    pub fn may_send(&self, now: Instant) -> impl Iterator<Item = &HostId> {
+        let alone = self.live(now).next().is_none();
+        let lately =
+            move |peer: &Peer| now.saturating_duration_since(peer.last_seen) < SENDING_TIMEOUT;
+        self.known.iter().filter(move |(_, peer)| alone || lately(peer)).map(|(host, _)| host)
+    }
+
     /// The number of live hosts, including this one.
     pub fn live_host_count(&self, now: Instant) -> usize {
         1 + self.live(now).count()
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -14,8 +14,9 @@
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use wasabi_belief::{
-    announcement::{Addition, Announcement},
-    era,
+    announcement::{Addition, Announcement, Extension, LimitReport},
+    era, limits,
+    members::Instance,
 };
 use wasabi_core::{time, units::PoolId};
 use wasabi_policy::load_report::PendingReport;
@@ -54,6 +55,8 @@
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 /// How long it is announced that a server leaves; by then the store lists it as draining or gone.
 const LEAVING_ANNOUNCED_FOR: Duration = Duration::from_secs(5);
+/// The most statements on limits in one announcement.
+pub const MAX_ANNOUNCED_LIMITS: usize = 24;
 /// The most such servers in one announcement, the latest ones.
 pub const MAX_ANNOUNCED_LEAVING: usize = 10;
 
@@ -62,6 +65,7 @@
     template: HeaderTemplate,
     announcement: Announcement,
     addition: Addition,
+    extension: Extension,
 }
 
 /// Sends and receives announcements until the process ends.
@@ -78,6 +82,7 @@
     let mut due: Option<Instant> = None;
     let mut remote = RemoteBacklog::default();
     let mut rounds: u32 = 0;
+    let mut extension_rounds: u32 = 0;
     loop {
         let hosts = state.live_hosts().max(1);
         let large = hosts >= LARGE_FLEET_HOSTS;
@@ -98,6 +103,15 @@
         for peer in state.peers.borrow_mut().take_fallen_silent(now) {
             warn!(peer = peer.as_str(); "peer lost");
         }
+        let same_domain = same_domain_peers(state);
+        extension_rounds += 1;
+        if let Some(facts) = begin_extension(state, echoes) {
+            let everywhere = !large || extension_rounds.is_multiple_of(REMOTE_DOMAIN_ROUNDS);
+            send_to_peers(state, socket, &facts, Duration::ZERO, |peer| {
+                everywhere || same_domain.contains(peer)
+            })
+            .await;
+        }
         let with_counts =
             counts_sent.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
         let full = begin_announcement(state, echoes, true, with_counts && !large);
@@ -121,7 +135,6 @@
             send_to_peers(state, socket, &counts, Duration::ZERO, |peer| recipients.contains(peer))
                 .await;
         }
-        let same_domain = same_domain_peers(state);
         send_to_peers(state, socket, &full, Duration::ZERO, |peer| same_domain.contains(peer))
             .await;
         remote.absorb(&full.announcement);
@@ -186,7 +199,7 @@
     send_time: Duration,
     is_recipient: impl Fn(&SocketAddr) -> bool,
 ) {
-    let content = (&outgoing.announcement, &outgoing.addition);
+    let content = (&outgoing.announcement, &outgoing.addition, &outgoing.extension);
     let bytes = match postcard::to_allocvec(&content) {
         Ok(bytes) => bytes,
         Err(e) => {
@@ -211,6 +224,14 @@
     }
 }
 
+/// Begins an announcement of what servers have said, if there is anything to announce. It has a
+/// datagram of its own, since that with the load reports of a busy host fills a packet.
+fn begin_extension(state: &State, echoes: &RefCell<EchoTracker>) -> Option<Outgoing> {
+    let mut outgoing = begin_announcement(state, echoes, false, false);
+    outgoing.extension = collect_extension(state);
+    (outgoing.extension != Extension::default()).then_some(outgoing)
+}
+
 /// Begins an announcement and then reads its content, in the order that [`HeaderTemplate`]
 /// requires.
 fn begin_announcement(
@@ -220,10 +241,12 @@
     with_counts: bool,
 ) -> Outgoing {
     let template = echoes.borrow_mut().begin(state.now());
+    state.share_limits();
     Outgoing {
         template,
         announcement: collect_announcement(state, with_shares, with_counts),
         addition: collect_addition(state),
+        extension: Extension::default(),
     }
 }
 
@@ -241,6 +264,24 @@
     Addition { leaving_servers, era, highest_fence }
 }
 
+/// Collects the next few statements of servers on their limits. All are announced in turn, however old:
+/// a peer may have missed any of them.
+fn collect_extension(state: &State) -> Extension {
+    let now = state.now();
+    let limits = state.limits.borrow();
+    let mut last_announced = state.last_announced_limit.borrow_mut();
+    let next: Vec<(&Instance, &limits::Statement)> =
+        limits.following(last_announced.as_ref(), MAX_ANNOUNCED_LIMITS).collect();
+    *last_announced = next.last().map(|(instance, _)| (*instance).clone());
+    let report = |((server, born_ms), stated): (&Instance, &limits::Statement)| LimitReport {
+        server: server.clone(),
+        born_ms: *born_ms,
+        rate: stated.rate,
+        age_ms: now.saturating_duration_since(stated.at).as_millis() as u64,
+    };
+    Extension { limits: next.into_iter().map(report).collect() }
+}
+
 /// Collects what this host announces. With load reports it takes what the balancers have placed
 /// since the last ones; it also tells the balancers the number of hosts.
 fn collect_announcement(state: &State, with_shares: bool, with_counts: bool) -> Announcement {
@@ -282,15 +323,18 @@
                 let decoded = buffer[..length].split_at_checked(HEADER_BYTES);
                 let decoded = decoded.and_then(|(header, body)| {
                     let (announcement, rest) = postcard::take_from_bytes(body).ok()?;
-                    // Hosts of older versions send no addition.
-                    let addition: Addition = postcard::from_bytes(rest).unwrap_or_default();
-                    Some((header, announcement, addition))
+                    // Hosts of older versions send no addition, or no extension.
+                    let (addition, rest): (Addition, &[u8]) =
+                        postcard::take_from_bytes(rest).unwrap_or_default();
+                    let extension: Extension = postcard::from_bytes(rest).unwrap_or_default();
+                    Some((header, announcement, addition, extension))
                 });
                 match decoded {
-                    Some((header, announcement, addition)) => {
+                    Some((header, announcement, addition, extension)) => {
                         let earliest_send = echoes.borrow_mut().receive(from, header);
                         apply(state, from, &announcement, earliest_send);
                         apply_addition(state, addition);
+                        apply_extension(state, extension, earliest_send);
                     }
                     None => metrics::counter!("wasabi_gossip_failures_total").increment(1),
                 }
@@ -317,6 +361,23 @@
     }
 }
 
+/// Applies what a peer knows of the limits of servers. That a limit was lifted counts as said at the
+/// earliest time possible, and is ignored without a bound on the age of the announcement: it must not
+/// outweigh a limit that was named later.
+fn apply_extension(state: &State, extension: Extension, earliest_send: Option<Instant>) {
+    let now = state.now();
+    for report in extension.limits {
+        let heard = match report.rate {
+            Some(_) => Some(now),
+            None => earliest_send,
+        };
+        let Some(heard) = heard else { continue };
+        let at = heard.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(heard);
+        let instance = (report.server, report.born_ms);
+        state.merge_limit(instance, limits::Statement { rate: report.rate, at });
+    }
+}
+
 /// Applies an announcement that was begun no earlier than `earliest_send`. Without that bound its
 /// ages only count as claims of the peer, and its agreed time of day is ignored.
 fn apply(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -323,7 +323,12 @@
         Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
         Err(Refusal::Paused(wait)) => {
             let wait = wait_limit::after_pause(wait, rand::rng().random());
-            Err(response::retry_later(Code::Overloaded, "all servers pause", wait).ran(ran))
+            Err(response::retry_later(
+                Code::Overloaded,
+                "all servers pause or are at their limits",
+                wait,
+            )
+            .ran(ran))
         }
         Err(Refusal::NoServerInTime(wait)) => {
             let pause = wait_limit::late_retry_delay(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement},
+    pace::Fleet,
     repeat_budget::{self, Budget},
 };
 
@@ -65,6 +66,8 @@
     pub servers: RefCell<members::View>,
     /// The rate limits that servers have named.
     pub limits: RefCell<limits::View>,
+    /// The instance whose statement on its limit was announced last.
+    pub last_announced_limit: RefCell<Option<members::Instance>>,
     /// Headers that servers have sent with values that were not understood, which are logged once.
     malformed_headers: RefCell<BTreeSet<(ServerId, String)>>,
     /// Placement state by service.
@@ -122,6 +125,7 @@
             config: RefCell::default(),
             servers: RefCell::default(),
             limits: RefCell::default(),
+            last_announced_limit: RefCell::default(),
             malformed_headers: RefCell::default(),
             balancers: RefCell::default(),
             repeat_budgets: RefCell::default(),
@@ -239,6 +243,26 @@
         let rate = self.limits.borrow().limit(instance).map(RequestRate::per_second);
         info!(server = instance.0.as_str(), born_ms = instance.1, per_second = rate,
             source = source, age_ms = age.as_millis() as u64; "backend server's limit changed");
+        self.share_limits();
+    }
+
+    /// Applies what a peer has heard of an instance's limit.
+    pub fn merge_limit(&self, instance: members::Instance, stated: limits::Statement) {
+        if self.limits.borrow_mut().merge(instance.clone(), stated) {
+            let age = self.now().saturating_duration_since(stated.at);
+            self.apply_limit(&instance, "peer", age);
+        }
+    }
+
+    /// Updates this host's parts of the limits of all servers.
+    pub fn share_limits(&self) {
+        let now = self.now();
+        let others = self.peers.borrow().may_send(now).cloned().collect();
+        let fleet = Fleet::new(self.settings.borrow().host.clone(), others);
+        let limits = self.limits.borrow();
+        for balancer in self.balancers.borrow_mut().values_mut() {
+            balancer.share_limits(now, &fleet, |member| limits.limit(&members::instance(member)));
+        }
     }
 
     /// Logs that a server has sent a header whose value was not understood, once for each.
@@ -392,6 +416,8 @@
             members.iter().any(|member| members::instance(member) == *limited)
         };
         self.limits.borrow_mut().retain(now, listed);
+        drop(balancers);
+        self.share_limits();
         self.connection_pool.retain(&members);
     }
 
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -4,9 +4,12 @@
 
 use std::collections::BTreeMap;
 
-use wasabi_belief::announcement::{Addition, Announcement};
-use wasabi_core::units::{Epoch, Era, HostId, Incarnation, Revision, ServerId};
-use wasabi_gateway::{echo::HEADER_BYTES, gossip::MAX_ANNOUNCED_LEAVING};
+use wasabi_belief::announcement::{Addition, Announcement, Extension, LimitReport};
+use wasabi_core::units::{Epoch, Era, HostId, Incarnation, RequestRate, Revision, ServerId};
+use wasabi_gateway::{
+    echo::HEADER_BYTES,
+    gossip::{MAX_ANNOUNCED_LEAVING, MAX_ANNOUNCED_LIMITS},
+};
 use wasabi_policy::load_report::LoadReport;
 
 /// The largest UDP payload that fits one Ethernet frame.
@@ -49,7 +52,19 @@
         era: Some((Era(1_000), 40_000_000, true)),
         highest_fence: Epoch(1_000_000),
     };
-    let datagram = postcard::to_allocvec(&(&announcement, &addition)).expect("it can be encoded");
+    let datagram = postcard::to_allocvec(&(&announcement, &addition, Extension::default()));
+    let length = HEADER_BYTES + datagram.expect("it can be encoded").len();
+    assert!(length <= PACKET_BYTES, "{length} bytes");
+    let limits = (0..MAX_ANNOUNCED_LIMITS as u64).map(|number| LimitReport {
+        server: format!("i-{number:010x}").parse().expect("a name"),
+        born_ms: 1_796_351_968_201,
+        rate: RequestRate::new(3.5),
+        age_ms: 40_000,
+    });
+    let extension = Extension { limits: limits.collect() };
+    let proofs = Announcement { shares: None, ..announcement.clone() };
+    let datagram = postcard::to_allocvec(&(&proofs, &addition, &extension));
+    let datagram = datagram.expect("it can be encoded");
     let length = HEADER_BYTES + datagram.len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
     let bytes = postcard::to_allocvec(&announcement).expect("it can be encoded");
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -16,11 +16,12 @@
     call::{Load, Prompt},
     catalog::Engine,
     member::Member,
-    units::{Domain, HostId, ServerId},
+    units::{Domain, HostId, RequestRate, ServerId},
 };
 
 use crate::{
     load_report::LoadReport,
+    pace::Fleet,
     reservation,
     server_state::{CostEstimate, Counts, ServerState, URGENCY_LEVELS},
     stuck::{self, AverageResponseTime},
@@ -100,7 +101,8 @@
 pub enum Refusal {
     /// No server of the service takes new work.
     NoServer,
-    /// All servers that take new work are paused; the time until the first one is back.
+    /// All servers that take new work are paused or at their limits; the time until the first one
+    /// takes a request.
     Paused(Duration),
     /// No server both has room for it and is expected to serve it within its max wait. Holds the
     /// least expected wait plus failure penalty of the servers, whether they have room or not;
@@ -138,6 +140,8 @@
     /// The average response time of plain servers.
     response_time: AverageResponseTime,
     servers: BTreeMap<ServerId, ServerState>,
+    /// The hosts that share the limits of servers, as last set.
+    fleet: Option<Fleet>,
     peers: HashMap<HostId, PeerAnnouncement>,
 }
 
@@ -159,6 +163,7 @@
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
             servers: BTreeMap::new(),
+            fleet: None,
             peers: HashMap::new(),
         }
     }
@@ -205,6 +210,25 @@
         }
     }
 
+    /// Sets the hosts that share the limits of servers, and the limit of each server by `limit_of`.
+    pub fn share_limits(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        limit_of: impl Fn(&Member) -> Option<RequestRate>,
+    ) {
+        let same_fleet = self.fleet.as_ref() == Some(fleet);
+        for server in self.servers.values_mut() {
+            let rate = limit_of(&server.member);
+            if !same_fleet || rate != server.pace.rate() {
+                server.pace.set(now, &server.member.id, rate, fleet);
+            }
+        }
+        if !same_fleet {
+            self.fleet = Some(fleet.clone());
+        }
+    }
+
     /// Returns the servers that take new work, paused ones included.
     pub fn ready(&self) -> impl Iterator<Item = &Member> {
         self.servers.values().filter(|server| server.is_ready()).map(|server| &server.member)
@@ -275,7 +299,7 @@
                 return Err(Refusal::NoServerInTime(Duration::from_secs_f64(least_ms / 1e3)));
             }
             let ready = self.servers.values().filter(|server| server.is_ready());
-            let first_back = ready.map(|server| server.pause.remaining(now)).min();
+            let first_back = ready.map(|server| server.wait(now)).min();
             return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
         let server = self.servers.get_mut(&id).expect("the server was just found");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod load_report;
 pub mod moving_average;
+pub mod pace;
 pub mod pause;
 pub mod prefix_cache;
 pub mod queue;
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -12,6 +12,7 @@
     balancer::{Placement, PlacementRequest},
     failures::FailureHistory,
     load_report::LoadReport,
+    pace::Pace,
     pause::Pause,
     prefix_cache::Cache,
     reservation,
@@ -72,6 +73,7 @@
     pub(crate) cache: Cache,
     pub(crate) failures: FailureHistory,
     pub(crate) pause: Pause,
+    pub(crate) pace: Pace,
 }
 
 /// Requests that run on a server.
@@ -110,15 +112,22 @@
             cache: Cache::new(memory),
             failures: FailureHistory::default(),
             pause: Pause::default(),
+            pace: Pace::default(),
         }
     }
 
-    /// Returns whether the server takes new work now: it is ready and not paused.
+    /// Returns whether the server takes new work now: it is ready, not paused and not at its limit.
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
-        self.is_ready() && self.pause.remaining(now).is_zero()
+        self.is_ready() && self.wait(now).is_zero()
     }
 
-    /// Returns whether the server takes new work, at the latest when its pause is over.
+    /// Returns the time until a server that is ready takes new work.
+    pub(crate) fn wait(&self, now: Instant) -> Duration {
+        self.pause.remaining(now).max(self.pace.wait(now))
+    }
+
+    /// Returns whether the server takes new work, at the latest when its pause is over and its limit
+    /// allows it.
     pub(crate) fn is_ready(&self) -> bool {
         self.member.phase == Phase::Ready
     }
@@ -183,6 +192,7 @@
         estimate: CostEstimate,
     ) -> Placement {
         let tokens = ask.prompt.map_or(0, |p| u64::from(p.tokens) + u64::from(p.output));
+        self.pace.record_send(now);
         self.own.running += 1;
         self.own.light += u32::from(estimate.light);
         self.own.tokens += tokens;
