entry: the owner of a cell keeps the limit of requests that a server names

The same cause as in the gateway: a server's statement on what it takes from all hosts together was read by nobody. A host that gets it in an answer keeps it with its time and passes it on with every message about grants; the owner of the server's cell, which alone dispatches to it, spaces its grants by policy::pace. A new owner learns of it with the first ticket of any host that knows, and begins with nothing saved up.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -5,11 +5,10 @@
 use wasabi_core::{
     data,
     units::{
-        Domain, Epoch, Era, HostId, Incarnation, PoolId, RequestRate, Revision, ServerId, Window,
-        WorkspaceId,
+        Domain, Epoch, Era, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId,
     },
 };
-use wasabi_policy::load_report::LoadReport;
+use wasabi_policy::{load_report::LoadReport, stated_limits};
 
 /// The load that a host puts on each backend server, by pool.
 pub type LoadByServer = Vec<(PoolId, Vec<(ServerId, LoadReport)>)>;
@@ -63,19 +62,7 @@
     #[derive(Default)]
     pub struct Extension {
         /// What servers have said of their limits, a part of all statements that the sender knows.
-        pub limits: Vec<LimitReport>,
-    }
-
-    /// What a server last said of its limit, as far as the sender knows.
-    pub struct LimitReport {
-        /// The server.
-        pub server: ServerId,
-        /// The start of its process in milliseconds since the Unix epoch.
-        pub born_ms: u64,
-        /// The limit; `None` if it was lifted.
-        pub rate: Option<RequestRate>,
-        /// How many milliseconds ago the server said so.
-        pub age_ms: u64,
+        pub limits: Vec<stated_limits::Report>,
     }
 
     /// Counts of the requests that began to run in one incarnation of a host.
--- a/crates/belief/src/lib.rs
+++ b/crates/belief/src/lib.rs
@@ -9,6 +9,5 @@
 pub mod era;
 pub mod host_record;
 pub mod lease;
-pub mod limits;
 pub mod members;
 pub mod peers;
--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -24,8 +24,7 @@
 /// The most instances that are remembered as leaving; the oldest are forgotten first.
 const MAX_LEAVING: usize = 4_096;
 
-/// One run of a server: its id and the start of its process in milliseconds since the Unix epoch.
-pub type Instance = (ServerId, u64);
+pub use wasabi_policy::stated_limits::Instance;
 
 /// The list of backend servers. A server that is missing from a newer list is dropped at once,
 /// except during the grace period after an outage of the store.
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -4,13 +4,14 @@
 
 use wasabi_belief::{
     announcement::Announcement, catalog, cluster_clock::ClusterClock, counts::RequestCounts, era,
-    limits, members, peers::Peers,
+    members, peers::Peers,
 };
 use wasabi_core::{
     catalog::Catalog,
     member::{Member, Phase},
     units::{Era, HostId, Incarnation, RequestRate, Revision, Window},
 };
+use wasabi_policy::stated_limits;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -228,7 +229,7 @@
     let start = Instant::now();
     let instance: members::Instance = ("s1".parse().expect("a name"), 1);
     let rate = RequestRate::new(3.5);
-    let mut view = limits::View::default();
+    let mut view = stated_limits::View::default();
     assert!(!view.record_answer(start, instance.clone(), None, start), "it never named one");
     assert!(view.record_answer(start + SECOND, instance.clone(), rate, start));
     let early = view.record_answer(start + SECOND * 2, instance.clone(), None, start);
@@ -244,16 +245,18 @@
 fn the_later_statement_on_a_limit_counts_whoever_passes_it_on() {
     let start = Instant::now();
     let instance: members::Instance = ("s1".parse().expect("a name"), 1);
-    let stated = |rate: f64, s: u32| limits::Statement {
+    let stated = |rate: f64, s: u32| stated_limits::Statement {
         rate: RequestRate::new(rate),
         at: start + SECOND * s,
     };
-    let mut view = limits::View::default();
+    let mut view = stated_limits::View::default();
     assert!(view.merge(instance.clone(), stated(2.0, 5)));
     assert!(!view.merge(instance.clone(), stated(9.0, 4)));
-    assert!(!view.merge(instance.clone(), limits::Statement { rate: None, ..stated(0.0, 3) }));
+    assert!(
+        !view.merge(instance.clone(), stated_limits::Statement { rate: None, ..stated(0.0, 3) })
+    );
     assert_eq!(view.limit(&instance), RequestRate::new(2.0));
-    assert!(view.merge(instance, limits::Statement { rate: None, ..stated(0.0, 6) }));
+    assert!(view.merge(instance, stated_limits::Statement { rate: None, ..stated(0.0, 6) }));
     assert_eq!(view.limited().count(), 0);
     assert_eq!(view.limit(&("s1".parse().expect("a name"), 2)), None, "another instance");
 }
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -9,17 +9,21 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
+use log::debug;
 use tokio::{net::TcpStream, task::AbortHandle, time};
 use wasabi_answer::whole;
 use wasabi_core::{
     call::{Content, Framing},
     errors::{Code, Error, Ran, Result},
     note::Server,
-    units::RequestId,
+    units::{RequestId, RequestRate},
 };
 
 use crate::{context::Options, head};
 
+/// The header in which a server names the requests a second that it takes from all hosts together.
+const LIMIT: &str = "x-rate-limit";
+
 /// A failed call to a backend server.
 #[derive(Debug)]
 pub struct Failure {
@@ -37,6 +41,8 @@
     pub content_type: Option<String>,
     /// The request id that the server returned in `x-request-id`, if any.
     pub echoed: Option<String>,
+    /// The requests a second that the server takes from all hosts together, if it names a limit.
+    pub limit: Option<RequestRate>,
     /// How the end of the body is marked.
     framing: Framing,
     body: Incoming,
@@ -88,12 +94,23 @@
         status,
         content_type: text("content-type"),
         echoed: text("x-request-id"),
+        limit: parse_limit(text(LIMIT), server),
         framing: Framing::of(method.as_str(), status, has_chunks, has_length),
         body: response.into_body(),
         _connection: connection,
     })
 }
 
+/// Parses a limit of requests; a malformed one counts as none.
+fn parse_limit(text: Option<String>, server: &Server) -> Option<RequestRate> {
+    let parsed: Result<RequestRate> = text?.parse();
+    if let Err(e) = &parsed {
+        let cause = e.detail.as_str();
+        debug!(server = server.name.as_str(), cause = cause; "limit of a backend server not understood");
+    }
+    parsed.ok()
+}
+
 impl Reply {
     /// Waits at most `limit` for the next bytes of the body; `None` at its end.
     pub async fn next(&mut self, limit: Duration) -> Result<Option<Bytes>> {
--- a/crates/entry/src/buffered.rs
+++ b/crates/entry/src/buffered.rs
@@ -98,6 +98,7 @@
     let mut reply =
         backend_call::send(options, &grant.server, request, options.answer_timeout, sent).await?;
     let failed = |error: Error| Failure { sent: true, error };
+    grant.report_limit(reply.limit, granted_at);
     reply.check_echo(&job.request_id).map_err(failed)?;
     // A response to HEAD has no body, even if it has a `content-length`.
     let body = match job.method {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,8 +1,15 @@
 //! Assignment of servers to requests: the [`Dispatch`] interface, and its implementation by the
 //! scheduler of this host.
 
-use std::{collections::HashMap, future::Future, pin::Pin, sync::Arc};
+use std::{
+    collections::HashMap,
+    future::Future,
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use log::info;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -10,13 +17,19 @@
     errors::{Code, Error, Result},
     note::Server,
     time::Clock,
-    units::{PoolId, Tokens},
+    units::{PoolId, RequestRate, ServerId, Tokens},
 };
 use wasabi_policy::{
     scheduler::Scheduler,
+    stated_limits,
     ticket::{Decision, Outcome, Ticket, TicketId},
 };
 
+/// The most servers whose limits one message between hosts reports.
+const MAX_LIMIT_REPORTS: usize = 64;
+/// The start time of servers, of which the product's own interface says nothing.
+const UNKNOWN_START: u64 = 0;
+
 /// A wait for a grant; dropping it withdraws the ticket.
 pub type GrantFuture<'a> = Pin<Box<dyn Future<Output = Result<Grant>> + Send + 'a>>;
 
@@ -36,6 +49,9 @@
     /// Reports how many tokens were generated since the last call.
     fn progress(&self, tokens: Tokens);
 
+    /// Reports what the server says of its limit in its answer to a request sent at `sent`.
+    fn limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant);
+
     /// Ends the grant and frees its capacity on the server.
     fn end(&self, outcome: Outcome);
 }
@@ -62,6 +78,13 @@
         }
     }
 
+    /// Reports what the server says of its limit in its answer to a request sent at `sent`.
+    pub fn report_limit(&self, rate: Option<RequestRate>, sent: Instant) {
+        if let Some(handle) = &self.handle {
+            handle.limit(&self.server.name, rate, sent);
+        }
+    }
+
     /// Ends the grant and frees its capacity on the server.
     pub fn end(mut self, outcome: Outcome) {
         if let Some(handle) = self.handle.take() {
@@ -93,6 +116,8 @@
     waiting: HashMap<TicketId, oneshot::Sender<Result<Grant>>>,
     /// The stop signals of the running grants.
     stops: HashMap<TicketId, CancellationToken>,
+    /// The limits that servers have named to this host or, as other hosts report, to them.
+    limits: stated_limits::View,
 }
 
 struct LocalHandle {
@@ -109,14 +134,47 @@
 impl LocalDispatch {
     /// Shares `scheduler` among the requests of this host.
     pub fn new(clock: Arc<dyn Clock>, scheduler: Scheduler) -> Self {
-        let inner = Inner { scheduler, waiting: HashMap::new(), stops: HashMap::new() };
+        let (waiting, stops, limits) = Default::default();
+        let inner = Inner { scheduler, waiting, stops, limits };
         Self { shared: Arc::new(Shared { clock, inner: Mutex::new(inner) }) }
     }
 
     /// Replaces the servers of a pool.
     pub fn set_servers(&self, pool: &PoolId, servers: &[Server]) {
         let now = self.shared.clock.now();
-        self.shared.apply(|inner| inner.scheduler.set_servers(now, pool, servers));
+        self.shared.apply(|inner| {
+            let decisions = inner.scheduler.set_servers(now, pool, servers);
+            inner.apply_limits(now);
+            decisions
+        });
+    }
+
+    /// Returns what this host knows of the limits of servers, to be passed on to other hosts.
+    pub fn limit_reports(&self) -> Vec<stated_limits::Report> {
+        let now = self.shared.clock.now();
+        let inner = self.shared.inner.lock();
+        inner.limits.reports_following(now, None, MAX_LIMIT_REPORTS)
+    }
+
+    /// Merges what another host knows of the limits of servers.
+    pub fn merge_limits(&self, reports: Vec<stated_limits::Report>) {
+        if reports.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut inner = self.shared.inner.lock();
+        for report in reports {
+            let age = Duration::from_millis(report.age_ms);
+            let at = now.checked_sub(age).unwrap_or(now);
+            let stated = stated_limits::Statement { rate: report.rate, at };
+            inner.limits.merge((report.server, report.born_ms), stated);
+        }
+        inner.apply_limits(now);
+    }
+
+    /// Records what a server says of its limit in its answer to a request sent at `sent`.
+    pub fn record_limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant) {
+        self.shared.record_limit(server, rate, sent);
     }
 
     /// Stops scheduling a pool; its waiting tickets are refused with `PeerUnavailable`.
@@ -156,7 +214,26 @@
     }
 }
 
+impl Inner {
+    /// Gives the scheduler the limits that are known.
+    fn apply_limits(&mut self, now: Instant) {
+        for ((server, _), rate) in self.limits.stated() {
+            self.scheduler.set_limit(now, server, rate);
+        }
+    }
+}
+
 impl Shared {
+    fn record_limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        if inner.limits.record_answer(now, (server.clone(), UNKNOWN_START), rate, sent) {
+            let per_second = rate.map(RequestRate::per_second);
+            info!(server = server.as_str(), per_second = per_second; "backend server's limit changed");
+            inner.apply_limits(now);
+        }
+    }
+
     /// Runs `event` under the lock and carries out the decisions that it returns.
     fn apply(self: &Arc<Self>, event: impl FnOnce(&mut Inner) -> Vec<Decision>) {
         let mut undelivered = Vec::new();
@@ -215,6 +292,10 @@
         self.shared.apply(|inner| inner.scheduler.progress(now, self.id, tokens));
     }
 
+    fn limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant) {
+        self.shared.record_limit(server, rate, sent);
+    }
+
     fn end(&self, outcome: Outcome) {
         self.shared.finish(self.id, outcome);
     }
--- a/crates/entry/src/in_flight.rs
+++ b/crates/entry/src/in_flight.rs
@@ -1,9 +1,9 @@
 //! Counts this host's requests that run on each server, whichever host's scheduler granted them.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use parking_lot::Mutex;
-use wasabi_core::units::{ServerId, Tokens};
+use wasabi_core::units::{RequestRate, ServerId, Tokens};
 use wasabi_policy::ticket::{Outcome, Ticket};
 
 use crate::dispatch::{Dispatch, Grant, GrantFuture, GrantHandle};
@@ -76,6 +76,12 @@
         }
     }
 
+    fn limit(&self, _server: &ServerId, rate: Option<RequestRate>, sent: Instant) {
+        if let Some(grant) = self.grant.lock().as_ref() {
+            grant.report_limit(rate, sent);
+        }
+    }
+
     fn end(&self, outcome: Outcome) {
         if let Some(grant) = self.grant.lock().take() {
             grant.end(outcome);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -180,6 +180,7 @@
             Ok(reply) => reply,
             Err(failure) => return AttemptEnd::ServerFailed(failure.error),
         };
+        grant.report_limit(reply.limit, granted_at);
         if reply.status != StatusCode::OK.as_u16() {
             return classify_error_status(reply.status);
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -14,12 +14,11 @@
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use wasabi_belief::{
-    announcement::{Addition, Announcement, Extension, LimitReport},
-    era, limits,
-    members::Instance,
+    announcement::{Addition, Announcement, Extension},
+    era,
 };
 use wasabi_core::{time, units::PoolId};
-use wasabi_policy::load_report::PendingReport;
+use wasabi_policy::{load_report::PendingReport, stated_limits};
 
 use crate::{
     echo::{EchoTracker, HEADER_BYTES, HeaderTemplate},
@@ -268,18 +267,11 @@
 /// a peer may have missed any of them.
 fn collect_extension(state: &State) -> Extension {
     let now = state.now();
-    let limits = state.limits.borrow();
     let mut last_announced = state.last_announced_limit.borrow_mut();
-    let next: Vec<(&Instance, &limits::Statement)> =
-        limits.following(last_announced.as_ref(), MAX_ANNOUNCED_LIMITS).collect();
-    *last_announced = next.last().map(|(instance, _)| (*instance).clone());
-    let report = |((server, born_ms), stated): (&Instance, &limits::Statement)| LimitReport {
-        server: server.clone(),
-        born_ms: *born_ms,
-        rate: stated.rate,
-        age_ms: now.saturating_duration_since(stated.at).as_millis() as u64,
-    };
-    Extension { limits: next.into_iter().map(report).collect() }
+    let view = state.limits.borrow();
+    let limits = view.reports_following(now, last_announced.as_ref(), MAX_ANNOUNCED_LIMITS);
+    *last_announced = limits.last().map(|report| (report.server.clone(), report.born_ms));
+    Extension { limits }
 }
 
 /// Collects what this host announces. With load reports it takes what the balancers have placed
@@ -374,7 +366,7 @@
         let Some(heard) = heard else { continue };
         let at = heard.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(heard);
         let instance = (report.server, report.born_ms);
-        state.merge_limit(instance, limits::Statement { rate: report.rate, at });
+        state.merge_limit(instance, stated_limits::Statement { rate: report.rate, at });
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
     cluster_clock::ClusterClock,
     counts, era,
     lease::{self, Lease},
-    limits, members,
+    members,
     peers::Peers,
 };
 use wasabi_core::{
@@ -32,6 +32,7 @@
     balancer::{Balancer, End, Placement},
     pace::Fleet,
     repeat_budget::{self, Budget},
+    stated_limits,
 };
 
 use crate::{connection_pool::Pool, settings::Settings};
@@ -65,7 +66,7 @@
     /// The known backend servers and when the list was last proven complete.
     pub servers: RefCell<members::View>,
     /// The rate limits that servers have named.
-    pub limits: RefCell<limits::View>,
+    pub limits: RefCell<stated_limits::View>,
     /// The instance whose statement on its limit was announced last.
     pub last_announced_limit: RefCell<Option<members::Instance>>,
     /// Headers that servers have sent with values that were not understood, which are logged once.
@@ -247,7 +248,7 @@
     }
 
     /// Applies what a peer has heard of an instance's limit.
-    pub fn merge_limit(&self, instance: members::Instance, stated: limits::Statement) {
+    pub fn merge_limit(&self, instance: members::Instance, stated: stated_limits::Statement) {
         if self.limits.borrow_mut().merge(instance.clone(), stated) {
             let age = self.now().saturating_duration_since(stated.at);
             self.apply_limit(&instance, "peer", age);
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -4,13 +4,13 @@
 
 use std::collections::BTreeMap;
 
-use wasabi_belief::announcement::{Addition, Announcement, Extension, LimitReport};
+use wasabi_belief::announcement::{Addition, Announcement, Extension};
 use wasabi_core::units::{Epoch, Era, HostId, Incarnation, RequestRate, Revision, ServerId};
 use wasabi_gateway::{
     echo::HEADER_BYTES,
     gossip::{MAX_ANNOUNCED_LEAVING, MAX_ANNOUNCED_LIMITS},
 };
-use wasabi_policy::load_report::LoadReport;
+use wasabi_policy::{load_report::LoadReport, stated_limits};
 
 /// The largest UDP payload that fits one Ethernet frame.
 const PACKET_BYTES: usize = 1_472;
@@ -55,7 +55,7 @@
     let datagram = postcard::to_allocvec(&(&announcement, &addition, Extension::default()));
     let length = HEADER_BYTES + datagram.expect("it can be encoded").len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
-    let limits = (0..MAX_ANNOUNCED_LIMITS as u64).map(|number| LimitReport {
+    let limits = (0..MAX_ANNOUNCED_LIMITS as u64).map(|number| stated_limits::Report {
         server: format!("i-{number:010x}").parse().expect("a name"),
         born_ms: 1_796_351_968_201,
         rate: RequestRate::new(3.5),
--- a/crates/home/src/dispatcher.rs
+++ b/crates/home/src/dispatcher.rs
@@ -169,6 +169,7 @@
         if self.live.can_hand_over() {
             return GrantDecision::Leaving;
         }
+        self.local.merge_limits(ask.limits);
         let cell = ask.ticket.pool.clone();
         let tier = ask.ticket.tier;
         let decided: Result<Grant> = self.ask_local(ask.ticket).await;
@@ -194,6 +195,7 @@
     }
 
     fn heartbeat(&self, beat: Heartbeat) -> HeartbeatResponse {
+        self.local.merge_limits(beat.limits);
         let now = self.clock.now();
         let mut grants = self.grants.lock();
         let mut answer = HeartbeatResponse::default();
@@ -209,6 +211,7 @@
     }
 
     fn release_grant(&self, done: GrantRelease) {
+        self.local.merge_limits(done.limits);
         let issued = self.grants.lock().by_id.remove(&(done.from, done.grant));
         if let Some(issued) = issued {
             issued.grant.progress(Tokens(done.tokens));
--- a/crates/home/src/remote_grants.rs
+++ b/crates/home/src/remote_grants.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
@@ -15,9 +15,9 @@
 use wasabi_core::{
     errors::Error,
     io::Host,
-    units::{HostId, Incarnation, Tokens},
+    units::{HostId, Incarnation, RequestRate, ServerId, Tokens},
 };
-use wasabi_entry::dispatch::{Grant, GrantHandle};
+use wasabi_entry::dispatch::{Grant, GrantHandle, LocalDispatch};
 use wasabi_peer::{
     client,
     rpc::{GrantDecision, GrantRelease, GrantRequest, Heartbeat},
@@ -44,6 +44,8 @@
     runtime: Handle,
     me: Incarnation,
     clients: Arc<client::PeerClients>,
+    /// Knows what servers have told this host of their limits.
+    local: Arc<LocalDispatch>,
     owners: Mutex<HashMap<HostId, Arc<Owner>>>,
 }
 
@@ -75,8 +77,13 @@
 impl RemoteGrants {
     /// Creates an empty set for the incarnation `me`. The messages that release grants are sent on
     /// `runtime`.
-    pub fn new(runtime: Handle, me: Incarnation, clients: Arc<client::PeerClients>) -> Arc<Self> {
-        Arc::new(Self { runtime, me, clients, owners: Mutex::default() })
+    pub fn new(
+        runtime: Handle,
+        me: Incarnation,
+        clients: Arc<client::PeerClients>,
+        local: Arc<LocalDispatch>,
+    ) -> Arc<Self> {
+        Arc::new(Self { runtime, me, clients, local, owners: Mutex::default() })
     }
 
     /// Asks `host` for a grant. Gives up with `Unavailable` once `MISSED_HEARTBEATS_LIMIT`
@@ -85,7 +92,8 @@
         let owner = self.owner(host);
         owner.waiting.fetch_add(1, Ordering::Relaxed);
         let _guard = WaitingGuard(&owner);
-        let ask = GrantRequest { from: self.me.clone(), ticket };
+        let limits = self.local.limit_reports();
+        let ask = GrantRequest { from: self.me.clone(), ticket, limits };
         let mut missed = owner.missed_heartbeats.subscribe();
         let decided = tokio::select! {
             decided = self.clients.request_grant(host.peer, ask) => decided,
@@ -133,7 +141,8 @@
                 .map(|(number, held)| (*number, held.tokens.swap(0, Ordering::Relaxed)))
                 .collect()
         };
-        let heartbeat = Heartbeat { from: self.me.clone(), grants };
+        let heartbeat =
+            Heartbeat { from: self.me.clone(), grants, limits: self.local.limit_reports() };
         match self.clients.heartbeat(owner.host.peer, heartbeat).await {
             Ok(answer) => {
                 owner.missed_heartbeats.send_replace(0);
@@ -187,11 +196,16 @@
         self.held.tokens.fetch_add(tokens.0, Ordering::Relaxed);
     }
 
+    fn limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant) {
+        self.remote_grants.local.record_limit(server, rate, sent);
+    }
+
     fn end(&self, outcome: Outcome) {
         self.owner.grants.lock().remove(&self.number);
         let tokens = self.held.tokens.swap(0, Ordering::Relaxed);
         let from = self.remote_grants.me.clone();
-        let done = GrantRelease { from, grant: self.number, tokens, outcome };
+        let limits = self.remote_grants.local.limit_reports();
+        let done = GrantRelease { from, grant: self.number, tokens, outcome, limits };
         let (remote_grants, peer) = (self.remote_grants.clone(), self.owner.host.peer);
         // If the message is lost, the grant expires at its owner.
         self.remote_grants
--- a/crates/node/src/components.rs
+++ b/crates/node/src/components.rs
@@ -163,6 +163,7 @@
             runtime,
             incarnation.clone(),
             peer_clients.clone(),
+            local_dispatch.clone(),
         );
         let grant_client = GrantClient::new(
             clock.clone(),
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -8,7 +8,10 @@
     note::Server,
     units::{Incarnation, Revision},
 };
-use wasabi_policy::ticket::{Outcome, Ticket};
+use wasabi_policy::{
+    stated_limits,
+    ticket::{Outcome, Ticket},
+};
 
 data! {
     /// A host's identity and the revision of its configuration.
@@ -26,6 +29,9 @@
         /// The ticket; its field `pool` holds the name of the cell, which is that of the pool only
         /// if the pool has a single cell.
         pub ticket: Ticket,
+        /// What the process knows of the limits of servers.
+        #[serde(default)]
+        pub limits: Vec<stated_limits::Report>,
     }
 
     /// The owner's decision on a ticket.
@@ -60,6 +66,9 @@
         pub from: Incarnation,
         /// The number of each grant, with the tokens generated since the last heartbeat.
         pub grants: Vec<(u64, u64)>,
+        /// What the process knows of the limits of servers.
+        #[serde(default)]
+        pub limits: Vec<stated_limits::Report>,
     }
 
     /// The owner's response to a heartbeat.
@@ -79,6 +88,9 @@
         pub tokens: u64,
         /// How the request ended.
         pub outcome: Outcome,
+        /// What the process knows of the limits of servers.
+        #[serde(default)]
+        pub limits: Vec<stated_limits::Report>,
     }
 
     /// Configuration changes for a host that lags behind.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod scheduler;
 mod server_state;
 pub mod servers;
+pub mod stated_limits;
 pub mod stuck;
 pub mod ticket;
 pub mod wait_limit;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -18,16 +18,22 @@
 const MIN_RATE: f64 = 0.1;
 
 /// The hosts that share the limits of servers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fleet {
-    me: HostId,
+    /// This host; `None` if it has the whole of each limit, whatever its name.
+    me: Option<HostId>,
     others: Vec<HostId>,
 }
 
 impl Fleet {
     /// The fleet of the host `me`, with the other hosts that may send to the same servers.
     pub fn new(me: HostId, others: Vec<HostId>) -> Self {
-        Self { me, others }
+        Self { me: Some(me), others }
+    }
+
+    /// A fleet of one host, which has the whole of each limit.
+    pub fn single() -> Self {
+        Self::default()
     }
 
     /// Returns the number of hosts that send to a server with this limit.
@@ -37,7 +43,8 @@
 
     /// Returns whether this host is among the `senders` hosts that send to `server`.
     fn sends(&self, server: &ServerId, senders: usize) -> bool {
-        let mine = rendezvous(server, &self.me);
+        let Some(me) = &self.me else { return true };
+        let mine = rendezvous(server, me);
         let before = self.others.iter().filter(|host| rendezvous(server, host) > mine);
         before.count() < senders
     }
@@ -79,7 +86,7 @@
         match (former, self.part) {
             (None, Some(part)) => {
                 // Hosts that learn of the limit at the same moment begin spread over an interval.
-                let wait = part.interval.mul_f64(phase(server, &fleet.me));
+                let wait = part.interval.mul_f64(phase(server, fleet.me.as_ref()));
                 self.used_until = Some(now + part.interval * (part.burst - 1) + wait);
             }
             (Some(_), Some(part)) => {
@@ -137,7 +144,7 @@
 }
 
 /// Returns a number from 0 to 1 that differs by host.
-fn phase(server: &ServerId, host: &HostId) -> f64 {
+fn phase(server: &ServerId, host: Option<&HostId>) -> f64 {
     hash(("phase", server, host)) as f64 / u64::MAX as f64
 }
 
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -14,7 +14,7 @@
 use wasabi_core::{
     errors::Code,
     note::Server,
-    units::{ClassId, PoolId, ServerId, Tokens, WorkspaceId},
+    units::{ClassId, PoolId, RequestRate, ServerId, Tokens, WorkspaceId},
 };
 
 use crate::{
@@ -118,6 +118,11 @@
         pool.dispatch(now, self.options)
     }
 
+    /// Sets the limit of requests that a server takes, in all pools.
+    pub fn set_limit(&mut self, now: Instant, server: &ServerId, rate: Option<RequestRate>) {
+        self.pools.values_mut().for_each(|pool| pool.servers.set_limit(now, server, rate));
+    }
+
     /// Stops scheduling a pool: waiting tickets are refused with `PeerUnavailable` and no delay,
     /// running ones go on. The pool itself is removed if none run.
     pub fn close_pool(&mut self, name: &PoolId) -> Vec<Decision> {
@@ -193,7 +198,7 @@
         }
         if interval_due
             && pool.servers.record_token_interval(now, &server, seen, took)
-            && pool.servers.has_room()
+            && pool.servers.has_room(now)
         {
             return pool.preempt_server(&server);
         }
--- a/crates/policy/src/servers.rs
+++ b/crates/policy/src/servers.rs
@@ -8,10 +8,13 @@
 
 use wasabi_core::{
     note::Server,
-    units::{ServerId, Tokens},
+    units::{RequestRate, ServerId, Tokens},
 };
 
-use crate::moving_average::Average;
+use crate::{
+    moving_average::Average,
+    pace::{Fleet, Pace},
+};
 
 /// A server is a straggler if its token interval is more than this many times the median.
 const STRAGGLER_FACTOR: f64 = 2.5;
@@ -61,6 +64,8 @@
     health: Health,
     /// Ejections since the last successful probe, at most 8.
     ejections: u32,
+    /// This scheduler's requests, if the server has named a limit.
+    pace: Pace,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -86,6 +91,7 @@
                 token_interval: Average::default(),
                 health: Health::Up,
                 ejections: 0,
+                pace: Pace::default(),
             });
             if entry.server.address != server.address {
                 entry.health = Health::Up;
@@ -97,6 +103,14 @@
         self.entries.retain(|_, entry| entry.listed || entry.running > 0);
     }
 
+    /// Sets the limit of a server, of which this scheduler has the whole.
+    pub fn set_limit(&mut self, now: Instant, name: &ServerId, rate: Option<RequestRate>) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        if entry.pace.rate() != rate {
+            entry.pace.set(now, name, rate, &Fleet::single());
+        }
+    }
+
     /// Returns the sum of the slots of the listed servers, whatever their health.
     pub fn slots(&self) -> u32 {
         self.listed().map(|entry| entry.server.slots).sum()
@@ -117,7 +131,7 @@
         avoid: Option<&ServerId>,
     ) -> Option<Server> {
         self.end_ejections(now);
-        let free = || self.entries.values().filter(|entry| entry.has_free_slot());
+        let free = || self.entries.values().filter(|entry| entry.has_free_slot(now));
         let has_alternative = free().any(|entry| Some(&entry.server.name) != avoid);
         let allowed = |entry: &&Entry| {
             let avoided = has_alternative && Some(&entry.server.name) == avoid;
@@ -143,6 +157,7 @@
         self.last_picked = Some(name.clone());
         let entry = self.entries.get_mut(&name)?;
         entry.running += 1;
+        entry.pace.record_send(now);
         Some(entry.server.clone())
     }
 
@@ -180,8 +195,8 @@
     }
 
     /// Returns whether a healthy server has a free slot.
-    pub fn has_room(&self) -> bool {
-        self.entries.values().any(|entry| entry.health == Health::Up && entry.has_free_slot())
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.entries.values().any(|entry| entry.health == Health::Up && entry.has_free_slot(now))
     }
 
     /// Records that a request succeeded and occupied its slot for `took`; a server that is being
@@ -274,13 +289,13 @@
         }
     }
 
-    fn has_free_slot(&self) -> bool {
+    fn has_free_slot(&self, now: Instant) -> bool {
         let limit = match self.health {
             Health::Up => self.server.slots,
             Health::Ejected(_) => 0,
             Health::Probing(_) => 1,
         };
-        self.listed && self.running < limit
+        self.listed && self.running < limit && self.pace.wait(now).is_zero()
     }
 
     fn load(&self) -> f64 {
--- a/crates/belief/src/limits.rs
+++ b/crates/policy/src/stated_limits.rs
@@ -9,9 +9,10 @@
     time::{Duration, Instant},
 };
 
-use wasabi_core::units::RequestRate;
-
-use crate::members::Instance;
+use wasabi_core::{
+    data,
+    units::{RequestRate, ServerId},
+};
 
 /// Statements about instances that are not listed any more are dropped after this time. Entries of
 /// live servers may be missing from a list for seconds.
@@ -19,6 +20,24 @@
 /// The most instances with a statement; the oldest ones are forgotten first.
 const MAX_STATEMENTS: usize = 4_096;
 
+/// One run of a server: its id and the start of its process in milliseconds since the Unix epoch, 0 if
+/// that is not known.
+pub type Instance = (ServerId, u64);
+
+data! {
+    /// What a server last said of its limit, as one host tells another.
+    pub struct Report {
+        /// The server.
+        pub server: ServerId,
+        /// The start of its process, as in [`Instance`].
+        pub born_ms: u64,
+        /// The limit; `None` if it was lifted.
+        pub rate: Option<RequestRate>,
+        /// How many milliseconds ago the server said so.
+        pub age_ms: u64,
+    }
+}
+
 /// What an instance last said of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Statement {
@@ -39,20 +58,32 @@
         self.0.get(instance)?.rate
     }
 
+    /// The instances that have ever named a limit, each with the one in force.
+    pub fn stated(&self) -> impl Iterator<Item = (&Instance, Option<RequestRate>)> {
+        self.0.iter().map(|(instance, stated)| (instance, stated.rate))
+    }
+
     /// The instances with a limit in force.
     pub fn limited(&self) -> impl Iterator<Item = (&Instance, RequestRate)> {
         self.0.iter().filter_map(|(instance, stated)| Some((instance, stated.rate?)))
     }
 
-    /// At most `count` statements, those that follow `after`, and then the first ones again.
-    pub fn following(
+    /// At most `count` statements as reports, those that follow `after`, and then the first ones again.
+    pub fn reports_following(
         &self,
+        now: Instant,
         after: Option<&Instance>,
         count: usize,
-    ) -> impl Iterator<Item = (&Instance, &Statement)> {
-        let later = self.0.iter().filter(move |(instance, _)| Some(*instance) > after);
-        let first = self.0.iter().filter(move |(instance, _)| Some(*instance) <= after);
-        later.chain(first).take(count)
+    ) -> Vec<Report> {
+        let later = self.0.iter().filter(|(instance, _)| Some(*instance) > after);
+        let first = self.0.iter().filter(|(instance, _)| Some(*instance) <= after);
+        let report = |((server, born_ms), stated): (&Instance, &Statement)| Report {
+            server: server.clone(),
+            born_ms: *born_ms,
+            rate: stated.rate,
+            age_ms: now.saturating_duration_since(stated.at).as_millis() as u64,
+        };
+        later.chain(first).take(count).map(report).collect()
     }
 
     /// Records an answer that an instance gave to a request sent at `sent`; `rate` is the limit that
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -68,6 +68,8 @@
     pub flood: bool,
     /// Factor on the delay between tokens; 0 counts as 1.
     pub slowdown: u32,
+    /// The requests a second that streams which start name as the engine's limit, if any.
+    pub limit: Option<f64>,
 }
 
 /// What an engine recorded of one request that got a slot.
@@ -297,11 +299,15 @@
         slot: Slot<'_>,
         out: &mut dyn Write,
     ) -> std::io::Result<bool> {
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-                    transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
+        let faults = self.faults.lock().clone();
+        let limit = faults.limit.map(|rate| format!("x-rate-limit: {rate}\r\n"));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+             transfer-encoding: chunked\r\nconnection: close\r\n{}\r\n",
+            limit.unwrap_or_default()
+        );
         out.write_all(head.as_bytes())?;
         out.flush()?;
-        let faults = self.faults.lock().clone();
         if faults.flood {
             loop {
                 write_chunk(out, "data: flood flood flood flood flood flood flood flood ")?;
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -3,7 +3,10 @@
 
 mod common;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use common::{programs, secret_of};
 use serde_json::json;
@@ -235,3 +238,40 @@
     }
     Ok(())
 }
+
+#[test]
+fn a_limit_that_a_server_names_holds_for_all_hosts_together() -> anyhow::Result<()> {
+    const LIMIT: f64 = 2.0;
+    const SETTLING: Duration = Duration::from_secs(3);
+    const SPAN: Duration = Duration::from_secs(4);
+    let rig = Rig::start(programs(), &three_hosts(2))?;
+    wait_agreed(&rig)?;
+    rig.engines[0].update_faults(|faults| faults.limit = Some(LIMIT));
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for host in &rig.hosts {
+            let rig = &rig;
+            scope.spawn(move || {
+                for number in 0.. {
+                    if start.elapsed() > SETTLING + SPAN * 2 {
+                        break;
+                    }
+                    // Prompts differ, so that the calls prefer different servers.
+                    let prompt = format!("line {number} of {}", host.callers);
+                    // Refusals are part of the play.
+                    let _ = top_tier_call(rig, &prompt).stream(host.callers);
+                }
+            });
+        }
+    });
+    let arrivals: Vec<Instant> =
+        rig.engines[0].records().iter().map(|record| record.began).collect();
+    let counted: Vec<&Instant> = arrivals.iter().filter(|at| **at >= start + SETTLING).collect();
+    let in_span =
+        |start: Instant| counted.iter().filter(|at| (start..start + SPAN).contains(**at)).count();
+    let most = counted.iter().map(|at| in_span(**at)).max().unwrap_or(0);
+    let allowed = 1.5 * LIMIT * SPAN.as_secs_f64() + 5.0;
+    assert!(most as f64 <= allowed, "{most} requests in {SPAN:?}, allowed {allowed}");
+    assert!(most > 0, "it still gets some requests");
+    Ok(())
+}
