--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -186,3 +186,15 @@
     }
     assert!(senders.len() > 60, "of 89 hosts only {} may send at all", senders.len());
 }
+
+#[test]
+fn a_burst_at_all_hosts_of_a_large_fleet_after_a_quiet_time_keeps_a_limit() {
+    let start = Instant::now();
+    for count in [30, 89, 360] {
+        let mut play = Play::new(start, count);
+        play.set_limit(start, RequestRate::new(3.5));
+        play.run(start + SECOND * 60, SECOND * 10);
+        let most = play.most_in_a_span();
+        assert!(most <= allowed(3.5), "{count} hosts: {most}, allowed {}", allowed(3.5));
+    }
+}
