gateway: logs name the version of a server's software and the stream that a caller takes up

The version is decoded with the server's entry, Resumes with the request; placed shows both, and continued streams are counted by who continued them. Placement is unchanged.

--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -53,6 +53,7 @@
         address: ([127, 0, 0, 1], port).into(),
         domain: "d".parse().expect("a name"),
         slots: 1,
+        build: Default::default(),
         phase: Phase::Ready,
         reclaimable: false,
     }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -22,6 +22,8 @@
         pub prompt: Option<Prompt>,
         /// The id of the last event that the caller received, if it resumes a stream.
         pub last_event: Option<u64>,
+        /// The id of the caller's attempt that brought the first event of the stream which it resumes.
+        pub resumes: Option<String>,
     }
 
     /// The size of a prompt and its parts.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     data,
-    units::{Domain, PoolId, ServerId},
+    units::{Build, Domain, PoolId, ServerId},
 };
 
 data! {
@@ -19,6 +19,10 @@
         pub service: PoolId,
         /// The address that the server listens on.
         pub address: SocketAddr,
+        /// The version of the server's software. What servers of two versions generate does not fit
+        /// together in one stream.
+        #[serde(default)]
+        pub build: Build,
         /// The failure domain of the server.
         pub domain: Domain,
         /// How many requests the server runs concurrently.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -89,6 +89,43 @@
     TokenRate
 );
 
+/// The version of a backend server's software, as the server states it; empty if it states none.
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Build(String);
+
+impl Build {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Display for Build {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::str::FromStr for Build {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.to_string()))
+    }
+}
+
 /// A number of requests a second, at least 0.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -159,7 +159,7 @@
             SendProgress::Finished(outcome) => return (guard, outcome),
             SendProgress::Stuck(other) => {
                 log_failed_send(state, inbound, &guard, "unknown", STUCK, None);
-                guard = other;
+                guard = *other;
             }
         }
     }
@@ -170,7 +170,7 @@
     /// The send has ended.
     Finished(Outcome),
     /// The send shows no progress; the placement to move to.
-    Stuck(PlacementGuard),
+    Stuck(Box<PlacementGuard>),
 }
 
 /// Sends a request to the server of `guard`, until it ends or is stuck and has another
@@ -191,7 +191,7 @@
     // The next placement must see that the stuck send may have run.
     history.possible_runs += 1;
     if let Some(other) = place_elsewhere(state, inbound, history, guard, last_event) {
-        return SendProgress::Stuck(other);
+        return SendProgress::Stuck(Box::new(other));
     }
     history.possible_runs -= 1;
     SendProgress::Finished(sending.await)
@@ -309,6 +309,15 @@
                     "service" => placement.member.service.to_string())
                 .increment(1);
             }
+            let continued_by = match (last_event, inbound.continues()) {
+                (Some(_), _) => Some("host"),
+                (None, true) => Some("caller"),
+                (None, false) => None,
+            };
+            if let Some(by) = continued_by {
+                metrics::counter!("wasabi_gateway_continued_streams_total", "by" => by)
+                    .increment(1);
+            }
             let request = inbound.head.id.as_str();
             info!(target: wasabi_logs::REQUEST_TARGET, request = request,
                 server = placement.member.id.as_str(), sent = history.placements,
@@ -317,7 +326,9 @@
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
                 version = admission.catalog.version.0, limit = limit,
-                after = history.last_cause, resumed_after = last_event.unwrap_or(0); "placed");
+                build = placement.member.build.as_str(),
+                resumes = inbound.head.resumes.as_deref().unwrap_or_default(),
+                after = history.last_cause, resumed_after = last_event.or(inbound.head.last_event).unwrap_or(0); "placed");
             Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
         }
         Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
@@ -465,6 +476,11 @@
 }
 
 impl AdmittedRequest {
+    /// Whether the caller takes up a stream of which it has some events.
+    pub fn continues(&self) -> bool {
+        self.head.resumes.is_some() || self.head.last_event.is_some_and(|event| event > 0)
+    }
+
     /// Returns the request to send; a stream resumes after `last_event`.
     pub fn outgoing(&self, last_event: Option<u64>) -> Outgoing<'_> {
         Outgoing {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -77,7 +77,7 @@
     Complete,
     Broken(&'static str),
     /// The server shows no progress; the placement to move to.
-    Stuck(PlacementGuard),
+    Stuck(Box<PlacementGuard>),
     CallerLeft,
     OutOfTime,
 }
@@ -121,7 +121,7 @@
         ended: PartEnd,
     ) -> Option<(PlacementGuard, BackendResponse)> {
         let (cause, next) = match ended {
-            PartEnd::Stuck(next) => (relay::STUCK, Some(next)),
+            PartEnd::Stuck(next) => (relay::STUCK, Some(*next)),
             PartEnd::Broken(cause) => {
                 guard.end = End::Failed;
                 self.history.avoid.push(guard.placement.member.id.clone());
@@ -157,7 +157,7 @@
                 () = tokio::time::sleep(stuck_timeout), if stuck_timer_armed => {
                     stuck_timer_armed = false;
                     match self.find_alternative(guard) {
-                        Some(next) => return PartEnd::Stuck(next),
+                        Some(next) => return PartEnd::Stuck(Box::new(next)),
                         None => continue,
                     }
                 }
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -27,6 +27,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: "d1".parse().expect("a name"),
         slots: 6,
+        build: Default::default(),
         phase: Phase::Ready,
         reclaimable: false,
     }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -128,6 +128,7 @@
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: domain.parse().expect("a name"),
         slots: 64,
+        build: Default::default(),
         phase: Phase::Ready,
         reclaimable,
     };
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -31,6 +31,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         domain: "d1".parse().expect("a name"),
         slots: 600,
+        build: Default::default(),
         phase: Phase::Ready,
         reclaimable: false,
     }
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -22,6 +22,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         domain: "d1".parse().expect("a name"),
         slots: 6,
+        build: Default::default(),
         phase: Phase::Ready,
         reclaimable: false,
     };
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -243,6 +243,7 @@
                 address: "127.0.0.1:1".parse()?,
                 domain: domain(scenario, number)?,
                 slots: scenario.engine_parameters.slots as u32,
+                build: Default::default(),
                 phase: Phase::Ready,
                 reclaimable: true,
             });
