--- a/tests/stand/src/caller.rs
+++ b/tests/stand/src/caller.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Creates a request that takes up a stream after event `after`; `begun` is the id of the attempt
+    /// that brought its first event.
+    pub fn resume(path: &str, id: &str, begun: &str, after: u64) -> Self {
+        let headers = [("resumes", begun.to_string()), ("last-event-id", after.to_string())];
+        let headers = headers.map(|(name, value)| (name.to_string(), value));
+        Self { headers: headers.into(), ..Self::new("POST", path, id) }
+    }
+
     /// Sends the request on a new connection, without reading the response.
     pub fn open(&self, to: SocketAddr) -> anyhow::Result<TcpStream> {
         let mut stream = TcpStream::connect(to)?;
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -1,6 +1,6 @@
 //! A small deployment: object store, duties interface, backend servers and gateways.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
@@ -75,6 +75,34 @@
         Ok(())
     }
 
+    /// Adds engines to `llm` beside those of version `v1`, each with its name and the version of its
+    /// software.
+    pub fn add_engines(&mut self, engines: &[(&str, &str)]) -> anyhow::Result<()> {
+        for (id, version) in engines {
+            self.add_server(id, "llm", true)?;
+            self.set_version(id, version);
+        }
+        Ok(())
+    }
+
+    /// Changes the software version in the entry of a server.
+    pub fn set_version(&self, id: &str, version: &str) {
+        let mut entry = self.store.get("servers", id).expect("the server is listed");
+        entry["version"] = json!(version);
+        self.store.put("servers", id, entry);
+    }
+
+    /// Returns the versions of the servers that sent events to the request ids in `attempts`.
+    pub fn versions_of(&self, attempts: &[&str]) -> BTreeSet<String> {
+        let ran = |server: &Arc<Server>| {
+            let arrivals = server.arrivals();
+            arrivals.iter().any(|arrival| arrival.ran && attempts.contains(&arrival.id.as_str()))
+        };
+        let servers = self.servers.iter().filter(|(server, _)| ran(server));
+        let entries = servers.filter_map(|(server, _)| self.store.get("servers", &server.id));
+        entries.map(|entry| entry["version"].as_str().unwrap_or_default().to_string()).collect()
+    }
+
     /// Replaces the servers of `service` in the store by one at `address`, named `x1`.
     pub fn replace_servers(&self, service: &str, address: SocketAddr) {
         for (server, _) in self.servers.iter().filter(|(server, _)| server.service == service) {
@@ -160,6 +188,17 @@
         Ok(gateway)
     }
 
+    /// Starts a gateway that may repeat as many requests as it likes, and waits until it is ready.
+    pub fn start_repeating_gateway(&self, name: &str) -> anyhow::Result<Gateway> {
+        let addresses = gateway::pick_ports()?;
+        let mut settings =
+            gateway::settings(name, &addresses, self.store_address, self.duties_address);
+        settings["bounds"]["repeat_ratio"] = json!(100);
+        let gateway = Gateway::start(&self.program, addresses, &settings)?;
+        gateway.wait_ready()?;
+        Ok(gateway)
+    }
+
     /// Starts a gateway that reaches the store at `store`, without waiting until it is ready.
     pub fn launch(
         &self,
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -40,6 +40,8 @@
     /// Streams the events up to this number and a part of the next, then aborts the connection; as
     /// `Serve` on a plain service.
     BreakAfter(u64),
+    /// As `BreakAfter` for streams that begin, as `Serve` for those that go on.
+    BreakNew(u64),
     /// Streams the events up to this number and a part of the next, and then ends the response as if
     /// it were complete; as `Serve` on a plain service.
     EndInside(u64),
@@ -225,8 +227,11 @@
                 }
                 let text = format!("id: {event}\ndata: event {event}\n\n");
                 let ends = matches!(behavior, Behavior::EndInside(count) if event > count);
-                let breaks =
-                    ends || matches!(behavior, Behavior::BreakAfter(count) if event > count);
+                let breaks = match behavior {
+                    Behavior::BreakAfter(count) => event > count,
+                    Behavior::BreakNew(count) => after == 0 && event > count,
+                    _ => ends,
+                };
                 let bytes = if breaks { Bytes::from_static(b"id: ") } else { Bytes::from(text) };
                 if sender.send(Ok(Frame::data(bytes))).await.is_err() {
                     return self.record_client_gone(arrival);
