gateway: a stream goes on only at the software version that began it

Cause: a fact about a stream, the version that began it, was known to no host. Placement took a stream that goes on for a new request, within an answer and when its caller took it up.

Change: the host that passes on the first event records service and version under a hash of workspace and attempt, and announces it within a period to all hosts. A stream goes on at that service and version only (PlacementRequest::build). A host that doesn't know a stream asks its peers; if nobody knows it, it has begun at the only version that they have seen lately, or is refused with 1206, not run. A stream that goes on may wait as long as a request that comes back after a refusal.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -10,6 +10,8 @@
 };
 use wasabi_policy::{load_report::LoadReport, stated_limits};
 
+use crate::origins;
+
 /// The load that a host puts on each backend server, by pool.
 pub type LoadByServer = Vec<(PoolId, Vec<(ServerId, LoadReport)>)>;
 
@@ -63,6 +65,8 @@
     pub struct Extension {
         /// What servers have said of their limits, a part of all statements that the sender knows.
         pub limits: Vec<stated_limits::Report>,
+        /// Where streams of the sender have begun or gone on since its last announcement.
+        pub origins: Vec<origins::Group>,
     }
 
     /// Counts of the requests that began to run in one incarnation of a host.
--- a/crates/belief/src/lib.rs
+++ b/crates/belief/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod host_record;
 pub mod lease;
 pub mod members;
+pub mod origins;
 pub mod peers;
--- /dev/null
+++ b/crates/belief/src/origins.rs
@@ -0,0 +1,150 @@
+//! Where streams began: the service and the software version whose server sent the first event. A
+//! stream may go on only there, within its answer and when its caller takes it up at any host.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    hash::{DefaultHasher, Hash as _, Hasher as _},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use wasabi_core::{
+    data,
+    member::Member,
+    units::{Build, PoolId, WorkspaceId},
+};
+
+/// How long a stream is remembered after its first event or its last continuation. Callers take a
+/// stream up within the time limit of their request, which is a fraction of this.
+const RETENTION: Duration = Duration::from_secs(120);
+/// The most streams that are remembered; the oldest ones are forgotten first.
+const MAX_STREAMS: usize = 100_000;
+
+/// Identifies a stream: a hash of the workspace and of the caller's id of the attempt that brought its
+/// first event.
+pub type StreamId = u64;
+
+data! {
+    /// The service and the software version at which a stream began.
+    #[derive(Eq, Hash, PartialOrd, Ord)]
+    pub struct Origin {
+        /// The service.
+        pub service: PoolId,
+        /// The version of its software.
+        pub build: Build,
+    }
+
+    /// Streams with the same origin, as one host tells another.
+    pub struct Group {
+        /// Where they began.
+        pub origin: Origin,
+        /// The streams, as bytes in network order: the encoding of numbers takes more for hashes.
+        pub streams: Vec<[u8; 8]>,
+    }
+}
+
+/// The streams whose origin this host knows, and the versions that it has seen in service.
+#[derive(Debug, Default)]
+pub struct View {
+    streams: HashMap<StreamId, (Rc<Origin>, Instant)>,
+    /// The streams by the time of an entry, oldest first. A stream that was recorded again is here
+    /// more than once; only its latest entry counts.
+    by_age: VecDeque<(Instant, StreamId)>,
+    /// All origins in `streams`, each of them once.
+    origins: BTreeSet<Rc<Origin>>,
+    /// Streams that have not been announced.
+    unannounced: Vec<StreamId>,
+    /// When a server of each service and version was last listed.
+    listed: BTreeMap<Origin, Instant>,
+}
+
+/// Returns the id of the stream that began with the caller's attempt `request`.
+pub fn stream_id(workspace: Option<&WorkspaceId>, request: &str) -> StreamId {
+    let mut hasher = DefaultHasher::new();
+    (workspace, request).hash(&mut hasher);
+    hasher.finish()
+}
+
+impl View {
+    /// Where a stream began, if that is known.
+    pub fn get(&self, stream: StreamId) -> Option<&Origin> {
+        self.streams.get(&stream).map(|(origin, _)| &**origin)
+    }
+
+    /// The number of streams whose origin is known.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Whether no stream's origin is known.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    /// Records where a stream of this host began or has gone on; it will be announced.
+    pub fn record(&mut self, now: Instant, stream: StreamId, origin: Origin) {
+        self.merge(now, stream, origin);
+        self.unannounced.push(stream);
+    }
+
+    /// Records what a peer has told of a stream.
+    pub fn merge(&mut self, now: Instant, stream: StreamId, origin: Origin) {
+        self.expire(now);
+        let origin = match self.origins.get(&origin) {
+            Some(known) => known.clone(),
+            None => {
+                let origin = Rc::new(origin);
+                self.origins.insert(origin.clone());
+                origin
+            }
+        };
+        self.streams.insert(stream, (origin, now));
+        self.by_age.push_back((now, stream));
+    }
+
+    /// Takes at most `count` streams that have not been announced, by origin.
+    pub fn take_unannounced(&mut self, count: usize) -> Vec<Group> {
+        let taken = self.unannounced.drain(..count.min(self.unannounced.len()));
+        let mut groups: BTreeMap<Rc<Origin>, Vec<[u8; 8]>> = BTreeMap::new();
+        for stream in taken {
+            if let Some((origin, _)) = self.streams.get(&stream) {
+                groups.entry(origin.clone()).or_default().push(stream.to_be_bytes());
+            }
+        }
+        let group =
+            |(origin, streams): (Rc<Origin>, _)| Group { origin: (*origin).clone(), streams };
+        groups.into_iter().map(group).collect()
+    }
+
+    /// Records the servers of a list.
+    pub fn record_listed(&mut self, now: Instant, members: &[Member]) {
+        for member in members {
+            let (service, build) = (member.service.clone(), member.build.clone());
+            self.listed.insert(Origin { service, build }, now);
+        }
+        self.listed.retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
+    }
+
+    /// The versions of a service that were listed recently enough for a stream to have begun there.
+    pub fn recent_builds(&self, now: Instant, service: &PoolId) -> BTreeSet<Build> {
+        let recent = self.listed.iter().filter(|(origin, at)| {
+            origin.service == *service && now.saturating_duration_since(**at) < RETENTION
+        });
+        recent.map(|(origin, _)| origin.build.clone()).collect()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((at, stream)) = self.by_age.front().copied() {
+            let expired = now.saturating_duration_since(at) >= RETENTION;
+            if !expired && self.streams.len() < MAX_STREAMS {
+                break;
+            }
+            self.by_age.pop_front();
+            if self.streams.get(&stream).is_some_and(|(_, latest)| *latest == at) {
+                self.streams.remove(&stream);
+            }
+        }
+        // An origin that no stream refers to is only held by the set itself.
+        self.origins.retain(|origin| Rc::strong_count(origin) > 1);
+    }
+}
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -85,6 +85,8 @@
     NotReady = 1204, 503;
     /// The host has lost contact with the store and every peer.
     Isolated = 1205, 503;
+    /// It is not known at which software version the stream began, so it cannot go on.
+    StreamUnknown = 1206, 503;
     /// No backend server could be reached.
     ServerUnavailable = 1301, 503;
     /// The backend server broke off its answer.
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -75,6 +75,18 @@
     Ok(admission)
 }
 
+/// Chooses the service at which a stream began, instead of the one that was drawn.
+///
+/// Errors: `ServerUnavailable` if the route does not lead there any more.
+pub fn choose_service(admission: &mut Admission, service: &PoolId) -> Result<()> {
+    if !admission.route.backends.iter().any(|(backend, _)| backend == service) {
+        let detail = "the route does not lead to the service that began the stream";
+        return Err(response::retry_later(Code::ServerUnavailable, detail, RETRY_AFTER));
+    }
+    admission.service = service.clone();
+    Ok(())
+}
+
 /// Fails unless the key of a request is in force by a recent enough proof; passes if the route
 /// needs no key.
 ///
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 use wasabi_belief::{
     announcement::{Addition, Announcement, Extension},
-    era,
+    era, origins,
 };
 use wasabi_core::{time, units::PoolId};
 use wasabi_policy::{load_report::PendingReport, stated_limits};
@@ -56,6 +56,12 @@
 const LEAVING_ANNOUNCED_FOR: Duration = Duration::from_secs(5);
 /// The most statements on limits in one announcement.
 pub const MAX_ANNOUNCED_LIMITS: usize = 24;
+/// The most streams in one announcement that has nothing else.
+pub const MAX_ANNOUNCED_STREAMS: usize = 120;
+/// The most streams that are announced in one round; more wait for the next one.
+const MAX_STREAMS_A_ROUND: usize = 2_000;
+/// The largest datagram that fits one Ethernet frame.
+const PACKET_BYTES: usize = 1_472;
 /// The most such servers in one announcement, the latest ones.
 pub const MAX_ANNOUNCED_LEAVING: usize = 10;
 
@@ -81,7 +87,6 @@
     let mut due: Option<Instant> = None;
     let mut remote = RemoteBacklog::default();
     let mut rounds: u32 = 0;
-    let mut extension_rounds: u32 = 0;
     loop {
         let hosts = state.live_hosts().max(1);
         let large = hosts >= LARGE_FLEET_HOSTS;
@@ -102,19 +107,13 @@
         for peer in state.peers.borrow_mut().take_fallen_silent(now) {
             warn!(peer = peer.as_str(); "peer lost");
         }
-        let same_domain = same_domain_peers(state);
-        extension_rounds += 1;
-        if let Some(facts) = begin_extension(state, echoes) {
-            let everywhere = !large || extension_rounds.is_multiple_of(REMOTE_DOMAIN_ROUNDS);
-            send_to_peers(state, socket, &facts, Duration::ZERO, |peer| {
-                everywhere || same_domain.contains(peer)
-            })
-            .await;
-        }
         let with_counts =
             counts_sent.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
-        let full = begin_announcement(state, echoes, true, with_counts && !large);
-        let empty = full.announcement.shares.as_ref().is_none_or(Vec::is_empty) && !with_counts;
+        let mut full = begin_announcement(state, echoes, true, with_counts && !large);
+        full.extension = collect_extension(state);
+        let empty = full.announcement.shares.as_ref().is_none_or(Vec::is_empty)
+            && !with_counts
+            && full.extension == Extension::default();
         let idle_elapsed =
             last_sent.is_none_or(|at| now.saturating_duration_since(at) >= IDLE_PERIOD);
         if empty && !idle_elapsed {
@@ -125,7 +124,9 @@
             counts_sent = Some(now);
         }
         if !large {
-            send_to_peers(state, socket, &full, Duration::ZERO, |_| true).await;
+            for part in full.into_packets(state, echoes) {
+                send_to_peers(state, socket, &part, Duration::ZERO, |_| true).await;
+            }
             continue;
         }
         if with_counts {
@@ -134,35 +135,80 @@
             send_to_peers(state, socket, &counts, Duration::ZERO, |peer| recipients.contains(peer))
                 .await;
         }
-        send_to_peers(state, socket, &full, Duration::ZERO, |peer| same_domain.contains(peer))
-            .await;
-        remote.absorb(&full.announcement);
+        let same_domain = same_domain_peers(state);
+        remote.absorb(&full);
+        let parts = full.into_packets(state, echoes);
+        for part in &parts {
+            send_to_peers(state, socket, part, Duration::ZERO, |peer| same_domain.contains(peer))
+                .await;
+        }
         rounds += 1;
         if rounds.is_multiple_of(REMOTE_DOMAIN_ROUNDS) {
-            let full = Outgoing { announcement: remote.take(full.announcement), ..full };
-            let send_time = period.mul_f64(PACED_FRACTION);
-            send_to_peers(state, socket, &full, send_time, |peer| !same_domain.contains(peer))
-                .await;
+            let mut full = begin_announcement(state, echoes, false, false);
+            remote.move_into(&mut full);
+            let parts = full.into_packets(state, echoes);
+            let send_time = period.mul_f64(PACED_FRACTION / parts.len() as f64);
+            for part in &parts {
+                send_to_peers(state, socket, part, send_time, |peer| !same_domain.contains(peer))
+                    .await;
+            }
+        }
+    }
+}
+
+impl Outgoing {
+    /// Splits off what servers and streams of the sender are about if the announcement would exceed
+    /// a packet with it, which the load reports of a busy host fill.
+    fn into_packets(mut self, state: &State, echoes: &RefCell<EchoTracker>) -> Vec<Self> {
+        let fits = postcard::to_allocvec(&(&self.announcement, &self.addition, &self.extension))
+            .is_ok_and(|bytes| HEADER_BYTES + bytes.len() <= PACKET_BYTES);
+        if fits || self.extension == Extension::default() {
+            return vec![self];
+        }
+        let Extension { limits, origins } = std::mem::take(&mut self.extension);
+        let mut parts = vec![self];
+        let mut add = |extension: Extension| {
+            if extension != Extension::default() {
+                let proofs = begin_announcement(state, echoes, false, false);
+                parts.push(Self { extension, ..proofs });
+            }
+        };
+        add(Extension { limits, origins: Vec::new() });
+        for group in origins {
+            for streams in group.streams.chunks(MAX_ANNOUNCED_STREAMS) {
+                let origin = group.origin.clone();
+                let group = origins::Group { origin, streams: streams.to_vec() };
+                add(Extension { limits: Vec::new(), origins: vec![group] });
+            }
         }
+        parts
     }
 }
 
-/// Load reports that peers in other failure domains have not been sent yet.
+/// What peers in other failure domains have not been sent yet.
 #[derive(Default)]
-struct RemoteBacklog(BTreeMap<PoolId, PendingReport>);
+struct RemoteBacklog {
+    shares: BTreeMap<PoolId, PendingReport>,
+    origins: Vec<origins::Group>,
+    /// The latest statements on limits; all come in turn.
+    limits: Vec<stated_limits::Report>,
+}
 
 impl RemoteBacklog {
-    fn absorb(&mut self, announcement: &Announcement) {
-        for (service, shares) in announcement.shares.iter().flatten() {
-            self.0.entry(service.clone()).or_default().absorb(shares);
+    fn absorb(&mut self, outgoing: &Outgoing) {
+        for (service, shares) in outgoing.announcement.shares.iter().flatten() {
+            self.shares.entry(service.clone()).or_default().absorb(shares);
         }
+        self.origins.extend(outgoing.extension.origins.iter().cloned());
+        self.limits.clone_from(&outgoing.extension.limits);
     }
 
-    /// Returns the announcement with all accumulated load reports, and clears them.
-    fn take(&mut self, announcement: Announcement) -> Announcement {
-        let shares = std::mem::take(&mut self.0).into_iter();
-        let shares = shares.map(|(service, mut pending)| (service, pending.take()));
-        Announcement { shares: Some(shares.collect()), ..announcement }
+    /// Moves all that has accumulated into an announcement.
+    fn move_into(&mut self, outgoing: &mut Outgoing) {
+        let Self { shares, origins, limits } = std::mem::take(self);
+        let shares = shares.into_iter().map(|(service, mut pending)| (service, pending.take()));
+        outgoing.announcement.shares = Some(shares.collect());
+        outgoing.extension = Extension { limits, origins };
     }
 }
 
@@ -223,14 +269,6 @@
     }
 }
 
-/// Begins an announcement of what servers have said, if there is anything to announce. It has a
-/// datagram of its own, since that with the load reports of a busy host fills a packet.
-fn begin_extension(state: &State, echoes: &RefCell<EchoTracker>) -> Option<Outgoing> {
-    let mut outgoing = begin_announcement(state, echoes, false, false);
-    outgoing.extension = collect_extension(state);
-    (outgoing.extension != Extension::default()).then_some(outgoing)
-}
-
 /// Begins an announcement and then reads its content, in the order that [`HeaderTemplate`]
 /// requires.
 fn begin_announcement(
@@ -263,15 +301,15 @@
     Addition { leaving_servers, era, highest_fence }
 }
 
-/// Collects the next few statements of servers on their limits. All are announced in turn, however old:
-/// a peer may have missed any of them.
+/// Collects the next few statements of servers on their limits, and the streams that began since the last
+/// call. Of the statements all are announced in turn, however old: a peer may have missed any of them.
 fn collect_extension(state: &State) -> Extension {
     let now = state.now();
     let mut last_announced = state.last_announced_limit.borrow_mut();
     let view = state.limits.borrow();
     let limits = view.reports_following(now, last_announced.as_ref(), MAX_ANNOUNCED_LIMITS);
     *last_announced = limits.last().map(|report| (report.server.clone(), report.born_ms));
-    Extension { limits }
+    Extension { limits, origins: state.origins.borrow_mut().take_unannounced(MAX_STREAMS_A_ROUND) }
 }
 
 /// Collects what this host announces. With load reports it takes what the balancers have placed
@@ -353,11 +391,17 @@
     }
 }
 
-/// Applies what a peer knows of the limits of servers. That a limit was lifted counts as said at the
+/// Applies what a peer knows of the limits of servers and of streams. That a limit was lifted counts as said at the
 /// earliest time possible, and is ignored without a bound on the age of the announcement: it must not
 /// outweigh a limit that was named later.
 fn apply_extension(state: &State, extension: Extension, earliest_send: Option<Instant>) {
     let now = state.now();
+    for group in extension.origins {
+        let mut known = state.origins.borrow_mut();
+        for stream in group.streams {
+            known.merge(now, u64::from_be_bytes(stream), group.origin.clone());
+        }
+    }
     for report in extension.limits {
         let heard = match report.rate {
             Some(_) => Some(now),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod listener;
 pub mod operator;
 pub mod orders;
+pub mod origin;
 pub mod peer_fetch;
 pub mod refresh;
 pub mod relay;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use wasabi_platform::names;
 
-use crate::{listener, peer_fetch, state::State};
+use crate::{listener, origin, peer_fetch, state::State};
 
 type HttpResponse = Response<Full<Bytes>>;
 
@@ -73,6 +73,13 @@
             };
             body.map_or((StatusCode::NOT_FOUND, Bytes::new()), |body| (StatusCode::OK, body))
         }
+        _ if audience == Audience::Peers && path.starts_with(peer_fetch::ORIGIN_PATH) => {
+            let page = origin::page(state, &path[peer_fetch::ORIGIN_PATH.len()..]);
+            let page = page.and_then(|page| serde_json::to_vec(&page).ok());
+            page.map_or((StatusCode::NOT_FOUND, Bytes::new()), |page| {
+                (StatusCode::OK, Bytes::from(page))
+            })
+        }
         _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"try /health, /metrics or /dump\n")),
     };
     let mut response = Response::new(Full::new(body));
@@ -89,6 +96,7 @@
     }
     metrics::gauge!("wasabi_gateway_running").set(state.running_requests.get() as f64);
     metrics::gauge!("wasabi_live_hosts").set(state.live_hosts() as f64);
+    metrics::gauge!("wasabi_known_streams").set(state.origins.borrow().len() as f64);
     metrics::gauge!("wasabi_limited_servers").set(state.limits.borrow().limited().count() as f64);
     let held = state.lease.borrow().fence(now).is_some();
     metrics::gauge!("wasabi_duties_held").set(f64::from(u8::from(held)));
--- /dev/null
+++ b/crates/gateway/src/origin.rs
@@ -0,0 +1,132 @@
+//! Where a stream that a caller takes up has begun: found among what this host remembers, or asked of
+//! its peers.
+
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use log::info;
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+use wasabi_belief::origins::{self, Origin, StreamId};
+use wasabi_core::{
+    errors::{Code, Result},
+    units::{Build, PoolId},
+};
+
+use crate::{peer_fetch, relay::AdmittedRequest, response, state::State};
+
+/// The most peers that are asked for one stream, those of the own failure domain first.
+const MAX_ASKED_PEERS: usize = 8;
+/// How long their answers are awaited; the caller waits meanwhile.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+/// `Retry-After` for a stream whose origin is not known; another host may know it.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What a host answers when asked for a stream.
+#[derive(Default, Serialize, Deserialize)]
+pub struct Page {
+    /// Where it began, if the host knows.
+    origin: Option<Origin>,
+    /// The versions of the service that the host has seen lately.
+    builds: BTreeSet<Build>,
+}
+
+/// Returns the path at which a host serves the [`Page`] of a stream.
+fn path(stream: StreamId, service: &PoolId) -> String {
+    format!("{}{stream:016x}/{service}", peer_fetch::ORIGIN_PATH)
+}
+
+/// Returns the page that a peer asks for; `rest` is what follows [`peer_fetch::ORIGIN_PATH`].
+pub fn page(state: &State, rest: &str) -> Option<Page> {
+    let (stream, service) = rest.split_once('/')?;
+    let stream = StreamId::from_str_radix(stream, 16).ok()?;
+    let service: PoolId = service.parse().ok()?;
+    let builds = state.recent_builds(&service);
+    Some(Page { origin: state.origins.borrow().get(stream).cloned(), builds })
+}
+
+/// Finds where the stream began that a caller takes up; `None` if it takes up none.
+///
+/// If nobody remembers it, it has begun at the only version of the service that this host and its peers
+/// have seen lately.
+///
+/// Errors: `StreamUnknown` if there are several.
+pub async fn find(state: &Rc<State>, inbound: &AdmittedRequest) -> Result<Option<Origin>> {
+    if !inbound.continues() || !inbound.admission.route.kind.is_stream() {
+        return Ok(None);
+    }
+    let service = &inbound.admission.service;
+    let stream = inbound.stream_id();
+    let known = stream.and_then(|stream| state.origins.borrow().get(stream).cloned());
+    let (origin, source) = match (known, stream) {
+        (Some(origin), _) => (Some(origin), "own"),
+        (None, Some(stream)) => (ask_peers(state, stream, service).await, "peers"),
+        (None, None) => (sole_origin(state, service, BTreeSet::new()), "list"),
+    };
+    metrics::counter!("wasabi_gateway_taken_up_streams_total",
+        "origin" => if origin.is_some() { source } else { "unknown" })
+    .increment(1);
+    let build = origin.as_ref().map_or("", |origin| origin.build.as_str());
+    info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
+        resumes = inbound.head.resumes.as_deref().unwrap_or_default(), build = build,
+        source = source; "stream taken up");
+    match origin {
+        Some(origin) => Ok(Some(origin)),
+        None => {
+            let detail = "several versions are in service";
+            Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER))
+        }
+    }
+}
+
+async fn ask_peers(state: &Rc<State>, stream: StreamId, service: &PoolId) -> Option<Origin> {
+    let path = path(stream, service);
+    let mut asked = JoinSet::new();
+    for peer in peers_to_ask(state) {
+        let path = path.clone();
+        asked.spawn_local(async move { peer_fetch::fetch::<Page>(peer, &path).await });
+    }
+    let mut builds = BTreeSet::new();
+    let answered = tokio::time::timeout(ASK_TIMEOUT, async {
+        while let Some(page) = asked.join_next().await {
+            let Ok(Ok(page)) = page else {
+                metrics::counter!("wasabi_peer_failures_total").increment(1);
+                continue;
+            };
+            if let Some(origin) = page.origin {
+                return Some(origin);
+            }
+            builds.extend(page.builds);
+        }
+        None
+    });
+    if let Some(origin) = answered.await.unwrap_or(None) {
+        state.origins.borrow_mut().merge(state.now(), stream, origin.clone());
+        return Some(origin);
+    }
+    sole_origin(state, service, builds)
+}
+
+fn peers_to_ask(state: &State) -> Vec<SocketAddr> {
+    let domain = state.settings.borrow().domain.clone();
+    let peers = state.peers.borrow();
+    let (near, far): (Vec<_>, Vec<_>) =
+        peers.live(state.now()).partition(|(_, peer)| peer.domain.as_ref() == Some(&domain));
+    near.into_iter().chain(far).map(|(_, peer)| peer.address).take(MAX_ASKED_PEERS).collect()
+}
+
+/// Returns the only version of the service that this host has seen lately; `None` if there are others,
+/// or if a peer has seen one of `others` as well.
+fn sole_origin(state: &State, service: &PoolId, others: BTreeSet<Build>) -> Option<Origin> {
+    let mut builds = others;
+    builds.extend(state.recent_builds(service));
+    let build = builds.pop_first().filter(|_| builds.is_empty())?;
+    Some(Origin { service: service.clone(), build })
+}
+
+impl AdmittedRequest {
+    /// The id of the stream that the caller takes up, if it names the attempt that began it.
+    pub fn stream_id(&self) -> Option<StreamId> {
+        let begun = self.head.resumes.as_deref()?;
+        Some(origins::stream_id(self.admission.workspace.as_ref(), begun))
+    }
+}
--- a/crates/gateway/src/peer_fetch.rs
+++ b/crates/gateway/src/peer_fetch.rs
@@ -27,6 +27,8 @@
 pub const SNAPSHOT_PATH: &str = "/knowledge";
 /// The path that serves the usage counts of this incarnation and of those that have ended.
 pub const COUNTS_PATH: &str = "/counts";
+/// The path below which the origin of a stream is served, see [`crate::origin`].
+pub const ORIGIN_PATH: &str = "/origins/";
 /// Timeout of a request to a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -79,7 +81,8 @@
     Ok(())
 }
 
-async fn fetch<T: DeserializeOwned>(peer: SocketAddr, path: &str) -> Result<T> {
+/// Fetches a JSON document from a peer.
+pub async fn fetch<T: DeserializeOwned>(peer: SocketAddr, path: &str) -> Result<T> {
     let client = Client::new(peer);
     let call = client.call(Method::GET, path, HeaderMap::new(), None);
     let response = tokio::time::timeout(FETCH_TIMEOUT, call)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use wasabi_core::{
     call::{Framing, RequestHead},
     errors::{Code, Error, Ran, Result},
-    units::{RequestRate, ServerId},
+    units::{Build, RequestRate, ServerId},
 };
 use wasabi_platform::{head, reply};
 use wasabi_policy::{
@@ -30,6 +30,7 @@
 use crate::{
     admit::{self, Admission},
     attempt::{self, BackendResponse, Outcome, Outgoing},
+    origin,
     response::{self, ResponseBody},
     state::{CountGuard, PlacementGuard, State},
     stream,
@@ -70,7 +71,7 @@
     let head = head::decode(&parts.headers);
     let _running = CountGuard::request(&state);
     let response = match receive(&state, arrived, parts, head, body).await {
-        Ok(inbound) => place_and_send(&state, Rc::new(inbound)).await,
+        Ok(inbound) => find_origin_and_send(&state, inbound).await,
         Err((id, error)) => {
             log_gateway_error(&state, &id, None, arrived, &error);
             Err(error)
@@ -105,19 +106,47 @@
         Ok(Err(e)) => return Err((id, Error::new(Code::HeadInvalid, format!("body: {e}")))),
         Err(_) => return Err((id, Error::new(Code::ReceiveTimeout, ""))),
     };
-    let is_retry =
-        head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
+    // A stream that goes on may wait as long as a request that comes back after a refusal.
+    let is_retry = head.resumes.is_some()
+        || head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
     let max_wait = wait_limit::max_wait(&admission.catalog, &admission.route, time_limit, is_retry);
     Ok(AdmittedRequest { parts, head, body, arrived, admission, deadline, max_wait })
 }
 
-/// Places and sends a request until it has a response or may not be sent again.
+/// Sends a request; a stream that the caller takes up goes to the service and the software version at
+/// which it began.
+async fn find_origin_and_send(
+    state: &Rc<State>,
+    mut inbound: AdmittedRequest,
+) -> Result<Response<ResponseBody>> {
+    let origin = origin::find(state, &inbound).await.and_then(|origin| {
+        if let Some(origin) = &origin {
+            admit::choose_service(&mut inbound.admission, &origin.service)?;
+        }
+        Ok(origin)
+    });
+    match origin {
+        Ok(origin) => {
+            let build = origin.map(|origin| origin.build);
+            place_and_send(state, Rc::new(inbound), build).await
+        }
+        Err(error) => {
+            let (id, arrived) = (&inbound.head.id, inbound.arrived);
+            log_gateway_error(state, id, Some(&inbound.admission), arrived, &error);
+            Err(error)
+        }
+    }
+}
+
+/// Places and sends a request until it has a response or may not be sent again; `build` is the only
+/// software version that may run it, if it goes on with a stream.
 async fn place_and_send(
     state: &Rc<State>,
     inbound: Rc<AdmittedRequest>,
+    build: Option<Build>,
 ) -> Result<Response<ResponseBody>> {
     let admission = &inbound.admission;
-    let mut history = SendHistory::default();
+    let mut history = SendHistory { build, ..SendHistory::default() };
     state.with_repeat_budget(&admission.service, |budget| budget.record_first_send(state.now()));
     loop {
         let guard = match place(state, &inbound, &mut history, None) {
@@ -239,6 +268,8 @@
     pub placements: usize,
     /// Servers that failed the request or where it was stuck.
     pub avoid: Vec<ServerId>,
+    /// The software version that began the stream, once the caller has an event of it.
+    pub build: Option<Build>,
     /// Why the last send failed; empty before the first failure.
     pub last_cause: &'static str,
     /// A server's 5xx response, passed on if no later send gets a response.
@@ -292,6 +323,7 @@
         prompt: inbound.head.prompt.as_ref(),
         max_wait,
         urgency: admission.urgency,
+        build: history.build.as_ref(),
         avoid: &history.avoid,
     };
     let mut balancers = state.balancers.borrow_mut();
@@ -331,6 +363,9 @@
                 after = history.last_cause, resumed_after = last_event.or(inbound.head.last_event).unwrap_or(0); "placed");
             Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
         }
+        Err(Refusal::NoServer) if history.build.is_some() => {
+            Err(unavailable("no server of the version that began the stream"))
+        }
         Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
         Err(Refusal::Paused(wait)) => {
             let wait = wait_limit::after_pause(wait, rand::rng().random());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
     cluster_clock::ClusterClock,
     counts, era,
     lease::{self, Lease},
-    members,
+    members, origins,
     peers::Peers,
 };
 use wasabi_core::{
@@ -26,7 +26,7 @@
     member::Member,
     objects::{DutyInterface, MetadataStore},
     time::Clock,
-    units::{HostId, Incarnation, PoolId, RequestRate, ServerId, Window, WorkspaceId},
+    units::{Build, HostId, Incarnation, PoolId, RequestRate, ServerId, Window, WorkspaceId},
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement},
@@ -67,6 +67,8 @@
     pub servers: RefCell<members::View>,
     /// The rate limits that servers have named.
     pub limits: RefCell<stated_limits::View>,
+    /// Where streams began.
+    pub origins: RefCell<origins::View>,
     /// The instance whose statement on its limit was announced last.
     pub last_announced_limit: RefCell<Option<members::Instance>>,
     /// Headers that servers have sent with values that were not understood, which are logged once.
@@ -126,6 +128,7 @@
             config: RefCell::default(),
             servers: RefCell::default(),
             limits: RefCell::default(),
+            origins: RefCell::default(),
             last_announced_limit: RefCell::default(),
             malformed_headers: RefCell::default(),
             balancers: RefCell::default(),
@@ -206,6 +209,7 @@
     /// for the log.
     pub fn offer_servers(&self, listed: Vec<Member>, proof: Instant, source: &str) {
         let now = self.now();
+        self.record_builds();
         if self.servers.borrow_mut().offer(now, listed, proof) {
             let age = now.saturating_duration_since(proof);
             self.log_servers(source, age);
@@ -213,6 +217,19 @@
         }
     }
 
+    /// Returns the versions of a service's software at which a stream that goes on may have begun.
+    pub fn recent_builds(&self, service: &PoolId) -> BTreeSet<Build> {
+        self.record_builds();
+        self.origins.borrow().recent_builds(self.now(), service)
+    }
+
+    /// Records the versions in service. Called before each change of the servers, so that a version
+    /// counts until it goes.
+    fn record_builds(&self) {
+        let members = self.servers.borrow().get();
+        self.origins.borrow_mut().record_listed(self.now(), &members);
+    }
+
     /// Applies that the instance of a server leaves, as it said itself or as a peer announced;
     /// `source` is for the log.
     pub fn mark_leaving(&self, instance: members::Instance, source: &str) {
@@ -279,6 +296,7 @@
 
     /// Removes servers that were kept after an outage of the store and whose grace period is over.
     pub fn expire_servers(&self) {
+        self.record_builds();
         if self.servers.borrow_mut().expire(self.now()) {
             self.log_servers("expiry", Duration::ZERO);
             self.refresh_balancers();
@@ -401,9 +419,9 @@
     /// Updates the servers of every service's balancer, and closes idle connections to servers that
     /// left.
     fn refresh_balancers(&self) {
-        let Some((catalog, _)) = self.config() else { return };
         let members = self.servers.borrow().get();
         let now = self.now();
+        let Some((catalog, _)) = self.config() else { return };
         let domain = self.settings.borrow().domain.clone();
         let mut balancers = self.balancers.borrow_mut();
         for (name, service) in &catalog.services {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use hyper::{Response, StatusCode};
 use log::info;
 use wasabi_answer::body::{self, Producer};
+use wasabi_belief::origins::{self, Origin};
 use wasabi_core::{call::Framing, units::Tokens};
 use wasabi_policy::{balancer::End, stuck};
 
@@ -205,6 +206,7 @@
             return;
         }
         self.first_event_seen = true;
+        self.record_origin(guard);
         let now: Instant = self.state.now();
         guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
         self.state.count_usage(self.inbound.admission.workspace.as_ref());
@@ -220,6 +222,21 @@
             expected_ms = guard.placement.expected_wait.as_millis() as u64; "first event");
     }
 
+    /// Records where the stream has begun, or that it goes on. From now on it may only go on there.
+    fn record_origin(&mut self, guard: &PlacementGuard) {
+        let admission = &self.inbound.admission;
+        if !admission.route.kind.is_repeatable() {
+            return;
+        }
+        let build = guard.placement.member.build.clone();
+        let begun = self.inbound.stream_id().unwrap_or_else(|| {
+            origins::stream_id(admission.workspace.as_ref(), &self.inbound.head.id)
+        });
+        let origin = Origin { service: admission.service.clone(), build: build.clone() };
+        self.history.build = Some(build);
+        self.state.origins.borrow_mut().record(self.state.now(), begun, origin);
+    }
+
     /// Records the time between the events just received and those before.
     fn record_event_gap(&mut self) {
         let now = self.state.now();
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -4,11 +4,14 @@
 
 use std::collections::BTreeMap;
 
-use wasabi_belief::announcement::{Addition, Announcement, Extension};
+use wasabi_belief::{
+    announcement::{Addition, Announcement, Extension},
+    origins,
+};
 use wasabi_core::units::{Epoch, Era, HostId, Incarnation, RequestRate, Revision, ServerId};
 use wasabi_gateway::{
     echo::HEADER_BYTES,
-    gossip::{MAX_ANNOUNCED_LEAVING, MAX_ANNOUNCED_LIMITS},
+    gossip::{MAX_ANNOUNCED_LEAVING, MAX_ANNOUNCED_LIMITS, MAX_ANNOUNCED_STREAMS},
 };
 use wasabi_policy::{load_report::LoadReport, stated_limits};
 
@@ -61,12 +64,20 @@
         rate: RequestRate::new(3.5),
         age_ms: 40_000,
     });
-    let extension = Extension { limits: limits.collect() };
+    let extension = Extension { limits: limits.collect(), origins: Vec::new() };
     let proofs = Announcement { shares: None, ..announcement.clone() };
     let datagram = postcard::to_allocvec(&(&proofs, &addition, &extension));
     let datagram = datagram.expect("it can be encoded");
     let length = HEADER_BYTES + datagram.len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
+    let (service, build) =
+        ("huda81a".parse().expect("a name"), "v1.10.2".parse().expect("a version"));
+    let streams = vec![[u8::MAX; 8]; MAX_ANNOUNCED_STREAMS];
+    let group = origins::Group { origin: origins::Origin { service, build }, streams };
+    let extension = Extension { limits: Vec::new(), origins: vec![group] };
+    let datagram = postcard::to_allocvec(&(&proofs, &addition, &extension));
+    let length = HEADER_BYTES + datagram.expect("it can be encoded").len();
+    assert!(length <= PACKET_BYTES, "{length} bytes");
     let bytes = postcard::to_allocvec(&announcement).expect("it can be encoded");
     assert_eq!(
         postcard::from_bytes::<Announcement>(&bytes).expect("it can be decoded"),
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -16,7 +16,7 @@
     call::{Load, Prompt},
     catalog::Engine,
     member::Member,
-    units::{Domain, HostId, RequestRate, ServerId},
+    units::{Build, Domain, HostId, RequestRate, ServerId},
 };
 
 use crate::{
@@ -73,10 +73,19 @@
     pub max_wait: Duration,
     /// The priority for engines: 0 is the most urgent, 9 the least.
     pub urgency: u8,
+    /// The only software version that may run it, if it goes on with what a server generated.
+    pub build: Option<&'a Build>,
     /// Servers that have failed this request; used only if no other one is ready.
     pub avoid: &'a [ServerId],
 }
 
+impl PlacementRequest<'_> {
+    /// Returns whether a server of this software version may run the request.
+    fn accepts(&self, server: &ServerState) -> bool {
+        self.build.is_none_or(|build| server.member.build == *build)
+    }
+}
+
 /// A request's slot on a server; released by `Balancer::end`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -99,7 +108,7 @@
 /// Why a request was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// No server of the service takes new work.
+    /// No server of the service, or of the version that the request needs, takes new work.
     NoServer,
     /// All servers that take new work are paused or at their limits; the time until the first one
     /// takes a request.
@@ -247,6 +256,7 @@
         let has_alternative = self
             .servers
             .iter()
+            .filter(|(_, server)| ask.accepts(server))
             .any(|(id, server)| server.takes_work(now) && !ask.avoid.contains(id));
         let affinity = self.affinity_server(now, ask);
         let reserved = match self.engine {
@@ -260,7 +270,7 @@
         } else {
             CROSS_DOMAIN_PENALTY_MS
         };
-        for (id, server) in &self.servers {
+        for (id, server) in self.servers.iter().filter(|(_, server)| ask.accepts(server)) {
             let avoided = ask.avoid.contains(id);
             if !server.takes_work(now) || (avoided && has_alternative) {
                 continue;
@@ -298,7 +308,8 @@
             if least_ms.is_finite() {
                 return Err(Refusal::NoServerInTime(Duration::from_secs_f64(least_ms / 1e3)));
             }
-            let ready = self.servers.values().filter(|server| server.is_ready());
+            let ready =
+                self.servers.values().filter(|server| server.is_ready() && ask.accepts(server));
             let first_back = ready.map(|server| server.wait(now)).min();
             return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
@@ -479,6 +490,7 @@
             hasher.finish()
         };
         let working = self.servers.iter().filter(|(_, server)| server.takes_work(now));
+        let working = working.filter(|(_, server)| ask.accepts(server));
         working.map(|(id, _)| id).max_by_key(|id| score(id)).cloned()
     }
 
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -74,7 +74,13 @@
     }
 
     fn run(&mut self, start: Instant, length: Duration) {
-        let request = PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, avoid: &[] };
+        let request = PlacementRequest {
+            prompt: None,
+            max_wait: SECOND,
+            urgency: 5,
+            build: None,
+            avoid: &[],
+        };
         let mut now = start;
         while now < start + length {
             for balancer in &mut self.balancers {
@@ -160,7 +166,8 @@
     play.set_limit(start, RequestRate::new(0.5));
     play.run(start, SECOND * 10);
     let now = start + SECOND * 10;
-    let request = PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, avoid: &[] };
+    let request =
+        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, build: None, avoid: &[] };
     let Err(Refusal::Paused(wait)) = play.balancers[0].place(now, &request) else {
         panic!("the server is at its limit");
     };
@@ -179,7 +186,13 @@
         balancer.set_servers(start, None, &servers);
         balancer.share_limits(start, &fleet(&hosts, number), |_| RequestRate::new(3.0));
         let now = start + SECOND * 60;
-        let request = PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, avoid: &[] };
+        let request = PlacementRequest {
+            prompt: None,
+            max_wait: SECOND,
+            urgency: 5,
+            build: None,
+            avoid: &[],
+        };
         while let Ok(placement) = balancer.place(now, &request) {
             balancer.end(now, &placement, End::Served);
             *senders.entry(number).or_default() += 1;
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -32,7 +32,8 @@
 }
 
 fn place(balancer: &mut Balancer, now: Instant) -> Result<Placement, Refusal> {
-    let request = PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, avoid: &[] };
+    let request =
+        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, build: None, avoid: &[] };
     balancer.place(now, &request)
 }
 
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -335,6 +335,7 @@
             prompt: Some(&request.prompt),
             max_wait: limit,
             urgency: wait_limit::urgency(None, class.rank),
+            build: None,
             avoid: &[],
         };
         let draw = self.random.random();
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -118,7 +118,7 @@
     assert!(response.status == 200 && response.complete, "{response:?}");
     rig.add_engines(&[("f1", "v2")])?;
     wait_for("the new version", || gateway.log_lines("backend servers changed").len() > 1)?;
-    let (again, response) = resume(&gateway, "forgotten")?;
+    let (again, response) = resume(&gateway, "forgotten-too")?;
     assert_eq!(response.status, 503, "{response:?}");
     assert!(response.headers.contains_key("retry-after"), "{response:?}");
     assert_eq!(rig.versions_of(&[&again]), BTreeSet::new(), "it ran");
