entry: an answer goes on only at the software version that began it

A server's version can be stated in the release note (build); the ticket of an answer that goes on names it, cells without such a server are not asked, and the scheduler grants only such a server. A ticket that waits for its version holds up no other one; if no listed server has the version any more, it is refused.

--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -5,8 +5,8 @@
 use crate::{
     data,
     units::{
-        Bytes, ClassId, Domain, KeyId, NoteId, PoolId, Revision, RouteId, ServerId, TokenRate,
-        WorkspaceId,
+        Build, Bytes, ClassId, Domain, KeyId, NoteId, PoolId, Revision, RouteId, ServerId,
+        TokenRate, WorkspaceId,
     },
 };
 
@@ -157,6 +157,9 @@
         pub name: ServerId,
         /// The address that the server listens on.
         pub address: SocketAddr,
+        /// The version of the server's software. A stream goes on only at the version that began it.
+        #[serde(default, skip_serializing_if = "Build::is_empty")]
+        pub build: Build,
         /// The failure domain of the server.
         pub domain: Domain,
         /// Whether the platform may take the server back at short notice.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -106,6 +106,11 @@
 pub struct Build(String);
 
 impl Build {
+    /// Returns whether no version is stated.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns the version as text.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/entry/src/at_most_once.rs
+++ b/crates/entry/src/at_most_once.rs
@@ -109,7 +109,7 @@
     let mut avoid: Option<ServerId> = None;
     let mut tries = 0;
     loop {
-        let ticket = job.ticket(ctx, false, avoid.take());
+        let ticket = job.ticket(ctx, false, avoid.take(), None);
         let waiting_for_grant = ctx.dispatch.request_grant(ticket);
         let grant = tokio::select! {
             () = job.running.cancel.cancelled() => Err(Error::new(Code::KeyWithdrawn, "")),
--- a/crates/entry/src/buffered.rs
+++ b/crates/entry/src/buffered.rs
@@ -64,7 +64,7 @@
     let mut avoid: Option<ServerId> = None;
     let mut retries = 0;
     loop {
-        let ticket = job.ticket(ctx, retries > 0, avoid.take());
+        let ticket = job.ticket(ctx, retries > 0, avoid.take(), None);
         let grant = ctx.dispatch.request_grant(ticket).await?;
         let server = grant.server.name.clone();
         let failure = match attempt(ctx, job, &grant, sent).await {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use wasabi_core::{
     note::{Class, Route, Workspace},
-    units::{PoolId, RequestId, ServerId, Tokens, WorkspaceId},
+    units::{Build, PoolId, RequestId, ServerId, Tokens, WorkspaceId},
 };
 use wasabi_policy::{
     moving_average,
@@ -63,7 +63,14 @@
     /// Builds the scheduler's ticket. `resumed` tells whether the request had a grant before; calls
     /// that run at most once pass `false` also on retries. `avoid` names a server that has just
     /// failed it.
-    pub fn ticket(&self, ctx: &Context, resumed: bool, avoid: Option<ServerId>) -> Ticket {
+    /// `build` is the software version that began an answer which is to go on.
+    pub fn ticket(
+        &self,
+        ctx: &Context,
+        resumed: bool,
+        avoid: Option<ServerId>,
+        build: Option<Build>,
+    ) -> Ticket {
         let lengths = ctx.answer_lengths.lock();
         let expected_tokens = lengths.get(&(self.route.name.clone(), self.workspace.name.clone()));
         let expected_duration = |table: &moving_average::Table<_>| {
@@ -86,6 +93,7 @@
             preemptible: streamed && self.route.repeatable,
             avoid,
             prefix: self.model_request.as_ref().map_or(NO_PROMPT_PREFIX, |call| call.prefix_hash),
+            build,
             resumed,
         }
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -13,7 +13,7 @@
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
     io::UsageTotals,
-    units::{ServerId, Tokens},
+    units::{Build, ServerId, Tokens},
 };
 use wasabi_policy::ticket::Outcome;
 
@@ -63,6 +63,7 @@
         started: Some(started_sender),
         producer,
         received_tokens: Tokens(0),
+        build: None,
         usage: Usage::default(),
         sent: false,
     };
@@ -86,6 +87,8 @@
     producer: Producer,
     /// Tokens received from backend servers so far, over all attempts.
     received_tokens: Tokens,
+    /// The software version that began the answer, once tokens have been received.
+    build: Option<Build>,
     /// The last token counts that a server reported.
     usage: Usage,
     /// Whether any byte of the request may have been sent.
@@ -147,7 +150,7 @@
 
     /// Waits for a grant; `None` if the caller is gone.
     async fn acquire(&self, resumed: bool, avoid: Option<ServerId>) -> Result<Option<Grant>> {
-        let ticket = self.job.ticket(&self.ctx, resumed, avoid);
+        let ticket = self.job.ticket(&self.ctx, resumed, avoid, self.build.clone());
         tokio::select! {
             () = self.producer.caller_gone().cancelled() => Ok(None),
             () = self.job.running.cancel.cancelled() => Err(Error::new(Code::KeyWithdrawn, "")),
@@ -208,6 +211,7 @@
                 let chunk = chat::parse_chunk(data.as_bytes(), &self.job.request_id)?;
                 let tokens = chunk.tokens();
                 if self.received_tokens == Tokens(0) && tokens > Tokens(0) {
+                    self.build = Some(grant.server.build.clone());
                     self.observe_first_token(granted_at);
                 }
                 grant.progress(tokens);
--- a/crates/fleet/tests/intent.rs
+++ b/crates/fleet/tests/intent.rs
@@ -24,6 +24,7 @@
     let server = Server {
         name: "e1".parse()?,
         address: "127.0.0.1:1".parse()?,
+        build: Default::default(),
         domain: "d1".parse()?,
         reclaimable: false,
         slots: 4,
--- a/crates/home/src/grant_client.rs
+++ b/crates/home/src/grant_client.rs
@@ -56,7 +56,10 @@
     }
 
     async fn ask_candidates(&self, ticket: Ticket) -> Result<Grant> {
-        let cells = self.dispatcher.cells_of(&ticket.pool);
+        let mut cells = self.dispatcher.cells_of(&ticket.pool);
+        if let Some(build) = &ticket.build {
+            cells.retain(|cell| cell.servers.iter().any(|server| server.build == *build));
+        }
         let unavailable = || {
             Error::new(Code::ServerUnavailable, "the pool has no servers")
                 .retry_after(UNAVAILABLE_RETRY_AFTER)
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -20,7 +20,7 @@
 use crate::{
     limits::Limiter,
     queue,
-    servers::{Pick, Servers},
+    servers::{Pick, Selection, Servers},
     ticket::{Decision, Outcome, Ticket, TicketId, Waiting},
 };
 
@@ -30,6 +30,8 @@
 /// Tiers from this number on may use servers that were ejected as soon as these are probed; higher
 /// tiers use them only after a delay.
 const FIRST_LOWER_TIER: u8 = 2;
+/// The retry delay stated for a request whose software version no server has.
+const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// The upper bound of an expected wait.
 const MAX_EXPECTED_WAIT_S: f64 = 86_400.0;
 
@@ -286,18 +288,27 @@
         class.push(waiting);
     }
 
-    /// Assigns free slots to waiting tickets.
+    /// Assigns free slots to waiting tickets. A ticket that needs a software version without a free
+    /// slot holds up no other one.
     fn dispatch(&mut self, now: Instant, options: Options) -> Vec<Decision> {
-        let mut decisions = Vec::new();
+        let mut decisions = self.refuse_without_build();
+        let mut held_back: Vec<(ClassId, Waiting, Instant)> = Vec::new();
         while let Some(class) = self.next_class(now, options) {
             let Some(class) = self.classes.get_mut(&class) else { break };
             let served_before = class.last_served();
             let Some(waiting) = class.pop(now) else { break };
-            let avoid = waiting.ticket.avoid.as_ref();
-            let upper_tier = waiting.ticket.tier < FIRST_LOWER_TIER;
-            let Some(server) =
-                self.servers.acquire(now, options.pick, upper_tier, waiting.ticket.prefix, avoid)
-            else {
+            let wanted = Selection {
+                pick: options.pick,
+                upper_tier: waiting.ticket.tier < FIRST_LOWER_TIER,
+                prefix: waiting.ticket.prefix,
+                avoid: waiting.ticket.avoid.as_ref(),
+                build: waiting.ticket.build.as_ref(),
+            };
+            let Some(server) = self.servers.acquire(now, &wanted) else {
+                if waiting.ticket.build.is_some() {
+                    held_back.push((class.name.clone(), waiting, served_before));
+                    continue;
+                }
                 class.undo_pop(waiting, served_before);
                 break;
             };
@@ -315,6 +326,29 @@
             self.running.insert(ticket, running);
             decisions.push(Decision::Grant { ticket, server });
         }
+        while let Some((class, waiting, served_before)) = held_back.pop() {
+            if let Some(class) = self.classes.get_mut(&class) {
+                let last_served = class.last_served().min(served_before);
+                class.undo_pop(waiting, last_served);
+            }
+        }
+        decisions
+    }
+
+    /// Refuses the waiting tickets whose software version no listed server has.
+    fn refuse_without_build(&mut self) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let servers = &self.servers;
+        let is_gone = |waiting: &Waiting| {
+            waiting.ticket.build.as_ref().is_some_and(|build| !servers.has_build(build))
+        };
+        for class in self.classes.values_mut() {
+            for (workspace, ticket) in class.select(is_gone) {
+                class.remove(&workspace, ticket);
+                let (code, retry_after) = (Code::ServerUnavailable, VERSION_GONE_RETRY_AFTER);
+                decisions.push(Decision::Refuse { ticket, code, retry_after });
+            }
+        }
         decisions
     }
 
--- a/crates/policy/src/servers.rs
+++ b/crates/policy/src/servers.rs
@@ -8,7 +8,7 @@
 
 use wasabi_core::{
     note::Server,
-    units::{RequestRate, ServerId, Tokens},
+    units::{Build, RequestRate, ServerId, Tokens},
 };
 
 use crate::{
@@ -42,6 +42,21 @@
     RoundRobin,
 }
 
+/// What a request asks of the choice of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Selection<'a> {
+    /// How the server is picked.
+    pub pick: Pick,
+    /// Whether the request is of an upper tier, see [`Servers::acquire`].
+    pub upper_tier: bool,
+    /// The hash of its prompt prefix.
+    pub prefix: u64,
+    /// A server to be picked only if no other has a free slot.
+    pub avoid: Option<&'a ServerId>,
+    /// The only software version that may run it.
+    pub build: Option<&'a Build>,
+}
+
 /// The servers of one pool.
 #[derive(Debug, Default)]
 pub struct Servers {
@@ -120,18 +135,13 @@
     ///
     /// Requests of the lower tiers prefer a server that is being probed; those of the upper tiers
     /// may use it only once it has been in that state for `UPPER_TIER_PROBE_DELAY`.
-    ///
-    /// `avoid` is picked only if no other server has a free slot.
-    pub fn acquire(
-        &mut self,
-        now: Instant,
-        pick: Pick,
-        upper_tier: bool,
-        prefix: u64,
-        avoid: Option<&ServerId>,
-    ) -> Option<Server> {
+    pub fn acquire(&mut self, now: Instant, wanted: &Selection) -> Option<Server> {
+        let Selection { pick, upper_tier, prefix, avoid, build } = *wanted;
         self.end_ejections(now);
-        let free = || self.entries.values().filter(|entry| entry.has_free_slot(now));
+        let free = || {
+            let free = self.entries.values().filter(|entry| entry.has_free_slot(now));
+            free.filter(|entry| build.is_none_or(|build| entry.server.build == *build))
+        };
         let has_alternative = free().any(|entry| Some(&entry.server.name) != avoid);
         let allowed = |entry: &&Entry| {
             let avoided = has_alternative && Some(&entry.server.name) == avoid;
@@ -161,6 +171,11 @@
         Some(entry.server.clone())
     }
 
+    /// Returns whether a server of this software version is listed.
+    pub fn has_build(&self, build: &Build) -> bool {
+        self.listed().any(|entry| entry.server.build == *build)
+    }
+
     /// Releases a slot.
     pub fn release(&mut self, name: &ServerId) {
         let Some(entry) = self.entries.get_mut(name) else { return };
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -7,7 +7,7 @@
     errors::Code,
     note::{Class, Server, Target},
     quantity,
-    units::{ClassId, PoolId, ServerId, TokenRate, Tokens, WorkspaceId},
+    units::{Build, ClassId, PoolId, ServerId, TokenRate, Tokens, WorkspaceId},
 };
 
 quantity!(
@@ -46,6 +46,9 @@
         /// A hash of its prompt prefix; equal prefixes prefer the same server, which may have them
         /// cached.
         pub prefix: u64,
+        /// The only software version that may run it, if it goes on with what a server generated.
+        #[serde(default)]
+        pub build: Option<Build>,
         /// Whether it has already run in part. It is not refused for lateness, which would waste
         /// that work.
         pub resumed: bool,
--- a/crates/policy/tests/schedules.rs
+++ b/crates/policy/tests/schedules.rs
@@ -92,6 +92,7 @@
         let server = Server {
             name: "s".parse().expect("a name"),
             address: "127.0.0.1:1".parse().expect("an address"),
+            build: Default::default(),
             domain: "d".parse().expect("a name"),
             reclaimable: false,
             slots,
@@ -120,6 +121,7 @@
             preemptible: step.preemptible,
             avoid: None,
             prefix: 0,
+            build: None,
             resumed: false,
         };
         if !self.waiting.values().any(|waiting| waiting.tier == step.tier) {
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use wasabi_core::{note::Server, units::Tokens};
-use wasabi_policy::servers::{Pick, Servers};
+use wasabi_policy::servers::{Pick, Selection, Servers};
 
 const TOKENS: Tokens = Tokens(20);
 
@@ -11,6 +11,7 @@
     let server = |i: u32| Server {
         name: format!("s{i}").parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
+        build: Default::default(),
         domain: "d".parse().expect("a name"),
         reclaimable: false,
         slots: 2,
@@ -42,7 +43,14 @@
     let later = now + Duration::from_secs(3);
     let granted_to_s0 = |servers: &mut Servers, now| {
         let mut names = Vec::new();
-        while let Some(server) = servers.acquire(now, Pick::LeastBusy, false, 0, None) {
+        let wanted = Selection {
+            pick: Pick::LeastBusy,
+            upper_tier: false,
+            prefix: 0,
+            avoid: None,
+            build: None,
+        };
+        while let Some(server) = servers.acquire(now, &wanted) {
             names.push(server.name.to_string());
         }
         names.iter().for_each(|name| servers.release(&name.parse().expect("a name")));
--- a/crates/standin/src/chaos.rs
+++ b/crates/standin/src/chaos.rs
@@ -87,7 +87,7 @@
 
 /// Injects `steps` pairs of faults drawn from `seed`, and checks the outcome.
 pub fn run(programs: Programs, seed: u64, steps: usize) -> anyhow::Result<Outcome> {
-    let size = Size { hosts: 0, engines: 3, services: 2, profile: Profile::default() };
+    let size = Size { hosts: 0, engines: 3, services: 2, ..Size::default() };
     let rig = Rig::start(programs, &size)?;
     install_engine_factory(&rig);
     let mut run = Run {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -53,6 +53,8 @@
     /// Closes the connection of a stream before the token with this number, counted from 0 in the
     /// full answer; closes that of any other request without an answer.
     pub cut_after: Option<u64>,
+    /// With `cut_after`: only streams that begin are cut, not those that go on.
+    pub cut_new: bool,
     /// With `cut_after`: closes the connection of a stream in the middle of a chunk.
     pub half_chunk: bool,
     /// Stops sending before the token with this number, counted as in `cut_after`, and leaves the
@@ -147,6 +149,7 @@
         Server {
             name: self.name.clone(),
             address: self.address(),
+            build: Default::default(),
             domain: domain.clone(),
             reclaimable,
             slots,
@@ -319,7 +322,8 @@
             if faults.stall_after.is_some_and(|after| token_number >= after) {
                 thread::sleep(Duration::from_secs(3_600));
             }
-            if faults.cut_after.is_some_and(|after| token_number >= after) {
+            let may_cut = !faults.cut_new || generation.resume_from == 0;
+            if may_cut && faults.cut_after.is_some_and(|after| token_number >= after) {
                 if faults.half_chunk {
                     out.write_all(b"40\r\ndata: {\"id\":")?;
                     out.flush()?;
--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -50,11 +50,13 @@
     pub services: usize,
     /// Capacity and speed of each engine.
     pub profile: Profile,
+    /// The software versions of the engines, in turn; none state one if it is empty.
+    pub builds: Vec<String>,
 }
 
 impl Default for Size {
     fn default() -> Self {
-        Self { hosts: 1, engines: 1, services: 1, profile: Profile::default() }
+        Self { hosts: 1, engines: 1, services: 1, profile: Profile::default(), builds: Vec::new() }
     }
 }
 
@@ -69,7 +71,11 @@
         let services = (0..size.services)
             .map(|i| Service::start(&format!("service-{i}")))
             .collect::<anyhow::Result<Vec<Service>>>()?;
-        let servers: Vec<_> = engines.iter().map(|engine| engine.server(&domain, false)).collect();
+        let mut servers: Vec<_> =
+            engines.iter().map(|engine| engine.server(&domain, false)).collect();
+        for (server, build) in servers.iter_mut().zip(size.builds.iter().cycle()) {
+            server.build = build.parse()?;
+        }
         let plain_servers: Vec<_> =
             services.iter().map(|service| service.server(&domain)).collect();
         let sample = sample::build(&servers, &plain_servers);
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -66,6 +66,7 @@
         Server {
             name: self.name.clone(),
             address: self.address(),
+            build: Default::default(),
             domain: domain.clone(),
             reclaimable: false,
             slots: 16,
--- a/tests/caller_interface.rs
+++ b/tests/caller_interface.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::{
+    collections::BTreeSet,
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     thread,
@@ -15,7 +16,7 @@
 use serde_json::json;
 use wasabi_standin::{
     caller::Call,
-    engine::{self, Profile},
+    engine::{self, Engine, Profile},
     process::wait_until,
     rig::{Rig, Size},
 };
@@ -328,3 +329,28 @@
     assert!(is_alive(&rig)?);
     Ok(())
 }
+
+#[test]
+fn a_stream_goes_on_only_at_the_software_version_that_began_it() -> anyhow::Result<()> {
+    let builds = ["v1", "v2"].map(str::to_string).to_vec();
+    let rig = Rig::start(programs(), &Size { hosts: 2, engines: 6, builds, ..Size::default() })?;
+    for engine in &rig.engines {
+        engine.update_faults(|faults| (faults.cut_after, faults.cut_new) = (Some(3), true));
+    }
+    let mut went_on = 0;
+    for number in 0..24 {
+        let prompt = format!("prompt-{number}.");
+        let stream = chat(&rig, &prompt, 8).stream(rig.hosts[number % 2].callers)?;
+        went_on += usize::from(stream.complete);
+        let ran = |engine: &Engine| {
+            engine.records().iter().any(|record| record.request_text.contains(&prompt))
+        };
+        let numbers = 0..rig.engines.len();
+        let versions: BTreeSet<usize> =
+            numbers.filter(|i| ran(&rig.engines[*i])).map(|i| i % 2).collect();
+        assert_eq!(versions.len(), 1, "stream {number} ran at both versions");
+    }
+    // The others found the budget of retries used up.
+    assert!(went_on >= 3, "{went_on} streams went on");
+    Ok(())
+}
