--- a/tests/stand/src/scripted.rs
+++ b/tests/stand/src/scripted.rs
@@ -1,7 +1,7 @@
 //! Backend server that sends scripted bytes, for responses that no HTTP library would produce.
 
 use std::{
-    io::Read as _,
+    io::{Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
@@ -68,6 +68,13 @@
     Ok(String::from_utf8_lossy(&head).into_owned())
 }
 
+/// Writes `part` again and again until the peer closes the connection; waits for `pause` in between.
+pub fn flood(stream: &mut TcpStream, part: &[u8], pause: Duration) {
+    while stream.write_all(part).is_ok() {
+        thread::sleep(pause);
+    }
+}
+
 /// Returns the first value of a header in a head, or an empty string.
 pub fn header(head: &str, name: &str) -> String {
     let lines = head.lines().filter_map(|line| line.split_once(':'));
