answer: the bytes before the head of a response are bounded

A server that sent interim responses without end kept the connection's task reading for ever: on the gateway's single thread the whole host stood still, and none of 24 callers had an answer by the deadline. hyper bounds a head, not the number of interim ones.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod broken;
 pub mod connection;
 pub mod events;
+pub mod head_limit;
 pub mod whole;
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use log::debug;
 use tokio::{net::TcpStream, task::AbortHandle, time};
-use wasabi_answer::whole;
+use wasabi_answer::{head_limit::Limited, whole};
 use wasabi_core::{
     call::{Content, Framing},
     errors::{Code, Error, Ran, Result},
@@ -74,6 +74,7 @@
     let socket = connecting.await.map_err(|_| not_sent("connect timeout"))?;
     let socket = socket.map_err(|_| not_sent("connect failed"))?;
     let _ = socket.set_nodelay(true);
+    let (socket, head_limit) = Limited::new(socket);
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(socket)).await.map_err(|_| not_sent("handshake failed"))?;
     let connection = Connection(tokio::spawn(connection).abort_handle());
@@ -83,9 +84,11 @@
     request.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     let failed = |code: Code| Failure { sent: true, error: Error::new(code, "").ran(Ran::Unknown) };
     *sent = true;
+    head_limit.begin_head();
     let answering = time::timeout(limit, sender.send_request(request));
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
     let response = response.map_err(|_| failed(Code::AnswerBroken))?;
+    head_limit.end_head();
     let text = |name: &str| head::single_value(response.headers(), name).ok().flatten();
     let has = |name| response.headers().contains_key(name);
     let (has_chunks, has_length) = (has(header::TRANSFER_ENCODING), has(header::CONTENT_LENGTH));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -94,7 +94,7 @@
             return Outcome::NotRun("the request cannot be sent on");
         };
         let sent = state.now();
-        let sending = connection.inner().sender.try_send_request(request);
+        let sending = connection.inner().send(request);
         match tokio::time::timeout(remaining, sending).await {
             Err(_) => return Outcome::TimedOut,
             Ok(Ok(http)) => {
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -106,10 +106,10 @@
         let mut servers = self.0.borrow_mut();
         let server = servers.get_mut(key)?;
         let idle_before = server.idle.len();
-        server.idle.retain(|(connection, _)| !connection.sender.is_closed());
+        server.idle.retain(|(connection, _)| !connection.is_closed());
         server.open -= (idle_before - server.idle.len()) as u32;
         while let Some((connection, expires)) = server.idle.pop() {
-            if now < expires && connection.sender.is_ready() {
+            if now < expires && connection.is_ready() {
                 return Some(connection);
             }
             server.open -= 1;
@@ -146,8 +146,8 @@
         let Some(mut connection) = self.connection.take() else { return };
         tokio::task::spawn_local(async move {
             // The rest of the request's body may still be being sent.
-            let ready = tokio::time::timeout(DEFAULT_KEEP_ALIVE, connection.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) && !keep_alive.is_zero() {
+            let ready = tokio::time::timeout(DEFAULT_KEEP_ALIVE, connection.ready()).await;
+            if matches!(ready, Ok(true)) && !keep_alive.is_zero() {
                 self.counted = false;
                 self.pool.return_idle(&self.key, connection, now + keep_alive);
             }
