gateway: the memory of buffered responses is bounded for all of them together

Each response was bounded at 8 MiB, and nothing bounded their sum: 24 requests to a server whose body has no end took 212 MB, on hosts that have 110 MB. Beyond 64 KiB each, buffered responses now share 32 MiB, and count until they are passed on; a response that finds no room fails like one that broke off. The test measures the peak of resident memory, since the end of the requests frees it; it was red and is green.

--- /dev/null
+++ b/crates/gateway/src/buffers.rs
@@ -0,0 +1,70 @@
+//! The memory that buffered responses may take together.
+
+use std::{cell::Cell, rc::Rc};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+
+/// The most that all buffered responses take, beside [`FREE_BYTES`] each.
+const MAX_BYTES: usize = 32 * 1024 * 1024;
+/// A response up to this size is always accepted: large ones must not crowd out the others.
+const FREE_BYTES: usize = 64 * 1024;
+/// The largest response that is buffered.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Counts the bytes of all buffered responses beyond [`FREE_BYTES`] each.
+#[derive(Clone, Debug, Default)]
+pub struct Memory(Rc<Cell<usize>>);
+
+/// A part of the memory; dropping it frees it.
+#[derive(Debug)]
+pub struct Reservation {
+    memory: Memory,
+    bytes: usize,
+}
+
+impl Memory {
+    /// Returns an empty reservation.
+    pub fn reserve(&self) -> Reservation {
+        Reservation { memory: self.clone(), bytes: 0 }
+    }
+}
+
+impl Reservation {
+    /// Extends the reservation to a response of `length` bytes; returns whether there is room.
+    fn extend_to(&mut self, length: usize) -> bool {
+        let more = length.saturating_sub(FREE_BYTES).saturating_sub(self.bytes);
+        let used = self.memory.0.get() + more;
+        if length > MAX_RESPONSE_BYTES || (more > 0 && used > MAX_BYTES) {
+            return false;
+        }
+        self.memory.0.set(used);
+        self.bytes += more;
+        true
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.memory.0.update(|used| used - self.bytes);
+    }
+}
+
+/// Reads a body to its end; returns it with the memory that it takes, or the cause of the failure.
+pub async fn collect(
+    memory: &Memory,
+    mut body: Incoming,
+) -> Result<(Bytes, Reservation), &'static str> {
+    let mut reservation = memory.reserve();
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| "answer broke off")?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !reservation.extend_to(buffer.len() + data.len()) {
+            return Err("answer too large to buffer");
+        }
+        buffer.extend_from_slice(&data);
+    }
+    Ok((buffer.freeze(), reservation))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admit;
 pub mod attempt;
+pub mod buffers;
 pub mod connection_pool;
 pub mod duty;
 pub mod echo;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,7 +30,7 @@
 use crate::{
     admit::{self, Admission},
     attempt::{self, BackendResponse, Outcome, Outgoing},
-    origin,
+    buffers, origin,
     response::{self, ResponseBody},
     state::{CountGuard, PlacementGuard, State},
     stream,
@@ -40,8 +40,6 @@
 const RESPONSE_GRACE: Duration = Duration::from_millis(40);
 /// Placements allowed beyond the route's `max_attempts`, for sends that servers did not run.
 const MAX_EXTRA_PLACEMENTS: usize = 2;
-/// The largest response body that is buffered before it is passed on.
-const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 /// The `cause` in logs and metrics of a send that showed no progress.
 pub const STUCK: &str = "stuck";
 
@@ -488,13 +486,10 @@
     let BackendResponse { http, reply, connection } = backend_response;
     let (parts, body) = http.into_parts();
     let remaining = inbound.deadline.saturating_duration_since(state.now()) + RESPONSE_GRACE;
-    let body =
-        tokio::time::timeout(remaining, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Err("answer broke off"),
-        Err(_) => return Err("answer did not end in time"),
-    };
+    let collecting = buffers::collect(&state.response_memory, body);
+    let (body, reservation) = tokio::time::timeout(remaining, collecting)
+        .await
+        .unwrap_or(Err("answer did not end in time"))?;
     whole::check(reply.framing, reply.content, &body).map_err(Broken::cause)?;
     let now = state.now();
     connection.release(now, reply.keep_alive);
@@ -502,7 +497,7 @@
     guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
     guard.end = if parts.status.is_server_error() { End::Failed } else { End::Served };
     let bytes = body.len() as u64;
-    let mut response = Response::new(ResponseBody::Full(body));
+    let mut response = Response::new(ResponseBody::Full(body, reservation));
     *response.status_mut() = parts.status;
     *response.headers_mut() = reply::forwarded_headers(&parts.headers);
     let received = Received { framing: reply.framing, bytes, ..Received::default() };
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -17,10 +17,18 @@
 use wasabi_answer::body::Streamed;
 use wasabi_core::errors::{Code, Error, Ran};
 
+use crate::buffers;
+
+/// A buffered body is handed on in parts of this size, so that what a slow caller does not read stays
+/// counted as buffered.
+const MAX_PART_BYTES: usize = 64 * 1024;
+
 /// The body of a response.
 pub enum ResponseBody {
-    /// A buffered body; empty once it has been polled.
-    Full(Bytes),
+    /// What is left of a buffered body, and the memory that it takes.
+    Full(Bytes, buffers::Reservation),
+    /// A short body of the gateway's own.
+    Own(Bytes),
     /// A body that is passed on as it arrives.
     Stream(Streamed),
 }
@@ -34,19 +42,22 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
-            Self::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Full(bytes, _) | Self::Own(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Full(bytes, _) | Self::Own(bytes) => {
+                let part = bytes.split_to(bytes.len().min(MAX_PART_BYTES));
+                Poll::Ready(Some(Ok(Frame::data(part))))
+            }
             Self::Stream(body) => Pin::new(body).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(bytes) if bytes.is_empty())
+        matches!(self, Self::Full(bytes, _) | Self::Own(bytes) if bytes.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Full(bytes, _) | Self::Own(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
@@ -67,7 +78,7 @@
         "ran": error.ran,
         "retry_after_s": error.retry_after.map(|wait| wait.as_secs_f64()),
     }});
-    let mut response = Response::new(ResponseBody::Full(Bytes::from(body.to_string())));
+    let mut response = Response::new(ResponseBody::Own(Bytes::from(body.to_string())));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,7 +35,7 @@
     stated_limits,
 };
 
-use crate::{connection_pool::Pool, settings::Settings};
+use crate::{buffers, connection_pool::Pool, settings::Settings};
 
 /// The greatest age of the configuration's proof at which a host is ready for new connections.
 const MAX_READY_PROOF_AGE: Duration = Duration::from_millis(4_000);
@@ -92,6 +92,8 @@
     pub store_restored: Notify,
     /// The lease that lets one host at a time report usage and order servers.
     pub lease: RefCell<Lease>,
+    /// The memory of responses that are buffered before they are passed on.
+    pub response_memory: buffers::Memory,
     /// Connections to backend servers.
     pub connection_pool: Pool,
     /// Notified after each successful read of configuration or servers from the store.
@@ -140,6 +142,7 @@
             era: RefCell::default(),
             store_restored: Notify::new(),
             lease: RefCell::new(Lease::new(host, incarnation, times)),
+            response_memory: buffers::Memory::default(),
             connection_pool: Pool::default(),
             proof_renewed: Notify::new(),
             running_requests: Cell::new(0),
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -109,7 +109,7 @@
         let gateway = rig.start_gateway("g1")?;
         let to = gateway.addresses.callers;
         let (late, statuses) = send_at_once(to, method, path, "flood");
-        let resident = gateway.resident_bytes()?;
+        let resident = gateway.peak_resident_bytes()?;
         assert_eq!(late, 0, "{name}: callers without an answer in time");
         assert!(statuses.iter().all(|status| *status >= 500), "{name}: {statuses:?}");
         assert!(resident < HOST_MEMORY_BYTES, "{name}: {} MB", resident >> 20);
--- a/tests/stand/src/gateway.rs
+++ b/tests/stand/src/gateway.rs
@@ -120,10 +120,19 @@
 
     /// Returns the size of the process's resident memory.
     pub fn resident_bytes(&self) -> anyhow::Result<usize> {
+        self.memory_bytes("VmRSS:")
+    }
+
+    /// Returns the largest size that the process's resident memory has had.
+    pub fn peak_resident_bytes(&self) -> anyhow::Result<usize> {
+        self.memory_bytes("VmHWM:")
+    }
+
+    fn memory_bytes(&self, field: &str) -> anyhow::Result<usize> {
         const KIB: usize = 1024;
         let status = fs::read_to_string(format!("/proc/{}/status", self.id()))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().next()).context("no VmRSS")?;
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
+        let kib = line.and_then(|line| line.split_whitespace().next()).context("no such field")?;
         Ok(kib.parse::<usize>()? * KIB)
     }
 
