gateway: bytes that complete no event are no progress of a stream

The time until a stream counts as stuck began anew with each read, so a server that sent a byte now and then held its stream until the deadline.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -147,16 +147,18 @@
         let mut body = http.into_body();
         (self.framing, self.received_bytes) = (reply.framing, 0);
         self.events.start_part();
-        let mut stuck_timeout = guard.time_until_stuck();
-        let mut stuck_timer_armed = true;
+        // Counts from the last event: bytes that complete none are no progress.
+        let mut stuck_at = self.state.now().checked_add(guard.time_until_stuck());
         loop {
-            let remaining = self.inbound.deadline.saturating_duration_since(self.state.now());
+            let now = self.state.now();
+            let remaining = self.inbound.deadline.saturating_duration_since(now);
+            let until_stuck = stuck_at.map(|at| at.saturating_duration_since(now));
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.producer.caller_gone().cancelled() => return PartEnd::CallerLeft,
                 () = tokio::time::sleep(remaining) => return PartEnd::OutOfTime,
-                () = tokio::time::sleep(stuck_timeout), if stuck_timer_armed => {
-                    stuck_timer_armed = false;
+                () = tokio::time::sleep(until_stuck.unwrap_or_default()), if stuck_at.is_some() => {
+                    stuck_at = None;
                     match self.find_alternative(guard) {
                         Some(next) => return PartEnd::Stuck(Box::new(next)),
                         None => continue,
@@ -174,10 +176,10 @@
                 Ok(None) => continue,
                 Err(broken) => return PartEnd::Broken(broken.cause()),
             };
-            (stuck_timeout, stuck_timer_armed) = (stuck::EVENT_GAP_TIMEOUT, true);
             if !self.pass_on(guard, events).await {
                 return PartEnd::CallerLeft;
             }
+            stuck_at = Some(self.state.now() + stuck::EVENT_GAP_TIMEOUT);
         }
         match self.events.finish(reply.framing) {
             Ok(None) => {}
