--- a/crates/remote/src/http.rs
+++ b/crates/remote/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP calls with a time limit, counted in the metrics by kind.
 
-use std::time::Duration;
+use std::{io::Read as _, time::Duration};
 
 use serde::de::DeserializeOwned;
 use wasabi_answer::whole;
@@ -9,6 +9,11 @@
     errors::{self, Code, Error, Result},
 };
 
+/// The most bytes of a status line, and of all headers.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The most bytes of a body; the store sends lists of about 1 MB.
+const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
+
 /// The base address of an outside system and the time limit of calls to it.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -49,16 +54,24 @@
         metrics::counter!("wasabi_platform_calls_total", "kind" => kind).increment(1);
         let limit_ms = (self.timeout + requested_wait).as_millis() as u64;
         let mut request = minreq::Request::new(method, format!("{}{path}", self.url))
-            .with_timeout(limit_ms.div_ceil(1000).max(1));
+            .with_timeout(limit_ms.div_ceil(1000).max(1))
+            .with_max_headers_size(MAX_HEAD_BYTES)
+            .with_max_status_line_length(MAX_HEAD_BYTES);
         if let Some(body) = body {
             request = request.with_header("content-type", "application/json").with_body(body);
         }
-        let response = request.send().map_err(|e| call_failed(kind, &e.to_string()))?;
+        let mut response = request.send_lazy().map_err(|e| call_failed(kind, &e.to_string()))?;
         let status = response.status_code as u16;
-        if !is_whole(&response) {
+        let mut body = Vec::new();
+        let read = (&mut response).take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+        read.map_err(|e| call_failed(kind, &e.to_string()))?;
+        if body.len() as u64 > MAX_BODY_BYTES {
+            return Err(call_failed(kind, "the response is too large"));
+        }
+        if !is_whole(&response, &body) {
             return Err(call_failed(kind, "the response broke off"));
         }
-        let body = response.as_str().map_err(|e| call_failed(kind, &e.to_string()))?.to_string();
+        let body = String::from_utf8(body).map_err(|e| call_failed(kind, &e.to_string()))?;
         match status {
             429 => Err(Error::new(Code::StoreBusy, kind)),
             500.. => Err(call_failed(kind, "the system is down")),
@@ -69,10 +82,10 @@
 
 /// Returns whether a response was received to its end. `minreq` reports neither a head nor a body
 /// that ends early, so a response without a length must be a complete JSON document.
-fn is_whole(response: &minreq::Response) -> bool {
-    let body = response.as_bytes();
-    match response.header("content-length") {
-        Some(length) => length.trim().parse() == Ok(body.len()),
+fn is_whole(response: &minreq::ResponseLazy, body: &[u8]) -> bool {
+    let mut headers = response.headers.iter();
+    match headers.find(|(name, _)| name.eq_ignore_ascii_case("content-length")) {
+        Some((_, length)) => length.trim().parse() == Ok(body.len()),
         None => whole::check(Framing::Close, Content::Json, body).is_ok(),
     }
 }
--- a/crates/remote/tests/cut.rs
+++ b/crates/remote/tests/cut.rs
@@ -3,6 +3,10 @@
 use std::{
     io::{Read as _, Write as _},
     net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -71,3 +75,39 @@
     assert_eq!(gone.get("k").map(|found| found.is_none()), Ok(true));
     Ok(())
 }
+
+/// What an outside system sends without end: a beginning, and the part that it repeats.
+const ENDLESS: [(&str, &str); 5] = [
+    ("", "x"),
+    ("HTTP/1.1 200 OK\r\n", "x-filler: xxxxxxxx\r\n"),
+    ("HTTP/1.1 200 OK\r\n\r\n[", "1, "),
+    ("HTTP/1.1 404 X\r\ntransfer-encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n"),
+    ("HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", "xxxxxxxx"),
+];
+
+#[test]
+fn a_response_without_end_fails_before_it_takes_much_memory() -> anyhow::Result<()> {
+    const MAX_TAKEN_BYTES: usize = 32 * 1024 * 1024;
+    for (begin, part) in ENDLESS {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let url = format!("http://{}", listener.local_addr()?);
+        let written = Arc::new(AtomicUsize::new(0));
+        let counter = written.clone();
+        thread::spawn(move || {
+            let part = part.repeat(4_096 / part.len());
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let mut request = [0; 4096];
+                let read = stream.read(&mut request);
+                let begun = read.and_then(|_| stream.write_all(begin.as_bytes()));
+                while begun.is_ok() && stream.write_all(part.as_bytes()).is_ok() {
+                    counter.fetch_add(part.len(), Ordering::SeqCst);
+                }
+            }
+        });
+        let store = store::Client::new(Endpoint::new(&url, Duration::from_secs(2)));
+        assert_eq!(code(store.get("k")), Some(Code::StoreUnavailable), "{begin}{part}");
+        let taken = written.load(Ordering::SeqCst);
+        assert!(taken < MAX_TAKEN_BYTES, "{begin}{part}: {taken} bytes");
+    }
+    Ok(())
+}
