--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -200,9 +200,12 @@
         reply: &mut Reply,
     ) -> Result<AttemptEnd> {
         let mut splitter = Splitter::default();
-        let mut limit = self.ctx.options.first_part_timeout;
+        // Bytes that complete no event do not put it off.
+        let mut due = time::Instant::now() + self.ctx.options.first_part_timeout;
         loop {
+            let mut any_event = false;
             while let Some(event) = splitter.next_event() {
+                any_event = true;
                 let Some(data) = sse::data(&event) else { continue };
                 if data == chat::DONE {
                     let passed = self.send_part(event, Tokens(0)).await;
@@ -221,11 +224,14 @@
                     return Ok(AttemptEnd::CallerGone);
                 }
             }
+            if any_event {
+                due = time::Instant::now() + self.ctx.options.part_timeout;
+            }
+            let limit = due.saturating_duration_since(time::Instant::now());
             let Some(bytes) = reply.next(limit).await? else {
                 return Err(Error::new(Code::AnswerBroken, "no end marker").ran(Ran::Unknown));
             };
             splitter.push(&bytes)?;
-            limit = self.ctx.options.part_timeout;
         }
     }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -24,6 +24,8 @@
 const MAX_CACHED_PREFIXES: usize = 64;
 /// Prompts with equal prefixes of this length share a cache entry.
 const CACHED_PREFIX_CHARS: usize = 256;
+/// The time between two bytes of an answer that drips.
+const DRIP_INTERVAL: Duration = Duration::from_millis(50);
 /// Length of an answer whose request has no `max_tokens`.
 const DEFAULT_MAX_TOKENS: u64 = 20;
 
@@ -68,6 +70,8 @@
     pub down: bool,
     /// Sends an endless event as the answer of each stream that starts.
     pub flood: bool,
+    /// Sends a byte of an event that never ends now and then, as the answer of each stream that starts.
+    pub drip: bool,
     /// Factor on the delay between tokens; 0 counts as 1.
     pub slowdown: u32,
     /// The requests a second that streams which start name as the engine's limit, if any.
@@ -316,6 +320,12 @@
                 write_chunk(out, "data: flood flood flood flood flood flood flood flood ")?;
             }
         }
+        if faults.drip {
+            loop {
+                write_chunk(out, "x")?;
+                thread::sleep(DRIP_INTERVAL);
+            }
+        }
         let id = if faults.wrong_request_id { "r-another" } else { generation.id.as_str() };
         for token_number in generation.resume_from..generation.tokens {
             let faults = self.faults.lock().clone();
--- a/tests/caller_interface.rs
+++ b/tests/caller_interface.rs
@@ -8,7 +8,7 @@
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpStream},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use common::{programs, secret_of};
@@ -354,3 +354,25 @@
     assert!(went_on >= 3, "{went_on} streams went on");
     Ok(())
 }
+
+/// Each byte counts as a sign of life of the connection, but not of progress.
+#[test]
+fn a_stream_of_single_bytes_without_an_event_goes_on_elsewhere() -> anyhow::Result<()> {
+    const LIMIT: Duration = Duration::from_secs(4);
+    let mut rig = Rig::start(programs(), &Size { hosts: 0, ..two_engines() })?;
+    let mut settings = rig.settings("host-0");
+    settings["times"]["first_part_ms"] = json!(1_000);
+    rig.add_host_with("host-0", &settings)?;
+    rig.wait_revision(&rig.hosts[0], 1)?;
+    let to = rig.hosts[0].callers;
+    for number in 0..2 {
+        rig.engines.iter().for_each(|engine| engine.update_faults(|faults| faults.drip = false));
+        rig.engines[number].update_faults(|faults| faults.drip = true);
+        let begun = Instant::now();
+        let stream = chat(&rig, "the same prompt", 5).stream(to)?;
+        assert!(stream.complete, "{stream:?}");
+        assert!(begun.elapsed() < LIMIT, "{:?}", begun.elapsed());
+    }
+    assert!(rig.engines.iter().any(|engine| engine.records().len() > 1), "none was tried twice");
+    Ok(())
+}
