--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -28,8 +28,13 @@
 /// The object name of the lease.
 const LEASE_NAME: &str = "duties";
 
-/// Tries to acquire the lease, and performs the duties while this host holds it.
+/// Tries to acquire the lease, and performs the duties while this host holds it; returns at once on a
+/// host without an address for the duties.
 pub async fn run(state: Rc<State>) {
+    if state.duty_api.is_none() {
+        info!("no address for the duties; this host never takes them");
+        return;
+    }
     tokio::time::sleep(STARTUP_DELAY).await;
     tokio::join!(maintain_lease(&state), usage::run(&state), orders::run(&state));
 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -21,9 +21,6 @@
 
 /// Orders servers while this host holds the duties lease.
 pub async fn run(state: &State) {
-    if state.duty_api.is_none() {
-        return;
-    }
     let mut planners: BTreeMap<PoolId, Planner> = BTreeMap::new();
     let mut fence: Option<Epoch> = None;
     loop {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -67,9 +67,6 @@
 
 /// Reports usage while this host holds the duties.
 pub async fn run(state: &State) {
-    if state.duty_api.is_none() {
-        return;
-    }
     let mut reporter = Reporter::default();
     loop {
         tokio::time::sleep(TICK).await;
