gateway: a request that a second server runs again counts once as usage

Each complete plain response counted, also a 5xx after which the request was sent again: 20 requests were reported as 40.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -266,6 +266,8 @@
     pub placements: usize,
     /// Servers that failed the request or where it was stuck.
     pub avoid: Vec<ServerId>,
+    /// Whether the request has been counted as usage.
+    pub counted: bool,
     /// The software version that began the stream, once the caller has an event of it.
     pub build: Option<Build>,
     /// Why the last send failed; empty before the first failure.
@@ -274,6 +276,15 @@
     fallback: Option<Response<ResponseBody>>,
 }
 
+impl SendHistory {
+    /// Counts the request as usage, once however many servers run it.
+    pub fn count_usage(&mut self, state: &State, inbound: &AdmittedRequest) {
+        if !std::mem::replace(&mut self.counted, true) {
+            state.count_usage(inbound.admission.workspace.as_ref());
+        }
+    }
+}
+
 /// Places a request for its first or next send.
 ///
 /// Fails if the time, the attempts or the repeat budget are used up, if the request may not run
@@ -423,7 +434,7 @@
                     *backend_response,
                 )));
             }
-            match buffer_response(state, inbound, &mut guard, *backend_response).await {
+            match buffer_response(state, inbound, history, &mut guard, *backend_response).await {
                 Ok(response) if attempt::is_retryable(admission.route.kind, response.status()) => {
                     history.avoid.push(guard.placement.member.id.clone());
                     history.last_cause = "server error";
@@ -480,6 +491,7 @@
 async fn buffer_response(
     state: &Rc<State>,
     inbound: &AdmittedRequest,
+    history: &mut SendHistory,
     guard: &mut PlacementGuard,
     backend_response: BackendResponse,
 ) -> std::result::Result<Response<ResponseBody>, &'static str> {
@@ -493,7 +505,7 @@
     whole::check(reply.framing, reply.content, &body).map_err(Broken::cause)?;
     let now = state.now();
     connection.release(now, reply.keep_alive);
-    state.count_usage(inbound.admission.workspace.as_ref());
+    history.count_usage(state, inbound);
     guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
     guard.end = if parts.status.is_server_error() { End::Failed } else { End::Served };
     let bytes = body.len() as u64;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -211,7 +211,7 @@
         self.record_origin(guard);
         let now: Instant = self.state.now();
         guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
-        self.state.count_usage(self.inbound.admission.workspace.as_ref());
+        self.history.count_usage(&self.state, &self.inbound);
         let since_arrival = now.saturating_duration_since(self.inbound.arrived);
         let rank = self.inbound.admission.rank.to_string();
         metrics::histogram!("wasabi_gateway_first_event_seconds", "rank" => rank)
