gateway: a reload applies whole, or names what needs a restart

New bounds of repeats did not reach services that were already known (11 sends of 10 requests for 20 allowed), nor did a new failure domain; a changed host name was announced under the old lease and addresses. What a restart alone can change stays and is named in a line; the rest applies at once. Red before: reload::changed_bounds_*, settings_that_need_a_restart_*.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -145,9 +145,7 @@
 
 /// Applies changed settings on SIGHUP and within [`SETTINGS_PERIOD`]; invalid ones are only logged.
 ///
-/// The addresses, the host name and the length of the lease must not be changed without a restart.
-/// Services that are already known keep their repeat budget and the failure domain that their
-/// placement goes by.
+/// The addresses, the host name and the length of the lease stay as they were, with a warning.
 async fn reload_settings(state: Rc<State>, path: PathBuf, mut hangup: Signal) {
     let mut known = fs::read_to_string(&path).unwrap_or_default();
     loop {
@@ -173,7 +171,10 @@
         match settings::parse(&text) {
             Ok(settings) => {
                 info!(signalled = signalled; "settings changed");
-                *state.settings.borrow_mut() = settings;
+                let kept = state.reload_settings(settings).join(", ");
+                if !kept.is_empty() {
+                    warn!(settings = kept.as_str(); "settings need a restart");
+                }
             }
             Err(problems) => {
                 for problem in problems {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,8 +26,8 @@
     pub operators: SocketAddr,
     /// The address of the object store.
     pub objects: SocketAddr,
-    /// The address of the interface for usage reports and orders; without it this host performs no
-    /// duty, even while it holds the lease.
+    /// The address of the interface for usage reports and orders; without it this host
+    /// never takes the lease.
     pub duties: Option<SocketAddr>,
     /// The limits that the host has to keep.
     pub bounds: Bounds,
@@ -70,6 +70,32 @@
     }
 }
 
+impl Settings {
+    /// Replaces these settings by `new`, but for those that only a restart can change; returns the names
+    /// of the latter that differ.
+    pub fn reload(&mut self, new: Self) -> Vec<&'static str> {
+        let old = std::mem::replace(self, new);
+        let mut kept = Vec::new();
+        let mut keep = |name, differs: bool| {
+            if differs {
+                kept.push(name);
+            }
+        };
+        keep("host", self.host != old.host);
+        keep("callers", self.callers != old.callers);
+        keep("ready", self.ready != old.ready);
+        keep("peers", self.peers != old.peers);
+        keep("operators", self.operators != old.operators);
+        keep("objects", self.objects != old.objects);
+        keep("duties", self.duties != old.duties);
+        keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
+        let bounds = Bounds { lease_ms: old.bounds.lease_ms, ..self.bounds };
+        // Of the fields, only the domain and the other bounds are new.
+        *self = Self { domain: self.domain.clone(), bounds, ..old };
+        kept
+    }
+}
+
 /// Parses settings from JSON; fails with every problem found.
 pub fn parse(text: &str) -> Result<Settings, Vec<Error>> {
     let value: Value = serde_json::from_str(text).map_err(|e| vec![problem("", &e.to_string())])?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -155,6 +155,18 @@
         }
     }
 
+    /// Applies changed settings; returns the names of those that need a restart and stay as they were.
+    pub fn reload_settings(&self, new: Settings) -> Vec<&'static str> {
+        let kept = self.settings.borrow_mut().reload(new);
+        let bounds = self.repeat_bounds();
+        self.repeat_budgets.borrow_mut().values_mut().for_each(|budget| budget.set_bounds(bounds));
+        let domain = self.settings.borrow().domain.clone();
+        for balancer in self.balancers.borrow_mut().values_mut() {
+            balancer.set_domain(domain.clone());
+        }
+        kept
+    }
+
     /// Returns the monotonic time of `clock`.
     pub fn now(&self) -> Instant {
         self.clock.now()
@@ -309,8 +321,7 @@
     /// Counts a request of `workspace` in the current usage window; does nothing without a
     /// workspace.
     ///
-    /// Called for the first event of a stream and for each complete plain response, also for a 5xx
-    /// after which the request is sent again.
+    /// Called once for each request, at the first event of a stream or the first complete plain response.
     pub fn count_usage(&self, workspace: Option<&WorkspaceId>) {
         let Some(workspace) = workspace else { return };
         let window = self.usage_window();
@@ -406,19 +417,22 @@
         service: &PoolId,
         action: impl FnOnce(&mut Budget) -> T,
     ) -> T {
-        let bounds = self.settings.borrow().bounds;
         let mut repeat_budgets = self.repeat_budgets.borrow_mut();
-        let budget = repeat_budgets.entry(service.clone()).or_insert_with(|| {
-            let bounds = repeat_budget::Bounds {
-                ratio: bounds.repeat_ratio,
-                allowance: bounds.repeat_allowance,
-                window: Duration::from_secs_f64(bounds.repeat_window_s),
-            };
-            Budget::new(self.now(), bounds)
-        });
+        let budget = repeat_budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.now(), self.repeat_bounds()));
         action(budget)
     }
 
+    fn repeat_bounds(&self) -> repeat_budget::Bounds {
+        let bounds = self.settings.borrow().bounds;
+        repeat_budget::Bounds {
+            ratio: bounds.repeat_ratio,
+            allowance: bounds.repeat_allowance,
+            window: Duration::from_secs_f64(bounds.repeat_window_s),
+        }
+    }
+
     /// Updates the servers of every service's balancer, and closes idle connections to servers that
     /// left.
     fn refresh_balancers(&self) {
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Sets the failure domain of the host.
+    pub fn set_domain(&mut self, domain: Domain) {
+        self.domain = domain;
+    }
+
     /// Sets how many hosts place requests; the more there are, the older their announcements.
     pub fn set_host_count(&mut self, hosts: usize) {
         self.stale_announcements = hosts >= STALE_ANNOUNCEMENTS_MIN_HOSTS;
--- a/crates/policy/src/repeat_budget.rs
+++ b/crates/policy/src/repeat_budget.rs
@@ -45,6 +45,11 @@
         Self { bounds, started_at: now, first_sends: VecDeque::new(), repeats: VecDeque::new() }
     }
 
+    /// Replaces the bounds; the sends so far still count.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Records the first send of a request.
     pub fn record_first_send(&mut self, now: Instant) {
         self.evict_expired(now);
