home: an owner that missed heartbeats is available again once it answers

Owners that have missed one get heartbeats until they answer, at the same time, and are forgotten after a hundred. heartbeats::an_owner_that_missed_*: red before.

--- a/crates/home/src/remote_grants.rs
+++ b/crates/home/src/remote_grants.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use parking_lot::Mutex;
 use tokio::{runtime::Handle, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -27,6 +28,9 @@
 /// After this many heartbeats have failed in a row, an owner counts as unavailable.
 const MISSED_HEARTBEATS_LIMIT: u32 = 2;
 
+/// An owner without grants or waiting requests here is forgotten when as many have failed.
+const FORGOTTEN_AFTER_HEARTBEATS: u32 = 100;
+
 /// The outcome of asking another host for a grant.
 pub enum Reply {
     /// A grant, and the expected wait for the next one in the cell.
@@ -121,16 +125,18 @@
         }
     }
 
-    /// Sends a heartbeat to every owner that this host holds grants from or waits for; call it
-    /// several times a second.
+    /// Sends a heartbeat to every owner that this host holds grants from or waits for, and to those that
+    /// have missed one until they answer; call it several times a second.
     pub async fn send_heartbeats(&self) {
-        let owners: Vec<Arc<Owner>> = self.owners.lock().values().cloned().collect();
-        for owner in owners {
-            if owner.is_idle() {
-                continue;
-            }
-            self.send_heartbeat(&owner).await;
-        }
+        let due: Vec<Arc<Owner>> = {
+            let mut owners = self.owners.lock();
+            owners
+                .retain(|_, owner| !owner.is_idle() || owner.missed() < FORGOTTEN_AFTER_HEARTBEATS);
+            let due = owners.values().filter(|owner| !owner.is_idle() || owner.missed() > 0);
+            due.cloned().collect()
+        };
+        // At the same time, since an owner that does not answer takes the time limit of a call.
+        join_all(due.iter().map(|owner| self.send_heartbeat(owner))).await;
     }
 
     async fn send_heartbeat(&self, owner: &Owner) {
@@ -177,6 +183,11 @@
 }
 
 impl Owner {
+    /// The heartbeats that failed in a row.
+    fn missed(&self) -> u32 {
+        *self.missed_heartbeats.borrow()
+    }
+
     fn is_idle(&self) -> bool {
         self.grants.lock().is_empty() && self.waiting.load(Ordering::Relaxed) == 0
     }
