--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -133,3 +133,25 @@
     }
     Ok(())
 }
+
+#[test]
+fn a_time_that_is_not_understood_is_logged_once_for_each_server() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    for server in ["p1", "p2"] {
+        rig.server(server).set_behavior(Some(Behavior::TurnAway));
+    }
+    for value in ["soon", "0", "-3", "soon"] {
+        ["p1", "p2"].iter().for_each(|server| rig.server(server).set_retry_after(Some(value)));
+        for server in ["p1", "p2"] {
+            reach(&rig, server, &gateway)?;
+        }
+    }
+    let lines = || gateway.log_lines("header of a backend server not understood");
+    wait_for("the lines", || lines().len() >= 2)?;
+    let named = |line: &serde_json::Value| {
+        (line["server"].clone(), line["header"].clone()) == (json!("p1"), json!("retry-after"))
+    };
+    assert_eq!((lines().len(), lines().iter().filter(|line| named(line)).count()), (2, 1));
+    Ok(())
+}
