belief: a gap of this host's own proofs is no outage of the store

The peers had read the store all the while.

An outage is now a gap in which the store answered no host: the proofs that peers announce count, bounded by the echo. beliefs::a_host_that_alone_was_cut_off_*: red before; a_return_of_the_store_that_a_peer_saw_first_* keeps the grace where it is due.

--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -11,7 +11,7 @@
     units::ServerId,
 };
 
-/// A longer gap between two complete lists counts as an outage of the store. Entries lapse in the
+/// A longer gap between two complete lists of any host counts as an outage of the store. Entries lapse in the
 /// store after three missed heartbeats, also while the store is down. So after such a gap a missing
 /// entry can be that of a live server as well as of one that has left.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
@@ -38,6 +38,9 @@
     digest: u64,
     /// The latest time at which the list is known to have been complete.
     confirmed_at: Option<Instant>,
+    /// The latest time at which the store is known to have answered any host. A gap of this host's own
+    /// proofs is no outage while others read the store.
+    store_answered_at: Option<Instant>,
     /// End of the grace period after the last outage.
     grace_until: Option<Instant>,
     /// Instances that said that they leave, and when this host learned it.
@@ -98,12 +101,7 @@
         if self.confirmed_at.is_some_and(|known| known > confirmed_at) {
             return self.expire(now);
         }
-        let outage = self
-            .confirmed_at
-            .is_some_and(|known| confirmed_at.saturating_duration_since(known) > OUTAGE_THRESHOLD);
-        if outage {
-            self.grace_until = Some(now + OUTAGE_GRACE);
-        }
+        self.record_proof(now, confirmed_at);
         let before = self.get();
         let fresh: BTreeMap<_, _> = members.into_iter().map(|m| (m.id.clone(), m)).collect();
         let until = self.grace_until.filter(|grace| now < *grace);
@@ -127,6 +125,18 @@
         self.grace_until = Some(now + OUTAGE_GRACE);
     }
 
+    /// Records that some host knows its list to have been complete at `at`, so the store answered then.
+    /// After an outage live servers get the time to write their entries again.
+    pub fn record_proof(&mut self, now: Instant, at: Instant) {
+        let outage = self
+            .store_answered_at
+            .is_some_and(|last| at.saturating_duration_since(last) > OUTAGE_THRESHOLD);
+        if outage {
+            self.grace_until = Some(now + OUTAGE_GRACE);
+        }
+        self.store_answered_at = self.store_answered_at.max(Some(at));
+    }
+
     /// Records that the list with this digest was complete at `confirmed_at`; ignored for any other
     /// digest.
     pub fn confirm(&mut self, digest: u64, confirmed_at: Instant) {
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -261,3 +261,33 @@
     assert_eq!(view.limited().count(), 0);
     assert_eq!(view.limit(&("s1".parse().expect("a name"), 2)), None, "another instance");
 }
+
+fn ids(view: &members::View) -> Vec<String> {
+    view.get().iter().map(|member| member.id.to_string()).collect()
+}
+
+#[test]
+fn a_host_that_alone_was_cut_off_from_the_store_drops_a_missing_server_at_once() {
+    let start = Instant::now();
+    let mut view = members::View::default();
+    view.offer(start, vec![member("s1", 1), member("s2", 2)], start);
+    for s in 1..=4 {
+        view.record_proof(start + SECOND * s, start + SECOND * s);
+    }
+    let now = start + SECOND * 4 + SECOND / 2;
+    view.offer(now, vec![member("s1", 1)], now - SECOND / 4);
+    assert_eq!(ids(&view), ["s1"], "peers have read the store all the while");
+}
+
+#[test]
+fn a_return_of_the_store_that_a_peer_saw_first_gives_missing_servers_their_time() {
+    let start = Instant::now();
+    let mut view = members::View::default();
+    view.offer(start, vec![member("s1", 1), member("s2", 2)], start);
+    let back = start + SECOND * 10;
+    view.record_proof(back, back);
+    view.offer(back + SECOND / 4, vec![member("s1", 1)], back + SECOND / 5);
+    assert_eq!(ids(&view), ["s1", "s2"]);
+    assert!(view.expire(back + SECOND * 3));
+    assert_eq!(ids(&view), ["s1"]);
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -443,7 +443,9 @@
             state.config.borrow_mut().confirm(version, ago(age));
         }
         if let Some((digest, age)) = announcement.members {
-            state.servers.borrow_mut().confirm(digest, ago(age));
+            let mut servers = state.servers.borrow_mut();
+            servers.record_proof(now, ago(age));
+            servers.confirm(digest, ago(age));
         }
     }
     if let Some(shares) = &announcement.shares {
