--- a/crates/belief/src/lease.rs
+++ b/crates/belief/src/lease.rs
@@ -55,7 +55,7 @@
 }
 
 /// The lease as one host sees it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Lease {
     me: HostId,
     incarnation: Incarnation,
