answer: interim responses are counted, not their bytes

Traced: 1 MiB of them are 40,000 heads a connection, which one thread has to parse for all connections. The bound was that wide only because a read may bring a part of the body. The connection now follows the heads itself and fails after 16 interim ones; the body is not looked at.

--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -84,11 +84,10 @@
     request.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     let failed = |code: Code| Failure { sent: true, error: Error::new(code, "").ran(Ran::Unknown) };
     *sent = true;
-    head_limit.begin_head();
+    head_limit.begin_request();
     let answering = time::timeout(limit, sender.send_request(request));
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
     let response = response.map_err(|_| failed(Code::AnswerBroken))?;
-    head_limit.end_head();
     let text = |name: &str| head::single_value(response.headers(), name).ok().flatten();
     let has = |name| response.headers().contains_key(name);
     let (has_chunks, has_length) = (has(header::TRANSFER_ENCODING), has(header::CONTENT_LENGTH));
