soak: engines of two software versions, and callers that take broken streams up

Two engines of v2 beside those of v1; callers take a broken stream up at a host drawn at random, and no stream may have events of both versions. The events of the test double name their engine.

--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -87,6 +87,7 @@
 
     /// Changes the software version in the entry of a server.
     pub fn set_version(&self, id: &str, version: &str) {
+        self.server(id).set_version(version);
         let mut entry = self.store.get("servers", id).expect("the server is listed");
         entry["version"] = json!(version);
         self.store.put("servers", id, entry);
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -90,6 +90,8 @@
     default: Option<Behavior>,
     /// Whether all responses say that it leaves.
     leaving: bool,
+    /// The version of its software in its entry; `v1` if unset.
+    version: Option<String>,
     /// The `server-limit` header of all responses.
     limit: Option<String>,
     /// The `retry-after` header of responses that turn a request away.
@@ -121,7 +123,16 @@
 
     /// Returns the server's object of kind `servers`.
     pub fn store_object(&self, address: SocketAddr, state: &str) -> Value {
-        store_object(&self.service, address, state)
+        let mut entry = store_object(&self.service, address, state);
+        if let Some(version) = &self.inner.lock().version {
+            entry["version"] = json!(version);
+        }
+        entry
+    }
+
+    /// Sets the version of its software in entries that are made from now on.
+    pub fn set_version(&self, version: &str) {
+        self.inner.lock().version = Some(version.to_string());
     }
 
     /// Sets how the next request is handled; repeated calls queue up.
@@ -225,7 +236,7 @@
                     sender.closed().await;
                     return self.record_client_gone(arrival);
                 }
-                let text = format!("id: {event}\ndata: event {event}\n\n");
+                let text = format!("id: {event}\ndata: event {event} of {}\n\n", self.id);
                 let ends = matches!(behavior, Behavior::EndInside(count) if event > count);
                 let breaks = match behavior {
                     Behavior::BreakAfter(count) => event > count,
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -2,7 +2,7 @@
 //! by what callers and backend servers observed.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc,
@@ -35,6 +35,8 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 /// The oldest copy from which the store is restored, in faults: about five seconds.
 const MAX_BACKUP_AGE_FAULTS: usize = 7;
+/// Engines of another software version beside `e1` and `e2`, which are of `v1`.
+const NEW_ENGINES: [(&str, &str); 2] = [("f1", "v2"), ("f2", "v2")];
 /// The pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(25);
 
@@ -58,6 +60,8 @@
     sent: Instant,
     /// None if the connection failed or no response head arrived.
     response: Option<Response>,
+    /// The response to the request that took up a broken stream, if there was one.
+    taken_up: Option<Response>,
 }
 
 struct Run {
@@ -152,14 +156,23 @@
         };
         let sent = Instant::now();
         let response = request.send(address).ok();
-        sent_requests.lock().push(SentRequest { id, path, key, sent, response });
+        let broken = response.as_ref().filter(|response| path == "/chat/x" && !response.complete);
+        let taken_up = broken.and_then(|response| {
+            let last = response.event_ids().last().copied()?;
+            let resume = Request::resume(path, &format!("{id}-again"), &id, last);
+            let (key, deadline) = (request.key.clone(), request.deadline);
+            let address = to.lock()[rng.random_range(0..GATEWAYS)];
+            Request { key, deadline, ..resume }.send(address).ok()
+        });
+        sent_requests.lock().push(SentRequest { id, path, key, sent, response, taken_up });
         thread::sleep(CALLER_PAUSE);
     }
 }
 
 impl Run {
     fn start(program: &str, seed: u64) -> anyhow::Result<Self> {
-        let rig = Rig::start(program)?;
+        let mut rig = Rig::start(program)?;
+        rig.add_engines(&NEW_ENGINES)?;
         let mut server_proxies = Vec::new();
         for (server, address) in &rig.servers {
             let proxy = Proxy::start(rig.runtime.handle(), *address)?;
@@ -412,6 +425,7 @@
             if response.status == 200 {
                 served += usize::from(response.complete);
                 violations.extend(response_problem(request, response));
+                violations.extend(version_problem(request, response));
             }
         }
         for (window, bodies) in self.rig.duties.reports() {
@@ -431,6 +445,21 @@
     }
 }
 
+/// Returns what is wrong if a stream has events of engines of two versions, within its answer or with
+/// that of the request that took it up.
+fn version_problem(request: &SentRequest, response: &Response) -> Option<String> {
+    let taken_up = request.taken_up.as_ref().filter(|response| response.status == 200);
+    let bodies = [Some(response), taken_up].into_iter().flatten().map(|response| &response.body);
+    let engines: BTreeSet<&str> = bodies
+        .flat_map(|body| body.lines())
+        .filter_map(|line| Some(line.strip_prefix("data: ")?.rsplit_once(" of ")?.1))
+        .collect();
+    let is_new = |engine: &&str| NEW_ENGINES.iter().any(|(id, _)| id == engine);
+    let new = engines.iter().filter(|engine| is_new(engine)).count();
+    (new > 0 && new < engines.len())
+        .then(|| format!("stream {} has events of both versions: {engines:?}", request.id))
+}
+
 /// Returns what is wrong with a response of status 200, if anything.
 fn response_problem(request: &SentRequest, response: &Response) -> Option<String> {
     let id = &request.id;
