--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -157,8 +157,8 @@
 }
 
 impl Outgoing {
-    /// Splits off what servers and streams of the sender are about if the announcement would exceed
-    /// a packet with it, which the load reports of a busy host fill.
+    /// Splits the extension off into announcements of its own if it does not fit the packet of this
+    /// one: the load reports of a busy host fill it.
     fn into_packets(mut self, state: &State, echoes: &RefCell<EchoTracker>) -> Vec<Self> {
         let fits = postcard::to_allocvec(&(&self.announcement, &self.addition, &self.extension))
             .is_ok_and(|bytes| HEADER_BYTES + bytes.len() <= PACKET_BYTES);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod echo;
 pub mod events;
 pub mod gossip;
+pub mod limits;
 pub mod listener;
 pub mod operator;
 pub mod orders;
--- a/crates/policy/src/stated_limits.rs
+++ b/crates/policy/src/stated_limits.rs
@@ -53,6 +53,11 @@
 pub struct View(BTreeMap<Instance, Statement>);
 
 impl View {
+    /// Whether no listed instance has ever named a limit.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// The limit of an instance that is in force.
     pub fn limit(&self, instance: &Instance) -> Option<RequestRate> {
         self.0.get(instance)?.rate
