gateway: the log lines of requests have a file of their own; wording

relay.rs held the life of a request and the lines about its end; functions moved, nothing else changed.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -54,6 +54,8 @@
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 /// How long it is announced that a server leaves; by then the store lists it as draining or gone.
 const LEAVING_ANNOUNCED_FOR: Duration = Duration::from_secs(5);
+/// The most such servers in one announcement, the latest ones.
+pub const MAX_ANNOUNCED_LEAVING: usize = 10;
 /// The most statements on limits in one announcement.
 pub const MAX_ANNOUNCED_LIMITS: usize = 24;
 /// The most streams in one announcement that has nothing else.
@@ -62,8 +64,6 @@
 const MAX_STREAMS_A_ROUND: usize = 2_000;
 /// The largest datagram that fits one Ethernet frame.
 const PACKET_BYTES: usize = 1_472;
-/// The most such servers in one announcement, the latest ones.
-pub const MAX_ANNOUNCED_LEAVING: usize = 10;
 
 /// An announcement and the header data of its datagrams; its ages were read after `template`.
 struct Outgoing {
@@ -391,9 +391,10 @@
     }
 }
 
-/// Applies what a peer knows of the limits of servers and of streams. That a limit was lifted counts as said at the
-/// earliest time possible, and is ignored without a bound on the age of the announcement: it must not
-/// outweigh a limit that was named later.
+/// Applies what a peer knows of streams and of the limits of servers.
+///
+/// That a limit was lifted counts as said at the earliest time possible, and is ignored without a bound
+/// on the age of the announcement: it must not outweigh a limit that was named later.
 fn apply_extension(state: &State, extension: Extension, earliest_send: Option<Instant>) {
     let now = state.now();
     for group in extension.origins {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod peer_fetch;
 pub mod refresh;
 pub mod relay;
+pub mod request_log;
 pub mod response;
 pub mod restore;
 pub mod run;
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -114,10 +114,10 @@
     near.into_iter().chain(far).map(|(_, peer)| peer.address).take(MAX_ASKED_PEERS).collect()
 }
 
-/// Returns the only version of the service that this host has seen lately; `None` if there are others,
-/// or if a peer has seen one of `others` as well.
-fn sole_origin(state: &State, service: &PoolId, others: BTreeSet<Build>) -> Option<Origin> {
-    let mut builds = others;
+/// Returns the only version of the service that this host and its peers have seen lately; `None` if there
+/// are several.
+fn sole_origin(state: &State, service: &PoolId, seen_by_peers: BTreeSet<Build>) -> Option<Origin> {
+    let mut builds = seen_by_peers;
     builds.extend(state.recent_builds(service));
     let build = builds.pop_first().filter(|_| builds.is_empty())?;
     Some(Origin { service: service.clone(), build })
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,8 @@
 use crate::{
     attempt::{self, BackendResponse, Outcome},
     events::Sequence,
-    relay::{self, AdmittedRequest, Received, SendHistory},
+    relay::{self, AdmittedRequest, SendHistory},
+    request_log::{self, Received},
     response::ResponseBody,
     state::{CountGuard, PlacementGuard, State},
 };
@@ -132,7 +133,14 @@
             PartEnd::Complete | PartEnd::CallerLeft | PartEnd::OutOfTime => return None,
         };
         let received = self.received();
-        relay::log_failed_send(&self.state, &self.inbound, &guard, "ran", cause, Some(&received));
+        request_log::log_failed_send(
+            &self.state,
+            &self.inbound,
+            &guard,
+            "ran",
+            cause,
+            Some(&received),
+        );
         drop(guard);
         self.resume(next).await
     }
@@ -277,7 +285,7 @@
                 Err(error) => {
                     let admission = Some(&self.inbound.admission);
                     let id = &self.inbound.head.id;
-                    relay::log_gateway_error(
+                    request_log::log_gateway_error(
                         &self.state,
                         id,
                         admission,
@@ -313,7 +321,14 @@
             };
             guard.end = End::Failed;
             // Logged as "unknown" even if the send did not run.
-            relay::log_failed_send(&self.state, &self.inbound, &guard, "unknown", cause, None);
+            request_log::log_failed_send(
+                &self.state,
+                &self.inbound,
+                &guard,
+                "unknown",
+                cause,
+                None,
+            );
             self.history.possible_runs += u32::from(cause != "turned away");
             self.history.avoid.push(guard.placement.member.id.clone());
             self.history.last_cause = cause;
@@ -322,7 +337,7 @@
 
     fn log_completed(&self, guard: &PlacementGuard, outcome: &'static str) {
         let (status, received) = (StatusCode::OK, self.received());
-        relay::log_completed(&self.state, &self.inbound, guard, outcome, status, &received);
+        request_log::log_completed(&self.state, &self.inbound, guard, outcome, status, &received);
     }
 
     fn received(&self) -> Received {
