--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -132,6 +132,13 @@
     }
 }
 
+impl Prompt {
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 impl Framing {
     /// Returns the framing of a response to `method` with this status and with these headers
     /// present; chunks take precedence over a length.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -58,7 +58,8 @@
 }
 
 /// Logs and counts a failed send; `ran` says whether the server ran the request, `received` what
-/// arrived of a stream that broke off.
+/// arrived of a stream that broke off. The line names the parts of the prompt that other requests may
+/// share, so that it shows what requests that failed together have in common.
 pub fn log_failed_send(
     state: &State,
     inbound: &AdmittedRequest,
@@ -68,14 +69,19 @@
     received: Option<&Received>,
 ) {
     let since_placed = state.now().saturating_duration_since(guard.placement.since);
-    metrics::counter!("wasabi_gateway_failed_sends_total", "ran" => ran, "cause" => cause)
-        .increment(1);
+    metrics::counter!("wasabi_gateway_failed_sends_total", "ran" => ran, "cause" => cause,
+        "service" => inbound.admission.service.to_string())
+    .increment(1);
+    let parts = inbound.head.prompt.as_ref().map(|prompt| prompt.shared_parts());
+    let parts: Vec<String> =
+        parts.into_iter().flatten().map(|part| format!("{:x}", part.id)).collect();
     info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
         server = guard.placement.member.id.as_str(), ran = ran, cause = cause,
         after_ms = since_placed.as_millis() as u64,
         framing = received.map_or("", |received| received.framing.name()),
         events = received.map_or(0, |received| received.events),
-        partial_bytes = received.map_or(0, |received| received.partial_bytes); "send failed");
+        partial_bytes = received.map_or(0, |received| received.partial_bytes),
+        parts = parts.join(",").as_str(); "send failed");
 }
 
 /// Logs and counts a request that the gateway ends with an error, or a stream that it cannot
