--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,7 +5,10 @@
     collections::{BTreeMap, VecDeque},
     io::Write,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -76,6 +79,9 @@
     pub slowdown: u32,
     /// The requests a second that streams which start name as the engine's limit, if any.
     pub limit: Option<f64>,
+    /// A request whose path or body contains this text crashes the engine before its first token: the
+    /// connections of all running requests are closed. The engine is back at once.
+    pub fatal_text: Option<String>,
 }
 
 /// What an engine recorded of one request that got a slot.
@@ -113,6 +119,8 @@
     records: Mutex<Vec<Record>>,
     load: Mutex<Load>,
     slot_freed: Condvar,
+    /// Counts the crashes; running requests break off when it changes.
+    crashes: AtomicU64,
 }
 
 #[derive(Default)]
@@ -137,6 +145,7 @@
             records: Mutex::default(),
             load: Mutex::default(),
             slot_freed: Condvar::new(),
+            crashes: AtomicU64::new(0),
         });
         let handle = http::listen(http::any_port(), state.clone())?;
         Ok(Self { name: name.parse()?, state, handle })
@@ -175,6 +184,11 @@
         self.state.load.lock().peak
     }
 
+    /// Breaks off all running requests, as when the process ends; it is back at once.
+    pub fn crash(&self) {
+        self.state.crashes.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> u32 {
         self.state.load.lock().running
@@ -305,6 +319,7 @@
         record: usize,
         slot: Slot<'_>,
         out: &mut dyn Write,
+        crashes: u64,
     ) -> std::io::Result<bool> {
         let faults = self.faults.lock().clone();
         let limit = faults.limit.map(|rate| format!("x-rate-limit: {rate}\r\n"));
@@ -332,6 +347,9 @@
             if faults.stall_after.is_some_and(|after| token_number >= after) {
                 thread::sleep(Duration::from_secs(3_600));
             }
+            if self.crashes.load(Ordering::SeqCst) != crashes {
+                return Ok(false);
+            }
             let may_cut = !faults.cut_new || generation.resume_from == 0;
             if may_cut && faults.cut_after.is_some_and(|after| token_number >= after) {
                 if faults.half_chunk {
@@ -402,17 +420,28 @@
             let first_token_delay = self.profile.lock().first_token_delay;
             thread::sleep(first_token_delay);
         }
+        let fatal_text = self.faults.lock().fatal_text.clone();
+        let is_fatal = fatal_text
+            .is_some_and(|fatal| self.records.lock()[record].request_text.contains(fatal.as_str()));
+        let crashes = self.crashes.load(Ordering::SeqCst);
+        if is_fatal {
+            self.crashes.fetch_add(1, Ordering::SeqCst);
+        }
         let complete = if generation.stream {
             let mut out = request.into_writer();
-            self.stream(&generation, record, slot, &mut *out).unwrap_or(false)
+            self.stream(&generation, record, slot, &mut *out, crashes).unwrap_or(false)
         } else if self.faults.lock().cut_after.is_some() {
             drop(request.into_writer());
             false
         } else {
             let answer = self.unstreamed_body(&generation, record);
             drop(slot);
-            http::respond(request, 200, answer);
-            true
+            let crashed = self.crashes.load(Ordering::SeqCst) != crashes;
+            match crashed {
+                true => drop(request.into_writer()),
+                false => http::respond(request, 200, answer),
+            }
+            !crashed
         };
         {
             let mut records = self.records.lock();
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -18,7 +18,10 @@
 };
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::{runtime::Handle, sync::mpsc};
+use tokio::{
+    runtime::Handle,
+    sync::{mpsc, watch},
+};
 
 use crate::net::{self, BoxResponse, ReceivedRequest, ResponseFuture, Service};
 
@@ -57,6 +60,8 @@
 pub struct Arrival {
     /// The `request-id` header; empty if absent.
     pub id: String,
+    /// Path and query.
+    pub target: String,
     /// All headers as received.
     pub headers: HeaderMap,
     /// When it was received.
@@ -67,6 +72,9 @@
     pub client_gone_at: Option<Instant>,
 }
 
+/// Selects requests.
+pub type Predicate = Box<dyn Fn(&Arrival) -> bool + Send + Sync>;
+
 /// A backend server.
 pub struct Server {
     /// The instance name, as in the store.
@@ -80,6 +88,8 @@
     /// The delay before each event, or before a plain response.
     pub event_interval: Duration,
     inner: Mutex<Inner>,
+    /// Counts the crashes; running requests break off when it changes.
+    crashes: watch::Sender<u64>,
 }
 
 #[derive(Default)]
@@ -97,6 +107,17 @@
     /// The `retry-after` header of responses that turn a request away.
     retry_after: Option<String>,
     arrivals: Vec<Arrival>,
+    /// The requests that crash the server once they have begun to run.
+    fatal: Option<Predicate>,
+    /// When it crashed.
+    crashed_at: Vec<Instant>,
+}
+
+impl Arrival {
+    /// Returns the value of a header; `None` if it is absent or no text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
 }
 
 impl Server {
@@ -116,6 +137,7 @@
             events,
             event_interval,
             inner: Mutex::default(),
+            crashes: watch::Sender::default(),
         });
         let address = net::listen(runtime, server.clone())?;
         Ok((server, address))
@@ -160,6 +182,40 @@
         self.inner.lock().limit = value.map(str::to_string);
     }
 
+    /// Sets which requests crash the server once they have begun to run.
+    pub fn set_fatal(&self, fatal: impl Fn(&Arrival) -> bool + Send + Sync + 'static) {
+        self.inner.lock().fatal = Some(Box::new(fatal));
+    }
+
+    /// Breaks off all running requests, as when the process ends; it is back at once.
+    pub fn crash(&self) {
+        self.inner.lock().crashed_at.push(Instant::now());
+        self.crashes.send_modify(|crashes| *crashes += 1);
+    }
+
+    /// Returns when the server has crashed, in order.
+    pub fn crashed_at(&self) -> Vec<Instant> {
+        self.inner.lock().crashed_at.clone()
+    }
+
+    fn is_fatal(&self, arrival: usize) -> bool {
+        let inner = self.inner.lock();
+        inner.fatal.as_ref().is_some_and(|fatal| fatal(&inner.arrivals[arrival]))
+    }
+
+    /// Waits while the server prepares an event or an answer; returns whether it is still running
+    /// then. A `fatal` request crashes it.
+    async fn work(&self, crashes: &mut watch::Receiver<u64>, fatal: bool) -> bool {
+        tokio::select! {
+            _ = crashes.changed() => return false,
+            () = tokio::time::sleep(self.event_interval) => {}
+        }
+        if fatal {
+            self.crash();
+        }
+        !fatal
+    }
+
     /// Returns the requests received so far, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.inner.lock().arrivals.clone()
@@ -178,6 +234,7 @@
         let id = request.headers().get("request-id").and_then(|id| id.to_str().ok());
         inner.arrivals.push(Arrival {
             id: id.unwrap_or_default().to_string(),
+            target: request.uri().to_string(),
             headers: request.headers().clone(),
             at: Instant::now(),
             ran: behavior != Behavior::TurnAway,
@@ -224,13 +281,20 @@
         arrival: usize,
         after: u64,
         behavior: Behavior,
+        fatal: bool,
     ) -> BoxResponse {
         let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(1);
+        let mut crashes = self.crashes.subscribe();
         tokio::spawn(async move {
             for event in after + 1..=self.events {
-                tokio::select! {
-                    () = tokio::time::sleep(self.event_interval) => {}
+                let running = tokio::select! {
+                    running = self.work(&mut crashes, fatal) => running,
                     () = sender.closed() => return self.record_client_gone(arrival),
+                };
+                if !running {
+                    // The client may be gone already.
+                    let _ = sender.send(Err(std::io::Error::other("crashed"))).await;
+                    return;
                 }
                 if matches!(behavior, Behavior::StallAfter(count) if event > count) {
                     sender.closed().await;
@@ -309,7 +373,9 @@
 impl Service for Server {
     fn serve(self: Arc<Self>, request: ReceivedRequest) -> ResponseFuture {
         Box::pin(async move {
+            let mut crashes = self.crashes.subscribe();
             let (arrival, behavior) = self.record_arrival(&request);
+            let fatal = self.is_fatal(arrival);
             let id = request.headers().get("request-id").and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default().to_string();
             let mut guard = ClientGoneGuard { server: self.clone(), arrival, done: false };
@@ -329,9 +395,12 @@
                     return None;
                 }
                 Behavior::Fail => net::full_response(500, "the application failed"),
-                _ if self.streams => self.clone().stream_events(arrival, after, behavior),
+                _ if self.streams => self.clone().stream_events(arrival, after, behavior, fatal),
                 _ => {
-                    tokio::time::sleep(self.event_interval).await;
+                    if !self.work(&mut crashes, fatal).await {
+                        guard.done = true;
+                        return None;
+                    }
                     net::full_response(200, format!("answer of {} to {id}", self.id))
                 }
             };
