gateway: what hosts tell each other of servers and streams has one place

Limits and origins of streams were collected, split and applied within the code of the announcements. They are in one file now, behind one type of the wire (the encoding is unchanged), so that further facts of this kind need no path of their own. A move: functions are as they were.

--- a/crates/belief/src/announcement.rs
+++ b/crates/belief/src/announcement.rs
@@ -8,9 +8,7 @@
         Domain, Epoch, Era, HostId, Incarnation, PoolId, Revision, ServerId, Window, WorkspaceId,
     },
 };
-use wasabi_policy::{load_report::LoadReport, stated_limits};
-
-use crate::origins;
+use wasabi_policy::load_report::LoadReport;
 
 /// The load that a host puts on each backend server, by pool.
 pub type LoadByServer = Vec<(PoolId, Vec<(ServerId, LoadReport)>)>;
@@ -60,15 +58,6 @@
         pub highest_fence: Epoch,
     }
 
-    /// What follows an [`Addition`] in its datagram, as that follows an announcement.
-    #[derive(Default)]
-    pub struct Extension {
-        /// What servers have said of their limits, a part of all statements that the sender knows.
-        pub limits: Vec<stated_limits::Report>,
-        /// Where streams of the sender have begun or gone on since its last announcement.
-        pub origins: Vec<origins::Group>,
-    }
-
     /// Counts of the requests that began to run in one incarnation of a host.
     pub struct CountReport {
         /// The current window at the time of the announcement.
--- a/crates/belief/src/lib.rs
+++ b/crates/belief/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cluster_clock;
 pub mod counts;
 pub mod era;
+pub mod facts;
 pub mod host_record;
 pub mod lease;
 pub mod members;
--- /dev/null
+++ b/crates/gateway/src/facts.rs
@@ -0,0 +1,78 @@
+//! What hosts tell each other of servers and streams: collected for announcements, split into packets, and
+//! applied.
+
+use std::time::{Duration, Instant};
+
+use wasabi_belief::{facts::Facts, origins};
+use wasabi_policy::stated_limits;
+
+use crate::state::State;
+
+/// The most statements on limits in one announcement.
+pub const MAX_ANNOUNCED_LIMITS: usize = 24;
+/// The most streams in one announcement that has nothing else.
+pub const MAX_ANNOUNCED_STREAMS: usize = 120;
+/// The most streams that are announced in one round; more wait for the next one.
+const MAX_STREAMS_A_ROUND: usize = 2_000;
+
+/// Collects the next few statements of servers on their limits, and the streams that began since the last
+/// call. Of the statements all are announced in turn, however old: a peer may have missed any of them.
+pub fn collect(state: &State) -> Facts {
+    let now = state.now();
+    let mut last_announced = state.last_announced_limit.borrow_mut();
+    let view = state.limits.borrow();
+    let limits = view.reports_following(now, last_announced.as_ref(), MAX_ANNOUNCED_LIMITS);
+    *last_announced = limits.last().map(|report| (report.server.clone(), report.born_ms));
+    Facts { limits, origins: state.origins.borrow_mut().take_unannounced(MAX_STREAMS_A_ROUND) }
+}
+
+/// Splits facts into parts that each fit a packet beside an announcement without load reports.
+pub fn split(facts: Facts) -> Vec<Facts> {
+    let Facts { limits, origins } = facts;
+    let mut parts = vec![Facts { limits, ..Facts::default() }];
+    for group in origins {
+        parts.extend(group.streams.chunks(MAX_ANNOUNCED_STREAMS).map(|streams| {
+            let origin = group.origin.clone();
+            let group = origins::Group { origin, streams: streams.to_vec() };
+            Facts { origins: vec![group], ..Facts::default() }
+        }));
+    }
+    parts.retain(|part| *part != Facts::default());
+    parts
+}
+
+/// Adds later facts to those that are yet to be sent.
+pub fn accumulate(pending: &mut Facts, later: &Facts) {
+    pending.origins.extend(later.origins.iter().cloned());
+    // All statements come in turn, so the latest ones suffice.
+    pending.limits.clone_from(&later.limits);
+}
+
+/// Decodes the facts at the end of a datagram; those of hosts of older versions may be missing.
+pub fn decode(bytes: &[u8]) -> Facts {
+    postcard::from_bytes(bytes).unwrap_or_default()
+}
+
+/// Applies what a peer knows of streams and of the limits of servers.
+///
+/// That a limit was lifted counts as said at the earliest time possible, and is ignored without a bound
+/// on the age of the announcement: it must not outweigh a limit that was named later.
+pub fn apply(state: &State, facts: Facts, earliest_send: Option<Instant>) {
+    let now = state.now();
+    for group in facts.origins {
+        let mut known = state.origins.borrow_mut();
+        for stream in group.streams {
+            known.merge(now, u64::from_be_bytes(stream), group.origin.clone());
+        }
+    }
+    for report in facts.limits {
+        let heard = match report.rate {
+            Some(_) => Some(now),
+            None => earliest_send,
+        };
+        let Some(heard) = heard else { continue };
+        let at = heard.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(heard);
+        let instance = (report.server, report.born_ms);
+        state.merge_limit(instance, stated_limits::Statement { rate: report.rate, at });
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -14,14 +14,16 @@
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use wasabi_belief::{
-    announcement::{Addition, Announcement, Extension},
-    era, origins,
+    announcement::{Addition, Announcement},
+    era,
+    facts::Facts,
 };
 use wasabi_core::{time, units::PoolId};
-use wasabi_policy::{load_report::PendingReport, stated_limits};
+use wasabi_policy::load_report::PendingReport;
 
 use crate::{
     echo::{EchoTracker, HEADER_BYTES, HeaderTemplate},
+    facts,
     state::State,
 };
 
@@ -56,12 +58,6 @@
 const LEAVING_ANNOUNCED_FOR: Duration = Duration::from_secs(5);
 /// The most such servers in one announcement, the latest ones.
 pub const MAX_ANNOUNCED_LEAVING: usize = 10;
-/// The most statements on limits in one announcement.
-pub const MAX_ANNOUNCED_LIMITS: usize = 24;
-/// The most streams in one announcement that has nothing else.
-pub const MAX_ANNOUNCED_STREAMS: usize = 120;
-/// The most streams that are announced in one round; more wait for the next one.
-const MAX_STREAMS_A_ROUND: usize = 2_000;
 /// The largest datagram that fits one Ethernet frame.
 const PACKET_BYTES: usize = 1_472;
 
@@ -70,7 +66,7 @@
     template: HeaderTemplate,
     announcement: Announcement,
     addition: Addition,
-    extension: Extension,
+    facts: Facts,
 }
 
 /// Sends and receives announcements until the process ends.
@@ -110,10 +106,10 @@
         let with_counts =
             counts_sent.is_none_or(|at| now.saturating_duration_since(at) >= COUNTS_PERIOD);
         let mut full = begin_announcement(state, echoes, true, with_counts && !large);
-        full.extension = collect_extension(state);
+        full.facts = facts::collect(state);
         let empty = full.announcement.shares.as_ref().is_none_or(Vec::is_empty)
             && !with_counts
-            && full.extension == Extension::default();
+            && full.facts == Facts::default();
         let idle_elapsed =
             last_sent.is_none_or(|at| now.saturating_duration_since(at) >= IDLE_PERIOD);
         if empty && !idle_elapsed {
@@ -157,31 +153,20 @@
 }
 
 impl Outgoing {
-    /// Splits the extension off into announcements of its own if it does not fit the packet of this
+    /// Splits the facts off into announcements of their own if they do not fit the packet of this
     /// one: the load reports of a busy host fill it.
     fn into_packets(mut self, state: &State, echoes: &RefCell<EchoTracker>) -> Vec<Self> {
-        let fits = postcard::to_allocvec(&(&self.announcement, &self.addition, &self.extension))
+        let fits = postcard::to_allocvec(&(&self.announcement, &self.addition, &self.facts))
             .is_ok_and(|bytes| HEADER_BYTES + bytes.len() <= PACKET_BYTES);
-        if fits || self.extension == Extension::default() {
+        if fits || self.facts == Facts::default() {
             return vec![self];
         }
-        let Extension { limits, origins } = std::mem::take(&mut self.extension);
-        let mut parts = vec![self];
-        let mut add = |extension: Extension| {
-            if extension != Extension::default() {
-                let proofs = begin_announcement(state, echoes, false, false);
-                parts.push(Self { extension, ..proofs });
-            }
-        };
-        add(Extension { limits, origins: Vec::new() });
-        for group in origins {
-            for streams in group.streams.chunks(MAX_ANNOUNCED_STREAMS) {
-                let origin = group.origin.clone();
-                let group = origins::Group { origin, streams: streams.to_vec() };
-                add(Extension { limits: Vec::new(), origins: vec![group] });
-            }
-        }
-        parts
+        let parts = facts::split(std::mem::take(&mut self.facts));
+        let separate = parts.into_iter().map(|facts| {
+            let proofs = begin_announcement(state, echoes, false, false);
+            Self { facts, ..proofs }
+        });
+        std::iter::once(self).chain(separate).collect()
     }
 }
 
@@ -189,9 +174,7 @@
 #[derive(Default)]
 struct RemoteBacklog {
     shares: BTreeMap<PoolId, PendingReport>,
-    origins: Vec<origins::Group>,
-    /// The latest statements on limits; all come in turn.
-    limits: Vec<stated_limits::Report>,
+    facts: Facts,
 }
 
 impl RemoteBacklog {
@@ -199,16 +182,15 @@
         for (service, shares) in outgoing.announcement.shares.iter().flatten() {
             self.shares.entry(service.clone()).or_default().absorb(shares);
         }
-        self.origins.extend(outgoing.extension.origins.iter().cloned());
-        self.limits.clone_from(&outgoing.extension.limits);
+        facts::accumulate(&mut self.facts, &outgoing.facts);
     }
 
     /// Moves all that has accumulated into an announcement.
     fn move_into(&mut self, outgoing: &mut Outgoing) {
-        let Self { shares, origins, limits } = std::mem::take(self);
+        let Self { shares, facts } = std::mem::take(self);
         let shares = shares.into_iter().map(|(service, mut pending)| (service, pending.take()));
         outgoing.announcement.shares = Some(shares.collect());
-        outgoing.extension = Extension { limits, origins };
+        outgoing.facts = facts;
     }
 }
 
@@ -244,7 +226,7 @@
     send_time: Duration,
     is_recipient: impl Fn(&SocketAddr) -> bool,
 ) {
-    let content = (&outgoing.announcement, &outgoing.addition, &outgoing.extension);
+    let content = (&outgoing.announcement, &outgoing.addition, &outgoing.facts);
     let bytes = match postcard::to_allocvec(&content) {
         Ok(bytes) => bytes,
         Err(e) => {
@@ -283,7 +265,7 @@
         template,
         announcement: collect_announcement(state, with_shares, with_counts),
         addition: collect_addition(state),
-        extension: Extension::default(),
+        facts: Facts::default(),
     }
 }
 
@@ -301,17 +283,6 @@
     Addition { leaving_servers, era, highest_fence }
 }
 
-/// Collects the next few statements of servers on their limits, and the streams that began since the last
-/// call. Of the statements all are announced in turn, however old: a peer may have missed any of them.
-fn collect_extension(state: &State) -> Extension {
-    let now = state.now();
-    let mut last_announced = state.last_announced_limit.borrow_mut();
-    let view = state.limits.borrow();
-    let limits = view.reports_following(now, last_announced.as_ref(), MAX_ANNOUNCED_LIMITS);
-    *last_announced = limits.last().map(|report| (report.server.clone(), report.born_ms));
-    Extension { limits, origins: state.origins.borrow_mut().take_unannounced(MAX_STREAMS_A_ROUND) }
-}
-
 /// Collects what this host announces. With load reports it takes what the balancers have placed
 /// since the last ones; it also tells the balancers the number of hosts.
 fn collect_announcement(state: &State, with_shares: bool, with_counts: bool) -> Announcement {
@@ -353,18 +324,17 @@
                 let decoded = buffer[..length].split_at_checked(HEADER_BYTES);
                 let decoded = decoded.and_then(|(header, body)| {
                     let (announcement, rest) = postcard::take_from_bytes(body).ok()?;
-                    // Hosts of older versions send no addition, or no extension.
+                    // Hosts of older versions send no addition.
                     let (addition, rest): (Addition, &[u8]) =
                         postcard::take_from_bytes(rest).unwrap_or_default();
-                    let extension: Extension = postcard::from_bytes(rest).unwrap_or_default();
-                    Some((header, announcement, addition, extension))
+                    Some((header, announcement, addition, facts::decode(rest)))
                 });
                 match decoded {
-                    Some((header, announcement, addition, extension)) => {
+                    Some((header, announcement, addition, facts)) => {
                         let earliest_send = echoes.borrow_mut().receive(from, header);
                         apply(state, from, &announcement, earliest_send);
                         apply_addition(state, addition);
-                        apply_extension(state, extension, earliest_send);
+                        facts::apply(state, facts, earliest_send);
                     }
                     None => metrics::counter!("wasabi_gossip_failures_total").increment(1),
                 }
@@ -391,30 +361,6 @@
     }
 }
 
-/// Applies what a peer knows of streams and of the limits of servers.
-///
-/// That a limit was lifted counts as said at the earliest time possible, and is ignored without a bound
-/// on the age of the announcement: it must not outweigh a limit that was named later.
-fn apply_extension(state: &State, extension: Extension, earliest_send: Option<Instant>) {
-    let now = state.now();
-    for group in extension.origins {
-        let mut known = state.origins.borrow_mut();
-        for stream in group.streams {
-            known.merge(now, u64::from_be_bytes(stream), group.origin.clone());
-        }
-    }
-    for report in extension.limits {
-        let heard = match report.rate {
-            Some(_) => Some(now),
-            None => earliest_send,
-        };
-        let Some(heard) = heard else { continue };
-        let at = heard.checked_sub(Duration::from_millis(report.age_ms)).unwrap_or(heard);
-        let instance = (report.server, report.born_ms);
-        state.merge_limit(instance, stated_limits::Statement { rate: report.rate, at });
-    }
-}
-
 /// Applies an announcement that was begun no earlier than `earliest_send`. Without that bound its
 /// ages only count as claims of the peer, and its agreed time of day is ignored.
 fn apply(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 pub mod echo;
 pub mod events;
+pub mod facts;
 pub mod gossip;
 pub mod limits;
 pub mod listener;
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -5,13 +5,15 @@
 use std::collections::BTreeMap;
 
 use wasabi_belief::{
-    announcement::{Addition, Announcement, Extension},
+    announcement::{Addition, Announcement},
+    facts::Facts,
     origins,
 };
 use wasabi_core::units::{Epoch, Era, HostId, Incarnation, RequestRate, Revision, ServerId};
 use wasabi_gateway::{
     echo::HEADER_BYTES,
-    gossip::{MAX_ANNOUNCED_LEAVING, MAX_ANNOUNCED_LIMITS, MAX_ANNOUNCED_STREAMS},
+    facts::{MAX_ANNOUNCED_LIMITS, MAX_ANNOUNCED_STREAMS},
+    gossip::MAX_ANNOUNCED_LEAVING,
 };
 use wasabi_policy::{load_report::LoadReport, stated_limits};
 
@@ -55,7 +57,7 @@
         era: Some((Era(1_000), 40_000_000, true)),
         highest_fence: Epoch(1_000_000),
     };
-    let datagram = postcard::to_allocvec(&(&announcement, &addition, Extension::default()));
+    let datagram = postcard::to_allocvec(&(&announcement, &addition, Facts::default()));
     let length = HEADER_BYTES + datagram.expect("it can be encoded").len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
     let limits = (0..MAX_ANNOUNCED_LIMITS as u64).map(|number| stated_limits::Report {
@@ -64,9 +66,9 @@
         rate: RequestRate::new(3.5),
         age_ms: 40_000,
     });
-    let extension = Extension { limits: limits.collect(), origins: Vec::new() };
+    let facts = Facts { limits: limits.collect(), origins: Vec::new() };
     let proofs = Announcement { shares: None, ..announcement.clone() };
-    let datagram = postcard::to_allocvec(&(&proofs, &addition, &extension));
+    let datagram = postcard::to_allocvec(&(&proofs, &addition, &facts));
     let datagram = datagram.expect("it can be encoded");
     let length = HEADER_BYTES + datagram.len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
@@ -74,8 +76,8 @@
         ("huda81a".parse().expect("a name"), "v1.10.2".parse().expect("a version"));
     let streams = vec![[u8::MAX; 8]; MAX_ANNOUNCED_STREAMS];
     let group = origins::Group { origin: origins::Origin { service, build }, streams };
-    let extension = Extension { limits: Vec::new(), origins: vec![group] };
-    let datagram = postcard::to_allocvec(&(&proofs, &addition, &extension));
+    let facts = Facts { limits: Vec::new(), origins: vec![group] };
+    let datagram = postcard::to_allocvec(&(&proofs, &addition, &facts));
     let length = HEADER_BYTES + datagram.expect("it can be encoded").len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
     let bytes = postcard::to_allocvec(&announcement).expect("it can be encoded");
