--- a/crates/belief/src/facts.rs
+++ b/crates/belief/src/facts.rs
@@ -1,7 +1,7 @@
-//! What hosts tell each other of servers and streams, beside their announcements.
+//! What hosts tell each other of servers, streams and requests, beside their announcements.
 
 use wasabi_core::data;
-use wasabi_policy::stated_limits;
+use wasabi_policy::{quarantine, stated_limits};
 
 use crate::origins;
 
@@ -14,5 +14,7 @@
         pub limits: Vec<stated_limits::Report>,
         /// Where streams of the sender have begun or gone on since its last announcement.
         pub origins: Vec<origins::Group>,
+        /// Runs that servers broke off, and proofs that features of such runs are sound.
+        pub evidence: quarantine::Evidence,
     }
 }
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -87,6 +87,8 @@
     Isolated = 1205, 503;
     /// It is not known at which software version the stream began, so it cannot go on.
     StreamUnknown = 1206, 503;
+    /// Requests like this one have crashed backend servers.
+    Quarantined = 1207, 503;
     /// No backend server could be reached.
     ServerUnavailable = 1301, 503;
     /// The backend server broke off its answer.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,6 +31,15 @@
 /// Each host may open this many connections to a server, however many hosts share its limit.
 const MIN_CONNECTIONS: u32 = 4;
 
+/// The cause of a send whose connection broke before the head of a response.
+pub const CONNECTION_BROKE: &str = "connection broke";
+/// The cause of a send whose buffered response broke off.
+pub const ANSWER_BROKE_OFF: &str = "answer broke off";
+/// The cause of a send whose stream broke off.
+pub const STREAM_BROKE_OFF: &str = "stream broke off";
+/// The causes of sends that the connection to the server ended.
+pub const BROKEN_OFF: [&str; 3] = [CONNECTION_BROKE, ANSWER_BROKE_OFF, STREAM_BROKE_OFF];
+
 /// A request to send to a backend server.
 pub struct Outgoing<'a> {
     /// The HTTP head of the caller's request.
@@ -113,7 +122,7 @@
             }
             Ok(Err(mut e)) => {
                 if e.take_message().is_none() {
-                    return Outcome::Unknown("connection broke");
+                    return Outcome::Unknown(CONNECTION_BROKE);
                 }
                 // Nothing was sent: the server closed the connection. That is expected of a reused
                 // one, so another is tried.
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -6,6 +6,8 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
+use crate::attempt;
+
 /// The most that all buffered responses take, beside [`FREE_BYTES`] each.
 const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// A response up to this size is always accepted: large ones must not crowd out the others.
@@ -59,7 +61,7 @@
     let mut reservation = memory.reserve();
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| "answer broke off")?;
+        let frame = frame.map_err(|_| attempt::ANSWER_BROKE_OFF)?;
         let Ok(data) = frame.into_data() else { continue };
         if !reservation.extend_to(buffer.len() + data.len()) {
             return Err("answer too large to buffer");
--- a/crates/gateway/src/facts.rs
+++ b/crates/gateway/src/facts.rs
@@ -1,10 +1,13 @@
-//! What hosts tell each other of servers and streams: collected for announcements, split into packets, and
+//! What hosts tell each other of servers, streams and requests: collected for announcements, split into packets, and
 //! applied.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use wasabi_belief::{facts::Facts, origins};
-use wasabi_policy::stated_limits;
+use wasabi_policy::{quarantine::Evidence, stated_limits};
 
 use crate::state::State;
 
@@ -14,21 +17,30 @@
 pub const MAX_ANNOUNCED_STREAMS: usize = 120;
 /// The most streams that are announced in one round; more wait for the next one.
 const MAX_STREAMS_A_ROUND: usize = 2_000;
+/// The most bytes of broken runs in one announcement that has nothing else.
+const MAX_RUN_BYTES: usize = 1_000;
+/// The most proofs in one announcement that has nothing else.
+const MAX_ANNOUNCED_PROOFS: usize = 64;
 
-/// Collects the next few statements of servers on their limits, and the streams that began since the last
-/// call. Of the statements all are announced in turn, however old: a peer may have missed any of them.
+/// Collects the next few statements of servers on their limits, the streams that began since the last
+/// call, and evidence on requests that crash servers. Of the statements all are announced in turn, however
+/// old: a peer may have missed any of them.
 pub fn collect(state: &State) -> Facts {
     let now = state.now();
     let mut last_announced = state.last_announced_limit.borrow_mut();
     let view = state.limits.borrow();
     let limits = view.reports_following(now, last_announced.as_ref(), MAX_ANNOUNCED_LIMITS);
     *last_announced = limits.last().map(|report| (report.server.clone(), report.born_ms));
-    Facts { limits, origins: state.origins.borrow_mut().take_unannounced(MAX_STREAMS_A_ROUND) }
+    Facts {
+        limits,
+        origins: state.origins.borrow_mut().take_unannounced(MAX_STREAMS_A_ROUND),
+        evidence: state.quarantine.borrow_mut().next_evidence(now),
+    }
 }
 
 /// Splits facts into parts that each fit a packet beside an announcement without load reports.
 pub fn split(facts: Facts) -> Vec<Facts> {
-    let Facts { limits, origins } = facts;
+    let Facts { limits, origins, evidence } = facts;
     let mut parts = vec![Facts { limits, ..Facts::default() }];
     for group in origins {
         parts.extend(group.streams.chunks(MAX_ANNOUNCED_STREAMS).map(|streams| {
@@ -37,28 +49,58 @@
             Facts { origins: vec![group], ..Facts::default() }
         }));
     }
+    parts.extend(split_evidence(evidence).map(|evidence| Facts { evidence, ..Facts::default() }));
     parts.retain(|part| *part != Facts::default());
     parts
 }
 
+fn split_evidence(evidence: Evidence) -> impl Iterator<Item = Evidence> {
+    let mut parts: Vec<Evidence> = Vec::new();
+    let mut room = 0;
+    for run in evidence.runs {
+        let bytes = postcard::to_allocvec(&run).map_or(MAX_RUN_BYTES, |bytes| bytes.len());
+        if parts.is_empty() || bytes > room {
+            parts.push(Evidence::default());
+            room = MAX_RUN_BYTES;
+        }
+        room = room.saturating_sub(bytes);
+        if let Some(part) = parts.last_mut() {
+            part.runs.push(run);
+        }
+    }
+    let proofs = evidence.proofs.chunks(MAX_ANNOUNCED_PROOFS).map(|proofs| proofs.to_vec());
+    let proofs = proofs.map(|proofs| Evidence { proofs, ..Evidence::default() });
+    parts.extend(proofs);
+    parts.into_iter()
+}
+
 /// Adds later facts to those that are yet to be sent.
 pub fn accumulate(pending: &mut Facts, later: &Facts) {
     pending.origins.extend(later.origins.iter().cloned());
     // All statements come in turn, so the latest ones suffice.
     pending.limits.clone_from(&later.limits);
+    let runs = later.evidence.runs.iter();
+    let known: BTreeSet<u64> = pending.evidence.runs.iter().map(|run| run.id).collect();
+    let new = runs.filter(|run| !known.contains(&run.id)).cloned();
+    pending.evidence.runs.extend(new);
+    pending.evidence.proofs.extend(later.evidence.proofs.iter().cloned());
 }
 
 /// Decodes the facts at the end of a datagram; those of hosts of older versions may be missing.
 pub fn decode(bytes: &[u8]) -> Facts {
-    postcard::from_bytes(bytes).unwrap_or_default()
+    let Ok(((limits, origins), rest)) = postcard::take_from_bytes(bytes) else {
+        return Facts::default();
+    };
+    Facts { limits, origins, evidence: postcard::from_bytes(rest).unwrap_or_default() }
 }
 
-/// Applies what a peer knows of streams and of the limits of servers.
+/// Applies what a peer knows of streams, of requests that crash servers, and of the limits of servers.
 ///
 /// That a limit was lifted counts as said at the earliest time possible, and is ignored without a bound
 /// on the age of the announcement: it must not outweigh a limit that was named later.
 pub fn apply(state: &State, facts: Facts, earliest_send: Option<Instant>) {
     let now = state.now();
+    state.merge_evidence(facts.evidence, earliest_send);
     for group in facts.origins {
         let mut known = state.origins.borrow_mut();
         for stream in group.streams {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod origin;
 pub mod peer_fetch;
+pub mod quarantine;
 pub mod refresh;
 pub mod relay;
 pub mod request_log;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -98,6 +98,8 @@
     metrics::gauge!("wasabi_live_hosts").set(state.live_hosts() as f64);
     metrics::gauge!("wasabi_known_streams").set(state.origins.borrow().len() as f64);
     metrics::gauge!("wasabi_limited_servers").set(state.limits.borrow().limited().count() as f64);
+    let quarantined = state.quarantine.borrow().quarantined().count();
+    metrics::gauge!("wasabi_quarantined_features").set(quarantined as f64);
     let held = state.lease.borrow().fence(now).is_some();
     metrics::gauge!("wasabi_duties_held").set(f64::from(u8::from(held)));
     for (service, balancer) in state.balancers.borrow().iter() {
@@ -143,6 +145,14 @@
             json!({"server": server, "born_ms": born_ms, "per_second": rate})
         })
         .collect();
+    let quarantine = state.quarantine.borrow();
+    let quarantine: Vec<Value> = quarantine
+        .quarantined()
+        .map(|(feature, quarantine)| {
+            json!({"feature": feature.to_string(), "crashes": quarantine.crashes,
+                "last_ms": quarantine.age(now).as_millis() as u64})
+        })
+        .collect();
     json!({
         "host": state.settings.borrow().host,
         "incarnation": state.incarnation,
@@ -155,6 +165,7 @@
         "duties": state.lease.borrow().fence(now),
         "services": services,
         "limits": limits,
+        "quarantine": quarantine,
         "peers": peers,
     })
 }
--- a/crates/gateway/src/peer_fetch.rs
+++ b/crates/gateway/src/peer_fetch.rs
@@ -20,6 +20,7 @@
     units::Incarnation,
 };
 use wasabi_platform::http::Client;
+use wasabi_policy::quarantine::Evidence;
 
 use crate::state::State;
 
@@ -32,11 +33,14 @@
 /// Timeout of a request to a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Configuration and backend servers, each with the age of its proof in milliseconds.
+/// Configuration and backend servers, each with the age of its proof in milliseconds, and evidence.
 #[derive(Serialize, Deserialize)]
 struct StateSnapshot {
     catalog: Option<(Catalog, u64)>,
     members: Option<(Vec<Member>, u64)>,
+    /// Evidence on requests that crash servers; hosts of older versions give none.
+    #[serde(default)]
+    evidence: Evidence,
 }
 
 /// The body of a response to [`COUNTS_PATH`].
@@ -57,6 +61,7 @@
     let snapshot = StateSnapshot {
         catalog: catalog.map(|(catalog, age)| ((*catalog).clone(), age.as_millis() as u64)),
         members: members.digest_age(now).map(|(_, age)| (members.listed(), age.as_millis() as u64)),
+        evidence: state.quarantine.borrow().all_evidence(now, usize::MAX),
     };
     serde_json::to_vec(&snapshot).ok().map(Bytes::from)
 }
@@ -106,5 +111,6 @@
     if let Some((members, age)) = snapshot.members {
         state.offer_servers(members, ago(age), "peer");
     }
+    state.merge_evidence(snapshot.evidence, Some(requested_at));
     Ok(())
 }
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,80 @@
+//! Requests that crash backend servers: what this host and its peers have seen of them, and whether a request
+//! may be sent.
+
+use std::time::Instant;
+
+use log::{info, warn};
+use wasabi_answer::broken::Broken;
+use wasabi_core::{call::RequestHead, units::PoolId};
+use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
+
+use crate::{
+    attempt,
+    state::{PlacementGuard, State},
+};
+
+/// Returns what a request for a service has in common with others.
+pub fn features(service: &PoolId, head: &RequestHead) -> Vec<Feature> {
+    let parts = head.prompt.as_ref().map_or(&[][..], |prompt| prompt.shared_parts());
+    parts.iter().map(|part| Feature::part(service, part.id)).collect()
+}
+
+/// Whether a send failed with this cause because the server broke off, so that it may have crashed.
+fn may_be_crash(cause: &str) -> bool {
+    let broken = [Broken::InsideEvent, Broken::NoEvent, Broken::InsideDocument];
+    attempt::BROKEN_OFF.contains(&cause) || broken.map(Broken::cause).contains(&cause)
+}
+
+impl State {
+    /// Records that the send of a request failed for `cause`, if the server broke it off.
+    pub fn record_failed_run(&self, guard: &PlacementGuard, features: &[Feature], cause: &str) {
+        if !may_be_crash(cause) {
+            return;
+        }
+        let run = BrokenRun {
+            id: rand::random(),
+            server: guard.placement.member.id.clone(),
+            sent: guard.placement.since,
+            ended: self.now(),
+            features: features.to_vec(),
+        };
+        self.quarantine.borrow_mut().record_broken(run);
+        self.refresh_quarantine();
+    }
+
+    /// Records that a run with these features has ended well, or has generated for long enough.
+    pub fn record_sound_run(&self, features: &[Feature]) {
+        self.quarantine.borrow_mut().record_sound(self.now(), features);
+        self.refresh_quarantine();
+    }
+
+    /// Merges what a peer has seen; `earliest_send` bounds the age of its message.
+    pub fn merge_evidence(&self, evidence: Evidence, earliest_send: Option<Instant>) {
+        self.quarantine.borrow_mut().merge(self.now(), evidence, earliest_send);
+        self.refresh_quarantine();
+    }
+
+    /// Returns why a request with these features may not be sent, if it may not.
+    pub fn check_quarantine(&self, features: &[Feature]) -> Option<Refusal> {
+        self.refresh_quarantine();
+        self.quarantine.borrow_mut().check(self.now(), features)
+    }
+
+    /// Puts new crashes down to features, and logs what is quarantined from now on.
+    fn refresh_quarantine(&self) {
+        let now = self.now();
+        for change in self.quarantine.borrow_mut().refresh(now) {
+            let feature = change.feature.to_string();
+            let feature = feature.as_str();
+            match change.quarantine {
+                Some(quarantine) => {
+                    warn!(feature = feature, crashes = quarantine.crashes,
+                        last_ms = quarantine.age(now).as_millis() as u64;
+                        "requests that crash servers quarantined");
+                    metrics::counter!("wasabi_gateway_quarantines_total").increment(1);
+                }
+                None => info!(feature = feature; "quarantine ended"),
+            }
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,13 +24,14 @@
 use wasabi_platform::{head, reply};
 use wasabi_policy::{
     balancer::{End, PlacementRequest, Refusal},
+    quarantine::Feature,
     wait_limit,
 };
 
 use crate::{
     admit::{self, Admission},
     attempt::{self, BackendResponse, Outcome, Outgoing},
-    buffers, origin,
+    buffers, origin, quarantine,
     request_log::{Received, log_completed, log_failed_send, log_gateway_error},
     response::{self, ResponseBody},
     state::{CountGuard, PlacementGuard, State},
@@ -61,6 +62,8 @@
     /// The first placement is refused if a longer wait is expected, for the first event of a stream
     /// or for a plain response.
     pub max_wait: Duration,
+    /// What the request has in common with others.
+    pub features: Vec<Feature>,
 }
 
 /// Handles a request; errors become error responses.
@@ -109,7 +112,8 @@
     let is_retry = head.resumes.is_some()
         || head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
     let max_wait = wait_limit::max_wait(&admission.catalog, &admission.route, time_limit, is_retry);
-    Ok(AdmittedRequest { parts, head, body, arrived, admission, deadline, max_wait })
+    let features = quarantine::features(&admission.service, &head);
+    Ok(AdmittedRequest { parts, head, body, arrived, admission, deadline, max_wait, features })
 }
 
 /// Sends a request; a stream that the caller takes up goes to the service and the software version at
@@ -121,6 +125,7 @@
     let origin = origin::find(state, &inbound).await.and_then(|origin| {
         if let Some(origin) = &origin {
             admit::choose_service(&mut inbound.admission, &origin.service)?;
+            inbound.features = quarantine::features(&origin.service, &inbound.head);
         }
         Ok(origin)
     });
@@ -290,7 +295,7 @@
 ///
 /// Fails if the time, the attempts or the repeat budget are used up, if the request may not run
 /// twice, if it might be cut off by this host's stop, if its key is no longer proven to be in
-/// force, or if no server can take it in time.
+/// force, if requests like it crash servers, or if no server can take it in time.
 pub fn place(
     state: &Rc<State>,
     inbound: &AdmittedRequest,
@@ -325,6 +330,10 @@
         return Err(refuse(Code::Stopping, "it would be cut off here"));
     }
     admit::check_key(state, admission).map_err(|e| e.ran(ran))?;
+    if let Some(refusal) = state.check_quarantine(&inbound.features) {
+        let detail = format!("{} crashes are put down to {}", refusal.crashes, refusal.feature);
+        return Err(response::retry_later(Code::Quarantined, detail, refusal.wait).ran(ran));
+    }
     let max_wait = match history.placements {
         0 => inbound.max_wait,
         _ => remaining,
@@ -484,6 +493,7 @@
     guard.end = End::Failed;
     history.avoid.push(guard.placement.member.id.clone());
     history.last_cause = cause;
+    state.record_failed_run(guard, &inbound.features, cause);
     log_failed_send(state, inbound, guard, "unknown", cause, None);
 }
 
@@ -507,6 +517,7 @@
     let now = state.now();
     connection.release(now, reply.keep_alive);
     history.count_usage(state, inbound);
+    state.record_sound_run(&inbound.features);
     guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
     guard.end = if parts.status.is_server_error() { End::Failed } else { End::Served };
     let bytes = body.len() as u64;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -8,6 +8,7 @@
     call::Framing,
     errors::{Error, Ran},
 };
+use wasabi_policy::quarantine::Feature;
 
 use crate::{
     admit::Admission,
@@ -59,7 +60,8 @@
 
 /// Logs and counts a failed send; `ran` says whether the server ran the request, `received` what
 /// arrived of a stream that broke off. The line names the parts of the prompt that other requests may
-/// share, so that it shows what requests that failed together have in common.
+/// share, so that it shows what requests that failed together have in common, and the features by which
+/// quarantine tells requests apart.
 pub fn log_failed_send(
     state: &State,
     inbound: &AdmittedRequest,
@@ -75,13 +77,14 @@
     let parts = inbound.head.prompt.as_ref().map(|prompt| prompt.shared_parts());
     let parts: Vec<String> =
         parts.into_iter().flatten().map(|part| format!("{:x}", part.id)).collect();
+    let features: Vec<String> = inbound.features.iter().map(Feature::to_string).collect();
     info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
         server = guard.placement.member.id.as_str(), ran = ran, cause = cause,
         after_ms = since_placed.as_millis() as u64,
         framing = received.map_or("", |received| received.framing.name()),
         events = received.map_or(0, |received| received.events),
         partial_bytes = received.map_or(0, |received| received.partial_bytes),
-        parts = parts.join(",").as_str(); "send failed");
+        parts = parts.join(",").as_str(), features = features.join(",").as_str(); "send failed");
 }
 
 /// Logs and counts a request that the gateway ends with an error, or a stream that it cannot
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement},
+    quarantine,
     repeat_budget::{self, Budget},
     stated_limits,
 };
@@ -68,6 +69,8 @@
     pub limits: RefCell<stated_limits::View>,
     /// Where streams began.
     pub origins: RefCell<origins::View>,
+    /// Requests that crash servers.
+    pub quarantine: RefCell<quarantine::View>,
     /// The instance whose statement on its limit was announced last.
     pub last_announced_limit: RefCell<Option<members::Instance>>,
     /// Headers that servers have sent with values that were not understood, which are logged once.
@@ -130,6 +133,7 @@
             servers: RefCell::default(),
             limits: RefCell::default(),
             origins: RefCell::default(),
+            quarantine: RefCell::new(quarantine::View::new(rand::random())),
             last_announced_limit: RefCell::default(),
             malformed_headers: RefCell::default(),
             balancers: RefCell::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,7 +2,10 @@
 //! resumed at another server if the route allows it; otherwise the caller's connection is broken
 //! off, so that the response cannot be taken for complete.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -24,6 +27,9 @@
 
 /// Parts that are queued for a slow caller.
 const MAX_QUEUED_PARTS: usize = 4;
+/// A server that has generated for this long does not crash for the request that it runs: those that
+/// do so crash it when it begins to generate.
+const SOUND_AFTER: Duration = Duration::from_secs(1);
 
 /// Starts a task that forwards a stream, and returns the response that it feeds.
 pub fn start(
@@ -48,6 +54,8 @@
         last_event_at: None,
         framing: Framing::default(),
         received_bytes: 0,
+        part_began_at: None,
+        part_is_sound: false,
     };
     tokio::task::spawn_local(async move {
         let _running = running;
@@ -72,6 +80,10 @@
     framing: Framing,
     /// Bytes received of the current server's part.
     received_bytes: u64,
+    /// When the first event of the current server's part was received.
+    part_began_at: Option<Instant>,
+    /// Whether the current server has generated for [`SOUND_AFTER`].
+    part_is_sound: bool,
 }
 
 /// How one server's part of a stream ended.
@@ -91,6 +103,7 @@
                 PartEnd::Complete => {
                     self.producer.finish();
                     guard.end = End::Served;
+                    self.state.record_sound_run(&self.inbound.features);
                     self.log_completed(&guard, "streamed");
                     return;
                 }
@@ -128,6 +141,9 @@
                 guard.end = End::Failed;
                 self.history.avoid.push(guard.placement.member.id.clone());
                 self.history.last_cause = cause;
+                if !self.part_is_sound {
+                    self.state.record_failed_run(&guard, &self.inbound.features, cause);
+                }
                 (cause, None)
             }
             PartEnd::Complete | PartEnd::CallerLeft | PartEnd::OutOfTime => return None,
@@ -154,6 +170,7 @@
         let BackendResponse { http, reply, connection } = backend_response;
         let mut body = http.into_body();
         (self.framing, self.received_bytes) = (reply.framing, 0);
+        (self.part_began_at, self.part_is_sound) = (None, false);
         self.events.start_part();
         // Counts from the last event: bytes that complete none are no progress.
         let mut stuck_at = self.state.now().checked_add(guard.time_until_stuck());
@@ -175,7 +192,7 @@
             };
             let bytes = match frame {
                 None => break,
-                Some(Err(_)) => return PartEnd::Broken("stream broke off"),
+                Some(Err(_)) => return PartEnd::Broken(attempt::STREAM_BROKE_OFF),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.received_bytes += bytes.len() as u64;
@@ -247,6 +264,16 @@
         self.state.origins.borrow_mut().record(self.state.now(), begun, origin);
     }
 
+    /// Records once that the current server has generated for long enough.
+    fn record_sound_part(&mut self) {
+        let now = self.state.now();
+        let began = *self.part_began_at.get_or_insert(now);
+        if !self.part_is_sound && now.saturating_duration_since(began) >= SOUND_AFTER {
+            self.part_is_sound = true;
+            self.state.record_sound_run(&self.inbound.features);
+        }
+    }
+
     /// Records the time between the events just received and those before.
     fn record_event_gap(&mut self) {
         let now = self.state.now();
@@ -262,6 +289,7 @@
     async fn pass_on(&mut self, guard: &PlacementGuard, events: Bytes) -> bool {
         self.record_first_event(guard);
         self.record_event_gap();
+        self.record_sound_part();
         self.producer.send(events, Tokens(0)).await
     }
 
@@ -320,6 +348,7 @@
                 Outcome::TimedOut => return None,
             };
             guard.end = End::Failed;
+            self.state.record_failed_run(&guard, &self.inbound.features, cause);
             // Logged as "unknown" even if the send did not run.
             request_log::log_failed_send(
                 &self.state,
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -2,20 +2,26 @@
 //!
 //! Guards against new fields or a wordier encoding that make one exceed a packet.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Instant};
 
 use wasabi_belief::{
     announcement::{Addition, Announcement},
     facts::Facts,
     origins,
 };
-use wasabi_core::units::{Epoch, Era, HostId, Incarnation, RequestRate, Revision, ServerId};
+use wasabi_core::units::{
+    Epoch, Era, HostId, Incarnation, PoolId, RequestRate, Revision, ServerId,
+};
 use wasabi_gateway::{
     echo::HEADER_BYTES,
-    facts::{MAX_ANNOUNCED_LIMITS, MAX_ANNOUNCED_STREAMS},
+    facts::{self, MAX_ANNOUNCED_LIMITS, MAX_ANNOUNCED_STREAMS},
     gossip::MAX_ANNOUNCED_LEAVING,
 };
-use wasabi_policy::{load_report::LoadReport, stated_limits};
+use wasabi_policy::{
+    load_report::LoadReport,
+    quarantine::{self, BrokenRun, Feature},
+    stated_limits,
+};
 
 /// The largest UDP payload that fits one Ethernet frame.
 const PACKET_BYTES: usize = 1_472;
@@ -24,6 +30,27 @@
 /// Servers on which it has placed a request since the last announcement.
 const PLACED: u64 = 6;
 
+/// The evidence of one announcement after many runs of long prompts have broken off.
+fn facts_of_many_crashes() -> Facts {
+    let now = Instant::now();
+    let mut view = quarantine::View::new(0.0);
+    let service: PoolId = "huda81a".parse().expect("a name");
+    for number in 0..64 {
+        let features = (0..40).map(|part| Feature::part(&service, number * 100 + part)).collect();
+        let server = format!("i-{number:010x}").parse().expect("a name");
+        view.record_broken(BrokenRun {
+            id: u64::MAX - number,
+            server,
+            sent: now,
+            ended: now,
+            features,
+        });
+    }
+    let evidence = view.next_evidence(now);
+    assert!(!evidence.runs.is_empty());
+    Facts { evidence, ..Facts::default() }
+}
+
 #[test]
 fn an_announcement_of_a_busy_host_fits_one_packet() {
     let shares = (0..SERVERS).map(|number| {
@@ -66,7 +93,7 @@
         rate: RequestRate::new(3.5),
         age_ms: 40_000,
     });
-    let facts = Facts { limits: limits.collect(), origins: Vec::new() };
+    let facts = Facts { limits: limits.collect(), ..Facts::default() };
     let proofs = Announcement { shares: None, ..announcement.clone() };
     let datagram = postcard::to_allocvec(&(&proofs, &addition, &facts));
     let datagram = datagram.expect("it can be encoded");
@@ -76,10 +103,19 @@
         ("huda81a".parse().expect("a name"), "v1.10.2".parse().expect("a version"));
     let streams = vec![[u8::MAX; 8]; MAX_ANNOUNCED_STREAMS];
     let group = origins::Group { origin: origins::Origin { service, build }, streams };
-    let facts = Facts { limits: Vec::new(), origins: vec![group] };
+    let facts = Facts { origins: vec![group], ..Facts::default() };
     let datagram = postcard::to_allocvec(&(&proofs, &addition, &facts));
     let length = HEADER_BYTES + datagram.expect("it can be encoded").len();
     assert!(length <= PACKET_BYTES, "{length} bytes");
+    for part in facts::split(facts_of_many_crashes()) {
+        let datagram = postcard::to_allocvec(&(&proofs, &addition, &part));
+        let datagram = datagram.expect("it can be encoded");
+        let length = HEADER_BYTES + datagram.len();
+        assert!(length <= PACKET_BYTES, "{length} bytes");
+        let (_, rest): ((Announcement, Addition), &[u8]) =
+            postcard::take_from_bytes(&datagram).expect("it can be decoded");
+        assert_eq!(facts::decode(rest), part);
+    }
     let bytes = postcard::to_allocvec(&announcement).expect("it can be encoded");
     assert_eq!(
         postcard::from_bytes::<Announcement>(&bytes).expect("it can be decoded"),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
 //! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
-//! repeated sends.
+//! repeated sends; [`quarantine`] finds requests that crash servers.
 #![forbid(unsafe_code)]
 
 pub mod balancer;
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod pause;
 pub mod prefix_cache;
+pub mod quarantine;
 pub mod queue;
 pub mod repeat_budget;
 pub mod reservation;
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,525 @@
+//! Requests that crash the backend servers which run them, found by what they have in common.
+//!
+//! A run that its server breaks off is evidence against each feature of its request, and one that ends
+//! well clears them all. Servers crash for other reasons too, so each crash is put down to the feature that
+//! explains the most crashes; a feature that explains several is quarantined, and requests with it are
+//! refused. After a while a single request is let through again.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    fmt,
+    hash::{DefaultHasher, Hash, Hasher as _},
+    time::{Duration, Instant},
+};
+
+use wasabi_core::{
+    data,
+    units::{PoolId, ServerId},
+};
+
+/// Crashes that a feature must explain if no run with it has ended well. Chance alone rarely repeats a
+/// crash for the same feature; the users' contracts count on a decision after three.
+const MIN_CRASHES: usize = 3;
+/// Crashes that a feature must explain if a run with it has ended well before them.
+const MIN_CRASHES_OF_PROVEN: usize = 4;
+/// The first crash must be this long ago: by then, runs of a sound feature that began meanwhile have ended
+/// well, and hosts have told each other.
+const SETTLING: Duration = Duration::from_millis(1_000);
+/// Crashes of several servers within this time count as one, unless a request was sent after one and
+/// met the next: a failure of their machine or network takes many servers at once.
+const SIMULTANEOUS: Duration = Duration::from_millis(200);
+/// A run that breaks off this long after a crash of its server belongs to another one.
+const CRASH_SPREAD: Duration = Duration::from_millis(2_000);
+/// The least time from the last crash until a request with a quarantined feature is let through; twice
+/// that on the host that waits longest.
+pub const QUARANTINE: Duration = Duration::from_secs(300);
+/// How long the outcome of a request that was let through is awaited before the next one.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Broken runs are forgotten after this time.
+const RETENTION: Duration = Duration::from_secs(3_600);
+/// The most broken runs that are kept.
+const MAX_RUNS: usize = 512;
+/// The most features of a run that are kept, the first ones of its request.
+const MAX_FEATURES: usize = 32;
+/// Proofs of sound features are kept in two generations of this size.
+const MAX_PROOFS: usize = 8_192;
+/// How often a host announces a run or a proof of its own, as datagrams are lost.
+const REPEATS: u32 = 3;
+/// The most new runs, and the most new proofs, in one announcement.
+const MAX_NEW: usize = 8;
+/// The runs of quarantined features that each announcement repeats, in turn, for hosts that start.
+const REPEATED_RUNS: usize = 4;
+
+data! {
+    /// Something that requests for a service may have in common, as a hash.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct Feature(u64);
+
+    /// A run that its server broke off, as one host tells another.
+    pub struct RunReport {
+        /// Identifies the run.
+        pub id: u64,
+        /// The server.
+        pub server: ServerId,
+        /// How many milliseconds ago the request was sent to the server.
+        pub sent_ms: u64,
+        /// How many milliseconds ago the run broke off.
+        pub ended_ms: u64,
+        /// The features of the request, in its order.
+        pub features: Vec<Feature>,
+    }
+
+    /// That runs with a feature end well, as one host tells another.
+    pub struct ProofReport {
+        /// The feature.
+        pub feature: Feature,
+        /// How many milliseconds ago the last known one did.
+        pub age_ms: u64,
+    }
+
+    /// A part of what a host knows.
+    #[derive(Default)]
+    pub struct Evidence {
+        /// Runs that broke off.
+        #[serde(default)]
+        pub runs: Vec<RunReport>,
+        /// Features of such runs that others have cleared.
+        #[serde(default)]
+        pub proofs: Vec<ProofReport>,
+    }
+}
+
+/// A run that its server broke off before it was known to be sound.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BrokenRun {
+    /// Identifies the run among those of all hosts.
+    pub id: u64,
+    /// The server.
+    pub server: ServerId,
+    /// When the request was sent to the server.
+    pub sent: Instant,
+    /// When the run broke off.
+    pub ended: Instant,
+    /// The features of the request, in its order.
+    pub features: Vec<Feature>,
+}
+
+/// Why a feature is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quarantine {
+    /// The crashes that it explains; simultaneous ones count once.
+    pub crashes: usize,
+    /// When the first of them was.
+    first: Instant,
+    /// When the last of them was.
+    last: Instant,
+}
+
+/// A feature whose quarantine began or ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Change {
+    /// The feature.
+    pub feature: Feature,
+    /// The quarantine; `None` if it ended.
+    pub quarantine: Option<Quarantine>,
+}
+
+/// Why a request may not be sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// The quarantined feature that it has.
+    pub feature: Feature,
+    /// The crashes that the feature explains.
+    pub crashes: usize,
+    /// How long the quarantine lasts on this host.
+    pub wait: Duration,
+}
+
+/// What this host knows of runs that broke off, and the features that are quarantined for it.
+#[derive(Debug, Default)]
+pub struct View {
+    /// From 0 to 1: how much longer than [`QUARANTINE`] this host waits, so that hosts try one after
+    /// the other.
+    spread: f64,
+    /// In the order in which they became known.
+    runs: VecDeque<BrokenRun>,
+    proofs: Proofs,
+    quarantined: BTreeMap<Feature, Quarantine>,
+    /// When a request with a quarantined feature was last let through.
+    probes: BTreeMap<Feature, Instant>,
+    /// Whether anything has changed since the crashes were last put down to features.
+    stale: bool,
+    /// When a feature that explains enough crashes will have settled.
+    settled_at: Option<Instant>,
+    announcements: Announcements,
+}
+
+/// What is yet to be announced.
+#[derive(Debug, Default)]
+struct Announcements {
+    /// Own runs, and how often each is still to be announced.
+    runs: VecDeque<(u64, u32)>,
+    /// Features that own runs have cleared, and how often that is still to be announced.
+    proofs: BTreeMap<Feature, u32>,
+    /// The position among the runs of quarantined features at which the next round begins.
+    next_repeated: usize,
+}
+
+/// When a run with each feature last ended well, the most recent ones.
+#[derive(Debug, Default)]
+struct Proofs {
+    recent: HashMap<Feature, Instant>,
+    older: HashMap<Feature, Instant>,
+}
+
+/// The end of one server, with what may have caused it.
+struct Crash<'a> {
+    server: &'a ServerId,
+    ended: Instant,
+    /// The features of its broken runs that are not cleared: when the last run with each was sent, and its
+    /// position in the request.
+    suspects: BTreeMap<Feature, (Instant, usize)>,
+}
+
+impl Feature {
+    /// A part of the prompt with this id, for a service.
+    pub fn part(service: &PoolId, id: u64) -> Self {
+        Self::hash((service, id))
+    }
+
+    fn hash(content: impl Hash) -> Self {
+        let mut hasher = DefaultHasher::new();
+        content.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+impl fmt::Display for Feature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl View {
+    /// Creates a view without evidence; `spread`, from 0 to 1, should differ from host to host.
+    pub fn new(spread: f64) -> Self {
+        Self { spread, ..Self::default() }
+    }
+
+    /// Records a run of this host that its server broke off; it will be announced.
+    pub fn record_broken(&mut self, run: BrokenRun) {
+        self.announcements.runs.push_back((run.id, REPEATS));
+        self.add(run);
+    }
+
+    /// Records that a run with these features has ended well, or has generated for long enough.
+    pub fn record_sound(&mut self, now: Instant, features: &[Feature]) {
+        for feature in features {
+            let clears = |run: &BrokenRun| {
+                run.features.contains(feature)
+                    && self.proofs.get(*feature).is_none_or(|proof| proof < run.ended)
+            };
+            if self.runs.iter().any(clears) {
+                self.announcements.proofs.insert(*feature, REPEATS);
+                self.stale = true;
+            }
+            self.proofs.record(*feature, now);
+        }
+    }
+
+    /// Merges what another host knows. Its proofs count as made at the earliest time possible, and are
+    /// ignored without a bound on the age of the message, `earliest_send`.
+    pub fn merge(&mut self, now: Instant, evidence: Evidence, earliest_send: Option<Instant>) {
+        let ago = |from: Instant, ms: u64| from.checked_sub(Duration::from_millis(ms));
+        for report in evidence.runs {
+            let ages = ago(now, report.sent_ms).zip(ago(now, report.ended_ms));
+            let Some((sent, ended)) = ages else { continue };
+            let RunReport { id, server, features, .. } = report;
+            self.add(BrokenRun { id, server, sent, ended, features });
+        }
+        for report in evidence.proofs {
+            let made = earliest_send.and_then(|from| ago(from, report.age_ms));
+            let Some(made) = made else { continue };
+            if self.proofs.get(report.feature).is_none_or(|known| known < made) {
+                self.proofs.record(report.feature, made);
+                self.stale = true;
+            }
+        }
+    }
+
+    /// Puts the crashes that are known down to features; returns whose quarantine has begun or ended.
+    pub fn refresh(&mut self, now: Instant) -> Vec<Change> {
+        if !self.stale && self.settled_at.is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        self.stale = false;
+        self.forget(now);
+        let (quarantined, settled_at) = self.judge(now);
+        self.settled_at = settled_at;
+        let ended = self.quarantined.keys().filter(|feature| !quarantined.contains_key(feature));
+        let ended = ended.map(|feature| Change { feature: *feature, quarantine: None });
+        let begun =
+            quarantined.iter().filter(|(feature, _)| !self.quarantined.contains_key(feature));
+        let begun = begun.map(|(feature, quarantine)| Change {
+            feature: *feature,
+            quarantine: Some(*quarantine),
+        });
+        let changes = ended.chain(begun).collect();
+        self.probes.retain(|feature, at| {
+            quarantined.get(feature).is_some_and(|quarantine| quarantine.last < *at)
+        });
+        self.quarantined = quarantined;
+        changes
+    }
+
+    /// Returns why a request with these features may not be sent, if one of them is quarantined. Once the
+    /// quarantine is over, a single request is let through at a time.
+    ///
+    /// Call [`Self::refresh`] before.
+    pub fn check(&mut self, now: Instant, features: &[Feature]) -> Option<Refusal> {
+        for feature in features {
+            let Some(quarantine) = self.quarantined.get(feature) else { continue };
+            let until = quarantine.last + QUARANTINE.mul_f64(1.0 + self.spread);
+            let probe = self.probes.get(feature).map(|at| *at + PROBE_TIMEOUT);
+            let until = probe.map_or(until, |probe| probe.max(until));
+            if now < until {
+                let wait = until.saturating_duration_since(now);
+                return Some(Refusal { feature: *feature, crashes: quarantine.crashes, wait });
+            }
+        }
+        for feature in features.iter().filter(|feature| self.quarantined.contains_key(feature)) {
+            self.probes.insert(*feature, now);
+        }
+        None
+    }
+
+    /// The quarantined features.
+    pub fn quarantined(&self) -> impl Iterator<Item = (Feature, &Quarantine)> {
+        self.quarantined.iter().map(|(feature, quarantine)| (*feature, quarantine))
+    }
+
+    /// Returns the next part of the evidence to announce to all hosts: what this host found lately, and in
+    /// turn the runs of quarantined features, which a host that has just started does not know.
+    pub fn next_evidence(&mut self, now: Instant) -> Evidence {
+        let mut ids = BTreeSet::new();
+        for _ in 0..MAX_NEW.min(self.announcements.runs.len()) {
+            let Some((id, repeats)) = self.announcements.runs.pop_front() else { break };
+            ids.insert(id);
+            if repeats > 1 {
+                self.announcements.runs.push_back((id, repeats - 1));
+            }
+        }
+        let repeated: Vec<u64> =
+            self.runs.iter().filter(|run| self.is_quarantined(run)).map(|run| run.id).collect();
+        let from = self.announcements.next_repeated.checked_rem(repeated.len()).unwrap_or(0);
+        self.announcements.next_repeated = from + REPEATED_RUNS;
+        ids.extend(repeated.iter().cycle().skip(from).take(REPEATED_RUNS.min(repeated.len())));
+        let cleared: Vec<Feature> =
+            self.announcements.proofs.keys().take(MAX_NEW).copied().collect();
+        for feature in &cleared {
+            if let Some(repeats) = self.announcements.proofs.get_mut(feature) {
+                *repeats -= 1;
+            }
+        }
+        self.announcements.proofs.retain(|_, repeats| *repeats > 0);
+        let mut evidence = self.evidence(now, |run| ids.contains(&run.id));
+        let further = cleared
+            .iter()
+            .filter(|feature| !evidence.proofs.iter().any(|known| known.feature == **feature));
+        let further: Vec<ProofReport> =
+            further.filter_map(|feature| self.proof_report(now, *feature)).collect();
+        evidence.proofs.extend(further);
+        evidence
+    }
+
+    /// Returns all evidence, the latest `max_runs` runs.
+    pub fn all_evidence(&self, now: Instant, max_runs: usize) -> Evidence {
+        let skipped = self.runs.len().saturating_sub(max_runs);
+        let ids: BTreeSet<u64> = self.runs.iter().skip(skipped).map(|run| run.id).collect();
+        self.evidence(now, |run| ids.contains(&run.id))
+    }
+
+    /// Returns the selected runs, and what is known to clear their features.
+    fn evidence(&self, now: Instant, selected: impl Fn(&BrokenRun) -> bool) -> Evidence {
+        let ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let runs: Vec<RunReport> = self
+            .runs
+            .iter()
+            .filter(|run| selected(run))
+            .map(|run| RunReport {
+                id: run.id,
+                server: run.server.clone(),
+                sent_ms: ms(run.sent),
+                ended_ms: ms(run.ended),
+                features: run.features.clone(),
+            })
+            .collect();
+        let features: BTreeSet<Feature> =
+            runs.iter().flat_map(|run| run.features.iter().copied()).collect();
+        let proofs =
+            features.into_iter().filter_map(|feature| self.proof_report(now, feature)).collect();
+        Evidence { runs, proofs }
+    }
+
+    fn proof_report(&self, now: Instant, feature: Feature) -> Option<ProofReport> {
+        let age = now.saturating_duration_since(self.proofs.get(feature)?);
+        Some(ProofReport { feature, age_ms: age.as_millis() as u64 })
+    }
+
+    fn add(&mut self, mut run: BrokenRun) {
+        if run.features.is_empty() || self.runs.iter().any(|known| known.id == run.id) {
+            return;
+        }
+        run.features.truncate(MAX_FEATURES);
+        if self.runs.len() >= MAX_RUNS {
+            let unrelated = self.runs.iter().position(|known| !self.is_quarantined(known));
+            self.runs.remove(unrelated.unwrap_or(0));
+        }
+        self.runs.push_back(run);
+        self.stale = true;
+    }
+
+    /// Forgets old runs and those whose features are all cleared.
+    fn forget(&mut self, now: Instant) {
+        let proofs = &self.proofs;
+        self.runs.retain(|run| {
+            let cleared = |feature: &Feature| proofs.clears(*feature, run.ended);
+            now.saturating_duration_since(run.ended) < RETENTION
+                && !run.features.iter().all(cleared)
+        });
+    }
+
+    fn is_quarantined(&self, run: &BrokenRun) -> bool {
+        run.features.iter().any(|feature| self.quarantined.contains_key(feature))
+    }
+
+    /// Puts each crash down to the feature that explains the most of those not yet explained. Returns the
+    /// features that explain enough, and when the next one will have settled.
+    fn judge(&self, now: Instant) -> (BTreeMap<Feature, Quarantine>, Option<Instant>) {
+        let crashes = self.crashes();
+        let mut explained = vec![false; crashes.len()];
+        let suspected = suspected_in(&crashes);
+        let mut quarantined = BTreeMap::new();
+        let mut settled_at: Option<Instant> = None;
+        loop {
+            let explaining = suspected.iter().filter_map(|(feature, indexes)| {
+                let own = indexes.iter().copied().filter(|index| !explained[*index]);
+                let own: Vec<&Crash<'_>> = own.map(|index| &crashes[index]).collect();
+                let (quarantine, position) = explained_by(*feature, &own)?;
+                let proven = self.proofs.get(*feature).is_some();
+                let needed = if proven { MIN_CRASHES_OF_PROVEN } else { MIN_CRASHES };
+                let enough = quarantine.crashes >= needed;
+                enough.then_some((quarantine.crashes, !proven, position, *feature, quarantine))
+            });
+            // Of several that explain as many, one without a proof, then the last one of its request:
+            // parts in front are shared by more requests.
+            let best = explaining
+                .max_by_key(|(crashes, unproven, position, ..)| (*crashes, *unproven, *position));
+            let Some((_, _, _, feature, quarantine)) = best else { break };
+            let settled = quarantine.first + SETTLING;
+            if settled <= now {
+                quarantined.insert(feature, quarantine);
+            } else {
+                settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
+            }
+            for index in suspected.get(&feature).into_iter().flatten() {
+                explained[*index] = true;
+            }
+        }
+        (quarantined, settled_at)
+    }
+
+    /// Returns the crashes by time, each with the features that may have caused it.
+    fn crashes(&self) -> Vec<Crash<'_>> {
+        let mut runs: Vec<&BrokenRun> = self.runs.iter().collect();
+        runs.sort_by_key(|run| run.ended);
+        let mut crashes: Vec<Crash<'_>> = Vec::new();
+        for run in runs {
+            let same = |crash: &&mut Crash<'_>| {
+                *crash.server == run.server
+                    && run.sent < crash.ended
+                    && run.ended < crash.ended + CRASH_SPREAD
+            };
+            let known = crashes.iter_mut().rev().find(same);
+            let suspects = run.features.iter().enumerate();
+            let suspects =
+                suspects.filter(|(_, feature)| !self.proofs.clears(**feature, run.ended));
+            let suspects = suspects.map(|(position, feature)| (*feature, (run.sent, position)));
+            match known {
+                Some(crash) => crash.suspects.extend(suspects),
+                None => crashes.push(Crash {
+                    server: &run.server,
+                    ended: run.ended,
+                    suspects: suspects.collect(),
+                }),
+            }
+        }
+        crashes
+    }
+}
+
+impl Quarantine {
+    /// How long ago the last crash was.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last)
+    }
+}
+
+impl Proofs {
+    fn get(&self, feature: Feature) -> Option<Instant> {
+        self.recent.get(&feature).or_else(|| self.older.get(&feature)).copied()
+    }
+
+    /// Whether a run with the feature has ended well at `ended` or later.
+    fn clears(&self, feature: Feature, ended: Instant) -> bool {
+        self.get(feature).is_some_and(|proof| proof >= ended)
+    }
+
+    fn record(&mut self, feature: Feature, at: Instant) {
+        if self.recent.len() >= MAX_PROOFS {
+            self.older = std::mem::take(&mut self.recent);
+        }
+        self.recent.insert(feature, at);
+    }
+}
+
+/// Returns the positions of the crashes that each feature may have caused. Of crashes at the same time, a
+/// feature must be able to explain half: those of an outage have little in common.
+fn suspected_in(crashes: &[Crash<'_>]) -> BTreeMap<Feature, Vec<usize>> {
+    let mut suspected: BTreeMap<Feature, Vec<usize>> = BTreeMap::new();
+    for (index, crash) in crashes.iter().enumerate() {
+        let before = crashes[..index].iter().rev();
+        let before = before.take_while(|other| crash.ended < other.ended + SIMULTANEOUS);
+        let after = crashes[index..].iter();
+        let after = after.take_while(|other| other.ended < crash.ended + SIMULTANEOUS);
+        let together: Vec<&Crash<'_>> = before.chain(after).collect();
+        for feature in crash.suspects.keys() {
+            let with = together.iter().filter(|other| other.suspects.contains_key(feature)).count();
+            if with * 2 >= together.len() {
+                suspected.entry(*feature).or_default().push(index);
+            }
+        }
+    }
+    suspected
+}
+
+/// Returns the crashes that a feature may have caused, and its position in the last of the requests.
+fn explained_by(feature: Feature, crashes: &[&Crash<'_>]) -> Option<(Quarantine, usize)> {
+    let mut explained: Option<(Quarantine, usize)> = None;
+    for crash in crashes {
+        let Some((sent, position)) = crash.suspects.get(&feature) else { continue };
+        explained = match explained {
+            None => {
+                let (first, last) = (crash.ended, crash.ended);
+                Some((Quarantine { crashes: 1, first, last }, *position))
+            }
+            Some((before, _)) => {
+                let independent = crash.ended >= before.last + SIMULTANEOUS || *sent >= before.last;
+                let crashes = before.crashes + usize::from(independent);
+                let last = if independent { crash.ended } else { before.last };
+                Some((Quarantine { crashes, last, ..before }, *position))
+            }
+        };
+    }
+    explained
+}
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,252 @@
+//! Which features of requests are quarantined, by the runs that broke off and those that ended well.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use quickcheck::quickcheck;
+use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, QUARANTINE, View};
+
+const SETTLED: Duration = Duration::from_millis(1_000);
+
+fn part(id: u64) -> Feature {
+    Feature::part(&"llm".parse().expect("a name"), id)
+}
+
+fn parts(ids: &[u64]) -> Vec<Feature> {
+    ids.iter().map(|id| part(*id)).collect()
+}
+
+/// A run on `server` that was sent `lasted` before it broke off at `ended`.
+fn broken(server: &str, ended: Instant, lasted: Duration, ids: &[u64]) -> BrokenRun {
+    static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+    let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let server = server.parse().expect("a name");
+    BrokenRun { id, server, sent: ended - lasted, ended, features: parts(ids) }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Whether requests with this part are refused at `now`.
+fn refused(view: &mut View, now: Instant, id: u64) -> bool {
+    view.refresh(now);
+    view.check(now, &parts(&[id])).is_some()
+}
+
+/// A start that lies far enough in the future for all times of a test.
+fn start() -> Instant {
+    Instant::now() + QUARANTINE * 10
+}
+
+/// Three crashes, 500 ms apart, of runs with the parts 1, 2 and 9; the part 1 is proven in between.
+fn three_crashes(view: &mut View, start: Instant) -> Instant {
+    for crash in 0..3 {
+        let ended = start + ms(500) * crash;
+        view.record_broken(broken(&format!("s{crash}"), ended, ms(100), &[1, 2, 9]));
+        view.record_sound(ended + ms(50), &parts(&[1, 3]));
+        view.record_broken(broken(
+            &format!("s{crash}"),
+            ended,
+            ms(300),
+            &[1, 4 + u64::from(crash)],
+        ));
+    }
+    start + ms(1_000)
+}
+
+#[test]
+fn the_part_that_explains_three_crashes_is_quarantined_and_no_other() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = three_crashes(&mut view, start);
+    assert!(!refused(&mut view, start + ms(999), 9), "it has not settled");
+    assert!(refused(&mut view, last, 9));
+    for sound in [1, 2, 3, 4, 5, 6] {
+        assert!(!refused(&mut view, last, sound), "part {sound}");
+    }
+    assert_eq!(view.refresh(last), Vec::new(), "nothing has changed");
+}
+
+#[test]
+fn two_crashes_do_not_suffice() {
+    let (mut view, start) = (View::new(0.0), start());
+    for crash in 0..2 {
+        view.record_broken(broken(&format!("s{crash}"), start + ms(500) * crash, ms(100), &[9]));
+    }
+    assert!(!refused(&mut view, start + ms(5_000), 9));
+}
+
+#[test]
+fn runs_that_break_off_with_one_server_are_one_crash() {
+    let (mut view, start) = (View::new(0.0), start());
+    for run in 0..20 {
+        view.record_broken(broken("s1", start + ms(run), ms(1_000), &[9]));
+    }
+    assert!(!refused(&mut view, start + ms(5_000), 9));
+}
+
+#[test]
+fn servers_that_fail_at_once_are_one_crash() {
+    let (mut view, start) = (View::new(0.0), start());
+    for server in 0..20 {
+        view.record_broken(broken(&format!("s{server}"), start + ms(server), ms(400), &[9]));
+    }
+    assert!(!refused(&mut view, start + ms(5_000), 9));
+}
+
+#[test]
+fn outages_that_a_part_happens_to_meet_each_time_are_not_put_down_to_it() {
+    let (mut view, start) = (View::new(0.0), start());
+    for outage in 0..6 {
+        let ended = start + ms(1_000) * outage;
+        view.record_broken(broken("s0", ended, ms(100), &[9, 10]));
+        for server in 1..4 {
+            view.record_broken(broken(
+                &format!("s{server}"),
+                ended + ms(server),
+                ms(100),
+                &[server],
+            ));
+        }
+    }
+    assert!(!refused(&mut view, start + ms(9_000), 9));
+}
+
+#[test]
+fn servers_that_one_request_crashes_in_turn_are_several_crashes() {
+    let (mut view, start) = (View::new(0.0), start());
+    for server in 0..3 {
+        view.record_broken(broken(&format!("s{server}"), start + ms(50) * server, ms(40), &[9]));
+    }
+    assert!(refused(&mut view, start + SETTLED, 9));
+}
+
+#[test]
+fn a_part_that_has_been_proven_needs_one_crash_more() {
+    let (mut view, start) = (View::new(0.0), start());
+    view.record_sound(start - ms(10_000), &parts(&[9]));
+    for crash in 0..4 {
+        assert!(!refused(&mut view, start + ms(500) * crash, 9), "after {crash} crashes");
+        view.record_broken(broken(&format!("s{crash}"), start + ms(500) * crash, ms(100), &[9]));
+    }
+    assert!(refused(&mut view, start + ms(1_500), 9));
+}
+
+#[test]
+fn a_run_that_ends_well_ends_a_quarantine() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = three_crashes(&mut view, start);
+    assert!(refused(&mut view, last, 9));
+    view.record_sound(last + ms(10), &parts(&[1, 2, 9]));
+    let changes = view.refresh(last + ms(10));
+    assert_eq!(changes.len(), 1);
+    assert_eq!((changes[0].feature, changes[0].quarantine), (part(9), None));
+    assert!(!refused(&mut view, last + ms(10), 9));
+}
+
+#[test]
+fn after_a_quarantine_one_request_is_let_through_and_a_crash_renews_it() {
+    let (mut view, start) = (View::new(0.5), start());
+    let last = three_crashes(&mut view, start);
+    let over = last + QUARANTINE.mul_f64(1.5);
+    assert!(refused(&mut view, over - ms(1), 9));
+    assert!(!refused(&mut view, over, 9), "one is let through");
+    assert!(refused(&mut view, over + ms(1), 9), "no other one meanwhile");
+    view.record_broken(broken("s7", over + ms(200), ms(200), &[1, 2, 9]));
+    assert!(refused(&mut view, over + ms(200), 9));
+    assert!(refused(&mut view, over + QUARANTINE, 9));
+}
+
+#[test]
+fn hosts_that_have_seen_a_crash_each_conclude_the_same() {
+    let start = start();
+    let mut views: Vec<View> = (0..3).map(|_| View::new(0.0)).collect();
+    for (crash, view) in (0..).zip(&mut views) {
+        let ended = start + ms(500) * crash;
+        view.record_broken(broken(&format!("s{crash}"), ended, ms(100), &[1, 9]));
+        view.record_broken(broken(&format!("s{crash}"), ended, ms(300), &[1, 2]));
+    }
+    // Another host knows that part 1 is sound.
+    let mut observer = View::new(0.0);
+    let now = start + ms(1_500);
+    for view in &mut views {
+        observer.merge(now, view.next_evidence(now), Some(now));
+    }
+    observer.record_sound(now, &parts(&[1]));
+    for view in &mut views {
+        view.merge(now, observer.next_evidence(now), Some(now));
+    }
+    assert!(refused(&mut observer, now, 9));
+    // It has not announced the runs of others before they made a quarantine.
+    let evidence: Evidence = observer.next_evidence(now);
+    for view in &mut views {
+        view.merge(now, evidence.clone(), Some(now));
+        assert!(refused(view, now, 9));
+        assert!(!refused(view, now, 1));
+        assert!(!refused(view, now, 2));
+    }
+}
+
+#[test]
+fn a_host_that_starts_learns_of_a_quarantine_from_any_other_host() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = three_crashes(&mut view, start);
+    view.refresh(last);
+    // What the hosts announced at the time is gone.
+    for _ in 0..10 {
+        view.next_evidence(last);
+    }
+    let (mut late, now) = (View::new(0.0), last + ms(60_000));
+    for _ in 0..3 {
+        late.merge(now, view.next_evidence(now), Some(now));
+    }
+    assert!(refused(&mut late, now, 9));
+    assert!(!refused(&mut late, now, 1));
+}
+
+#[test]
+fn proofs_without_a_bound_on_their_age_are_ignored() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = three_crashes(&mut view, start);
+    let mut other = View::new(0.0);
+    other.merge(last, view.all_evidence(last, 10), Some(last));
+    other.record_sound(last + ms(10), &parts(&[9]));
+    view.merge(last + ms(10), other.all_evidence(last + ms(10), 10), None);
+    assert!(refused(&mut view, last + ms(10), 9));
+}
+
+#[test]
+fn a_flood_of_unrelated_crashes_does_not_end_a_quarantine() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = three_crashes(&mut view, start);
+    assert!(refused(&mut view, last, 9));
+    for run in 0..2_000 {
+        view.record_broken(broken("s9", last + ms(run), ms(5), &[1_000 + run]));
+    }
+    assert!(refused(&mut view, last + ms(2_000), 9));
+    assert!(view.all_evidence(last, usize::MAX).runs.len() <= 512);
+}
+
+quickcheck! {
+    /// Runs of a few shared parts on servers that crash at random, while every request ends well within
+    /// 800 ms elsewhere: no part is ever refused.
+    fn parts_of_requests_that_end_well_are_never_refused(crashes: Vec<(u8, u8, u8)>) -> bool {
+        let (mut view, mut now) = (View::new(0.0), start());
+        let mut ending: VecDeque<(Instant, [u64; 2])> = VecDeque::new();
+        for (server, shared, gap) in crashes {
+            now += ms(u64::from(gap) * 8);
+            while let Some((end, ids)) = ending.pop_front_if(|(end, _)| *end <= now) {
+                view.record_sound(end, &parts(&ids));
+            }
+            let ids = [1, 10 + u64::from(shared % 4)];
+            view.record_broken(broken(&format!("s{}", server % 8), now, ms(200), &ids));
+            if ids.iter().any(|id| refused(&mut view, now, *id)) {
+                return false;
+            }
+            ending.push_back((now + ms(800), ids));
+        }
+        true
+    }
+}
