--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! refused. After a while a single request is let through again.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     fmt,
     hash::{DefaultHasher, Hash, Hasher as _},
@@ -395,6 +396,8 @@
 
     /// Puts each crash down to the feature that explains the most of those not yet explained. Returns the
     /// features that explain enough, and when the next one will have settled.
+    ///
+    /// Crashes that features of different requests explain equally well are put down to none of them.
     fn judge(&self, now: Instant) -> (BTreeMap<Feature, Quarantine>, Option<Instant>) {
         let crashes = self.crashes();
         let mut explained = vec![false; crashes.len()];
@@ -406,29 +409,43 @@
                 let own = indexes.iter().copied().filter(|index| !explained[*index]);
                 let own: Vec<&Crash<'_>> = own.map(|index| &crashes[index]).collect();
                 let (quarantine, position) = explained_by(*feature, &own)?;
-                let proven = self.proofs.get(*feature).is_some();
-                let needed = if proven { MIN_CRASHES_OF_PROVEN } else { MIN_CRASHES };
-                let enough = quarantine.crashes >= needed;
-                enough.then_some((quarantine.crashes, !proven, position, *feature, quarantine))
+                let unproven = self.proofs.get(*feature).is_none();
+                let needed = if unproven { MIN_CRASHES } else { MIN_CRASHES_OF_PROVEN };
+                let rank = (quarantine.crashes, unproven);
+                (quarantine.crashes >= needed).then_some((rank, position, *feature, quarantine))
             });
-            // Of several that explain as many, one without a proof, then the last one of its request:
-            // parts in front are shared by more requests.
-            let best = explaining
-                .max_by_key(|(crashes, unproven, position, ..)| (*crashes, *unproven, *position));
-            let Some((_, _, _, feature, quarantine)) = best else { break };
+            let explaining: Vec<_> = explaining.collect();
+            let Some(most) = explaining.iter().map(|(rank, ..)| *rank).max() else { break };
+            let mut best: Vec<_> =
+                explaining.into_iter().filter(|(rank, ..)| *rank == most).collect();
+            // Parts in front are shared by more requests.
+            best.sort_by_key(|(_, position, ..)| Reverse(*position));
+            let (_, _, feature, quarantine) = best[0];
+            let ambiguous =
+                best.iter().any(|(_, _, other, _)| !self.occur_together(feature, *other));
             let settled = quarantine.first + SETTLING;
-            if settled <= now {
+            if !ambiguous && settled <= now {
                 quarantined.insert(feature, quarantine);
-            } else {
+            } else if !ambiguous {
                 settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
             }
-            for index in suspected.get(&feature).into_iter().flatten() {
+            let blamed = if ambiguous { &best[..] } else { &best[..1] };
+            for index in
+                blamed.iter().filter_map(|(_, _, feature, _)| suspected.get(feature)).flatten()
+            {
                 explained[*index] = true;
             }
         }
         (quarantined, settled_at)
     }
 
+    /// Whether a broken run has both features.
+    fn occur_together(&self, one: Feature, other: Feature) -> bool {
+        let has_both =
+            |run: &BrokenRun| run.features.contains(&one) && run.features.contains(&other);
+        one == other || self.runs.iter().any(has_both)
+    }
+
     /// Returns the crashes by time, each with the features that may have caused it.
     fn crashes(&self) -> Vec<Crash<'_>> {
         let mut runs: Vec<&BrokenRun> = self.runs.iter().collect();
@@ -484,7 +501,7 @@
 }
 
 /// Returns the positions of the crashes that each feature may have caused. Of crashes at the same time, a
-/// feature must be able to explain half: those of an outage have little in common.
+/// feature must be able to explain more than half: those of an outage have little in common.
 fn suspected_in(crashes: &[Crash<'_>]) -> BTreeMap<Feature, Vec<usize>> {
     let mut suspected: BTreeMap<Feature, Vec<usize>> = BTreeMap::new();
     for (index, crash) in crashes.iter().enumerate() {
@@ -495,7 +512,7 @@
         let together: Vec<&Crash<'_>> = before.chain(after).collect();
         for feature in crash.suspects.keys() {
             let with = together.iter().filter(|other| other.suspects.contains_key(feature)).count();
-            if with * 2 >= together.len() {
+            if with * 2 > together.len() {
                 suspected.entry(*feature).or_default().push(index);
             }
         }
