--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -57,7 +57,7 @@
     /// Returns why a request with these features may not be sent, if it may not.
     pub fn check_quarantine(&self, features: &[Feature]) -> Option<Refusal> {
         self.refresh_quarantine();
-        self.quarantine.borrow_mut().check(self.now(), features)
+        self.quarantine.borrow().check(self.now(), features)
     }
 
     /// Puts new crashes down to features, and logs what is quarantined from now on.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -331,8 +331,7 @@
     }
     admit::check_key(state, admission).map_err(|e| e.ran(ran))?;
     if let Some(refusal) = state.check_quarantine(&inbound.features) {
-        let detail = format!("{} crashes are put down to {}", refusal.crashes, refusal.feature);
-        return Err(response::retry_later(Code::Quarantined, detail, refusal.wait).ran(ran));
+        return Err(refusal.error().ran(ran));
     }
     let max_wait = match history.placements {
         0 => inbound.max_wait,
@@ -353,6 +352,7 @@
         Ok(placement) => {
             drop(balancers);
             history.placements += 1;
+            state.quarantine.borrow_mut().record_sent(now, &inbound.features);
             let instance = members::instance(&placement.member);
             let limit = state.limits.borrow().limit(&instance).map(RequestRate::per_second);
             if limit.is_some() {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -15,6 +15,7 @@
 
 use wasabi_core::{
     data,
+    errors::{Code, Error},
     units::{PoolId, ServerId},
 };
 
@@ -136,6 +137,14 @@
     pub wait: Duration,
 }
 
+impl Refusal {
+    /// Returns the error for the caller.
+    pub fn error(&self) -> Error {
+        let detail = format!("{} crashes are put down to {}", self.crashes, self.feature);
+        Error::new(Code::Quarantined, detail).retry_after(self.wait)
+    }
+}
+
 /// What this host knows of runs that broke off, and the features that are quarantined for it.
 #[derive(Debug, Default)]
 pub struct View {
@@ -274,24 +283,27 @@
     }
 
     /// Returns why a request with these features may not be sent, if one of them is quarantined. Once the
-    /// quarantine is over, a single request is let through at a time.
+    /// quarantine is over, a single request may be sent at a time.
     ///
-    /// Call [`Self::refresh`] before.
-    pub fn check(&mut self, now: Instant, features: &[Feature]) -> Option<Refusal> {
-        for feature in features {
-            let Some(quarantine) = self.quarantined.get(feature) else { continue };
+    /// Call [`Self::refresh`] before, and [`Self::record_sent`] if the request is sent.
+    pub fn check(&self, now: Instant, features: &[Feature]) -> Option<Refusal> {
+        features.iter().find_map(|feature| {
+            let quarantine = self.quarantined.get(feature)?;
             let until = quarantine.last + QUARANTINE.mul_f64(1.0 + self.spread);
             let probe = self.probes.get(feature).map(|at| *at + PROBE_TIMEOUT);
             let until = probe.map_or(until, |probe| probe.max(until));
-            if now < until {
-                let wait = until.saturating_duration_since(now);
-                return Some(Refusal { feature: *feature, crashes: quarantine.crashes, wait });
-            }
-        }
+            let wait = until.saturating_duration_since(now);
+            let refusal = Refusal { feature: *feature, crashes: quarantine.crashes, wait };
+            (!wait.is_zero()).then_some(refusal)
+        })
+    }
+
+    /// Records that a request with these features is sent: until its outcome is known, no other one with
+    /// a feature whose quarantine is just over may be sent.
+    pub fn record_sent(&mut self, now: Instant, features: &[Feature]) {
         for feature in features.iter().filter(|feature| self.quarantined.contains_key(feature)) {
             self.probes.insert(*feature, now);
         }
-        None
     }
 
     /// The quarantined features.
