--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -15,6 +15,10 @@
     NoEvent,
     /// A JSON document without a length or chunks is incomplete.
     InsideDocument,
+    /// The stream ended without the event that marks its end.
+    NoEndMarker,
+    /// The connection was reset or closed.
+    ConnectionLost,
 }
 
 impl Broken {
@@ -25,10 +29,26 @@
             Self::InsideEvent => "stream ended inside an event",
             Self::NoEvent => "stream ended without an event",
             Self::InsideDocument => "answer ended inside a document",
+            Self::NoEndMarker => "no end marker",
+            Self::ConnectionLost => "the connection broke off",
         }
     }
 }
 
+impl Broken {
+    /// Whether `cause` is that of an answer which ends as when the server's process ends.
+    pub fn is_abrupt(cause: &str) -> bool {
+        let abrupt = [
+            Self::InsideEvent,
+            Self::NoEvent,
+            Self::InsideDocument,
+            Self::NoEndMarker,
+            Self::ConnectionLost,
+        ];
+        abrupt.map(Self::cause).contains(&cause)
+    }
+}
+
 impl fmt::Display for Broken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.cause())
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use log::debug;
 use tokio::{net::TcpStream, task::AbortHandle, time};
-use wasabi_answer::{head_limit::Limited, whole};
+use wasabi_answer::{broken::Broken, head_limit::Limited, whole};
 use wasabi_core::{
     call::{Content, Framing},
     errors::{Code, Error, Ran, Result},
@@ -33,6 +33,13 @@
     pub error: Error,
 }
 
+impl Failure {
+    /// Whether the server broke the request off, so that it may have crashed.
+    pub fn may_be_crash(&self) -> bool {
+        self.sent && Broken::is_abrupt(&self.error.detail)
+    }
+}
+
 /// The head of a response, from which its body can be read; dropping it closes the connection.
 pub struct Reply {
     /// The HTTP status.
@@ -87,7 +94,8 @@
     head_limit.begin_request();
     let answering = time::timeout(limit, sender.send_request(request));
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
-    let response = response.map_err(|_| failed(Code::AnswerBroken))?;
+    let response =
+        response.map_err(|_| Failure { sent: true, error: Broken::ConnectionLost.into() })?;
     let text = |name: &str| head::single_value(response.headers(), name).ok().flatten();
     let has = |name| response.headers().contains_key(name);
     let (has_chunks, has_length) = (has(header::TRANSFER_ENCODING), has(header::CONTENT_LENGTH));
@@ -120,7 +128,7 @@
             let frame = time::timeout(limit, self.body.frame()).await;
             let frame = frame.map_err(|_| Error::new(Code::AnswerTimeout, "").ran(Ran::Unknown))?;
             let Some(frame) = frame else { return Ok(None) };
-            let frame = frame.map_err(|_| Error::new(Code::AnswerBroken, "").ran(Ran::Unknown))?;
+            let frame = frame.map_err(|_| Error::from(Broken::ConnectionLost))?;
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
--- a/crates/entry/src/buffered.rs
+++ b/crates/entry/src/buffered.rs
@@ -1,7 +1,7 @@
 //! Runs requests that may be repeated and whose answers are not streamed. `attempt` and
 //! `record_usage` also serve calls that run at most once.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use hyper::{Method, Response};
@@ -17,7 +17,7 @@
     body::ResponseBody,
     chat::{self, Chunk},
     context::Context,
-    dispatch::Grant,
+    dispatch::{Grant, Run},
     job::Job,
     response, serve,
 };
@@ -93,6 +93,24 @@
     sent: &mut bool,
 ) -> Result<CompleteAnswer, Failure> {
     let granted_at = ctx.clock.now();
+    let answered = exchange(ctx, job, grant, granted_at, sent).await;
+    match &answered {
+        Ok(_) => grant.report_run(&job.features(), Run::Sound),
+        Err(failure) if failure.may_be_crash() => {
+            grant.report_run(&job.features(), Run::Broken(granted_at));
+        }
+        Err(_) => {}
+    }
+    answered
+}
+
+async fn exchange(
+    ctx: &Context,
+    job: &Job,
+    grant: &Grant,
+    granted_at: Instant,
+    sent: &mut bool,
+) -> Result<CompleteAnswer, Failure> {
     let options = &ctx.options;
     let request = job.backend_request(Tokens(0));
     let mut reply =
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -26,6 +26,8 @@
     pub stream: bool,
     /// Hash of the first 256 bytes of the prompt.
     pub prefix_hash: u64,
+    /// Hashes of the messages that other requests may share: all but the last.
+    pub shared_messages: Vec<u64>,
     /// The prompt's length, estimated from its bytes.
     pub prompt_tokens: Tokens,
     /// The caller's limit on generated tokens, if any.
@@ -89,7 +91,19 @@
     let prompt_tokens = Tokens((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN));
     let limit = value.get("max_completion_tokens").or_else(|| value.get("max_tokens"));
     let max_tokens = limit.and_then(Value::as_u64).map(Tokens);
-    Ok(ModelRequest { body: value, model, stream, prefix_hash, prompt_tokens, max_tokens })
+    let messages = value.get("messages").and_then(Value::as_array).and_then(|all| all.split_last());
+    let shared_messages = messages.map_or(&[][..], |(_, shared)| shared).iter();
+    let shared_messages =
+        shared_messages.map(|message| hash_bytes(message.to_string().as_bytes())).collect();
+    Ok(ModelRequest {
+        body: value,
+        model,
+        stream,
+        prefix_hash,
+        shared_messages,
+        prompt_tokens,
+        max_tokens,
+    })
 }
 
 /// Renders the body for the backend server, which is to continue after the first `delivered`
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use log::info;
+use log::{info, warn};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +20,8 @@
     units::{PoolId, RequestRate, ServerId, Tokens},
 };
 use wasabi_policy::{
+    facts::Facts,
+    quarantine::{self, BrokenRun, Feature},
     scheduler::Scheduler,
     stated_limits,
     ticket::{Decision, Outcome, Ticket, TicketId},
@@ -27,6 +29,8 @@
 
 /// The most servers whose limits one message between hosts reports.
 const MAX_LIMIT_REPORTS: usize = 64;
+/// The most broken runs that one message between hosts reports, the latest ones.
+const MAX_RUN_REPORTS: usize = 64;
 /// The start time of servers, of which the product's own interface says nothing.
 const UNKNOWN_START: u64 = 0;
 
@@ -40,10 +44,19 @@
     /// Errors: `Overloaded` with a retry time, as soon as it is clear that the ticket cannot be
     /// served in time; `LimitReached` if its workspace is at its limit; `ServerUnavailable` if the
     /// pool has no servers or no host schedules it; `PeerUnavailable` if this host stops scheduling
-    /// it.
+    /// it; `Quarantined` if requests like it crash servers.
     fn request_grant(&self, ticket: Ticket) -> GrantFuture<'_>;
 }
 
+/// How a request has run on a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Run {
+    /// It ended well, or generated for long enough.
+    Sound,
+    /// The server broke it off; the request was sent at that time.
+    Broken(Instant),
+}
+
 /// The scheduler's side of a grant: takes progress reports and the end of the request.
 pub trait GrantHandle: Send + Sync {
     /// Reports how many tokens were generated since the last call.
@@ -52,6 +65,9 @@
     /// Reports what the server says of its limit in its answer to a request sent at `sent`.
     fn limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant);
 
+    /// Reports how a request with these features has run on the server.
+    fn run(&self, server: &ServerId, features: &[Feature], run: Run);
+
     /// Ends the grant and frees its capacity on the server.
     fn end(&self, outcome: Outcome);
 }
@@ -85,6 +101,13 @@
         }
     }
 
+    /// Reports how a request with these features has run on the server.
+    pub fn report_run(&self, features: &[Feature], run: Run) {
+        if let Some(handle) = &self.handle {
+            handle.run(&self.server.name, features, run);
+        }
+    }
+
     /// Ends the grant and frees its capacity on the server.
     pub fn end(mut self, outcome: Outcome) {
         if let Some(handle) = self.handle.take() {
@@ -118,6 +141,8 @@
     stops: HashMap<TicketId, CancellationToken>,
     /// The limits that servers have named to this host or, as other hosts report, to them.
     limits: stated_limits::View,
+    /// Requests that crash servers, as this host and others have seen.
+    quarantine: quarantine::View,
 }
 
 struct LocalHandle {
@@ -135,7 +160,8 @@
     /// Shares `scheduler` among the requests of this host.
     pub fn new(clock: Arc<dyn Clock>, scheduler: Scheduler) -> Self {
         let (waiting, stops, limits) = Default::default();
-        let inner = Inner { scheduler, waiting, stops, limits };
+        let quarantine = quarantine::View::new(rand::random());
+        let inner = Inner { scheduler, waiting, stops, limits, quarantine };
         Self { shared: Arc::new(Shared { clock, inner: Mutex::new(inner) }) }
     }
 
@@ -149,21 +175,25 @@
         });
     }
 
-    /// Returns what this host knows of the limits of servers, to be passed on to other hosts.
-    pub fn limit_reports(&self) -> Vec<stated_limits::Report> {
+    /// Returns what this host knows of servers and requests, to be passed on to other hosts.
+    pub fn facts(&self) -> Facts {
         let now = self.shared.clock.now();
         let inner = self.shared.inner.lock();
-        inner.limits.reports_following(now, None, MAX_LIMIT_REPORTS)
+        Facts {
+            limits: inner.limits.reports_following(now, None, MAX_LIMIT_REPORTS),
+            evidence: inner.quarantine.all_evidence(now, MAX_RUN_REPORTS),
+        }
     }
 
-    /// Merges what another host knows of the limits of servers.
-    pub fn merge_limits(&self, reports: Vec<stated_limits::Report>) {
-        if reports.is_empty() {
+    /// Merges what another host knows of servers and requests.
+    pub fn merge_facts(&self, facts: Facts) {
+        if facts == Facts::default() {
             return;
         }
         let now = self.shared.clock.now();
         let mut inner = self.shared.inner.lock();
-        for report in reports {
+        inner.quarantine.merge(now, facts.evidence, Some(now));
+        for report in facts.limits {
             let age = Duration::from_millis(report.age_ms);
             let at = now.checked_sub(age).unwrap_or(now);
             let stated = stated_limits::Statement { rate: report.rate, at };
@@ -172,6 +202,16 @@
         inner.apply_limits(now);
     }
 
+    /// Records how a request with these features has run on a server.
+    pub fn record_run(&self, server: &ServerId, features: &[Feature], run: Run) {
+        self.shared.record_run(server, features, run);
+    }
+
+    /// Fails with `Quarantined` if requests like that of the ticket crash servers.
+    pub fn check_quarantine(&self, ticket: &Ticket) -> Result<()> {
+        self.shared.check_quarantine(&ticket.features)
+    }
+
     /// Records what a server says of its limit in its answer to a request sent at `sent`.
     pub fn record_limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant) {
         self.shared.record_limit(server, rate, sent);
@@ -197,6 +237,10 @@
 impl Dispatch for LocalDispatch {
     fn request_grant(&self, ticket: Ticket) -> GrantFuture<'_> {
         let now = self.shared.clock.now();
+        if let Err(refused) = self.check_quarantine(&ticket) {
+            return Box::pin(std::future::ready(Err(refused)));
+        }
+        let features = ticket.features.clone();
         let (sender, receiver) = oneshot::channel();
         let mut id = TicketId(0);
         self.shared.apply(|inner| {
@@ -209,7 +253,11 @@
         Box::pin(async move {
             let decided = receiver.await;
             drop(guard);
-            decided.unwrap_or_else(|_| Err(Error::new(Code::Stopping, "")))
+            let grant = decided.unwrap_or_else(|_| Err(Error::new(Code::Stopping, "")))?;
+            // Others may have crashed servers while this one was queued.
+            self.shared.check_quarantine(&features)?;
+            self.shared.record_sent(&features);
+            Ok(grant)
         })
     }
 }
@@ -234,6 +282,37 @@
         }
     }
 
+    fn record_run(&self, server: &ServerId, features: &[Feature], run: Run) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        match run {
+            Run::Sound => inner.quarantine.record_sound(now, features),
+            Run::Broken(sent) => inner.quarantine.record_broken(BrokenRun {
+                id: rand::random(),
+                server: server.clone(),
+                sent,
+                ended: now,
+                features: features.to_vec(),
+            }),
+        }
+    }
+
+    fn check_quarantine(&self, features: &[Feature]) -> Result<()> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        for change in inner.quarantine.refresh(now) {
+            let (feature, crashes) = (change.feature.to_string(), change.quarantine);
+            let crashes = crashes.map_or(0, |quarantine| quarantine.crashes);
+            warn!(feature = feature.as_str(), crashes = crashes; "quarantine changed");
+        }
+        inner.quarantine.check(now, features).map_or(Ok(()), |refusal| Err(refusal.error()))
+    }
+
+    fn record_sent(&self, features: &[Feature]) {
+        let now = self.clock.now();
+        self.inner.lock().quarantine.record_sent(now, features);
+    }
+
     /// Runs `event` under the lock and carries out the decisions that it returns.
     fn apply(self: &Arc<Self>, event: impl FnOnce(&mut Inner) -> Vec<Decision>) {
         let mut undelivered = Vec::new();
@@ -296,6 +375,10 @@
         self.shared.record_limit(server, rate, sent);
     }
 
+    fn run(&self, server: &ServerId, features: &[Feature], run: Run) {
+        self.shared.record_run(server, features, run);
+    }
+
     fn end(&self, outcome: Outcome) {
         self.shared.finish(self.id, outcome);
     }
--- a/crates/entry/src/in_flight.rs
+++ b/crates/entry/src/in_flight.rs
@@ -4,9 +4,12 @@
 
 use parking_lot::Mutex;
 use wasabi_core::units::{RequestRate, ServerId, Tokens};
-use wasabi_policy::ticket::{Outcome, Ticket};
+use wasabi_policy::{
+    quarantine::Feature,
+    ticket::{Outcome, Ticket},
+};
 
-use crate::dispatch::{Dispatch, Grant, GrantFuture, GrantHandle};
+use crate::dispatch::{Dispatch, Grant, GrantFuture, GrantHandle, Run};
 
 /// Number of this host's running requests by server.
 #[derive(Default)]
@@ -82,6 +85,12 @@
         }
     }
 
+    fn run(&self, _server: &ServerId, features: &[Feature], run: Run) {
+        if let Some(grant) = self.grant.lock().as_ref() {
+            grant.report_run(features, run);
+        }
+    }
+
     fn end(&self, outcome: Outcome) {
         if let Some(grant) = self.grant.lock().take() {
             grant.end(outcome);
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -15,6 +15,7 @@
 };
 use wasabi_policy::{
     moving_average,
+    quarantine::Feature,
     ticket::{self, Ticket},
 };
 
@@ -93,11 +94,18 @@
             preemptible: streamed && self.route.repeatable,
             avoid,
             prefix: self.model_request.as_ref().map_or(NO_PROMPT_PREFIX, |call| call.prefix_hash),
+            features: self.features(),
             build,
             resumed,
         }
     }
 
+    /// Returns what the request has in common with others.
+    pub fn features(&self) -> Vec<Feature> {
+        let messages = self.model_request.as_ref().map_or(&[][..], |call| &call.shared_messages);
+        messages.iter().map(|message| Feature::part(&self.pool, *message)).collect()
+    }
+
     /// Caps an expected answer length by the limit in the request.
     fn cap_length(&self, expected: Tokens) -> Tokens {
         let limit = self.model_request.as_ref().and_then(|call| call.max_tokens);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,6 +1,9 @@
 //! Streamed answers, continued on another server when one fails or the request is preempted.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -8,6 +11,7 @@
 use tokio::{sync::oneshot, time};
 use wasabi_answer::{
     body::{self, Producer},
+    broken::Broken,
     events::Splitter,
 };
 use wasabi_core::{
@@ -22,13 +26,16 @@
     body::ResponseBody,
     chat::{self, Usage},
     context::Context,
-    dispatch::Grant,
+    dispatch::{Grant, Run},
     job::Job,
     response, serve, sse,
 };
 
 /// Parts that are buffered for a slow caller.
 const MAX_BUFFERED_PARTS: usize = 16;
+/// A server that has generated for this long does not crash for the request that it runs: those that
+/// do so crash it when it begins to generate.
+const SOUND_AFTER: Duration = Duration::from_secs(1);
 
 /// How an attempt at one server ended.
 enum AttemptEnd {
@@ -66,6 +73,7 @@
         build: None,
         usage: Usage::default(),
         sent: false,
+        generating_since: None,
     };
     tokio::spawn(task.run());
     started.await.unwrap_or_else(|_| Err(Error::new(Code::Internal, "the stream ended")))?;
@@ -93,6 +101,8 @@
     usage: Usage,
     /// Whether any byte of the request may have been sent.
     sent: bool,
+    /// When the current server sent its first event.
+    generating_since: Option<Instant>,
 }
 
 impl StreamTask {
@@ -161,6 +171,7 @@
     /// Relays the answer of the granted server until it ends or is interrupted.
     async fn attempt(&mut self, grant: &Grant) -> AttemptEnd {
         let granted_at = self.ctx.clock.now();
+        self.generating_since = None;
         let cancel = self.job.running.cancel.clone();
         let caller_gone = self.producer.caller_gone().clone();
         let stop = grant.stop.clone();
@@ -169,10 +180,29 @@
             () = cancel.cancelled() => AttemptEnd::Cancelled,
             () = caller_gone.cancelled() => AttemptEnd::CallerGone,
             () = stop.cancelled() => AttemptEnd::Preempted,
-            end = self.relay_answer(grant, granted_at) => end,
+            end = self.relay_answer(grant, granted_at) => {
+                self.report_run(grant, granted_at, &end);
+                end
+            }
         }
     }
 
+    /// Reports whether the answer of the granted server has ended well or was broken off.
+    fn report_run(&self, grant: &Grant, granted_at: Instant, end: &AttemptEnd) {
+        let generated = self
+            .generating_since
+            .map(|since| self.ctx.clock.now().saturating_duration_since(since));
+        let run = match end {
+            AttemptEnd::Complete => Run::Sound,
+            _ if generated.is_some_and(|time| time >= SOUND_AFTER) => Run::Sound,
+            AttemptEnd::ServerFailed(e) if self.sent && Broken::is_abrupt(&e.detail) => {
+                Run::Broken(granted_at)
+            }
+            _ => return,
+        };
+        grant.report_run(&self.job.features(), run);
+    }
+
     async fn relay_answer(&mut self, grant: &Grant, granted_at: std::time::Instant) -> AttemptEnd {
         let request = self.job.backend_request(self.received_tokens);
         let ctx = self.ctx.clone();
@@ -217,6 +247,7 @@
                     self.build = Some(grant.server.build.clone());
                     self.observe_first_token(granted_at);
                 }
+                self.generating_since.get_or_insert_with(|| self.ctx.clock.now());
                 grant.progress(tokens);
                 self.usage = chunk.usage.unwrap_or(self.usage);
                 self.received_tokens += tokens;
@@ -229,7 +260,7 @@
             }
             let limit = due.saturating_duration_since(time::Instant::now());
             let Some(bytes) = reply.next(limit).await? else {
-                return Err(Error::new(Code::AnswerBroken, "no end marker").ran(Ran::Unknown));
+                return Err(Broken::NoEndMarker.into());
             };
             splitter.push(&bytes)?;
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -21,8 +21,7 @@
 
 /// Whether a send failed with this cause because the server broke off, so that it may have crashed.
 fn may_be_crash(cause: &str) -> bool {
-    let broken = [Broken::InsideEvent, Broken::NoEvent, Broken::InsideDocument];
-    attempt::BROKEN_OFF.contains(&cause) || broken.map(Broken::cause).contains(&cause)
+    attempt::BROKEN_OFF.contains(&cause) || Broken::is_abrupt(cause)
 }
 
 impl State {
--- a/crates/home/src/dispatcher.rs
+++ b/crates/home/src/dispatcher.rs
@@ -20,7 +20,10 @@
     grants::{DecisionFuture, GrantHandler},
     rpc::{GrantDecision, GrantRelease, GrantRequest, Heartbeat, HeartbeatResponse},
 };
-use wasabi_policy::ticket::{Outcome, Ticket};
+use wasabi_policy::{
+    facts::Facts,
+    ticket::{Outcome, Ticket},
+};
 
 use crate::{
     cell::{self, Cell},
@@ -145,6 +148,12 @@
         }
     }
 
+    /// Fails with `Quarantined` if requests like that of the ticket crash servers, as far as this host
+    /// knows.
+    pub fn check_quarantine(&self, ticket: &Ticket) -> Result<()> {
+        self.local.check_quarantine(ticket)
+    }
+
     /// The number of grants that other hosts hold.
     pub fn issued_grant_count(&self) -> usize {
         self.grants.lock().by_id.len()
@@ -169,7 +178,7 @@
         if self.live.can_hand_over() {
             return GrantDecision::Leaving;
         }
-        self.local.merge_limits(ask.limits);
+        self.local.merge_facts(ask.facts);
         let cell = ask.ticket.pool.clone();
         let tier = ask.ticket.tier;
         let decided: Result<Grant> = self.ask_local(ask.ticket).await;
@@ -195,7 +204,7 @@
     }
 
     fn heartbeat(&self, beat: Heartbeat) -> HeartbeatResponse {
-        self.local.merge_limits(beat.limits);
+        self.local.merge_facts(beat.facts);
         let now = self.clock.now();
         let mut grants = self.grants.lock();
         let mut answer = HeartbeatResponse::default();
@@ -210,8 +219,16 @@
         answer
     }
 
+    fn facts(&self) -> Facts {
+        self.local.facts()
+    }
+
+    fn merge_facts(&self, facts: Facts) {
+        self.local.merge_facts(facts);
+    }
+
     fn release_grant(&self, done: GrantRelease) {
-        self.local.merge_limits(done.limits);
+        self.local.merge_facts(done.facts);
         let issued = self.grants.lock().by_id.remove(&(done.from, done.grant));
         if let Some(issued) = issued {
             issued.grant.progress(Tokens(done.tokens));
--- a/crates/home/src/grant_client.rs
+++ b/crates/home/src/grant_client.rs
@@ -56,6 +56,8 @@
     }
 
     async fn ask_candidates(&self, ticket: Ticket) -> Result<Grant> {
+        // An owner that has just taken the cell over may not know of it.
+        self.dispatcher.check_quarantine(&ticket)?;
         let mut cells = self.dispatcher.cells_of(&ticket.pool);
         if let Some(build) = &ticket.build {
             cells.retain(|cell| cell.servers.iter().any(|server| server.build == *build));
--- a/crates/home/src/remote_grants.rs
+++ b/crates/home/src/remote_grants.rs
@@ -18,12 +18,15 @@
     io::Host,
     units::{HostId, Incarnation, RequestRate, ServerId, Tokens},
 };
-use wasabi_entry::dispatch::{Grant, GrantHandle, LocalDispatch};
+use wasabi_entry::dispatch::{Grant, GrantHandle, LocalDispatch, Run};
 use wasabi_peer::{
     client,
     rpc::{GrantDecision, GrantRelease, GrantRequest, Heartbeat},
 };
-use wasabi_policy::ticket::{Outcome, Ticket};
+use wasabi_policy::{
+    quarantine::Feature,
+    ticket::{Outcome, Ticket},
+};
 
 /// After this many heartbeats have failed in a row, an owner counts as unavailable.
 const MISSED_HEARTBEATS_LIMIT: u32 = 2;
@@ -48,7 +51,7 @@
     runtime: Handle,
     me: Incarnation,
     clients: Arc<client::PeerClients>,
-    /// Knows what servers have told this host of their limits.
+    /// Knows what this host has learned of servers and requests.
     local: Arc<LocalDispatch>,
     owners: Mutex<HashMap<HostId, Arc<Owner>>>,
 }
@@ -96,8 +99,7 @@
         let owner = self.owner(host);
         owner.waiting.fetch_add(1, Ordering::Relaxed);
         let _guard = WaitingGuard(&owner);
-        let limits = self.local.limit_reports();
-        let ask = GrantRequest { from: self.me.clone(), ticket, limits };
+        let ask = GrantRequest { from: self.me.clone(), ticket, facts: self.local.facts() };
         let mut missed = owner.missed_heartbeats.subscribe();
         let decided = tokio::select! {
             decided = self.clients.request_grant(host.peer, ask) => decided,
@@ -147,8 +149,7 @@
                 .map(|(number, held)| (*number, held.tokens.swap(0, Ordering::Relaxed)))
                 .collect()
         };
-        let heartbeat =
-            Heartbeat { from: self.me.clone(), grants, limits: self.local.limit_reports() };
+        let heartbeat = Heartbeat { from: self.me.clone(), grants, facts: self.local.facts() };
         match self.clients.heartbeat(owner.host.peer, heartbeat).await {
             Ok(answer) => {
                 owner.missed_heartbeats.send_replace(0);
@@ -211,12 +212,16 @@
         self.remote_grants.local.record_limit(server, rate, sent);
     }
 
+    fn run(&self, server: &ServerId, features: &[Feature], run: Run) {
+        self.remote_grants.local.record_run(server, features, run);
+    }
+
     fn end(&self, outcome: Outcome) {
         self.owner.grants.lock().remove(&self.number);
         let tokens = self.held.tokens.swap(0, Ordering::Relaxed);
         let from = self.remote_grants.me.clone();
-        let limits = self.remote_grants.local.limit_reports();
-        let done = GrantRelease { from, grant: self.number, tokens, outcome, limits };
+        let facts = self.remote_grants.local.facts();
+        let done = GrantRelease { from, grant: self.number, tokens, outcome, facts };
         let (remote_grants, peer) = (self.remote_grants.clone(), self.owner.host.peer);
         // If the message is lost, the grant expires at its owner.
         self.remote_grants
--- a/crates/home/tests/heartbeats.rs
+++ b/crates/home/tests/heartbeats.rs
@@ -23,6 +23,7 @@
     server::{self, Service},
 };
 use wasabi_policy::{
+    facts::Facts,
     scheduler::{Options, Scheduler},
     ticket::Ticket,
 };
@@ -47,6 +48,12 @@
         HeartbeatResponse::default()
     }
 
+    fn facts(&self) -> Facts {
+        Facts::default()
+    }
+
+    fn merge_facts(&self, _: Facts) {}
+
     fn release_grant(&self, _done: GrantRelease) {}
 }
 
@@ -65,6 +72,7 @@
         preemptible: false,
         avoid: None,
         prefix: 0,
+        features: Vec::new(),
         build: None,
         resumed: false,
     }
--- a/crates/node/src/components.rs
+++ b/crates/node/src/components.rs
@@ -202,7 +202,12 @@
         Self {
             usage_lease: lease("usage", false),
             upkeep_lease: lease("upkeep", false),
-            gossip: Arc::new(Gossip::new(peer_clients, config.clone(), incarnation)),
+            gossip: Arc::new(Gossip::new(
+                peer_clients,
+                config.clone(),
+                incarnation,
+                dispatcher.clone(),
+            )),
             flusher: Arc::new(flusher),
             reporter: Arc::new(reporter),
             order_lease,
--- a/crates/node/src/failure_detector.rs
+++ b/crates/node/src/failure_detector.rs
@@ -32,8 +32,11 @@
     /// Returns the incarnation that answers at the process's address, if any does. Blocks until the
     /// call ends.
     fn incarnation_at_address(&self, process: &Process) -> Option<Incarnation> {
-        let greeting =
-            Greeting { incarnation: self.own_incarnation.clone(), revision: Default::default() };
+        let greeting = Greeting {
+            incarnation: self.own_incarnation.clone(),
+            revision: Default::default(),
+            facts: Default::default(),
+        };
         let call = self.peer_clients.hello(process.peer, greeting);
         self.runtime.block_on(call).ok().map(|answer| answer.incarnation)
     }
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Spreads the configuration between hosts by anti-entropy gossip, and detects isolation.
+//! Spreads the configuration, and what hosts know of servers and requests, by anti-entropy gossip, and detects isolation.
 //!
 //! Each round contacts one random host, so the load per host does not grow with the number of
 //! hosts, and an update reaches all hosts in a number of rounds that grows with the logarithm of
@@ -17,6 +17,7 @@
 
 use crate::{
     client::PeerClients,
+    grants::GrantHandler,
     rpc::{Greeting, StateUpdate},
 };
 
@@ -30,6 +31,8 @@
     clients: Arc<PeerClients>,
     config: Arc<CurrentState>,
     incarnation: Incarnation,
+    /// What this host knows of servers and requests goes with the greetings.
+    grants: Arc<dyn GrantHandler>,
     /// Whether each of the last rounds was answered; at most `RECENT_ROUNDS`.
     answered: Mutex<VecDeque<bool>>,
 }
@@ -40,8 +43,9 @@
         clients: Arc<PeerClients>,
         config: Arc<CurrentState>,
         incarnation: Incarnation,
+        grants: Arc<dyn GrantHandler>,
     ) -> Self {
-        Self { clients, config, incarnation, answered: Mutex::default() }
+        Self { clients, config, incarnation, grants, answered: Mutex::default() }
     }
 
     /// Contacts a random one of `hosts` and takes over its configuration if that is newer.
@@ -94,7 +98,10 @@
     async fn hello(&self, peer: SocketAddr) -> Result<Greeting> {
         let revision = self.config.get().revision;
         let incarnation = self.incarnation.clone();
-        self.clients.hello(peer, Greeting { incarnation, revision }).await
+        let facts = self.grants.facts();
+        let theirs = self.clients.hello(peer, Greeting { incarnation, revision, facts }).await?;
+        self.grants.merge_facts(theirs.facts.clone());
+        Ok(theirs)
     }
 
     async fn sync_with(&self, peer: SocketAddr) -> Result<()> {
--- a/crates/peer/src/grants.rs
+++ b/crates/peer/src/grants.rs
@@ -2,6 +2,8 @@
 
 use std::{future::Future, pin::Pin};
 
+use wasabi_policy::facts::Facts;
+
 use crate::rpc::{GrantDecision, GrantRelease, GrantRequest, Heartbeat, HeartbeatResponse};
 
 /// The future of a decision; dropping it withdraws the ticket.
@@ -15,6 +17,12 @@
     /// Handles a heartbeat from the holder of grants.
     fn heartbeat(&self, beat: Heartbeat) -> HeartbeatResponse;
 
+    /// Returns what this host knows of servers and requests.
+    fn facts(&self) -> Facts;
+
+    /// Merges what another host knows of servers and requests.
+    fn merge_facts(&self, facts: Facts);
+
     /// Releases a grant.
     fn release_grant(&self, done: GrantRelease);
 }
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -9,7 +9,7 @@
     units::{Incarnation, Revision},
 };
 use wasabi_policy::{
-    stated_limits,
+    facts::Facts,
     ticket::{Outcome, Ticket},
 };
 
@@ -20,6 +20,9 @@
         pub incarnation: Incarnation,
         /// The revision in force on the host.
         pub revision: Revision,
+        /// What the host knows of servers and requests.
+        #[serde(flatten)]
+        pub facts: Facts,
     }
 
     /// A request for a grant, sent to the owner of the cell that the ticket names.
@@ -29,9 +32,9 @@
         /// The ticket; its field `pool` holds the name of the cell, which is that of the pool only
         /// if the pool has a single cell.
         pub ticket: Ticket,
-        /// What the process knows of the limits of servers.
-        #[serde(default)]
-        pub limits: Vec<stated_limits::Report>,
+        /// What the process knows of servers and requests.
+        #[serde(flatten)]
+        pub facts: Facts,
     }
 
     /// The owner's decision on a ticket.
@@ -66,9 +69,9 @@
         pub from: Incarnation,
         /// The number of each grant, with the tokens generated since the last heartbeat.
         pub grants: Vec<(u64, u64)>,
-        /// What the process knows of the limits of servers.
-        #[serde(default)]
-        pub limits: Vec<stated_limits::Report>,
+        /// What the process knows of servers and requests.
+        #[serde(flatten)]
+        pub facts: Facts,
     }
 
     /// The owner's response to a heartbeat.
@@ -88,9 +91,9 @@
         pub tokens: u64,
         /// How the request ended.
         pub outcome: Outcome,
-        /// What the process knows of the limits of servers.
-        #[serde(default)]
-        pub limits: Vec<stated_limits::Report>,
+        /// What the process knows of servers and requests.
+        #[serde(flatten)]
+        pub facts: Facts,
     }
 
     /// Configuration changes for a host that lags behind.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -40,16 +40,17 @@
         Self { incarnation, config, grants }
     }
 
-    /// Returns this host's identity and revision.
+    /// Returns this host's identity, its revision and what it knows of servers and requests.
     pub fn greeting(&self) -> Greeting {
         let revision = self.config.get().revision;
-        Greeting { incarnation: self.incarnation.clone(), revision }
+        Greeting { incarnation: self.incarnation.clone(), revision, facts: self.grants.facts() }
     }
 }
 
 #[async_trait]
 impl PeerServer for Service {
-    async fn hello(&self, _from: Greeting) -> RpcResult<Greeting> {
+    async fn hello(&self, from: Greeting) -> RpcResult<Greeting> {
+        self.grants.merge_facts(from.facts);
         Ok(self.greeting())
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod balancer;
 pub mod capacity;
+pub mod facts;
 pub mod failures;
 pub mod limits;
 pub mod load_report;
--- a/crates/policy/src/ticket.rs
+++ b/crates/policy/src/ticket.rs
@@ -10,6 +10,8 @@
     units::{Build, ClassId, PoolId, ServerId, TokenRate, Tokens, WorkspaceId},
 };
 
+use crate::quarantine::Feature;
+
 quantity!(
     /// The id of a ticket, unique within its scheduler.
     TicketId
@@ -46,6 +48,9 @@
         /// A hash of its prompt prefix; equal prefixes prefer the same server, which may have them
         /// cached.
         pub prefix: u64,
+        /// What the request has in common with others.
+        #[serde(default)]
+        pub features: Vec<Feature>,
         /// The only software version that may run it, if it goes on with what a server generated.
         #[serde(default)]
         pub build: Option<Build>,
--- a/crates/policy/tests/schedules.rs
+++ b/crates/policy/tests/schedules.rs
@@ -121,6 +121,7 @@
             preemptible: step.preemptible,
             avoid: None,
             prefix: 0,
+            features: Vec::new(),
             build: None,
             resumed: false,
         };
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -50,6 +50,7 @@
         preemptible: false,
         avoid: None,
         prefix: 0,
+        features: Vec::new(),
         build: version.map(build),
         resumed: version.is_some(),
     }
