--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,12 +3,14 @@
 
 use std::time::Instant;
 
+use hyper::http::request::Parts;
 use log::{info, warn};
 use wasabi_answer::broken::Broken;
 use wasabi_core::{call::RequestHead, units::PoolId};
 use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
 
 use crate::{
+    admit::Admission,
     attempt,
     state::{PlacementGuard, State},
 };
@@ -19,6 +21,13 @@
     parts.iter().map(|part| Feature::part(service, part.id)).collect()
 }
 
+/// Returns what tells a request apart from others and stays the same when its caller sends it again.
+pub fn content(admission: &Admission, parts: &Parts, body: &[u8]) -> Feature {
+    let target = parts.uri.path_and_query().map(|target| target.as_str());
+    let content = (&admission.workspace, parts.method.as_str(), target, body);
+    Feature::request(&admission.service, content)
+}
+
 /// Whether a send failed with this cause because the server broke off, so that it may have crashed.
 fn may_be_crash(cause: &str) -> bool {
     attempt::BROKEN_OFF.contains(&cause) || Broken::is_abrupt(cause)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -64,6 +64,8 @@
     pub max_wait: Duration,
     /// What the request has in common with others.
     pub features: Vec<Feature>,
+    /// The same for requests of one caller with the same method, path and body.
+    pub content: Feature,
 }
 
 /// Handles a request; errors become error responses.
@@ -113,7 +115,18 @@
         || head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
     let max_wait = wait_limit::max_wait(&admission.catalog, &admission.route, time_limit, is_retry);
     let features = quarantine::features(&admission.service, &head);
-    Ok(AdmittedRequest { parts, head, body, arrived, admission, deadline, max_wait, features })
+    let content = quarantine::content(&admission, &parts, &body);
+    Ok(AdmittedRequest {
+        parts,
+        head,
+        body,
+        arrived,
+        admission,
+        deadline,
+        max_wait,
+        features,
+        content,
+    })
 }
 
 /// Sends a request; a stream that the caller takes up goes to the service and the software version at
@@ -378,6 +391,7 @@
                 rank = admission.rank, urgency = admission.urgency,
                 version = admission.catalog.version.0, limit = limit,
                 build = placement.member.build.as_str(),
+                content = inbound.content.to_string().as_str(),
                 resumes = inbound.head.resumes.as_deref().unwrap_or_default(),
                 after = history.last_cause, resumed_after = last_event.or(inbound.head.last_event).unwrap_or(0); "placed");
             Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -60,8 +60,8 @@
 
 /// Logs and counts a failed send; `ran` says whether the server ran the request, `received` what
 /// arrived of a stream that broke off. The line names the parts of the prompt that other requests may
-/// share, so that it shows what requests that failed together have in common, and the features by which
-/// quarantine tells requests apart.
+/// share, so that it shows what requests that failed together have in common, the features by which
+/// quarantine tells requests apart, and what shows that two requests are the same one.
 pub fn log_failed_send(
     state: &State,
     inbound: &AdmittedRequest,
@@ -84,7 +84,8 @@
         framing = received.map_or("", |received| received.framing.name()),
         events = received.map_or(0, |received| received.events),
         partial_bytes = received.map_or(0, |received| received.partial_bytes),
-        parts = parts.join(",").as_str(), features = features.join(",").as_str(); "send failed");
+        parts = parts.join(",").as_str(), features = features.join(",").as_str(),
+        content = inbound.content.to_string().as_str(); "send failed");
 }
 
 /// Logs and counts a request that the gateway ends with an error, or a stream that it cannot
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -197,6 +197,12 @@
         Self::hash((service, id))
     }
 
+    /// A request with this content: what stays the same when it comes again, such as its caller, path
+    /// and body.
+    pub fn request(service: &PoolId, content: impl Hash) -> Self {
+        Self::hash((service, content))
+    }
+
     fn hash(content: impl Hash) -> Self {
         let mut hasher = DefaultHasher::new();
         content.hash(&mut hasher);
