--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,7 +1,13 @@
 //! Stand-in for a backend server of plain calls; it records every execution, so that tests can find
 //! calls that ran more than once.
 
-use std::{io::Write as _, net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    io::Write as _,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -23,6 +29,9 @@
     pub cut_response: bool,
     /// Delay of the response after the execution.
     pub response_delay: Duration,
+    /// A call whose path, headers or body contain this text is executed and gets no response, as if it
+    /// had crashed the service.
+    pub fatal_text: Option<String>,
 }
 
 /// An executed call.
@@ -32,6 +41,8 @@
     pub idempotency_key: String,
     /// The received URL, headers and body.
     pub request_text: String,
+    /// When it was received.
+    pub at: Instant,
 }
 
 /// A running service; it stops listening when dropped.
@@ -93,14 +104,16 @@
             request.headers().iter().find(|header| header.field.equiv("idempotency-key"));
         let idempotency_key =
             idempotency_key.map_or_else(String::new, |header| header.value.to_string());
+        let fatal_text = self.faults.lock().fatal_text.clone();
+        let is_fatal = fatal_text.is_some_and(|fatal| request_text.contains(fatal.as_str()));
         let receipt = {
             let mut executions = self.executions.lock();
-            executions.push(Execution { idempotency_key, request_text });
+            executions.push(Execution { idempotency_key, request_text, at: Instant::now() });
             executions.len()
         };
         let faults = self.faults.lock().clone();
         thread::sleep(faults.response_delay);
-        if faults.lose_response {
+        if faults.lose_response || is_fatal {
             drop(request.into_writer());
             return;
         }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -222,3 +222,68 @@
     assert_half_begin(&sent, begin + Duration::from_secs(5));
     Ok(())
 }
+
+/// Crashes that are needed as evidence against a request.
+const REQUEST_CRASHES: usize = 3;
+
+/// A plain request that crashes servers: always the same but for its id.
+fn fatal_call(method: &str, path: &str, number: usize) -> Request {
+    let body = if method == "GET" { Vec::new() } else { b"fatal".to_vec() };
+    Request { body, ..Request::new(method, path, &format!("fatal{number}")) }
+}
+
+/// Sends a request that crashes servers again and again, beside sound ones of the same caller and route,
+/// and checks that servers are spared and sound requests served.
+fn assert_servers_are_spared_a_request(
+    method: &str,
+    path: &str,
+    interval: Duration,
+) -> anyhow::Result<()> {
+    let (mut rig, gateways) = rig_with_hosts()?;
+    rig.add_server("p3", "app", false)?;
+    for (server, _) in &rig.servers {
+        server.set_fatal(|arrival| arrival.target.ends_with("/fatal"));
+    }
+    let end = Instant::now() + CONTACT * 4;
+    let fatal_path = format!("{path}fatal");
+    let (fatal, sound) = thread::scope(|scope| {
+        let fatal = scope.spawn(|| {
+            let next = |number| fatal_call(method, &fatal_path, number);
+            send_each(&gateways, interval, end, next)
+        });
+        let sound = scope.spawn(|| {
+            send_each(&gateways, Duration::from_millis(40), end, |number| {
+                Request::new(method, &format!("{path}{}", number % 50), &format!("sound{number}"))
+            })
+        });
+        (fatal.join().expect("no panic"), sound.join().expect("no panic"))
+    });
+    let known = crashes(&rig)[REQUEST_CRASHES - 1] + CONTACT;
+    let late = late_arrivals(&rig, REQUEST_CRASHES, |arrival| arrival.target.ends_with("/fatal"));
+    assert!(late <= MAX_LATE_ARRIVALS, "the fatal request reached servers {late} times");
+    let after: Vec<&Response> = fatal.since(known + CONTACT).collect();
+    assert!(!after.is_empty(), "it still comes");
+    for answer in after {
+        assert_eq!((answer.status, answer.complete), (503, true), "{answer:?}");
+        assert!(answer.body.contains("1207"), "{answer:?}");
+        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+    }
+    assert_half_begin(&sound, known + CONTACT);
+    Ok(())
+}
+
+#[test]
+fn a_repeatable_request_that_crashes_servers_is_not_sent_on() -> anyhow::Result<()> {
+    assert_servers_are_spared_a_request("GET", "/read/", Duration::from_millis(400))
+}
+
+#[test]
+fn a_request_that_may_run_once_and_crashes_servers_is_not_sent_on_when_it_comes_again()
+-> anyhow::Result<()> {
+    assert_servers_are_spared_a_request("POST", "/write/", Duration::from_millis(300))
+}
+
+#[test]
+fn a_stream_that_crashes_servers_is_not_sent_on_when_it_comes_again() -> anyhow::Result<()> {
+    assert_servers_are_spared_a_request("POST", "/chat/", Duration::from_millis(300))
+}
