--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -100,10 +100,13 @@
         }
     }
 
-    /// Returns what the request has in common with others.
+    /// Returns what the request has in common with others: the messages of its prompt that others may share,
+    /// and what stays the same when its caller sends it again.
     pub fn features(&self) -> Vec<Feature> {
         let messages = self.model_request.as_ref().map_or(&[][..], |call| &call.shared_messages);
-        messages.iter().map(|message| Feature::part(&self.pool, *message)).collect()
+        let messages = messages.iter().map(|message| Feature::part(&self.pool, *message));
+        let content = (&self.workspace.name, self.method.as_str(), &self.target, &self.body[..]);
+        messages.chain([Feature::request(&self.pool, content)]).collect()
     }
 
     /// Caps an expected answer length by the limit in the request.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,19 +6,28 @@
 use hyper::http::request::Parts;
 use log::{info, warn};
 use wasabi_answer::broken::Broken;
-use wasabi_core::{call::RequestHead, units::PoolId};
 use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
 
 use crate::{
     admit::Admission,
     attempt,
+    relay::AdmittedRequest,
     state::{PlacementGuard, State},
 };
 
-/// Returns what a request for a service has in common with others.
-pub fn features(service: &PoolId, head: &RequestHead) -> Vec<Feature> {
-    let parts = head.prompt.as_ref().map_or(&[][..], |prompt| prompt.shared_parts());
-    parts.iter().map(|part| Feature::part(service, part.id)).collect()
+/// Returns what a request has in common with others: the parts of its prompt that others may share, and what
+/// stays the same when its caller sends it again. A caller may send prompts in heads whose bodies are
+/// all alike, so a request with a prompt is told apart with and without it.
+pub fn features(request: &AdmittedRequest) -> Vec<Feature> {
+    let service = &request.admission.service;
+    let prompt = request.head.prompt.as_ref();
+    let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+    let parts = shared.iter().map(|part| Feature::part(service, part.id));
+    let exact = prompt.map(|prompt| {
+        let ids: Vec<u64> = prompt.parts.iter().map(|part| part.id).collect();
+        Feature::request(service, (request.content, ids))
+    });
+    parts.chain([request.content]).chain(exact).collect()
 }
 
 /// Returns what tells a request apart from others and stays the same when its caller sends it again.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -62,7 +62,7 @@
     /// The first placement is refused if a longer wait is expected, for the first event of a stream
     /// or for a plain response.
     pub max_wait: Duration,
-    /// What the request has in common with others.
+    /// What the request has in common with others; known once the service is.
     pub features: Vec<Feature>,
     /// The same for requests of one caller with the same method, path and body.
     pub content: Feature,
@@ -114,7 +114,6 @@
     let is_retry = head.resumes.is_some()
         || head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
     let max_wait = wait_limit::max_wait(&admission.catalog, &admission.route, time_limit, is_retry);
-    let features = quarantine::features(&admission.service, &head);
     let content = quarantine::content(&admission, &parts, &body);
     Ok(AdmittedRequest {
         parts,
@@ -124,7 +123,7 @@
         admission,
         deadline,
         max_wait,
-        features,
+        features: Vec::new(),
         content,
     })
 }
@@ -138,10 +137,12 @@
     let origin = origin::find(state, &inbound).await.and_then(|origin| {
         if let Some(origin) = &origin {
             admit::choose_service(&mut inbound.admission, &origin.service)?;
-            inbound.features = quarantine::features(&origin.service, &inbound.head);
+            let AdmittedRequest { admission, parts, body, .. } = &inbound;
+            inbound.content = quarantine::content(admission, parts, body);
         }
         Ok(origin)
     });
+    inbound.features = quarantine::features(&inbound);
     match origin {
         Ok(origin) => {
             let build = origin.map(|origin| origin.build);
