--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -27,16 +27,25 @@
 /// The first crash must be this long ago: by then, runs of a sound feature that began meanwhile have ended
 /// well, and hosts have told each other.
 const SETTLING: Duration = Duration::from_millis(1_000);
-/// Crashes of several servers within this time count as one, unless a request was sent after one and
-/// met the next: a failure of their machine or network takes many servers at once.
+/// Crashes of several servers within this time are of one moment, unless a request was sent after one
+/// and met the next: a failure of their machine or network takes many servers at once.
 const SIMULTANEOUS: Duration = Duration::from_millis(200);
 /// A run that breaks off this long after a crash of its server belongs to another one.
 const CRASH_SPREAD: Duration = Duration::from_millis(2_000);
 /// The least time from the last crash until a request with a quarantined feature is let through; twice
 /// that on the host that waits longest.
 pub const QUARANTINE: Duration = Duration::from_secs(300);
+/// The same for a feature that is not alone in explaining its crashes, or all of whose crashes are of one
+/// moment, which may have been an outage.
+pub const PROVISIONAL_QUARANTINE: Duration = Duration::from_secs(5);
+/// How many times longer the host that waits longest then waits than the first one.
+const PROVISIONAL_SPREAD: f64 = 10.0;
+/// The most features of different requests that are quarantined for the same crashes.
+const MAX_EQUAL: usize = 3;
 /// How long the outcome of a request that was let through is awaited before the next one.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The least time between two judgements of what other hosts tell, several times a second each.
+const MIN_JUDGE_INTERVAL: Duration = Duration::from_millis(20);
 /// Broken runs are forgotten after this time.
 const RETENTION: Duration = Duration::from_secs(3_600);
 /// The most broken runs that are kept.
@@ -109,8 +118,13 @@
 /// Why a feature is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quarantine {
-    /// The crashes that it explains; simultaneous ones count once.
+    /// The crashes that it explains. Those of one moment count once if runs with it have ended well
+    /// before: with a feature that many requests have, an outage breaks runs on many servers.
     pub crashes: usize,
+    /// The moments of these crashes.
+    moments: usize,
+    /// Whether features of other requests explain the crashes as well.
+    ambiguous: bool,
     /// When the first of them was.
     first: Instant,
     /// When the last of them was.
@@ -148,8 +162,7 @@
 /// What this host knows of runs that broke off, and the features that are quarantined for it.
 #[derive(Debug, Default)]
 pub struct View {
-    /// From 0 to 1: how much longer than [`QUARANTINE`] this host waits, so that hosts try one after
-    /// the other.
+    /// From 0 to 1: how long this host waits after a quarantine, so that hosts try one after the other.
     spread: f64,
     /// In the order in which they became known.
     runs: VecDeque<BrokenRun>,
@@ -159,6 +172,10 @@
     probes: BTreeMap<Feature, Instant>,
     /// Whether anything has changed since the crashes were last put down to features.
     stale: bool,
+    /// The same for what other hosts have told.
+    told: bool,
+    /// When the crashes were last put down to features.
+    judged_at: Option<Instant>,
     /// When a feature that explains enough crashes will have settled.
     settled_at: Option<Instant>,
     announcements: Announcements,
@@ -225,7 +242,7 @@
     /// Records a run of this host that its server broke off; it will be announced.
     pub fn record_broken(&mut self, run: BrokenRun) {
         self.announcements.runs.push_back((run.id, REPEATS));
-        self.add(run);
+        self.stale |= self.add(run);
     }
 
     /// Records that a run with these features has ended well, or has generated for long enough.
@@ -251,24 +268,31 @@
             let ages = ago(now, report.sent_ms).zip(ago(now, report.ended_ms));
             let Some((sent, ended)) = ages else { continue };
             let RunReport { id, server, features, .. } = report;
-            self.add(BrokenRun { id, server, sent, ended, features });
+            if self.runs.iter().all(|run| run.id != id) {
+                // The host that announces the run may not know that others have cleared its features.
+                let proven = features.iter().filter(|feature| self.proofs.get(**feature).is_some());
+                self.announcements.proofs.extend(proven.map(|feature| (*feature, REPEATS)));
+            }
+            self.told |= self.add(BrokenRun { id, server, sent, ended, features });
         }
         for report in evidence.proofs {
             let made = earliest_send.and_then(|from| ago(from, report.age_ms));
             let Some(made) = made else { continue };
             if self.proofs.get(report.feature).is_none_or(|known| known < made) {
                 self.proofs.record(report.feature, made);
-                self.stale = true;
+                self.announcements.proofs.remove(&report.feature);
+                self.told = true;
             }
         }
     }
 
     /// Puts the crashes that are known down to features; returns whose quarantine has begun or ended.
     pub fn refresh(&mut self, now: Instant) -> Vec<Change> {
-        if !self.stale && self.settled_at.is_none_or(|at| now < at) {
+        let told = self.told && self.judged_at.is_none_or(|at| now >= at + MIN_JUDGE_INTERVAL);
+        if !self.stale && !told && self.settled_at.is_none_or(|at| now < at) {
             return Vec::new();
         }
-        self.stale = false;
+        (self.stale, self.told, self.judged_at) = (false, false, Some(now));
         self.forget(now);
         let (quarantined, settled_at) = self.judge(now);
         self.settled_at = settled_at;
@@ -295,7 +319,7 @@
     pub fn check(&self, now: Instant, features: &[Feature]) -> Option<Refusal> {
         features.iter().find_map(|feature| {
             let quarantine = self.quarantined.get(feature)?;
-            let until = quarantine.last + QUARANTINE.mul_f64(1.0 + self.spread);
+            let until = quarantine.last + quarantine.length(self.spread);
             let probe = self.probes.get(feature).map(|at| *at + PROBE_TIMEOUT);
             let until = probe.map_or(until, |probe| probe.max(until));
             let wait = until.saturating_duration_since(now);
@@ -385,9 +409,10 @@
         Some(ProofReport { feature, age_ms: age.as_millis() as u64 })
     }
 
-    fn add(&mut self, mut run: BrokenRun) {
+    /// Adds a run; returns whether it is new.
+    fn add(&mut self, mut run: BrokenRun) -> bool {
         if run.features.is_empty() || self.runs.iter().any(|known| known.id == run.id) {
-            return;
+            return false;
         }
         run.features.truncate(MAX_FEATURES);
         if self.runs.len() >= MAX_RUNS {
@@ -395,7 +420,7 @@
             self.runs.remove(unrelated.unwrap_or(0));
         }
         self.runs.push_back(run);
-        self.stale = true;
+        true
     }
 
     /// Forgets old runs and those whose features are all cleared.
@@ -415,7 +440,8 @@
     /// Puts each crash down to the feature that explains the most of those not yet explained. Returns the
     /// features that explain enough, and when the next one will have settled.
     ///
-    /// Crashes that features of different requests explain equally well are put down to none of them.
+    /// Crashes that features of a few different requests explain equally well are put down to each of
+    /// them for a while; those of many to none, as in an outage.
     fn judge(&self, now: Instant) -> (BTreeMap<Feature, Quarantine>, Option<Instant>) {
         let crashes = self.crashes();
         let mut explained = vec![false; crashes.len()];
@@ -423,11 +449,12 @@
         let mut quarantined = BTreeMap::new();
         let mut settled_at: Option<Instant> = None;
         loop {
-            let explaining = suspected.iter().filter_map(|(feature, indexes)| {
+            let often = suspected.iter().filter(|(_, indexes)| indexes.len() >= MIN_CRASHES);
+            let explaining = often.filter_map(|(feature, indexes)| {
                 let own = indexes.iter().copied().filter(|index| !explained[*index]);
                 let own: Vec<&Crash<'_>> = own.map(|index| &crashes[index]).collect();
-                let (quarantine, position) = explained_by(*feature, &own)?;
                 let unproven = self.proofs.get(*feature).is_none();
+                let (quarantine, position) = explained_by(*feature, unproven, &own)?;
                 let needed = if unproven { MIN_CRASHES } else { MIN_CRASHES_OF_PROVEN };
                 let rank = (quarantine.crashes, unproven);
                 (quarantine.crashes >= needed).then_some((rank, position, *feature, quarantine))
@@ -438,20 +465,25 @@
                 explaining.into_iter().filter(|(rank, ..)| *rank == most).collect();
             // Parts in front are shared by more requests.
             best.sort_by_key(|(_, position, ..)| Reverse(*position));
-            let (_, _, feature, quarantine) = best[0];
-            let ambiguous =
-                best.iter().any(|(_, _, other, _)| !self.occur_together(feature, *other));
-            let settled = quarantine.first + SETTLING;
-            if !ambiguous && settled <= now {
-                quarantined.insert(feature, quarantine);
-            } else if !ambiguous {
-                settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
+            // One of each request.
+            let mut blamed: Vec<(Feature, Quarantine)> = Vec::new();
+            for (_, _, feature, quarantine) in best {
+                if blamed.iter().all(|(other, _)| !self.occur_together(feature, *other)) {
+                    blamed.push((feature, quarantine));
+                }
             }
-            let blamed = if ambiguous { &best[..] } else { &best[..1] };
-            for index in
-                blamed.iter().filter_map(|(_, _, feature, _)| suspected.get(feature)).flatten()
-            {
-                explained[*index] = true;
+            let ambiguous = blamed.len() > 1;
+            let few = blamed.len() <= MAX_EQUAL;
+            for (feature, quarantine) in blamed {
+                let settled = quarantine.first + SETTLING;
+                if few && settled <= now {
+                    quarantined.insert(feature, Quarantine { ambiguous, ..quarantine });
+                } else if few {
+                    settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
+                }
+                for index in suspected.get(&feature).into_iter().flatten() {
+                    explained[*index] = true;
+                }
             }
         }
         (quarantined, settled_at)
@@ -470,12 +502,10 @@
         runs.sort_by_key(|run| run.ended);
         let mut crashes: Vec<Crash<'_>> = Vec::new();
         for run in runs {
-            let same = |crash: &&mut Crash<'_>| {
-                *crash.server == run.server
-                    && run.sent < crash.ended
-                    && run.ended < crash.ended + CRASH_SPREAD
-            };
-            let known = crashes.iter_mut().rev().find(same);
+            let same =
+                |crash: &&mut Crash<'_>| *crash.server == run.server && run.sent < crash.ended;
+            let recent = |crash: &&mut Crash<'_>| run.ended < crash.ended + CRASH_SPREAD;
+            let known = crashes.iter_mut().rev().take_while(recent).find(same);
             let suspects = run.features.iter().enumerate();
             let suspects =
                 suspects.filter(|(_, feature)| !self.proofs.clears(**feature, run.ended));
@@ -494,6 +524,14 @@
 }
 
 impl Quarantine {
+    /// How long it lasts on a host with this `spread`, from 0 to 1.
+    fn length(&self, spread: f64) -> Duration {
+        if self.ambiguous || self.moments < 2 {
+            return PROVISIONAL_QUARANTINE.mul_f64(1.0 + PROVISIONAL_SPREAD * spread);
+        }
+        QUARANTINE.mul_f64(1.0 + spread)
+    }
+
     /// How long ago the last crash was.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.last)
@@ -538,23 +576,30 @@
     suspected
 }
 
-/// Returns the crashes that a feature may have caused, and its position in the last of the requests.
-fn explained_by(feature: Feature, crashes: &[&Crash<'_>]) -> Option<(Quarantine, usize)> {
+/// Returns the crashes that a feature may have caused, and its position in the last of the requests. Those
+/// of one moment count each only if it is `unproven`.
+fn explained_by(
+    feature: Feature,
+    unproven: bool,
+    crashes: &[&Crash<'_>],
+) -> Option<(Quarantine, usize)> {
     let mut explained: Option<(Quarantine, usize)> = None;
     for crash in crashes {
         let Some((sent, position)) = crash.suspects.get(&feature) else { continue };
-        explained = match explained {
-            None => {
-                let (first, last) = (crash.ended, crash.ended);
-                Some((Quarantine { crashes: 1, first, last }, *position))
-            }
+        let (first, last) = (crash.ended, crash.ended);
+        let quarantine = match explained {
+            None => Quarantine { crashes: 1, moments: 1, ambiguous: false, first, last },
             Some((before, _)) => {
-                let independent = crash.ended >= before.last + SIMULTANEOUS || *sent >= before.last;
-                let crashes = before.crashes + usize::from(independent);
-                let last = if independent { crash.ended } else { before.last };
-                Some((Quarantine { crashes, last, ..before }, *position))
+                let separate = crash.ended >= before.last + SIMULTANEOUS || *sent >= before.last;
+                Quarantine {
+                    crashes: before.crashes + usize::from(separate || unproven),
+                    moments: before.moments + usize::from(separate),
+                    last: if separate { last } else { before.last },
+                    ..before
+                }
             }
         };
+        explained = Some((quarantine, *position));
     }
     explained
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -6,7 +6,9 @@
 };
 
 use quickcheck::quickcheck;
-use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, QUARANTINE, View};
+use wasabi_policy::quarantine::{
+    BrokenRun, Evidence, Feature, PROVISIONAL_QUARANTINE, QUARANTINE, View,
+};
 
 const SETTLED: Duration = Duration::from_millis(1_000);
 
@@ -88,12 +90,44 @@
 }
 
 #[test]
-fn servers_that_fail_at_once_are_one_crash() {
+fn servers_that_fail_at_once_are_one_crash_for_a_proven_part() {
     let (mut view, start) = (View::new(0.0), start());
-    for server in 0..20 {
-        view.record_broken(broken(&format!("s{server}"), start + ms(server), ms(400), &[9]));
+    view.record_sound(start - ms(10_000), &parts(&[9]));
+    for outage in 0..3 {
+        for server in 0..20 {
+            let ended = start + ms(2_000) * outage + ms(server);
+            view.record_broken(broken(&format!("s{server}"), ended, ms(400), &[9]));
+        }
     }
-    assert!(!refused(&mut view, start + ms(5_000), 9));
+    assert!(!refused(&mut view, start + ms(9_000), 9));
+}
+
+#[test]
+fn copies_of_a_request_that_crash_servers_at_once_are_held_back_soon_and_tried_again_soon() {
+    let (mut view, start) = (View::new(0.0), start());
+    for server in 0..3 {
+        view.record_broken(broken(&format!("s{server}"), start + ms(server), ms(60), &[9]));
+    }
+    assert!(refused(&mut view, start + SETTLED, 9));
+    let over = start + PROVISIONAL_QUARANTINE;
+    assert!(refused(&mut view, over - ms(1), 9));
+    assert!(!refused(&mut view, over, 9));
+    view.record_sent(over, &parts(&[9]));
+    view.record_broken(broken("s7", over + ms(60), ms(60), &[9]));
+    assert!(refused(&mut view, over + QUARANTINE, 9), "crashes of two moments");
+}
+
+#[test]
+fn a_part_that_another_host_has_proven_is_proven_everywhere() {
+    let (mut here, mut there, start) = (View::new(0.0), View::new(0.0), start());
+    there.record_sound(start - ms(10_000), &parts(&[9]));
+    for server in 0..3 {
+        here.record_broken(broken(&format!("s{server}"), start + ms(server), ms(60), &[9]));
+    }
+    let now = start + ms(100);
+    there.merge(now, here.next_evidence(now), Some(now));
+    here.merge(now, there.next_evidence(now), Some(now));
+    assert!(!refused(&mut here, start + SETTLED, 9));
 }
 
 #[test]
@@ -115,7 +149,23 @@
 }
 
 #[test]
-fn crashes_that_two_requests_met_alike_are_put_down_to_neither() {
+fn crashes_that_many_requests_met_alike_are_put_down_to_none() {
+    let (mut view, start) = (View::new(0.0), start());
+    for crash in 0..5 {
+        for id in 10..16 {
+            view.record_broken(broken(
+                &format!("s{crash}"),
+                start + ms(500) * crash,
+                ms(90),
+                &[id],
+            ));
+        }
+    }
+    assert!((10..16).all(|id| !refused(&mut view, start + ms(4_000), id)));
+}
+
+#[test]
+fn of_two_requests_that_met_crashes_alike_the_sound_one_is_soon_let_through() {
     let (mut view, start) = (View::new(0.0), start());
     let crash = |view: &mut View, number: u64, ids: &[u64]| {
         let ended = start + ms(1_000) * number as u32;
@@ -128,10 +178,15 @@
     for number in 0..3 {
         crash(&mut view, number, &[8, 9]);
     }
-    assert!(!refused(&mut view, start + ms(2_500), 8));
-    assert!(!refused(&mut view, start + ms(2_500), 9));
-    let last = crash(&mut view, 3, &[9]);
+    let last = start + ms(2_000);
+    assert!(refused(&mut view, last, 8));
     assert!(refused(&mut view, last, 9));
+    let over = last + PROVISIONAL_QUARANTINE;
+    assert!(!refused(&mut view, over, 8));
+    assert!(!refused(&mut view, over, 9));
+    view.record_sent(over, &parts(&[9]));
+    let last = crash(&mut view, 8, &[9]);
+    assert!(refused(&mut view, last + QUARANTINE - ms(1), 9));
     assert!(!refused(&mut view, last, 8));
 }
 
