--- a/crates/entry/src/buffered.rs
+++ b/crates/entry/src/buffered.rs
@@ -95,9 +95,9 @@
     let granted_at = ctx.clock.now();
     let answered = exchange(ctx, job, grant, granted_at, sent).await;
     match &answered {
-        Ok(_) => grant.report_run(&job.features(), Run::Sound),
+        Ok(_) => grant.report_run(&job.pool, &job.features(), Run::Sound),
         Err(failure) if failure.may_be_crash() => {
-            grant.report_run(&job.features(), Run::Broken(granted_at));
+            grant.report_run(&job.pool, &job.features(), Run::Broken(granted_at));
         }
         Err(_) => {}
     }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -65,8 +65,8 @@
     /// Reports what the server says of its limit in its answer to a request sent at `sent`.
     fn limit(&self, server: &ServerId, rate: Option<RequestRate>, sent: Instant);
 
-    /// Reports how a request with these features has run on the server.
-    fn run(&self, server: &ServerId, features: &[Feature], run: Run);
+    /// Reports how a request for a pool with these features has run on the server.
+    fn run(&self, pool: &PoolId, server: &ServerId, features: &[Feature], run: Run);
 
     /// Ends the grant and frees its capacity on the server.
     fn end(&self, outcome: Outcome);
@@ -101,10 +101,10 @@
         }
     }
 
-    /// Reports how a request with these features has run on the server.
-    pub fn report_run(&self, features: &[Feature], run: Run) {
+    /// Reports how a request for a pool with these features has run on the server.
+    pub fn report_run(&self, pool: &PoolId, features: &[Feature], run: Run) {
         if let Some(handle) = &self.handle {
-            handle.run(&self.server.name, features, run);
+            handle.run(pool, &self.server.name, features, run);
         }
     }
 
@@ -202,9 +202,9 @@
         inner.apply_limits(now);
     }
 
-    /// Records how a request with these features has run on a server.
-    pub fn record_run(&self, server: &ServerId, features: &[Feature], run: Run) {
-        self.shared.record_run(server, features, run);
+    /// Records how a request for a pool with these features has run on a server.
+    pub fn record_run(&self, pool: &PoolId, server: &ServerId, features: &[Feature], run: Run) {
+        self.shared.record_run(pool, server, features, run);
     }
 
     /// Fails with `Quarantined` if requests like that of the ticket crash servers.
@@ -282,17 +282,19 @@
         }
     }
 
-    fn record_run(&self, server: &ServerId, features: &[Feature], run: Run) {
+    fn record_run(&self, pool: &PoolId, server: &ServerId, features: &[Feature], run: Run) {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         match run {
-            Run::Sound => inner.quarantine.record_sound(now, features),
+            Run::Sound => inner.quarantine.record_sound(now, pool, features),
             Run::Broken(sent) => inner.quarantine.record_broken(BrokenRun {
                 id: rand::random(),
+                service: pool.clone(),
                 server: server.clone(),
                 sent,
                 ended: now,
                 features: features.to_vec(),
+                controlled: false,
             }),
         }
     }
@@ -375,8 +377,8 @@
         self.shared.record_limit(server, rate, sent);
     }
 
-    fn run(&self, server: &ServerId, features: &[Feature], run: Run) {
-        self.shared.record_run(server, features, run);
+    fn run(&self, pool: &PoolId, server: &ServerId, features: &[Feature], run: Run) {
+        self.shared.record_run(pool, server, features, run);
     }
 
     fn end(&self, outcome: Outcome) {
--- a/crates/entry/src/in_flight.rs
+++ b/crates/entry/src/in_flight.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use parking_lot::Mutex;
-use wasabi_core::units::{RequestRate, ServerId, Tokens};
+use wasabi_core::units::{PoolId, RequestRate, ServerId, Tokens};
 use wasabi_policy::{
     quarantine::Feature,
     ticket::{Outcome, Ticket},
@@ -85,9 +85,9 @@
         }
     }
 
-    fn run(&self, _server: &ServerId, features: &[Feature], run: Run) {
+    fn run(&self, pool: &PoolId, _server: &ServerId, features: &[Feature], run: Run) {
         if let Some(grant) = self.grant.lock().as_ref() {
-            grant.report_run(features, run);
+            grant.report_run(pool, features, run);
         }
     }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -200,7 +200,7 @@
             }
             _ => return,
         };
-        grant.report_run(&self.job.features(), run);
+        grant.report_run(&self.job.pool, &self.job.features(), run);
     }
 
     async fn relay_answer(&mut self, grant: &Grant, granted_at: std::time::Instant) -> AttemptEnd {
--- a/crates/gateway/src/facts.rs
+++ b/crates/gateway/src/facts.rs
@@ -71,6 +71,10 @@
     let proofs = evidence.proofs.chunks(MAX_ANNOUNCED_PROOFS).map(|proofs| proofs.to_vec());
     let proofs = proofs.map(|proofs| Evidence { proofs, ..Evidence::default() });
     parts.extend(proofs);
+    let controls = evidence.controls;
+    if !controls.is_empty() {
+        parts.push(Evidence { controls, ..Evidence::default() });
+    }
     parts.into_iter()
 }
 
@@ -84,6 +88,8 @@
     let new = runs.filter(|run| !known.contains(&run.id)).cloned();
     pending.evidence.runs.extend(new);
     pending.evidence.proofs.extend(later.evidence.proofs.iter().cloned());
+    // They tell of the latest run each.
+    pending.evidence.controls.clone_from(&later.evidence.controls);
 }
 
 /// Decodes the facts at the end of a datagram; those of hosts of older versions may be missing.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -50,18 +50,21 @@
         }
         let run = BrokenRun {
             id: rand::random(),
+            service: guard.placement.member.service.clone(),
             server: guard.placement.member.id.clone(),
             sent: guard.placement.since,
             ended: self.now(),
             features: features.to_vec(),
+            controlled: false,
         };
         self.quarantine.borrow_mut().record_broken(run);
         self.refresh_quarantine();
     }
 
-    /// Records that a run with these features has ended well, or has generated for long enough.
-    pub fn record_sound_run(&self, features: &[Feature]) {
-        self.quarantine.borrow_mut().record_sound(self.now(), features);
+    /// Records that a run of a request has ended well, or has generated for long enough.
+    pub fn record_sound_run(&self, request: &AdmittedRequest) {
+        let service = &request.admission.service;
+        self.quarantine.borrow_mut().record_sound(self.now(), service, &request.features);
         self.refresh_quarantine();
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -532,7 +532,7 @@
     let now = state.now();
     connection.release(now, reply.keep_alive);
     history.count_usage(state, inbound);
-    state.record_sound_run(&inbound.features);
+    state.record_sound_run(inbound);
     guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
     guard.end = if parts.status.is_server_error() { End::Failed } else { End::Served };
     let bytes = body.len() as u64;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -103,7 +103,7 @@
                 PartEnd::Complete => {
                     self.producer.finish();
                     guard.end = End::Served;
-                    self.state.record_sound_run(&self.inbound.features);
+                    self.state.record_sound_run(&self.inbound);
                     self.log_completed(&guard, "streamed");
                     return;
                 }
@@ -270,7 +270,7 @@
         let began = *self.part_began_at.get_or_insert(now);
         if !self.part_is_sound && now.saturating_duration_since(began) >= SOUND_AFTER {
             self.part_is_sound = true;
-            self.state.record_sound_run(&self.inbound.features);
+            self.state.record_sound_run(&self.inbound);
         }
     }
 
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -40,10 +40,12 @@
         let server = format!("i-{number:010x}").parse().expect("a name");
         view.record_broken(BrokenRun {
             id: u64::MAX - number,
+            service: service.clone(),
             server,
             sent: now,
             ended: now,
             features,
+            controlled: false,
         });
     }
     let evidence = view.next_evidence(now);
--- a/crates/home/src/remote_grants.rs
+++ b/crates/home/src/remote_grants.rs
@@ -16,7 +16,7 @@
 use wasabi_core::{
     errors::Error,
     io::Host,
-    units::{HostId, Incarnation, RequestRate, ServerId, Tokens},
+    units::{HostId, Incarnation, PoolId, RequestRate, ServerId, Tokens},
 };
 use wasabi_entry::dispatch::{Grant, GrantHandle, LocalDispatch, Run};
 use wasabi_peer::{
@@ -212,8 +212,8 @@
         self.remote_grants.local.record_limit(server, rate, sent);
     }
 
-    fn run(&self, server: &ServerId, features: &[Feature], run: Run) {
-        self.remote_grants.local.record_run(server, features, run);
+    fn run(&self, pool: &PoolId, server: &ServerId, features: &[Feature], run: Run) {
+        self.remote_grants.local.record_run(pool, server, features, run);
     }
 
     fn end(&self, outcome: Outcome) {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -35,8 +35,8 @@
 /// The least time from the last crash until a request with a quarantined feature is let through; twice
 /// that on the host that waits longest.
 pub const QUARANTINE: Duration = Duration::from_secs(300);
-/// The same for a feature that is not alone in explaining its crashes, or all of whose crashes are of one
-/// moment, which may have been an outage.
+/// The same for a feature that is not alone in explaining its crashes, or whose crashes may have been an
+/// outage: they are of one moment, or the service ran nothing well meanwhile.
 pub const PROVISIONAL_QUARANTINE: Duration = Duration::from_secs(5);
 /// How many times longer the host that waits longest then waits than the first one.
 const PROVISIONAL_SPREAD: f64 = 10.0;
@@ -44,7 +44,7 @@
 const MAX_EQUAL: usize = 3;
 /// How long the outcome of a request that was let through is awaited before the next one.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The least time between two judgements of what other hosts tell, several times a second each.
+/// The least time between two judgements: in an outage, runs break off all the time.
 const MIN_JUDGE_INTERVAL: Duration = Duration::from_millis(20);
 /// Broken runs are forgotten after this time.
 const RETENTION: Duration = Duration::from_secs(3_600);
@@ -54,6 +54,9 @@
 const MAX_FEATURES: usize = 32;
 /// Proofs of sound features are kept in two generations of this size.
 const MAX_PROOFS: usize = 8_192;
+/// The least time between two runs that are kept as controls, and how many of a service are kept.
+const CONTROL_INTERVAL: Duration = Duration::from_millis(50);
+const MAX_CONTROLS: usize = 256;
 /// How often a host announces a run or a proof of its own, as datagrams are lost.
 const REPEATS: u32 = 3;
 /// The most new runs, and the most new proofs, in one announcement.
@@ -70,6 +73,8 @@
     pub struct RunReport {
         /// Identifies the run.
         pub id: u64,
+        /// The service that ran it.
+        pub service: PoolId,
         /// The server.
         pub server: ServerId,
         /// How many milliseconds ago the request was sent to the server.
@@ -78,6 +83,8 @@
         pub ended_ms: u64,
         /// The features of the request, in its order.
         pub features: Vec<Feature>,
+        /// Whether a feature of it was quarantined while the service ran other requests well.
+        pub controlled: bool,
     }
 
     /// That runs with a feature end well, as one host tells another.
@@ -88,6 +95,14 @@
         pub age_ms: u64,
     }
 
+    /// That a service runs requests well, as one host tells another.
+    pub struct ControlReport {
+        /// The service.
+        pub service: PoolId,
+        /// How many milliseconds ago a run ended well.
+        pub age_ms: u64,
+    }
+
     /// A part of what a host knows.
     #[derive(Default)]
     pub struct Evidence {
@@ -97,6 +112,9 @@
         /// Features of such runs that others have cleared.
         #[serde(default)]
         pub proofs: Vec<ProofReport>,
+        /// Services of such runs that run others well.
+        #[serde(default)]
+        pub controls: Vec<ControlReport>,
     }
 }
 
@@ -105,6 +123,8 @@
 pub struct BrokenRun {
     /// Identifies the run among those of all hosts.
     pub id: u64,
+    /// The service that ran it.
+    pub service: PoolId,
     /// The server.
     pub server: ServerId,
     /// When the request was sent to the server.
@@ -113,6 +133,9 @@
     pub ended: Instant,
     /// The features of the request, in its order.
     pub features: Vec<Feature>,
+    /// Whether a feature of it was quarantined while the service ran other requests well; false for a new
+    /// one.
+    pub controlled: bool,
 }
 
 /// Why a feature is quarantined.
@@ -123,6 +146,9 @@
     pub crashes: usize,
     /// The moments of these crashes.
     moments: usize,
+    /// Whether the service ran requests without the feature well between the first crash and the last:
+    /// else it may have broken off everything.
+    controlled: bool,
     /// Whether features of other requests explain the crashes as well.
     ambiguous: bool,
     /// When the first of them was.
@@ -167,13 +193,13 @@
     /// In the order in which they became known.
     runs: VecDeque<BrokenRun>,
     proofs: Proofs,
+    /// Runs that ended well since servers of a service have crashed.
+    controls: BTreeMap<PoolId, Controls>,
     quarantined: BTreeMap<Feature, Quarantine>,
     /// When a request with a quarantined feature was last let through.
     probes: BTreeMap<Feature, Instant>,
     /// Whether anything has changed since the crashes were last put down to features.
     stale: bool,
-    /// The same for what other hosts have told.
-    told: bool,
     /// When the crashes were last put down to features.
     judged_at: Option<Instant>,
     /// When a feature that explains enough crashes will have settled.
@@ -192,6 +218,11 @@
     next_repeated: usize,
 }
 
+/// The latest runs of a service that ended well, a sample; with their features, which are not known of
+/// those of other hosts.
+#[derive(Debug, Default)]
+struct Controls(VecDeque<(Instant, Option<Vec<Feature>>)>);
+
 /// When a run with each feature last ended well, the most recent ones.
 #[derive(Debug, Default)]
 struct Proofs {
@@ -201,6 +232,9 @@
 
 /// The end of one server, with what may have caused it.
 struct Crash<'a> {
+    service: &'a PoolId,
+    /// Whether one of its broken runs is.
+    controlled: bool,
     server: &'a ServerId,
     ended: Instant,
     /// The features of its broken runs that are not cleared: when the last run with each was sent, and its
@@ -246,7 +280,10 @@
     }
 
     /// Records that a run with these features has ended well, or has generated for long enough.
-    pub fn record_sound(&mut self, now: Instant, features: &[Feature]) {
+    pub fn record_sound(&mut self, now: Instant, service: &PoolId, features: &[Feature]) {
+        if self.runs.iter().any(|run| run.service == *service) {
+            self.controls.entry(service.clone()).or_default().record(now, Some(features));
+        }
         for feature in features {
             let clears = |run: &BrokenRun| {
                 run.features.contains(feature)
@@ -267,13 +304,22 @@
         for report in evidence.runs {
             let ages = ago(now, report.sent_ms).zip(ago(now, report.ended_ms));
             let Some((sent, ended)) = ages else { continue };
-            let RunReport { id, server, features, .. } = report;
+            let RunReport { id, service, server, features, controlled, .. } = report;
             if self.runs.iter().all(|run| run.id != id) {
                 // The host that announces the run may not know that others have cleared its features.
                 let proven = features.iter().filter(|feature| self.proofs.get(**feature).is_some());
                 self.announcements.proofs.extend(proven.map(|feature| (*feature, REPEATS)));
             }
-            self.told |= self.add(BrokenRun { id, server, sent, ended, features });
+            self.stale |=
+                self.add(BrokenRun { id, service, server, sent, ended, features, controlled });
+        }
+        for report in evidence.controls {
+            let made = earliest_send.and_then(|from| ago(from, report.age_ms));
+            if let Some(made) = made
+                && self.runs.iter().any(|run| run.service == report.service)
+            {
+                self.controls.entry(report.service).or_default().record(made, None);
+            }
         }
         for report in evidence.proofs {
             let made = earliest_send.and_then(|from| ago(from, report.age_ms));
@@ -281,21 +327,26 @@
             if self.proofs.get(report.feature).is_none_or(|known| known < made) {
                 self.proofs.record(report.feature, made);
                 self.announcements.proofs.remove(&report.feature);
-                self.told = true;
+                self.stale = true;
             }
         }
     }
 
     /// Puts the crashes that are known down to features; returns whose quarantine has begun or ended.
     pub fn refresh(&mut self, now: Instant) -> Vec<Change> {
-        let told = self.told && self.judged_at.is_none_or(|at| now >= at + MIN_JUDGE_INTERVAL);
-        if !self.stale && !told && self.settled_at.is_none_or(|at| now < at) {
+        let due = self.judged_at.is_none_or(|at| now >= at + MIN_JUDGE_INTERVAL);
+        if !(self.stale && due) && self.settled_at.is_none_or(|at| now < at) {
             return Vec::new();
         }
-        (self.stale, self.told, self.judged_at) = (false, false, Some(now));
+        (self.stale, self.judged_at) = (false, Some(now));
         self.forget(now);
         let (quarantined, settled_at) = self.judge(now);
         self.settled_at = settled_at;
+        for run in &mut self.runs {
+            let controlled =
+                |feature| quarantined.get(feature).is_some_and(|known| known.controlled);
+            run.controlled |= run.features.iter().any(controlled);
+        }
         let ended = self.quarantined.keys().filter(|feature| !quarantined.contains_key(feature));
         let ended = ended.map(|feature| Change { feature: *feature, quarantine: None });
         let begun =
@@ -391,17 +442,23 @@
             .filter(|run| selected(run))
             .map(|run| RunReport {
                 id: run.id,
+                service: run.service.clone(),
                 server: run.server.clone(),
                 sent_ms: ms(run.sent),
                 ended_ms: ms(run.ended),
                 features: run.features.clone(),
+                controlled: run.controlled,
             })
             .collect();
         let features: BTreeSet<Feature> =
             runs.iter().flat_map(|run| run.features.iter().copied()).collect();
         let proofs =
             features.into_iter().filter_map(|feature| self.proof_report(now, feature)).collect();
-        Evidence { runs, proofs }
+        let latest = self.controls.iter().filter_map(|(service, controls)| {
+            let (at, _) = controls.0.iter().rfind(|(_, features)| features.is_some())?;
+            Some(ControlReport { service: service.clone(), age_ms: ms(*at) })
+        });
+        Evidence { runs, proofs, controls: latest.collect() }
     }
 
     fn proof_report(&self, now: Instant, feature: Feature) -> Option<ProofReport> {
@@ -409,9 +466,14 @@
         Some(ProofReport { feature, age_ms: age.as_millis() as u64 })
     }
 
-    /// Adds a run; returns whether it is new.
+    /// Adds a run; returns whether anything of it is new.
     fn add(&mut self, mut run: BrokenRun) -> bool {
-        if run.features.is_empty() || self.runs.iter().any(|known| known.id == run.id) {
+        if let Some(known) = self.runs.iter_mut().find(|known| known.id == run.id) {
+            let is_new = run.controlled && !known.controlled;
+            known.controlled |= run.controlled;
+            return is_new;
+        }
+        if run.features.is_empty() {
             return false;
         }
         run.features.truncate(MAX_FEATURES);
@@ -455,6 +517,16 @@
                 let own: Vec<&Crash<'_>> = own.map(|index| &crashes[index]).collect();
                 let unproven = self.proofs.get(*feature).is_none();
                 let (quarantine, position) = explained_by(*feature, unproven, &own)?;
+                let controls = self.controls.get(own[0].service);
+                let Quarantine { first, last, .. } = quarantine;
+                let controlled = own.iter().any(|crash| crash.controlled)
+                    || controls.is_some_and(|controls| {
+                        controls.has_without(*feature, unproven, first, last)
+                    });
+                if !unproven && !controlled {
+                    return None;
+                }
+                let quarantine = Quarantine { controlled, ..quarantine };
                 let needed = if unproven { MIN_CRASHES } else { MIN_CRASHES_OF_PROVEN };
                 let rank = (quarantine.crashes, unproven);
                 (quarantine.crashes >= needed).then_some((rank, position, *feature, quarantine))
@@ -467,23 +539,32 @@
             best.sort_by_key(|(_, position, ..)| Reverse(*position));
             // One of each request.
             let mut blamed: Vec<(Feature, Quarantine)> = Vec::new();
-            for (_, _, feature, quarantine) in best {
-                if blamed.iter().all(|(other, _)| !self.occur_together(feature, *other)) {
-                    blamed.push((feature, quarantine));
+            for (_, _, feature, quarantine) in &best {
+                if blamed.len() > MAX_EQUAL {
+                    break;
+                }
+                if blamed.iter().all(|(other, _)| !self.occur_together(*feature, *other)) {
+                    blamed.push((*feature, *quarantine));
                 }
             }
             let ambiguous = blamed.len() > 1;
-            let few = blamed.len() <= MAX_EQUAL;
+            if blamed.len() > MAX_EQUAL {
+                blamed.clear();
+            } else {
+                best.retain(|(_, _, feature, _)| blamed.iter().any(|(kept, _)| kept == feature));
+            }
             for (feature, quarantine) in blamed {
                 let settled = quarantine.first + SETTLING;
-                if few && settled <= now {
+                if settled <= now {
                     quarantined.insert(feature, Quarantine { ambiguous, ..quarantine });
-                } else if few {
+                } else {
                     settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
                 }
-                for index in suspected.get(&feature).into_iter().flatten() {
-                    explained[*index] = true;
-                }
+            }
+            for index in
+                best.iter().filter_map(|(_, _, feature, _)| suspected.get(feature)).flatten()
+            {
+                explained[*index] = true;
             }
         }
         (quarantined, settled_at)
@@ -511,8 +592,13 @@
                 suspects.filter(|(_, feature)| !self.proofs.clears(**feature, run.ended));
             let suspects = suspects.map(|(position, feature)| (*feature, (run.sent, position)));
             match known {
-                Some(crash) => crash.suspects.extend(suspects),
+                Some(crash) => {
+                    crash.controlled |= run.controlled;
+                    crash.suspects.extend(suspects);
+                }
                 None => crashes.push(Crash {
+                    controlled: run.controlled,
+                    service: &run.service,
                     server: &run.server,
                     ended: run.ended,
                     suspects: suspects.collect(),
@@ -526,7 +612,7 @@
 impl Quarantine {
     /// How long it lasts on a host with this `spread`, from 0 to 1.
     fn length(&self, spread: f64) -> Duration {
-        if self.ambiguous || self.moments < 2 {
+        if self.ambiguous || !self.controlled || self.moments < 2 {
             return PROVISIONAL_QUARANTINE.mul_f64(1.0 + PROVISIONAL_SPREAD * spread);
         }
         QUARANTINE.mul_f64(1.0 + spread)
@@ -538,6 +624,30 @@
     }
 }
 
+impl Controls {
+    fn record(&mut self, ended: Instant, features: Option<&[Feature]>) {
+        let is_near =
+            |at: Instant| ended.max(at).saturating_duration_since(ended.min(at)) < CONTROL_INTERVAL;
+        let same_kind = |known: &Option<Vec<Feature>>| known.is_some() == features.is_some();
+        if self.0.iter().rev().take(2).any(|(at, known)| is_near(*at) && same_kind(known)) {
+            return;
+        }
+        if self.0.len() >= MAX_CONTROLS {
+            self.0.pop_front();
+        }
+        self.0.push_back((ended, features.map(<[Feature]>::to_vec)));
+    }
+
+    /// Whether a run without the feature ended well in that time. No run with one that is `unproven`
+    /// has.
+    fn has_without(&self, feature: Feature, unproven: bool, from: Instant, to: Instant) -> bool {
+        let mut between = self.0.iter().filter(|(at, _)| (from..=to).contains(at));
+        between.any(|(_, features)| {
+            unproven || features.as_ref().is_some_and(|features| !features.contains(&feature))
+        })
+    }
+}
+
 impl Proofs {
     fn get(&self, feature: Feature) -> Option<Instant> {
         self.recent.get(&feature).or_else(|| self.older.get(&feature)).copied()
@@ -561,18 +671,27 @@
 fn suspected_in(crashes: &[Crash<'_>]) -> BTreeMap<Feature, Vec<usize>> {
     let mut suspected: BTreeMap<Feature, Vec<usize>> = BTreeMap::new();
     for (index, crash) in crashes.iter().enumerate() {
-        let before = crashes[..index].iter().rev();
-        let before = before.take_while(|other| crash.ended < other.ended + SIMULTANEOUS);
-        let after = crashes[index..].iter();
-        let after = after.take_while(|other| other.ended < crash.ended + SIMULTANEOUS);
-        let together: Vec<&Crash<'_>> = before.chain(after).collect();
         for feature in crash.suspects.keys() {
-            let with = together.iter().filter(|other| other.suspects.contains_key(feature)).count();
-            if with * 2 > together.len() {
-                suspected.entry(*feature).or_default().push(index);
-            }
+            suspected.entry(*feature).or_default().push(index);
         }
     }
+    let together: Vec<(usize, usize)> = crashes
+        .iter()
+        .map(|crash| {
+            let begin = crashes.partition_point(|other| other.ended + SIMULTANEOUS <= crash.ended);
+            let end = crashes.partition_point(|other| other.ended < crash.ended + SIMULTANEOUS);
+            (begin, end)
+        })
+        .collect();
+    for indexes in suspected.values_mut() {
+        let all = indexes.clone();
+        indexes.retain(|index| {
+            let (begin, end) = together[*index];
+            let with = all.partition_point(|other| *other < end)
+                - all.partition_point(|other| *other < begin);
+            with * 2 > end - begin
+        });
+    }
     suspected
 }
 
@@ -588,7 +707,14 @@
         let Some((sent, position)) = crash.suspects.get(&feature) else { continue };
         let (first, last) = (crash.ended, crash.ended);
         let quarantine = match explained {
-            None => Quarantine { crashes: 1, moments: 1, ambiguous: false, first, last },
+            None => Quarantine {
+                crashes: 1,
+                moments: 1,
+                controlled: false,
+                ambiguous: false,
+                first,
+                last,
+            },
             Some((before, _)) => {
                 let separate = crash.ended >= before.last + SIMULTANEOUS || *sent >= before.last;
                 Quarantine {
