--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -5,33 +5,22 @@
 //! explains the most crashes; a feature that explains several is quarantined, and requests with it are
 //! refused. After a while a single request is let through again.
 
+mod evidence;
+mod judge;
+
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
-    fmt,
-    hash::{DefaultHasher, Hash, Hasher as _},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
 use wasabi_core::{
-    data,
     errors::{Code, Error},
-    units::{PoolId, ServerId},
+    units::PoolId,
 };
 
-/// Crashes that a feature must explain if no run with it has ended well. Chance alone rarely repeats a
-/// crash for the same feature; the users' contracts count on a decision after three.
-const MIN_CRASHES: usize = 3;
-/// Crashes that a feature must explain if a run with it has ended well before them.
-const MIN_CRASHES_OF_PROVEN: usize = 4;
-/// The first crash must be this long ago: by then, runs of a sound feature that began meanwhile have ended
-/// well, and hosts have told each other.
-const SETTLING: Duration = Duration::from_millis(1_000);
-/// Crashes of several servers within this time are of one moment, unless a request was sent after one
-/// and met the next: a failure of their machine or network takes many servers at once.
-const SIMULTANEOUS: Duration = Duration::from_millis(200);
-/// A run that breaks off this long after a crash of its server belongs to another one.
-const CRASH_SPREAD: Duration = Duration::from_millis(2_000);
+pub use evidence::{BrokenRun, ControlReport, Evidence, Feature, ProofReport, RunReport};
+use evidence::{Controls, Proofs};
+
 /// The least time from the last crash until a request with a quarantined feature is let through; twice
 /// that on the host that waits longest.
 pub const QUARANTINE: Duration = Duration::from_secs(300);
@@ -40,8 +29,6 @@
 pub const PROVISIONAL_QUARANTINE: Duration = Duration::from_secs(5);
 /// How many times longer the host that waits longest then waits than the first one.
 const PROVISIONAL_SPREAD: f64 = 10.0;
-/// The most features of different requests that are quarantined for the same crashes.
-const MAX_EQUAL: usize = 3;
 /// How long the outcome of a request that was let through is awaited before the next one.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(30);
 /// The least time between two judgements: in an outage, runs break off all the time.
@@ -52,11 +39,6 @@
 const MAX_RUNS: usize = 512;
 /// The most features of a run that are kept, the first ones of its request.
 const MAX_FEATURES: usize = 32;
-/// Proofs of sound features are kept in two generations of this size.
-const MAX_PROOFS: usize = 8_192;
-/// The least time between two runs that are kept as controls, and how many of a service are kept.
-const CONTROL_INTERVAL: Duration = Duration::from_millis(50);
-const MAX_CONTROLS: usize = 256;
 /// How often a host announces a run or a proof of its own, as datagrams are lost.
 const REPEATS: u32 = 3;
 /// The most new runs, and the most new proofs, in one announcement.
@@ -64,80 +46,6 @@
 /// The runs of quarantined features that each announcement repeats, in turn, for hosts that start.
 const REPEATED_RUNS: usize = 4;
 
-data! {
-    /// Something that requests for a service may have in common, as a hash.
-    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
-    pub struct Feature(u64);
-
-    /// A run that its server broke off, as one host tells another.
-    pub struct RunReport {
-        /// Identifies the run.
-        pub id: u64,
-        /// The service that ran it.
-        pub service: PoolId,
-        /// The server.
-        pub server: ServerId,
-        /// How many milliseconds ago the request was sent to the server.
-        pub sent_ms: u64,
-        /// How many milliseconds ago the run broke off.
-        pub ended_ms: u64,
-        /// The features of the request, in its order.
-        pub features: Vec<Feature>,
-        /// Whether a feature of it was quarantined while the service ran other requests well.
-        pub controlled: bool,
-    }
-
-    /// That runs with a feature end well, as one host tells another.
-    pub struct ProofReport {
-        /// The feature.
-        pub feature: Feature,
-        /// How many milliseconds ago the last known one did.
-        pub age_ms: u64,
-    }
-
-    /// That a service runs requests well, as one host tells another.
-    pub struct ControlReport {
-        /// The service.
-        pub service: PoolId,
-        /// How many milliseconds ago a run ended well.
-        pub age_ms: u64,
-    }
-
-    /// A part of what a host knows.
-    #[derive(Default)]
-    pub struct Evidence {
-        /// Runs that broke off.
-        #[serde(default)]
-        pub runs: Vec<RunReport>,
-        /// Features of such runs that others have cleared.
-        #[serde(default)]
-        pub proofs: Vec<ProofReport>,
-        /// Services of such runs that run others well.
-        #[serde(default)]
-        pub controls: Vec<ControlReport>,
-    }
-}
-
-/// A run that its server broke off before it was known to be sound.
-#[derive(Clone, Debug, PartialEq)]
-pub struct BrokenRun {
-    /// Identifies the run among those of all hosts.
-    pub id: u64,
-    /// The service that ran it.
-    pub service: PoolId,
-    /// The server.
-    pub server: ServerId,
-    /// When the request was sent to the server.
-    pub sent: Instant,
-    /// When the run broke off.
-    pub ended: Instant,
-    /// The features of the request, in its order.
-    pub features: Vec<Feature>,
-    /// Whether a feature of it was quarantined while the service ran other requests well; false for a new
-    /// one.
-    pub controlled: bool,
-}
-
 /// Why a feature is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quarantine {
@@ -218,55 +126,6 @@
     next_repeated: usize,
 }
 
-/// The latest runs of a service that ended well, a sample; with their features, which are not known of
-/// those of other hosts.
-#[derive(Debug, Default)]
-struct Controls(VecDeque<(Instant, Option<Vec<Feature>>)>);
-
-/// When a run with each feature last ended well, the most recent ones.
-#[derive(Debug, Default)]
-struct Proofs {
-    recent: HashMap<Feature, Instant>,
-    older: HashMap<Feature, Instant>,
-}
-
-/// The end of one server, with what may have caused it.
-struct Crash<'a> {
-    service: &'a PoolId,
-    /// Whether one of its broken runs is.
-    controlled: bool,
-    server: &'a ServerId,
-    ended: Instant,
-    /// The features of its broken runs that are not cleared: when the last run with each was sent, and its
-    /// position in the request.
-    suspects: BTreeMap<Feature, (Instant, usize)>,
-}
-
-impl Feature {
-    /// A part of the prompt with this id, for a service.
-    pub fn part(service: &PoolId, id: u64) -> Self {
-        Self::hash((service, id))
-    }
-
-    /// A request with this content: what stays the same when it comes again, such as its caller, path
-    /// and body.
-    pub fn request(service: &PoolId, content: impl Hash) -> Self {
-        Self::hash((service, content))
-    }
-
-    fn hash(content: impl Hash) -> Self {
-        let mut hasher = DefaultHasher::new();
-        content.hash(&mut hasher);
-        Self(hasher.finish())
-    }
-}
-
-impl fmt::Display for Feature {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
 impl View {
     /// Creates a view without evidence; `spread`, from 0 to 1, should differ from host to host.
     pub fn new(spread: f64) -> Self {
@@ -498,115 +357,6 @@
     fn is_quarantined(&self, run: &BrokenRun) -> bool {
         run.features.iter().any(|feature| self.quarantined.contains_key(feature))
     }
-
-    /// Puts each crash down to the feature that explains the most of those not yet explained. Returns the
-    /// features that explain enough, and when the next one will have settled.
-    ///
-    /// Crashes that features of a few different requests explain equally well are put down to each of
-    /// them for a while; those of many to none, as in an outage.
-    fn judge(&self, now: Instant) -> (BTreeMap<Feature, Quarantine>, Option<Instant>) {
-        let crashes = self.crashes();
-        let mut explained = vec![false; crashes.len()];
-        let suspected = suspected_in(&crashes);
-        let mut quarantined = BTreeMap::new();
-        let mut settled_at: Option<Instant> = None;
-        loop {
-            let often = suspected.iter().filter(|(_, indexes)| indexes.len() >= MIN_CRASHES);
-            let explaining = often.filter_map(|(feature, indexes)| {
-                let own = indexes.iter().copied().filter(|index| !explained[*index]);
-                let own: Vec<&Crash<'_>> = own.map(|index| &crashes[index]).collect();
-                let unproven = self.proofs.get(*feature).is_none();
-                let (quarantine, position) = explained_by(*feature, unproven, &own)?;
-                let controls = self.controls.get(own[0].service);
-                let Quarantine { first, last, .. } = quarantine;
-                let controlled = own.iter().any(|crash| crash.controlled)
-                    || controls.is_some_and(|controls| {
-                        controls.has_without(*feature, unproven, first, last)
-                    });
-                if !unproven && !controlled {
-                    return None;
-                }
-                let quarantine = Quarantine { controlled, ..quarantine };
-                let needed = if unproven { MIN_CRASHES } else { MIN_CRASHES_OF_PROVEN };
-                let rank = (quarantine.crashes, unproven);
-                (quarantine.crashes >= needed).then_some((rank, position, *feature, quarantine))
-            });
-            let explaining: Vec<_> = explaining.collect();
-            let Some(most) = explaining.iter().map(|(rank, ..)| *rank).max() else { break };
-            let mut best: Vec<_> =
-                explaining.into_iter().filter(|(rank, ..)| *rank == most).collect();
-            // Parts in front are shared by more requests.
-            best.sort_by_key(|(_, position, ..)| Reverse(*position));
-            // One of each request.
-            let mut blamed: Vec<(Feature, Quarantine)> = Vec::new();
-            for (_, _, feature, quarantine) in &best {
-                if blamed.len() > MAX_EQUAL {
-                    break;
-                }
-                if blamed.iter().all(|(other, _)| !self.occur_together(*feature, *other)) {
-                    blamed.push((*feature, *quarantine));
-                }
-            }
-            let ambiguous = blamed.len() > 1;
-            if blamed.len() > MAX_EQUAL {
-                blamed.clear();
-            } else {
-                best.retain(|(_, _, feature, _)| blamed.iter().any(|(kept, _)| kept == feature));
-            }
-            for (feature, quarantine) in blamed {
-                let settled = quarantine.first + SETTLING;
-                if settled <= now {
-                    quarantined.insert(feature, Quarantine { ambiguous, ..quarantine });
-                } else {
-                    settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
-                }
-            }
-            for index in
-                best.iter().filter_map(|(_, _, feature, _)| suspected.get(feature)).flatten()
-            {
-                explained[*index] = true;
-            }
-        }
-        (quarantined, settled_at)
-    }
-
-    /// Whether a broken run has both features.
-    fn occur_together(&self, one: Feature, other: Feature) -> bool {
-        let has_both =
-            |run: &BrokenRun| run.features.contains(&one) && run.features.contains(&other);
-        one == other || self.runs.iter().any(has_both)
-    }
-
-    /// Returns the crashes by time, each with the features that may have caused it.
-    fn crashes(&self) -> Vec<Crash<'_>> {
-        let mut runs: Vec<&BrokenRun> = self.runs.iter().collect();
-        runs.sort_by_key(|run| run.ended);
-        let mut crashes: Vec<Crash<'_>> = Vec::new();
-        for run in runs {
-            let same =
-                |crash: &&mut Crash<'_>| *crash.server == run.server && run.sent < crash.ended;
-            let recent = |crash: &&mut Crash<'_>| run.ended < crash.ended + CRASH_SPREAD;
-            let known = crashes.iter_mut().rev().take_while(recent).find(same);
-            let suspects = run.features.iter().enumerate();
-            let suspects =
-                suspects.filter(|(_, feature)| !self.proofs.clears(**feature, run.ended));
-            let suspects = suspects.map(|(position, feature)| (*feature, (run.sent, position)));
-            match known {
-                Some(crash) => {
-                    crash.controlled |= run.controlled;
-                    crash.suspects.extend(suspects);
-                }
-                None => crashes.push(Crash {
-                    controlled: run.controlled,
-                    service: &run.service,
-                    server: &run.server,
-                    ended: run.ended,
-                    suspects: suspects.collect(),
-                }),
-            }
-        }
-        crashes
-    }
 }
 
 impl Quarantine {
@@ -623,109 +373,3 @@
         now.saturating_duration_since(self.last)
     }
 }
-
-impl Controls {
-    fn record(&mut self, ended: Instant, features: Option<&[Feature]>) {
-        let is_near =
-            |at: Instant| ended.max(at).saturating_duration_since(ended.min(at)) < CONTROL_INTERVAL;
-        let same_kind = |known: &Option<Vec<Feature>>| known.is_some() == features.is_some();
-        if self.0.iter().rev().take(2).any(|(at, known)| is_near(*at) && same_kind(known)) {
-            return;
-        }
-        if self.0.len() >= MAX_CONTROLS {
-            self.0.pop_front();
-        }
-        self.0.push_back((ended, features.map(<[Feature]>::to_vec)));
-    }
-
-    /// Whether a run without the feature ended well in that time. No run with one that is `unproven`
-    /// has.
-    fn has_without(&self, feature: Feature, unproven: bool, from: Instant, to: Instant) -> bool {
-        let mut between = self.0.iter().filter(|(at, _)| (from..=to).contains(at));
-        between.any(|(_, features)| {
-            unproven || features.as_ref().is_some_and(|features| !features.contains(&feature))
-        })
-    }
-}
-
-impl Proofs {
-    fn get(&self, feature: Feature) -> Option<Instant> {
-        self.recent.get(&feature).or_else(|| self.older.get(&feature)).copied()
-    }
-
-    /// Whether a run with the feature has ended well at `ended` or later.
-    fn clears(&self, feature: Feature, ended: Instant) -> bool {
-        self.get(feature).is_some_and(|proof| proof >= ended)
-    }
-
-    fn record(&mut self, feature: Feature, at: Instant) {
-        if self.recent.len() >= MAX_PROOFS {
-            self.older = std::mem::take(&mut self.recent);
-        }
-        self.recent.insert(feature, at);
-    }
-}
-
-/// Returns the positions of the crashes that each feature may have caused. Of crashes at the same time, a
-/// feature must be able to explain more than half: those of an outage have little in common.
-fn suspected_in(crashes: &[Crash<'_>]) -> BTreeMap<Feature, Vec<usize>> {
-    let mut suspected: BTreeMap<Feature, Vec<usize>> = BTreeMap::new();
-    for (index, crash) in crashes.iter().enumerate() {
-        for feature in crash.suspects.keys() {
-            suspected.entry(*feature).or_default().push(index);
-        }
-    }
-    let together: Vec<(usize, usize)> = crashes
-        .iter()
-        .map(|crash| {
-            let begin = crashes.partition_point(|other| other.ended + SIMULTANEOUS <= crash.ended);
-            let end = crashes.partition_point(|other| other.ended < crash.ended + SIMULTANEOUS);
-            (begin, end)
-        })
-        .collect();
-    for indexes in suspected.values_mut() {
-        let all = indexes.clone();
-        indexes.retain(|index| {
-            let (begin, end) = together[*index];
-            let with = all.partition_point(|other| *other < end)
-                - all.partition_point(|other| *other < begin);
-            with * 2 > end - begin
-        });
-    }
-    suspected
-}
-
-/// Returns the crashes that a feature may have caused, and its position in the last of the requests. Those
-/// of one moment count each only if it is `unproven`.
-fn explained_by(
-    feature: Feature,
-    unproven: bool,
-    crashes: &[&Crash<'_>],
-) -> Option<(Quarantine, usize)> {
-    let mut explained: Option<(Quarantine, usize)> = None;
-    for crash in crashes {
-        let Some((sent, position)) = crash.suspects.get(&feature) else { continue };
-        let (first, last) = (crash.ended, crash.ended);
-        let quarantine = match explained {
-            None => Quarantine {
-                crashes: 1,
-                moments: 1,
-                controlled: false,
-                ambiguous: false,
-                first,
-                last,
-            },
-            Some((before, _)) => {
-                let separate = crash.ended >= before.last + SIMULTANEOUS || *sent >= before.last;
-                Quarantine {
-                    crashes: before.crashes + usize::from(separate || unproven),
-                    moments: before.moments + usize::from(separate),
-                    last: if separate { last } else { before.last },
-                    ..before
-                }
-            }
-        };
-        explained = Some((quarantine, *position));
-    }
-    explained
-}
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -126,6 +126,15 @@
     assert!(begun * 2 >= all, "only {begun} of {all} sound requests began");
 }
 
+/// Checks that all requests sent since `since` were refused with the error of requests that crash servers.
+fn assert_refused(sent: &Sent, since: Instant) {
+    for answer in sent.since(since) {
+        assert_eq!((answer.status, answer.complete), (503, true), "{answer:?}");
+        assert!(answer.body.contains("1207"), "{answer:?}");
+        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+    }
+}
+
 /// Sends requests with the fatal part on `path` for 12 s, beside sound ones of the same caller with the
 /// other parts, and checks that servers are spared and sound requests served.
 fn assert_servers_are_spared_a_part(path: &str) -> anyhow::Result<()> {
@@ -151,11 +160,7 @@
     let late = late_arrivals(&rig, PART_CRASHES, has_fatal_part);
     assert!(late <= MAX_LATE_ARRIVALS, "{late} requests with the fatal part reached servers");
     assert!(fatal.since(known).count() > 20, "such requests still come");
-    for answer in fatal.since(known + CONTACT) {
-        assert_eq!((answer.status, answer.complete), (503, true), "{answer:?}");
-        assert!(answer.body.contains("1207"), "{answer:?}");
-        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
-    }
+    assert_refused(&fatal, known + CONTACT);
     assert_half_begin(&sound, known + CONTACT);
     Ok(())
 }
@@ -261,13 +266,8 @@
     let known = crashes(&rig)[REQUEST_CRASHES - 1] + CONTACT;
     let late = late_arrivals(&rig, REQUEST_CRASHES, |arrival| arrival.target.ends_with("/fatal"));
     assert!(late <= MAX_LATE_ARRIVALS, "the fatal request reached servers {late} times");
-    let after: Vec<&Response> = fatal.since(known + CONTACT).collect();
-    assert!(!after.is_empty(), "it still comes");
-    for answer in after {
-        assert_eq!((answer.status, answer.complete), (503, true), "{answer:?}");
-        assert!(answer.body.contains("1207"), "{answer:?}");
-        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
-    }
+    assert!(fatal.since(known + CONTACT).count() > 0, "it still comes");
+    assert_refused(&fatal, known + CONTACT);
     assert_half_begin(&sound, known + CONTACT);
     Ok(())
 }
