--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -44,7 +44,10 @@
 /// The most new runs, and the most new proofs, in one announcement.
 const MAX_NEW: usize = 8;
 /// The runs of quarantined features that each announcement repeats, in turn, for hosts that start.
-const REPEATED_RUNS: usize = 4;
+const REPEATED_RUNS: usize = 1;
+/// That a service runs requests well is told for so long: longer than the announcements between the domains
+/// of a large fleet are apart.
+const CONTROL_REPORT_AGE: Duration = Duration::from_secs(2);
 
 /// Why a feature is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -315,7 +318,8 @@
             features.into_iter().filter_map(|feature| self.proof_report(now, feature)).collect();
         let latest = self.controls.iter().filter_map(|(service, controls)| {
             let (at, _) = controls.0.iter().rfind(|(_, features)| features.is_some())?;
-            Some(ControlReport { service: service.clone(), age_ms: ms(*at) })
+            let is_recent = now.saturating_duration_since(*at) < CONTROL_REPORT_AGE;
+            is_recent.then(|| ControlReport { service: service.clone(), age_ms: ms(*at) })
         });
         Evidence { runs, proofs, controls: latest.collect() }
     }
