--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -2,7 +2,10 @@
 
 use std::fmt;
 
-use wasabi_core::errors::{Code, Error, Ran};
+use wasabi_core::{
+    call::Framing,
+    errors::{Code, Error, Ran},
+};
 
 /// Why an answer is not whole, although its end may look complete to HTTP.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,16 +39,13 @@
 }
 
 impl Broken {
-    /// Whether `cause` is that of an answer which ends as when the server's process ends.
-    pub fn is_abrupt(cause: &str) -> bool {
-        let abrupt = [
-            Self::InsideEvent,
-            Self::NoEvent,
-            Self::InsideDocument,
-            Self::NoEndMarker,
-            Self::ConnectionLost,
-        ];
-        abrupt.map(Self::cause).contains(&cause)
+    /// Whether `cause` is that of an answer which ends as when the server's process ends: its connection is
+    /// lost, or marks the end of an answer that lacks something. An end that is marked otherwise was sent.
+    pub fn is_abrupt(cause: &str, framing: Framing) -> bool {
+        let incomplete =
+            [Self::InsideEvent, Self::NoEvent, Self::InsideDocument, Self::NoEndMarker];
+        cause == Self::ConnectionLost.cause()
+            || (framing == Framing::Close && incomplete.map(Self::cause).contains(&cause))
     }
 }
 
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -36,7 +36,8 @@
 impl Failure {
     /// Whether the server broke the request off, so that it may have crashed.
     pub fn may_be_crash(&self) -> bool {
-        self.sent && Broken::is_abrupt(&self.error.detail)
+        // A complete answer lacks something only where its connection marks its end.
+        self.sent && Broken::is_abrupt(&self.error.detail, Framing::Close)
     }
 }
 
@@ -51,7 +52,7 @@
     /// The requests a second that the server takes from all hosts together, if it names a limit.
     pub limit: Option<RequestRate>,
     /// How the end of the body is marked.
-    framing: Framing,
+    pub framing: Framing,
     body: Incoming,
     _connection: Connection,
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -15,6 +15,7 @@
     events::Splitter,
 };
 use wasabi_core::{
+    call::Framing,
     errors::{Code, Error, Ran, Result},
     io::UsageTotals,
     units::{Build, ServerId, Tokens},
@@ -73,6 +74,7 @@
         build: None,
         usage: Usage::default(),
         sent: false,
+        framing: Framing::default(),
         generating_since: None,
     };
     tokio::spawn(task.run());
@@ -101,6 +103,8 @@
     usage: Usage,
     /// Whether any byte of the request may have been sent.
     sent: bool,
+    /// How the current server marks the end of its answer.
+    framing: Framing,
     /// When the current server sent its first event.
     generating_since: Option<Instant>,
 }
@@ -195,7 +199,9 @@
         let run = match end {
             AttemptEnd::Complete => Run::Sound,
             _ if generated.is_some_and(|time| time >= SOUND_AFTER) => Run::Sound,
-            AttemptEnd::ServerFailed(e) if self.sent && Broken::is_abrupt(&e.detail) => {
+            AttemptEnd::ServerFailed(e)
+                if self.sent && Broken::is_abrupt(&e.detail, self.framing) =>
+            {
                 Run::Broken(granted_at)
             }
             _ => return,
@@ -214,6 +220,7 @@
             Err(failure) => return AttemptEnd::ServerFailed(failure.error),
         };
         grant.report_limit(reply.limit, granted_at);
+        self.framing = reply.framing;
         if reply.status != StatusCode::OK.as_u16() {
             return classify_error_status(reply.status);
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,6 +6,7 @@
 use hyper::http::request::Parts;
 use log::{info, warn};
 use wasabi_answer::broken::Broken;
+use wasabi_core::call::Framing;
 use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
 
 use crate::{
@@ -38,14 +39,21 @@
 }
 
 /// Whether a send failed with this cause because the server broke off, so that it may have crashed.
-fn may_be_crash(cause: &str) -> bool {
-    attempt::BROKEN_OFF.contains(&cause) || Broken::is_abrupt(cause)
+fn may_be_crash(cause: &str, framing: Framing) -> bool {
+    attempt::BROKEN_OFF.contains(&cause) || Broken::is_abrupt(cause, framing)
 }
 
 impl State {
-    /// Records that the send of a request failed for `cause`, if the server broke it off.
-    pub fn record_failed_run(&self, guard: &PlacementGuard, features: &[Feature], cause: &str) {
-        if !may_be_crash(cause) {
+    /// Records that the send of a request failed for `cause`, if the server broke it off; `framing` is how
+    /// the end of the response was marked, if one came.
+    pub fn record_failed_run(
+        &self,
+        guard: &PlacementGuard,
+        features: &[Feature],
+        cause: &str,
+        framing: Framing,
+    ) {
+        if !may_be_crash(cause, framing) {
             return;
         }
         let run = BrokenRun {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use wasabi_answer::{broken::Broken, whole};
 use wasabi_belief::members;
 use wasabi_core::{
-    call::RequestHead,
+    call::{Framing, RequestHead},
     errors::{Code, Error, Ran, Result},
     units::{Build, RequestRate, ServerId},
 };
@@ -508,7 +508,8 @@
     guard.end = End::Failed;
     history.avoid.push(guard.placement.member.id.clone());
     history.last_cause = cause;
-    state.record_failed_run(guard, &inbound.features, cause);
+    // A buffered response is incomplete only where its connection marks its end.
+    state.record_failed_run(guard, &inbound.features, cause, Framing::Close);
     log_failed_send(state, inbound, guard, "unknown", cause, None);
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -142,7 +142,8 @@
                 self.history.avoid.push(guard.placement.member.id.clone());
                 self.history.last_cause = cause;
                 if !self.part_is_sound {
-                    self.state.record_failed_run(&guard, &self.inbound.features, cause);
+                    let features = &self.inbound.features;
+                    self.state.record_failed_run(&guard, features, cause, self.framing);
                 }
                 (cause, None)
             }
@@ -348,7 +349,8 @@
                 Outcome::TimedOut => return None,
             };
             guard.end = End::Failed;
-            self.state.record_failed_run(&guard, &self.inbound.features, cause);
+            let features = &self.inbound.features;
+            self.state.record_failed_run(&guard, features, cause, Framing::Close);
             // Logged as "unknown" even if the send did not run.
             request_log::log_failed_send(
                 &self.state,
--- a/tests/crashes_entry.rs
+++ b/tests/crashes_entry.rs
@@ -162,3 +162,16 @@
     let sound = |number| post(format!("sound {number}"), format!("s{number}"));
     assert_servers_are_spared(&rig, CALL_CRASHES, fatal, sound)
 }
+
+#[test]
+fn servers_whose_answers_lack_the_end_marker_have_not_crashed() -> anyhow::Result<()> {
+    let rig = rig()?;
+    for engine in &rig.engines {
+        engine.update_faults(|faults| faults.omit_end_marker = true);
+    }
+    let end = Instant::now() + Duration::from_secs(3);
+    let answers = send_each(&rig, Duration::from_millis(300), end, |_| call(&rig, &["system"], 0));
+    let codes: Vec<Option<u64>> = answers.iter().map(|(_, answer)| answer.code()).collect();
+    assert!(codes.iter().all(|code| *code == Some(1302)), "{codes:?}");
+    Ok(())
+}
