--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,9 +1,6 @@
 //! Streamed answers, continued on another server when one fails or the request is preempted.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -20,7 +17,7 @@
     io::UsageTotals,
     units::{Build, ServerId, Tokens},
 };
-use wasabi_policy::ticket::Outcome;
+use wasabi_policy::{quarantine::SOUND_AFTER, ticket::Outcome};
 
 use crate::{
     backend_call::{self, Reply},
@@ -34,9 +31,6 @@
 
 /// Parts that are buffered for a slow caller.
 const MAX_BUFFERED_PARTS: usize = 16;
-/// A server that has generated for this long does not crash for the request that it runs: those that
-/// do so crash it when it begins to generate.
-const SOUND_AFTER: Duration = Duration::from_secs(1);
 
 /// How an attempt at one server ended.
 enum AttemptEnd {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -508,7 +508,7 @@
     guard.end = End::Failed;
     history.avoid.push(guard.placement.member.id.clone());
     history.last_cause = cause;
-    // A buffered response is incomplete only where its connection marks its end.
+    // How the end was marked is not known here; that matters only for event streams, which are rarely buffered.
     state.record_failed_run(guard, &inbound.features, cause, Framing::Close);
     log_failed_send(state, inbound, guard, "unknown", cause, None);
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,10 +2,7 @@
 //! resumed at another server if the route allows it; otherwise the caller's connection is broken
 //! off, so that the response cannot be taken for complete.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -14,7 +11,7 @@
 use wasabi_answer::body::{self, Producer};
 use wasabi_belief::origins::{self, Origin};
 use wasabi_core::{call::Framing, units::Tokens};
-use wasabi_policy::{balancer::End, stuck};
+use wasabi_policy::{balancer::End, quarantine::SOUND_AFTER, stuck};
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
@@ -27,9 +24,6 @@
 
 /// Parts that are queued for a slow caller.
 const MAX_QUEUED_PARTS: usize = 4;
-/// A server that has generated for this long does not crash for the request that it runs: those that
-/// do so crash it when it begins to generate.
-const SOUND_AFTER: Duration = Duration::from_secs(1);
 
 /// Starts a task that forwards a stream, and returns the response that it feeds.
 pub fn start(
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -1,4 +1,5 @@
-//! Spreads the configuration, and what hosts know of servers and requests, by anti-entropy gossip, and detects isolation.
+//! Spreads the configuration, and what hosts know of servers and requests, by anti-entropy gossip, and
+//! detects isolation.
 //!
 //! Each round contacts one random host, so the load per host does not grow with the number of
 //! hosts, and an update reaches all hosts in a number of rounds that grows with the logarithm of
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -21,6 +21,9 @@
 pub use evidence::{BrokenRun, ControlReport, Evidence, Feature, ProofReport, RunReport};
 use evidence::{Controls, Proofs};
 
+/// A server that has generated for this long does not crash for the request that it runs: those that
+/// do so crash it when it begins to generate.
+pub const SOUND_AFTER: Duration = Duration::from_secs(1);
 /// The least time from the last crash until a request with a quarantined feature is let through; twice
 /// that on the host that waits longest.
 pub const QUARANTINE: Duration = Duration::from_secs(300);
@@ -62,9 +65,9 @@
     controlled: bool,
     /// Whether features of other requests explain the crashes as well.
     ambiguous: bool,
-    /// When the first of them was.
+    /// When the first of the crashes was.
     first: Instant,
-    /// When the last of them was.
+    /// When the last of the crashes was.
     last: Instant,
 }
 
@@ -137,6 +140,10 @@
 
     /// Records a run of this host that its server broke off; it will be announced.
     pub fn record_broken(&mut self, run: BrokenRun) {
+        // Hosts that tell all evidence at a time never take from the queue.
+        if self.announcements.runs.len() >= MAX_RUNS {
+            self.announcements.runs.pop_front();
+        }
         self.announcements.runs.push_back((run.id, REPEATS));
         self.stale |= self.add(run);
     }
@@ -351,6 +358,9 @@
     /// Forgets old runs and those whose features are all cleared.
     fn forget(&mut self, now: Instant) {
         let proofs = &self.proofs;
+        while self.announcements.proofs.len() > MAX_RUNS {
+            self.announcements.proofs.pop_first();
+        }
         self.runs.retain(|run| {
             let cleared = |feature: &Feature| proofs.clears(*feature, run.ended);
             now.saturating_duration_since(run.ended) < RETENTION
