--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -222,7 +222,7 @@
         view.record_broken(broken(&format!("s{crash}"), start + ms(500) * crash, ms(100), &[9]));
     }
     assert!(
-        !refused(&mut view, start + ms(1_500), 9),
+        !refused(&mut view, start + ms(1_600), 9),
         "the service may have broken off everything"
     );
     view.record_sound(start + ms(1_200), &service(), &parts(&[7]));
