settings: the address from which a host connects to servers; proxies with faults for one client

Hosts with several addresses can fix the one that servers see. Tests use it to cut one host of several from all servers: a proxy in front of a server tells hosts apart by their address.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -82,13 +82,15 @@
 pub async fn send(state: &Rc<State>, guard: &PlacementGuard, outgoing: &Outgoing<'_>) -> Outcome {
     let member = &guard.placement.member;
     let limit = connection_limit(state, outgoing.admission);
-    let mut connection = match state.connection_pool.acquire(state.now(), member, limit).await {
-        Ok(connection) => connection,
-        Err(e) if e.kind() == std::io::ErrorKind::Other => {
-            return Outcome::NotRun("connection limit");
-        }
-        Err(_) => return Outcome::NotRun("no connection"),
-    };
+    let source = state.settings.borrow().source;
+    let mut connection =
+        match state.connection_pool.acquire(state.now(), member, limit, source).await {
+            Ok(connection) => connection,
+            Err(e) if e.kind() == std::io::ErrorKind::Other => {
+                return Outcome::NotRun("connection limit");
+            }
+            Err(_) => return Outcome::NotRun("no connection"),
+        };
     loop {
         // The process may have been suspended while it connected.
         if crate::admit::check_key(state, outgoing.admission).is_err() {
@@ -136,10 +138,11 @@
                     return Outcome::NotRun("connection closed");
                 }
                 drop(connection);
-                connection = match state.connection_pool.acquire(state.now(), member, limit).await {
-                    Ok(connection) => connection,
-                    Err(_) => return Outcome::NotRun("no connection"),
-                };
+                connection =
+                    match state.connection_pool.acquire(state.now(), member, limit, source).await {
+                        Ok(connection) => connection,
+                        Err(_) => return Outcome::NotRun("no connection"),
+                    };
             }
         }
     }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     collections::HashMap,
     io,
+    net::IpAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -12,7 +13,7 @@
 use wasabi_platform::http::{self, Connection};
 
 /// Timeout of connecting; a live server accepts within milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// An idle connection is no longer used this long before the server would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 /// The keep-alive time assumed of a server that states none. Also the timeout for a released
@@ -48,12 +49,14 @@
 impl Pool {
     /// Returns an idle connection, or connects if fewer than `limit` are open.
     ///
-    /// At the limit it fails with `ErrorKind::Other`.
+    /// `source` is the address of this host from which it connects, if that is fixed. At the limit it
+    /// fails with `ErrorKind::Other`.
     pub async fn acquire(
         &self,
         now: Instant,
         member: &Member,
         limit: u32,
+        source: Option<IpAddr>,
     ) -> io::Result<PooledConnection> {
         let key = (member.id.clone(), member.born_ms);
         if let Some(connection) = self.take_idle(now, &key) {
@@ -82,7 +85,8 @@
             reused: false,
         };
         metrics::counter!("wasabi_server_connections_total").increment(1);
-        let connecting = http::connect(member.address, false);
+        let options = http::ConnectOptions { source, resets: false };
+        let connecting = http::connect(member.address, options);
         match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(connection) => pooled.connection = Some(connection?),
             Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut)),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,9 @@
 //! The settings of a gateway, parsed from JSON; all problems are reported at once.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::{Map, Value};
@@ -29,6 +32,9 @@
     /// The address of the interface for usage reports and orders; without it this host
     /// never takes the lease.
     pub duties: Option<SocketAddr>,
+    /// The address from which the host connects to backend servers, for hosts with several; the system
+    /// chooses one if it is not set.
+    pub source: Option<IpAddr>,
     /// The limits that the host has to keep.
     pub bounds: Bounds,
 }
@@ -106,8 +112,8 @@
         keep("duties", self.duties != old.duties);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
         let bounds = Bounds { lease_ms: old.bounds.lease_ms, ..self.bounds };
-        // Of the fields, only the domain and the other bounds are new.
-        *self = Self { domain: self.domain.clone(), bounds, ..old };
+        // Of the fields, only the domain, the source and the other bounds are new.
+        *self = Self { domain: self.domain.clone(), source: self.source, bounds, ..old };
         kept
     }
 }
@@ -127,6 +133,7 @@
     let operators = required(&mut fields, "operators", &mut problems);
     let objects = required(&mut fields, "objects", &mut problems);
     let duties = optional(&mut fields, "duties", &mut problems);
+    let source = optional(&mut fields, "source", &mut problems);
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
     problems.extend(fields.keys().map(|name| problem(name, "is not a setting")));
     if let Some(bounds) = &bounds {
@@ -142,6 +149,7 @@
             operators: operators?,
             objects: objects?,
             duties,
+            source,
             bounds: bounds?,
         })
     };
--- a/tests/stand/src/proxy.rs
+++ b/tests/stand/src/proxy.rs
@@ -1,8 +1,14 @@
 //! TCP proxy that injects network faults.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{
@@ -29,13 +35,36 @@
     Silence,
     /// The connection is closed.
     Close,
+    /// New connections are reset; open ones are served.
+    RefuseNew,
+}
+
+/// The faults of a proxy: that of a client by its IP address, or else the common one.
+#[derive(Default)]
+struct Faults {
+    common: NetworkFault,
+    by_client: BTreeMap<IpAddr, NetworkFault>,
+}
+
+/// The fault of one client's connections.
+#[derive(Clone)]
+struct ClientFault {
+    faults: Arc<Mutex<Faults>>,
+    client: IpAddr,
+}
+
+impl ClientFault {
+    fn get(&self) -> NetworkFault {
+        let faults = self.faults.lock();
+        faults.by_client.get(&self.client).copied().unwrap_or(faults.common)
+    }
 }
 
 /// A proxy in front of one target.
 pub struct Proxy {
     /// The listen address.
     pub address: SocketAddr,
-    fault: Arc<Mutex<NetworkFault>>,
+    faults: Arc<Mutex<Faults>>,
 }
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -45,12 +74,17 @@
     pub fn start(runtime: &Handle, target: SocketAddr) -> anyhow::Result<Self> {
         let listener = runtime.block_on(TcpListener::bind(("127.0.0.1", 0)))?;
         let address = listener.local_addr()?;
-        let fault = Arc::new(Mutex::new(NetworkFault::None));
-        let shared = fault.clone();
+        let faults = Arc::new(Mutex::new(Faults::default()));
+        let shared = faults.clone();
         runtime.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let fault = shared.clone();
+            while let Ok((stream, client)) = listener.accept().await {
+                let fault = ClientFault { faults: shared.clone(), client: client.ip() };
                 tokio::spawn(async move {
+                    if matches!(fault.get(), NetworkFault::Close | NetworkFault::RefuseNew) {
+                        // Reset when it is dropped. The client may have reset it already.
+                        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        return;
+                    }
                     let Ok(target_stream) = TcpStream::connect(target).await else { return };
                     let (client_read, client_write) = stream.into_split();
                     let (target_read, target_write) = target_stream.into_split();
@@ -66,18 +100,24 @@
                 });
             }
         });
-        Ok(Self { address, fault })
+        Ok(Self { address, faults })
     }
 
     /// Sets how bytes are treated from now on, also on open connections.
     pub fn set(&self, fault: NetworkFault) {
-        *self.fault.lock() = fault;
+        self.faults.lock().common = fault;
+    }
+
+    /// Sets how bytes of the connections from `client` are treated from now on, also on open ones; it
+    /// takes precedence over [`Proxy::set`].
+    pub fn set_for(&self, client: IpAddr, fault: NetworkFault) {
+        self.faults.lock().by_client.insert(client, fault);
     }
 }
 
 /// Returns once the connection is to be closed.
-async fn wait_close(fault: &Mutex<NetworkFault>) {
-    while *fault.lock() != NetworkFault::Close {
+async fn wait_close(fault: &ClientFault) {
+    while fault.get() != NetworkFault::Close {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
@@ -86,13 +126,13 @@
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    fault: &Mutex<NetworkFault>,
+    fault: &ClientFault,
     dropped_by: NetworkFault,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let Ok(count @ 1..) = from.read(&mut buffer).await else { return };
-        let current = *fault.lock();
+        let current = fault.get();
         match current {
             NetworkFault::Delay(delay) => tokio::time::sleep(delay).await,
             NetworkFault::Silence => std::future::pending::<()>().await,
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -1,6 +1,12 @@
 //! A small deployment: object store, duties interface, backend servers and gateways.
 
-use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
 
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
@@ -8,6 +14,7 @@
 use crate::{
     duties::Duties,
     gateway::{self, Gateway, ListenAddresses},
+    proxy::Proxy,
     server::{self, Server},
     store::Store,
 };
@@ -200,6 +207,27 @@
         Ok(gateway)
     }
 
+    /// Puts a proxy in front of each server; the store lists their addresses instead.
+    pub fn proxy_servers(&self) -> anyhow::Result<Vec<Proxy>> {
+        let proxy = |(server, address): &(Arc<Server>, SocketAddr)| {
+            let proxy = Proxy::start(self.runtime.handle(), *address)?;
+            self.store.put("servers", &server.id, server.store_object(proxy.address, "ready"));
+            Ok(proxy)
+        };
+        self.servers.iter().map(proxy).collect()
+    }
+
+    /// Starts a gateway that connects to servers from `source`, and waits until it is ready.
+    pub fn start_gateway_from(&self, name: &str, source: IpAddr) -> anyhow::Result<Gateway> {
+        let addresses = gateway::pick_ports()?;
+        let mut settings =
+            gateway::settings(name, &addresses, self.store_address, self.duties_address);
+        settings["source"] = json!(source);
+        let gateway = Gateway::start(&self.program, addresses, &settings)?;
+        gateway.wait_ready()?;
+        Ok(gateway)
+    }
+
     /// Starts a gateway that reaches the store at `store`, without waiting until it is ready.
     pub fn launch(
         &self,
