--- /dev/null
+++ b/tests/partition.rs
@@ -0,0 +1,239 @@
+//! Hosts that are partitioned from all backend servers, while callers, the store and their peers still
+//! reach them.
+
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use wasabi_stand::{
+    caller::{self, Request},
+    gateway::{Gateway, wait_for},
+    proxy::{NetworkFault, Proxy},
+    rig::Rig,
+    server::Behavior,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+/// How long after the beginning of a partition callers may be served worse.
+const GRACE: Duration = Duration::from_millis(3_000);
+/// The pause between two requests to the same host.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Requests that are sent to each host to see how many are served.
+const REQUESTS: usize = 45;
+
+/// Gateways that connect to proxied servers from addresses of their own.
+struct Fleet {
+    rig: Rig,
+    proxies: Vec<Proxy>,
+    gateways: Vec<Gateway>,
+    /// Makes the request ids of each count unique.
+    counts: usize,
+}
+
+fn source(number: usize) -> IpAddr {
+    IpAddr::from([127, 0, 0, 2 + number as u8])
+}
+
+impl Fleet {
+    fn start(gateways: usize) -> anyhow::Result<Self> {
+        let rig = Rig::start(PROGRAM)?;
+        let proxies = rig.proxy_servers()?;
+        let gateways = (0..gateways)
+            .map(|number| rig.start_gateway_from(&format!("g{number}"), source(number)))
+            .collect::<anyhow::Result<Vec<_>>>()?;
+        for gateway in &gateways {
+            wait_for("the peers", || gateway.log_lines("peer heard").len() >= gateways.len() - 1)?;
+        }
+        Ok(Self { rig, proxies, gateways, counts: 0 })
+    }
+
+    /// Sets the fault on the way from a gateway to all servers.
+    fn cut(&self, gateway: usize, fault: NetworkFault) {
+        self.proxies.iter().for_each(|proxy| proxy.set_for(source(gateway), fault));
+    }
+
+    /// Sends reads, writes and streams to all gateways at the same time, and returns how many each of them
+    /// served at the first attempt.
+    fn count_served(&mut self) -> Vec<usize> {
+        self.counts += 1;
+        let count = self.counts;
+        let callers: Vec<_> = self
+            .gateways
+            .iter()
+            .enumerate()
+            .map(|(number, gateway)| {
+                let to = gateway.addresses.callers;
+                thread::spawn(move || {
+                    let served = |request: usize| {
+                        let path = ["/read/x", "/write/x", "/chat/x"][request % 3];
+                        let id = format!("c{count}-{number}-{request}");
+                        let mut request = Request::new("POST", path, &id);
+                        request.deadline = Duration::from_millis(1_500);
+                        thread::sleep(PAUSE);
+                        request.send(to).is_ok_and(|r| r.status == 200 && r.complete)
+                    };
+                    (0..REQUESTS).filter(|request| served(*request)).count()
+                })
+            })
+            .collect();
+        callers.into_iter().map(|caller| caller.join().expect("a caller does not panic")).collect()
+    }
+
+    /// Keeps all gateways busy for a while.
+    fn run_for(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.count_served();
+        }
+    }
+
+    /// Asserts that no write ran more than once.
+    fn assert_writes_ran_once(&self) {
+        for count in 1..=self.counts {
+            for (number, request) in
+                (0..self.gateways.len()).flat_map(|n| (0..REQUESTS).map(move |r| (n, r)))
+            {
+                let id = format!("c{count}-{number}-{request}");
+                assert!(request % 3 != 1 || self.rig.count_runs(&id) <= 1, "{id} ran twice");
+            }
+        }
+    }
+}
+
+/// Cuts the first hosts, checks how their callers are served, and that the hosts are back afterwards.
+fn assert_served_through_a_cut(
+    fault: NetworkFault,
+    hosts: usize,
+    cut: usize,
+) -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(hosts)?;
+    assert!(fleet.count_served().iter().all(|served| *served == REQUESTS));
+    (0..cut).for_each(|gateway| fleet.cut(gateway, fault));
+    fleet.run_for(GRACE);
+    let served = fleet.count_served();
+    let others = served[cut..].iter().sum::<usize>() * cut / (hosts - cut);
+    let own = served[..cut].iter().sum::<usize>();
+    assert!(own * 3 >= others * 2, "{fault:?}: {served:?} of {REQUESTS} served at each host");
+    for (number, gateway) in fleet.gateways.iter().enumerate() {
+        assert_eq!(gateway.is_ready(), number >= cut, "{fault:?}: readiness of g{number}");
+    }
+    (0..cut).for_each(|gateway| fleet.cut(gateway, NetworkFault::None));
+    for gateway in &fleet.gateways[..cut] {
+        wait_for("the host to come back", || gateway.is_ready())?;
+    }
+    let served = fleet.count_served();
+    assert!(served.iter().all(|served| *served >= REQUESTS - 1), "after {fault:?}: {served:?}");
+    fleet.assert_writes_ran_once();
+    Ok(())
+}
+
+#[test]
+fn callers_of_a_host_whose_connections_to_servers_are_reset_are_served() -> anyhow::Result<()> {
+    assert_served_through_a_cut(NetworkFault::Close, 3, 1)
+}
+
+#[test]
+fn callers_of_a_host_whose_connections_to_servers_hang_are_served() -> anyhow::Result<()> {
+    assert_served_through_a_cut(NetworkFault::Silence, 3, 1)
+}
+
+#[test]
+fn callers_of_a_host_whose_new_connections_to_servers_are_refused_are_served() -> anyhow::Result<()>
+{
+    // Connections are kept for longer than the test takes, so they are ended by the servers.
+    assert_served_through_a_cut(NetworkFault::RefuseNew, 3, 1)
+}
+
+#[test]
+fn callers_of_most_hosts_are_served_by_the_one_that_reaches_servers() -> anyhow::Result<()> {
+    assert_served_through_a_cut(NetworkFault::Close, 3, 2)
+}
+
+#[test]
+fn hosts_stay_ready_while_the_servers_are_down_for_everybody() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(2)?;
+    assert!(fleet.count_served().iter().all(|served| *served == REQUESTS));
+    fleet.proxies.iter().for_each(|proxy| proxy.set(NetworkFault::Close));
+    let end = Instant::now() + GRACE;
+    while Instant::now() < end {
+        fleet.count_served();
+        assert!(fleet.gateways.iter().all(Gateway::is_ready));
+    }
+    fleet.proxies.iter().for_each(|proxy| proxy.set(NetworkFault::None));
+    wait_for("service", || {
+        let sent = Request::new("GET", "/read/x", "back").send(fleet.gateways[0].addresses.callers);
+        sent.is_ok_and(|response| response.status == 200)
+    })?;
+    fleet.assert_writes_ran_once();
+    Ok(())
+}
+
+#[test]
+fn a_stream_whose_host_is_cut_from_servers_goes_on_through_a_peer() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(2)?;
+    let busy = Arc::new(AtomicBool::new(true));
+    let to = fleet.gateways[1].addresses.callers;
+    let flag = busy.clone();
+    let load = thread::spawn(move || {
+        let mut number = 0;
+        while flag.load(Ordering::SeqCst) {
+            number += 1;
+            // Only to keep the other host in contact with servers.
+            let _ = Request::new("GET", "/read/x", &format!("busy{number}")).send(to);
+            thread::sleep(PAUSE);
+        }
+    });
+    fleet.cut(0, NetworkFault::Close);
+    fleet.run_for(GRACE);
+    fleet.cut(0, NetworkFault::RefuseNew);
+    fleet.cut(0, NetworkFault::None);
+    let first = fleet.gateways[0].addresses.callers;
+    wait_for("the host to come back", || fleet.gateways[0].is_ready())?;
+    for (server, _) in fleet.rig.servers.iter().filter(|(server, _)| server.streams) {
+        server.set_behavior(Some(Behavior::StallAfter(3)));
+    }
+    let mut stream = Request::new("POST", "/chat/x", "s1").open(first)?;
+    thread::sleep(Duration::from_millis(300));
+    for (server, _) in fleet.rig.servers.iter().filter(|(server, _)| server.streams) {
+        server.set_behavior(None);
+    }
+    fleet.cut(0, NetworkFault::Close);
+    let response = caller::read(&mut stream)?;
+    assert!(response.complete, "{response:?}");
+    assert!(response.event_ids().into_iter().eq(1..=10), "{response:?}");
+    busy.store(false, Ordering::SeqCst);
+    load.join().expect("the load does not panic");
+    Ok(())
+}
+
+#[test]
+fn a_request_that_its_caller_gives_up_ends_at_the_server_behind_a_peer() -> anyhow::Result<()> {
+    const LIMIT: Duration = Duration::from_millis(500);
+    let mut fleet = Fleet::start(2)?;
+    fleet.cut(0, NetworkFault::Close);
+    fleet.run_for(GRACE);
+    for (server, _) in fleet.rig.servers.iter().filter(|(server, _)| server.streams) {
+        server.set_behavior(Some(Behavior::StallAfter(3)));
+    }
+    let stream =
+        Request::new("POST", "/chat/x", "left").open(fleet.gateways[0].addresses.callers)?;
+    let arrival = || {
+        let arrivals = fleet.rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+        arrivals.into_iter().find(|arrival| arrival.id == "left")
+    };
+    wait_for("the request", || arrival().is_some())?;
+    thread::sleep(Duration::from_millis(200));
+    drop(stream);
+    let left = Instant::now();
+    wait_for("the server to notice", || arrival().is_some_and(|a| a.client_gone_at.is_some()))?;
+    let noticed = arrival().and_then(|arrival| arrival.client_gone_at).unwrap_or(left);
+    let took = noticed.saturating_duration_since(left);
+    assert!(took < LIMIT, "the server went on for {took:?}");
+    Ok(())
+}
