--- a/crates/belief/src/lib.rs
+++ b/crates/belief/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod origins;
 pub mod peers;
 pub mod renewal;
+pub mod version_record;
--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -16,7 +16,10 @@
 
 /// How long a stream is remembered after its first event or its last continuation. Callers take a
 /// stream up within the time limit of their request, which is a fraction of this.
-const RETENTION: Duration = Duration::from_secs(120);
+pub const RETENTION: Duration = Duration::from_secs(120);
+/// How long a stream of this host stays in what it stores for the case that all hosts end. Longer than
+/// any stream lasts.
+const STORED_FOR: Duration = Duration::from_secs(30);
 /// The most streams that are remembered; the oldest ones are forgotten first.
 const MAX_STREAMS: usize = 100_000;
 
@@ -54,6 +57,8 @@
     origins: BTreeSet<Rc<Origin>>,
     /// Streams that have not been announced.
     unannounced: Vec<StreamId>,
+    /// The streams that began or went on at this host, oldest first.
+    own: VecDeque<(Instant, StreamId)>,
     /// When a server of each service and version was last listed.
     listed: BTreeMap<Origin, Instant>,
 }
@@ -85,6 +90,7 @@
     pub fn record(&mut self, now: Instant, stream: StreamId, origin: Origin) {
         self.merge(now, stream, origin);
         self.unannounced.push(stream);
+        self.own.push_back((now, stream));
     }
 
     /// Records what a peer has told of a stream.
@@ -104,9 +110,25 @@
 
     /// Takes at most `count` streams that have not been announced, by origin.
     pub fn take_unannounced(&mut self, count: usize) -> Vec<Group> {
-        let taken = self.unannounced.drain(..count.min(self.unannounced.len()));
+        let taken: Vec<StreamId> =
+            self.unannounced.drain(..count.min(self.unannounced.len())).collect();
+        self.group(taken)
+    }
+
+    /// Returns the streams that began or went on at this host lately, by origin.
+    pub fn own_streams(&mut self, now: Instant) -> Vec<Group> {
+        while let Some((at, _)) = self.own.front()
+            && now.saturating_duration_since(*at) >= STORED_FOR
+        {
+            self.own.pop_front();
+        }
+        let streams: BTreeSet<StreamId> = self.own.iter().map(|(_, stream)| *stream).collect();
+        self.group(streams)
+    }
+
+    fn group(&self, streams: impl IntoIterator<Item = StreamId>) -> Vec<Group> {
         let mut groups: BTreeMap<Rc<Origin>, Vec<[u8; 8]>> = BTreeMap::new();
-        for stream in taken {
+        for stream in streams {
             if let Some((origin, _)) = self.streams.get(&stream) {
                 groups.entry(origin.clone()).or_default().push(stream.to_be_bytes());
             }
@@ -125,6 +147,21 @@
         self.listed.retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
     }
 
+    /// Records that servers of a version may have been listed `age` ago.
+    pub fn record_listed_before(&mut self, now: Instant, origin: Origin, age: Duration) {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let known = self.listed.entry(origin).or_insert(at);
+        *known = at.max(*known);
+    }
+
+    /// Whether servers of several versions of one service were listed recently.
+    pub fn has_several_versions(&self, now: Instant) -> bool {
+        let mut services = BTreeSet::new();
+        let mut recent =
+            self.listed.iter().filter(|(_, at)| now.saturating_duration_since(**at) < RETENTION);
+        recent.any(|(origin, _)| !services.insert(&origin.service))
+    }
+
     /// The versions of a service that were listed recently enough for a stream to have begun there.
     pub fn recent_builds(&self, now: Instant, service: &PoolId) -> BTreeSet<Build> {
         let recent = self.listed.iter().filter(|(origin, at)| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod operator;
 pub mod orders;
 pub mod origin;
+pub mod origin_store;
 pub mod peer_fetch;
 pub mod peer_relay;
 pub mod quarantine;
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -12,7 +12,7 @@
     units::{Build, PoolId},
 };
 
-use crate::{peer_fetch, relay::AdmittedRequest, response, state::State};
+use crate::{origin_store, peer_fetch, relay::AdmittedRequest, response, state::State};
 
 /// The most peers that are asked for one stream, those of the own failure domain first.
 const MAX_ASKED_PEERS: usize = 8;
@@ -47,9 +47,9 @@
 /// Finds where the stream began that a caller takes up; `None` if it takes up none.
 ///
 /// If nobody remembers it, it has begun at the only version of the service that this host and its peers
-/// have seen lately.
+/// have seen lately, or hosts before them by what the store records.
 ///
-/// Errors: `StreamUnknown` if there are several.
+/// Errors: `StreamUnknown` if there are several, or while that has not been read.
 pub async fn find(state: &Rc<State>, inbound: &AdmittedRequest) -> Result<Option<Origin>> {
     if !inbound.continues() || !inbound.admission.route.kind.is_stream() {
         return Ok(None);
@@ -57,6 +57,11 @@
     let service = &inbound.admission.service;
     let stream = inbound.stream_id();
     let known = stream.and_then(|stream| state.origins.borrow().get(stream).cloned());
+    if known.is_none() && !origin_store::wait_read(state).await {
+        let detail = "what was stored of streams has not been read yet";
+        return Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER));
+    }
+    let known = known.or_else(|| state.origins.borrow().get(stream?).cloned());
     let (origin, source) = match (known, stream) {
         (Some(origin), _) => (Some(origin), "own"),
         (None, Some(stream)) => (ask_peers(state, stream, service).await, "peers"),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,7 +24,7 @@
 use crate::{
     duty, gossip, link_watch, listener,
     operator::{self, Audience},
-    refresh,
+    origin_store, refresh,
     settings::{self, Settings},
     state::{STOP_MARGIN, State},
 };
@@ -72,6 +72,7 @@
     spawn_local(refresh::run(state.clone()));
     spawn_local(sample_clock(state.clone()));
     spawn_local(link_watch::run(state.clone()));
+    spawn_local(origin_store::run(state.clone()));
     let duty_task = spawn_local(duty::run(state.clone()));
     for (address, audience) in [
         (settings.ready, Audience::Operators),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -67,6 +67,8 @@
     pub servers: RefCell<members::View>,
     /// The rate limits that servers have named.
     pub limits: RefCell<stated_limits::View>,
+    /// Whether what earlier hosts have stored of versions and streams has been read.
+    pub stored_origins_read: Cell<bool>,
     /// Whether this host's own link to the servers works.
     pub link: RefCell<link::Link>,
     /// Where streams began.
@@ -136,6 +138,7 @@
             config: RefCell::default(),
             servers: RefCell::default(),
             limits: RefCell::default(),
+            stored_origins_read: Cell::new(false),
             link: RefCell::default(),
             origins: RefCell::default(),
             quarantine: RefCell::new(quarantine::View::new(rand::random())),
@@ -256,7 +259,7 @@
 
     /// Records the versions in service. Called before each change of the servers, so that a version
     /// counts until it goes.
-    fn record_builds(&self) {
+    pub fn record_builds(&self) {
         let members = self.servers.borrow().get();
         self.origins.borrow_mut().record_listed(self.now(), &members);
     }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -150,3 +150,87 @@
     assert!(fresh.status == 200 && fresh.complete, "{fresh:?}");
     Ok(())
 }
+
+/// Kills all hosts at once and starts them again.
+fn restart_all(rig: &Rig, gateways: &mut Vec<Gateway>) -> anyhow::Result<()> {
+    gateways.iter_mut().for_each(Gateway::kill);
+    let names = (0..gateways.len()).map(|number| format!("again{number}"));
+    *gateways = names.map(|name| rig.start_gateway(&name)).collect::<anyhow::Result<_>>()?;
+    Ok(())
+}
+
+/// Takes up all streams at the hosts in turn; returns how many go on. None may go on at another version.
+fn take_up(rig: &Rig, gateways: &[Gateway], begun: &[String]) -> anyhow::Result<usize> {
+    let mut went_on = 0;
+    for (number, begun) in begun.iter().enumerate() {
+        let (again, response) = resume(&gateways[number % gateways.len()], begun)?;
+        assert_one_version(rig, &[begun, &again]);
+        went_on += usize::from(response.status == 200 && response.complete);
+    }
+    Ok(went_on)
+}
+
+/// Hosts of a rig with engines of the first version only, and the streams that broke off there.
+fn streams_of_first_version(rig: &Rig) -> anyhow::Result<(Vec<Gateway>, Vec<String>)> {
+    let gateways: Vec<_> =
+        ["g1", "g2"].map(|name| rig.start_gateway(name)).into_iter().collect::<Result<_, _>>()?;
+    let begin = |number: usize| begin_broken(rig, &gateways[number % 2], format!("s{number}"));
+    let begun = (0..STREAMS).map(begin).collect::<anyhow::Result<_>>()?;
+    // What hosts store is written within a period.
+    std::thread::sleep(std::time::Duration::from_millis(800));
+    Ok((gateways, begun))
+}
+
+#[test]
+fn streams_do_not_go_on_at_the_version_that_replaced_theirs_while_all_hosts_were_down()
+-> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    let (mut gateways, begun) = streams_of_first_version(&rig)?;
+    gateways.iter_mut().for_each(Gateway::kill);
+    ["e1", "e2"].iter().for_each(|id| rig.store.remove("servers", id));
+    rig.add_engines(&[("f1", "v2"), ("f2", "v2")])?;
+    restart_all(&rig, &mut gateways)?;
+    assert_eq!(take_up(&rig, &gateways, &begun)?, 0);
+    let fresh = Request::new("POST", "/chat/x", "fresh").send(gateways[0].addresses.callers)?;
+    assert!(fresh.status == 200 && fresh.complete, "{fresh:?}");
+    Ok(())
+}
+
+#[test]
+fn streams_of_a_version_that_has_just_left_do_not_go_on_after_all_hosts_were_killed()
+-> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    let (mut gateways, begun) = streams_of_first_version(&rig)?;
+    rig.add_engines(&[("f1", "v2"), ("f2", "v2")])?;
+    ["e1", "e2"].iter().for_each(|id| rig.store.remove("servers", id));
+    let knows = |gateway: &Gateway| gateway.log_lines("backend servers changed").len() > 1;
+    wait_for("the new version", || gateways.iter().all(knows))?;
+    restart_all(&rig, &mut gateways)?;
+    assert_eq!(take_up(&rig, &gateways, &begun)?, 0);
+    Ok(())
+}
+
+#[test]
+fn streams_go_on_after_all_hosts_were_killed_while_two_versions_serve() -> anyhow::Result<()> {
+    let rig = two_versions()?;
+    let (mut gateways, begun) = streams_of_first_version(&rig)?;
+    restart_all(&rig, &mut gateways)?;
+    let went_on = take_up(&rig, &gateways, &begun)?;
+    assert!(went_on >= STREAMS / 2, "only {went_on} of {STREAMS} streams went on");
+    // The hosts that started have stored them again.
+    std::thread::sleep(std::time::Duration::from_millis(800));
+    restart_all(&rig, &mut gateways)?;
+    let went_on = take_up(&rig, &gateways, &begun)?;
+    assert!(went_on >= STREAMS / 2, "only {went_on} of {STREAMS} streams went on again");
+    Ok(())
+}
+
+#[test]
+fn streams_go_on_after_all_hosts_were_killed_while_there_was_one_version() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let (mut gateways, begun) = streams_of_first_version(&rig)?;
+    restart_all(&rig, &mut gateways)?;
+    let went_on = take_up(&rig, &gateways, &begun)?;
+    assert!(went_on >= STREAMS / 2, "only {went_on} of {STREAMS} streams went on");
+    Ok(())
+}
