Stored streams: object kinds that the platform accepts, a pause after a failed write, a shorter memory of versions

Change: kinds of our own prefix; a failed write is repeated after 0.7 to 1.4 s and logged as a warning. Streams are stored while a second version was listed in the last 45 s, not two minutes: no stream and its callers' tries last longer.

--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -16,10 +16,13 @@
 
 /// How long a stream is remembered after its first event or its last continuation. Callers take a
 /// stream up within the time limit of their request, which is a fraction of this.
-pub const RETENTION: Duration = Duration::from_secs(120);
+const RETENTION: Duration = Duration::from_secs(120);
 /// How long a stream of this host stays in what it stores for the case that all hosts end. Longer than
 /// any stream lasts.
 const STORED_FOR: Duration = Duration::from_secs(30);
+/// How long after a version was last listed a stream that began there may be taken up. A stream takes a few
+/// seconds, and its caller comes back within the time limit of its request.
+pub const VERSION_RETENTION: Duration = Duration::from_secs(45);
 /// The most streams that are remembered; the oldest ones are forgotten first.
 const MAX_STREAMS: usize = 100_000;
 
@@ -144,7 +147,7 @@
             let (service, build) = (member.service.clone(), member.build.clone());
             self.listed.insert(Origin { service, build }, now);
         }
-        self.listed.retain(|_, at| now.saturating_duration_since(*at) < RETENTION);
+        self.listed.retain(|_, at| now.saturating_duration_since(*at) < VERSION_RETENTION);
     }
 
     /// Records that servers of a version may have been listed `age` ago.
@@ -157,15 +160,17 @@
     /// Whether servers of several versions of one service were listed recently.
     pub fn has_several_versions(&self, now: Instant) -> bool {
         let mut services = BTreeSet::new();
-        let mut recent =
-            self.listed.iter().filter(|(_, at)| now.saturating_duration_since(**at) < RETENTION);
+        let mut recent = self
+            .listed
+            .iter()
+            .filter(|(_, at)| now.saturating_duration_since(**at) < VERSION_RETENTION);
         recent.any(|(origin, _)| !services.insert(&origin.service))
     }
 
     /// The versions of a service that were listed recently enough for a stream to have begun there.
     pub fn recent_builds(&self, now: Instant, service: &PoolId) -> BTreeSet<Build> {
         let recent = self.listed.iter().filter(|(origin, at)| {
-            origin.service == *service && now.saturating_duration_since(**at) < RETENTION
+            origin.service == *service && now.saturating_duration_since(**at) < VERSION_RETENTION
         });
         recent.map(|(origin, _)| origin.build.clone()).collect()
     }
--- a/crates/belief/src/version_record.rs
+++ b/crates/belief/src/version_record.rs
@@ -13,7 +13,7 @@
     units::{Build, PoolId},
 };
 
-use crate::origins::{Origin, RETENTION};
+use crate::origins::{Origin, VERSION_RETENTION};
 
 data! {
     /// The record.
@@ -42,7 +42,7 @@
         for (service, builds) in &self.services {
             for (build, gone_ms) in builds {
                 let gone_ms = gone_ms.unwrap_or(now_ms);
-                if age(gone_ms, now_ms) < RETENTION {
+                if age(gone_ms, now_ms) < VERSION_RETENTION {
                     let builds = updated.services.entry(service.clone()).or_default();
                     builds.insert(build.clone(), Some(gone_ms));
                 }
--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -18,7 +18,7 @@
     version_record::Record,
 };
 use wasabi_core::{
-    errors::{self, Result},
+    errors::{self, Error, Result},
     objects::Written,
     units::Version,
 };
@@ -26,10 +26,10 @@
 use crate::{refresh::with_timeout, state::State};
 
 /// The object kind of the record of versions; with [`VERSIONS_NAME`] it identifies it.
-const VERSIONS_KIND: &str = "versions";
+const VERSIONS_KIND: &str = "stream-versions";
 const VERSIONS_NAME: &str = "services";
 /// The object kind of the streams of each host; the name is the host's.
-const STREAMS_KIND: &str = "streams";
+const STREAMS_KIND: &str = "stream-origins";
 /// How often it is checked whether something has to be written, and the period of writing streams in a
 /// small fleet.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -43,6 +43,8 @@
 const GONE_AFTER: Duration = Duration::from_secs(3);
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// The least pause after a failed write; at most twice as long.
+const FAILURE_PAUSE: Duration = Duration::from_millis(700);
 /// How often a host that starts tries to read what is stored.
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// How long a stream that is taken up waits until that is read.
@@ -73,13 +75,17 @@
     let mut written_at: Option<Instant> = None;
     loop {
         tokio::time::sleep(PERIOD).await;
-        log_failure("versions", versions.update(&state).await);
+        if let Err(e) = versions.update(&state).await {
+            pause_after_failure("versions", &e).await;
+        }
         let now = state.now();
         let period = (PERIOD_PER_HOST * state.live_hosts() as u32).max(PERIOD);
         let due = written_at.is_none_or(|at| now.saturating_duration_since(at) >= period);
         if due && state.origins.borrow().has_several_versions(now) {
             written_at = Some(now);
-            log_failure("streams", record_streams(&state, &mut streams).await);
+            if let Err(e) = record_streams(&state, &mut streams).await {
+                pause_after_failure("streams", &e).await;
+            }
         }
     }
 }
@@ -235,12 +241,11 @@
     Ok(())
 }
 
-fn log_failure(what: &'static str, result: Result<()>) {
-    if let Err(e) = result {
-        metrics::counter!("wasabi_store_failures_total").increment(1);
-        let cause = e.to_string();
-        info!(what = what, cause = cause.as_str(); "not stored");
-    }
+async fn pause_after_failure(what: &'static str, error: &Error) {
+    metrics::counter!("wasabi_store_failures_total").increment(1);
+    let cause = error.to_string();
+    warn!(what = what, cause = cause.as_str(); "not stored");
+    tokio::time::sleep(FAILURE_PAUSE.mul_f64(1.0 + rand::rng().random::<f64>())).await;
 }
 
 fn now_ms(state: &State) -> u64 {
