Servers that say that they are brittle are not turned over by requests that they have no room for (LIMIT)

What callers would see: servers that fall over, one after the other, while more requests come than they take.

Cause: 'Server-Brittle' was not decoded. Hosts let three requests wait for each slot of a plain server, each for itself, and went on sending to a server that turned them away, since a rejection is no failure.

Change: policy::brittle. While a service's servers say so, a server is filled to three quarters of its slots, a plain one in equal shares of the hosts; a host rests for 60 ms at a server that reports that it is full, and after a rejection so long that all hosts together use half of what the server bears. An answer without the header ends it.

Unit tests of the rests in policy/tests/pause.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -111,6 +111,9 @@
         pub pause: Option<Duration>,
         /// The requests a second that the server takes from all hosts together, if it names a limit.
         pub limit: Option<RequestRate>,
+        /// How many requests the server can turn away within a second for want of room before it falls
+        /// over, if it says so.
+        pub brittle: Option<u32>,
         /// The headers whose values were not understood; they count as absent.
         pub malformed: Vec<String>,
         /// The load reported by the server.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -122,6 +122,7 @@
                     state.log_malformed_header(&member.id, header);
                 }
                 record_limit(state, outgoing, member, http.status(), &reply, sent);
+                record_brittle(state, outgoing, guard, &reply, sent);
                 if reply.leaving {
                     state.mark_leaving(members::instance(member), "answer");
                 }
@@ -176,6 +177,22 @@
     }
 }
 
+/// Records whether the servers of a service say that they are brittle; see [`record_limit`] for whose answers
+/// count.
+fn record_brittle(
+    state: &State,
+    outgoing: &Outgoing<'_>,
+    guard: &PlacementGuard,
+    reply: &ResponseHead,
+    sent: Instant,
+) {
+    let is_own = reply.id.as_ref() == Some(&outgoing.head.id) && (reply.signed || reply.not_run);
+    if is_own || reply.brittle.is_some() {
+        let now = state.now();
+        guard.with_balancer(|balancer, _| balancer.record_brittle(now, sent, reply.brittle));
+    }
+}
+
 /// Takes the server out of placement for the time for which it wants no request.
 fn pause(state: &State, guard: &PlacementGuard, wait: Duration) {
     let now = state.now();
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    brittle::Brittleness,
     failures::FailureHistory,
     load_report::LoadReport,
     pace::Fleet,
@@ -150,6 +151,10 @@
     /// The average response time of plain servers.
     response_time: AverageResponseTime,
     servers: BTreeMap<ServerId, ServerState>,
+    /// Whether the servers fall over if they turn away too many requests.
+    brittleness: Brittleness,
+    /// The number of hosts that place requests, this one included.
+    hosts: usize,
     /// The hosts that share the limits of servers, as last set.
     fleet: Option<Fleet>,
     peers: HashMap<HostId, PeerAnnouncement>,
@@ -173,6 +178,8 @@
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
             servers: BTreeMap::new(),
+            brittleness: Brittleness::default(),
+            hosts: 1,
             fleet: None,
             peers: HashMap::new(),
         }
@@ -212,6 +219,7 @@
 
     /// Sets how many hosts place requests; the more there are, the older their announcements.
     pub fn set_host_count(&mut self, hosts: usize) {
+        self.hosts = hosts;
         self.stale_announcements = hosts >= STALE_ANNOUNCEMENTS_MIN_HOSTS;
     }
 
@@ -225,6 +233,12 @@
         }
     }
 
+    /// Records how many requests in a second servers say that they can turn away before they fall over, in
+    /// an answer to a request sent at `sent`; `None` if they say nothing of it.
+    pub fn record_brittle(&mut self, now: Instant, sent: Instant, rejections: Option<u32>) {
+        self.brittleness.record(now, sent, rejections);
+    }
+
     /// Sets the hosts that share the limits of servers, and the limit of each server by `limit_of`.
     pub fn share_limits(
         &mut self,
@@ -283,9 +297,11 @@
             }
             let estimate = match self.engine {
                 Some(engine) => {
+                    let slots = self.brittleness.room(engine.slots, engine.slots);
+                    let engine = Engine { slots, ..engine };
                     server.engine_cost(now, ask, &engine, stale && affinity.as_ref() == Some(id))
                 }
-                None => server.plain_server_cost(),
+                None => server.plain_server_cost(self.brittleness, self.hosts),
             };
             let failure_penalty_ms = server.failures.avoidance(now) * MAX_FAILURE_PENALTY_MS;
             least_ms = least_ms.min(estimate.first_ms * latency_ratio + failure_penalty_ms);
@@ -391,13 +407,19 @@
 
     /// Releases a slot and records how the request ended.
     pub fn end(&mut self, now: Instant, place: &Placement, end: End) {
+        let rest = self.brittleness.rest(self.hosts);
         let Some(server) = self.server_of(place) else { return };
         server.own.running = server.own.running.saturating_sub(1);
         server.own.light = server.own.light.saturating_sub(u32::from(place.light));
         server.own.tokens = server.own.tokens.saturating_sub(place.tokens);
         match end {
             End::Served => server.failures.record_success(),
-            End::Rejected => server.failures.record_rejection(now),
+            End::Rejected => {
+                server.failures.record_rejection(now);
+                if let Some(rest) = rest {
+                    server.pause.begin(now, rest, 0.0);
+                }
+            }
             End::Failed => server.failures.record_failure(now),
             End::Abandoned => {}
         }
@@ -406,10 +428,14 @@
     /// Takes in the load that the placement's server reported: if requests wait there, the modelled
     /// prefill queue is lengthened.
     pub fn observe(&mut self, now: Instant, place: &Placement, load: Load) {
+        let rest = self.brittleness.rest_at(load);
         let Some(server) = self.server_of(place) else { return };
         // Waiting requests mean that the modelled queue is too short: it is made at least as long
         // as the prefill of this request.
         let known = server.queue_ms(now, URGENCY_LEVELS - 1);
+        if let Some(rest) = rest {
+            server.pause.begin(now, rest, 0.0);
+        }
         if load.waiting > 0 && known < place.prefill_ms {
             server.extend_queue(now, place.urgency, place.prefill_ms - known);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod balancer;
+mod brittle;
 pub mod capacity;
 pub mod facts;
 pub mod failures;
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     balancer::{Placement, PlacementRequest},
+    brittle::Brittleness,
     failures::FailureHistory,
     load_report::LoadReport,
     pace::Pace,
@@ -178,14 +179,16 @@
 
     /// Estimates the cost on a plain server, which is no engine and sends whole responses: the wait
     /// is not estimated, and the least loaded server costs least.
-    pub(crate) fn plain_server_cost(&self) -> CostEstimate {
+    /// A brittle server is shared out among `hosts`.
+    pub(crate) fn plain_server_cost(&self, brittleness: Brittleness, hosts: usize) -> CostEstimate {
         let running = self.total_counts().running;
         let slots = self.member.slots.max(1);
         CostEstimate {
             first_ms: 0.0,
             extra_cost: f64::from(running) / f64::from(slots) * 100.0,
             prefill_ms: 0.0,
-            has_room: running < slots * (1 + WAITING_PER_SLOT),
+            has_room: running < brittleness.room(slots, slots * (1 + WAITING_PER_SLOT))
+                && brittleness.own_room(slots, hosts).is_none_or(|own| self.own.running < own),
             light: false,
         }
     }
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -1,4 +1,4 @@
-//! Servers that want no request for a while.
+//! Servers that want no request for a while, or that bear few requests for which they have no room.
 
 use std::{
     collections::BTreeMap,
@@ -115,3 +115,47 @@
     assert_eq!(back[10], Duration::from_millis(2_500));
     assert!(back.windows(2).all(|pair| pair[0] < pair[1]), "{back:?}");
 }
+
+/// The requests that a brittle server can turn away in a second.
+const REJECTIONS: u32 = 5;
+
+/// Seven hosts of which each sends on as soon as it may, to servers that turn every request away.
+#[test]
+fn all_hosts_together_are_turned_away_less_often_than_a_brittle_server_bears() {
+    const HOSTS: usize = 7;
+    let start = Instant::now();
+    let mut turned_away: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..HOSTS {
+        let mut host = balancer(start);
+        host.set_host_count(HOSTS);
+        host.record_brittle(start, start, Some(REJECTIONS));
+        let counts = play(&mut host, start, SECOND * 10, |_, _, _| End::Rejected);
+        counts
+            .into_iter()
+            .for_each(|(server, count)| *turned_away.entry(server).or_default() += count);
+    }
+    let most = turned_away.values().max().copied().unwrap_or(0);
+    assert!(most <= REJECTIONS as usize * 10, "{turned_away:?}");
+    assert!(most > 0);
+}
+
+#[test]
+fn an_answer_that_says_nothing_of_it_ends_the_care_for_brittle_servers() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut host = balancer(start);
+    let most = |host: &mut Balancer, now: Instant| {
+        let placed: Vec<_> = std::iter::from_fn(|| place(host, now).ok()).collect();
+        placed.iter().for_each(|placement| host.end(now, placement, End::Served));
+        placed.len()
+    };
+    let usual = most(&mut host, start);
+    host.record_brittle(at(10), at(5), Some(REJECTIONS));
+    let careful = most(&mut host, at(11));
+    assert!(careful < SERVERS * 6 && careful > 0, "{careful} of {usual}");
+    // The request was sent before a server last said that it is brittle.
+    host.record_brittle(at(12), at(8), None);
+    assert_eq!(most(&mut host, at(13)), careful);
+    host.record_brittle(at(15), at(14), None);
+    assert_eq!(most(&mut host, at(16)), usual);
+}
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -55,6 +55,9 @@
     StallAfter(u64),
 }
 
+/// How long a brittle server is down after it has fallen over.
+const FALL_DURATION: Duration = Duration::from_millis(1_500);
+
 /// A request that a server has received.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -107,6 +110,19 @@
     /// The `retry-after` header of responses that turn a request away.
     retry_after: Option<String>,
     arrivals: Vec<Arrival>,
+    /// How many requests run at the same time; more are turned away. No limit if unset.
+    capacity: Option<usize>,
+    /// Requests that run now.
+    running: usize,
+    /// While set, the `server-brittle` header of all responses: if the server turns away more requests
+    /// within a second for want of room, it falls over.
+    brittle: Option<usize>,
+    /// When requests were turned away for want of room, within the last second.
+    turned_away: VecDeque<Instant>,
+    /// How often the server has fallen over.
+    falls: usize,
+    /// Until when the server is down after a fall.
+    down_until: Option<Instant>,
     /// The requests that crash the server once they have begun to run.
     fatal: Option<Predicate>,
     /// When it crashed.
@@ -187,6 +203,41 @@
         self.inner.lock().fatal = Some(Box::new(fatal));
     }
 
+    /// Sets how many requests run at the same time, and the header that says that the server is brittle.
+    pub fn set_brittle(&self, capacity: usize, brittle: Option<usize>) {
+        let mut inner = self.inner.lock();
+        (inner.capacity, inner.brittle) = (Some(capacity), brittle);
+    }
+
+    /// Returns how often the server has fallen over.
+    pub fn falls(&self) -> usize {
+        self.inner.lock().falls
+    }
+
+    /// Takes a place for a request; returns how it is handled if there is none.
+    fn take_place(&self) -> Option<Behavior> {
+        let mut inner = self.inner.lock();
+        let now = Instant::now();
+        if inner.down_until.is_some_and(|until| now < until) {
+            return Some(Behavior::LoseAnswer);
+        }
+        if inner.capacity.is_none_or(|capacity| inner.running < capacity) {
+            inner.running += 1;
+            return None;
+        }
+        inner.turned_away.push_back(now);
+        while inner.turned_away.front().is_some_and(|at| now - *at >= Duration::from_secs(1)) {
+            inner.turned_away.pop_front();
+        }
+        if inner.brittle.is_some_and(|most| inner.turned_away.len() > most) {
+            inner.falls += 1;
+            inner.turned_away.clear();
+            inner.down_until = Some(now + FALL_DURATION);
+            self.crashes.send_modify(|crashes| *crashes += 1);
+        }
+        Some(Behavior::TurnAway)
+    }
+
     /// Breaks off all running requests, as when the process ends; it is back at once.
     pub fn crash(&self) {
         self.inner.lock().crashed_at.push(Instant::now());
@@ -254,7 +305,12 @@
             let signature = format!("sig.{}", self.id);
             headers.insert("response-signature", signature.parse().expect("a header value"));
         }
-        headers.insert("server-load", HeaderValue::from_static("1,0,8"));
+        let (running, slots) = match &*self.inner.lock() {
+            Inner { capacity: Some(capacity), running, .. } => (*running, *capacity),
+            _ => (1, 8),
+        };
+        let load = format!("{running},0,{slots}");
+        headers.insert("server-load", load.parse().expect("a header value"));
     }
 
     /// Sets the headers that tell whether the server leaves and how much it takes, and, of a response that turns a request
@@ -264,6 +320,9 @@
         if inner.leaving {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
+        if let Some(brittle) = inner.brittle {
+            response.headers_mut().insert("server-brittle", HeaderValue::from(brittle));
+        }
         if let Some(limit) =
             inner.limit.as_deref().and_then(|text| HeaderValue::from_str(text).ok())
         {
@@ -355,6 +414,15 @@
     }
 }
 
+/// A place of a running request; free again when it is dropped.
+struct Place(Arc<Server>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.inner.lock().running -= 1;
+    }
+}
+
 /// The response body of an event stream.
 struct EventBody(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
 
@@ -374,7 +442,10 @@
     fn serve(self: Arc<Self>, request: ReceivedRequest) -> ResponseFuture {
         Box::pin(async move {
             let mut crashes = self.crashes.subscribe();
-            let (arrival, behavior) = self.record_arrival(&request);
+            let (arrival, mut behavior) = self.record_arrival(&request);
+            if behavior == Behavior::Serve && !self.streams {
+                behavior = self.take_place().unwrap_or(behavior);
+            }
             let fatal = self.is_fatal(arrival);
             let id = request.headers().get("request-id").and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default().to_string();
@@ -395,6 +466,14 @@
                     return None;
                 }
                 Behavior::Fail => net::full_response(500, "the application failed"),
+                Behavior::Serve if !self.streams => {
+                    let _place = Place(self.clone());
+                    if !self.work(&mut crashes, fatal).await {
+                        guard.done = true;
+                        return None;
+                    }
+                    net::full_response(200, format!("answer of {} to {id}", self.id))
+                }
                 _ if self.streams => self.clone().stream_events(arrival, after, behavior, fatal),
                 _ => {
                     if !self.work(&mut crashes, fatal).await {
