--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,7 @@
 /// Seeds with their number of faults, each with the reason why it is in the list.
 const SEEDS: &[(u64, usize, &str)] = &[
     (3, 8, "the first seed"),
+    (10_000, 20, "the first seed with faults of several hosts"),
     (3008, 20, "a withdrawn key was accepted after the store had lost its withdrawal"),
 ];
 
--- a/tests/stand/src/proxy.rs
+++ b/tests/stand/src/proxy.rs
@@ -113,6 +113,11 @@
     pub fn set_for(&self, client: IpAddr, fault: NetworkFault) {
         self.faults.lock().by_client.insert(client, fault);
     }
+
+    /// Treats the connections from `client` like those of all others again.
+    pub fn clear_for(&self, client: IpAddr) {
+        self.faults.lock().by_client.remove(&client);
+    }
 }
 
 /// Returns once the connection is to be closed.
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -220,10 +220,7 @@
     /// Starts a gateway that connects to servers from `source`, and waits until it is ready.
     pub fn start_gateway_from(&self, name: &str, source: IpAddr) -> anyhow::Result<Gateway> {
         let addresses = gateway::pick_ports()?;
-        let mut settings =
-            gateway::settings(name, &addresses, self.store_address, self.duties_address);
-        settings["source"] = json!(source);
-        let gateway = Gateway::start(&self.program, addresses, &settings)?;
+        let gateway = self.launch_from(name, self.store_address, addresses, Some(source))?;
         gateway.wait_ready()?;
         Ok(gateway)
     }
@@ -235,7 +232,19 @@
         store: SocketAddr,
         addresses: ListenAddresses,
     ) -> anyhow::Result<Gateway> {
-        let settings = gateway::settings(name, &addresses, store, self.duties_address);
+        self.launch_from(name, store, addresses, None)
+    }
+
+    /// As [`Rig::launch`]; the gateway connects to servers from `source`.
+    pub fn launch_from(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        addresses: ListenAddresses,
+        source: Option<IpAddr>,
+    ) -> anyhow::Result<Gateway> {
+        let mut settings = gateway::settings(name, &addresses, store, self.duties_address);
+        settings["source"] = json!(source);
         Gateway::start(&self.program, addresses, &settings)
     }
 }
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -37,6 +37,10 @@
 const MAX_BACKUP_AGE_FAULTS: usize = 7;
 /// Engines of another software version beside `e1` and `e2`, which are of `v1`.
 const NEW_ENGINES: [(&str, &str); 2] = [("f1", "v2"), ("f2", "v2")];
+/// Runs with earlier seeds go on injecting what they drew before there were faults of several hosts.
+const FIRST_SEED_OF_FLEET_FAULTS: u64 = 10_000;
+/// The share of the faults of several hosts.
+const FLEET_FAULT_SHARE: f64 = 0.25;
 /// The pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(25);
 
@@ -75,6 +79,8 @@
     /// Whether the platform ignores fencing tokens. The way to it then has the faults of the way to
     /// the store.
     unfenced: bool,
+    /// Whether faults of several hosts at once are injected too.
+    fleet_faults: bool,
     /// The proxy in front of each backend server.
     server_proxies: Vec<Proxy>,
     /// The addresses at which the gateways take callers.
@@ -100,6 +106,7 @@
     Paused(usize),
     Behavior(usize),
     Draining(usize),
+    Partition(usize),
 }
 
 /// Starts a deployment and callers, injects `steps` faults drawn from `seed`, waits for the
@@ -132,6 +139,11 @@
     Ok(run.outcome)
 }
 
+/// The address from which a host connects to servers.
+fn source(gateway: usize) -> IpAddr {
+    IpAddr::from([127, 0, 0, 2 + gateway as u8])
+}
+
 /// Sends requests until `stop` is set.
 fn run_caller(
     caller: usize,
@@ -186,6 +198,7 @@
         }
         let mut run = Self {
             unfenced: seed % 2 == 1,
+            fleet_faults: seed >= FIRST_SEED_OF_FLEET_FAULTS,
             rng: StdRng::seed_from_u64(seed),
             gateways: Vec::new(),
             store_proxies: Vec::new(),
@@ -210,8 +223,9 @@
             let duty_proxy = Proxy::start(run.rig.runtime.handle(), duties)?;
             run.rig.duties_address = duty_proxy.address;
             run.duty_proxies.push(duty_proxy);
+            let ports = gateway::pick_ports()?;
             let gateway =
-                run.rig.launch(&format!("g{i}"), proxy.address, gateway::pick_ports()?)?;
+                run.rig.launch_from(&format!("g{i}"), proxy.address, ports, Some(source(i)))?;
             gateway.wait_ready()?;
             run.caller_addresses.lock().push(gateway.addresses.callers);
             run.gateways.push(gateway);
@@ -235,6 +249,9 @@
         let duration = Duration::from_millis(self.rng.random_range(300..4_000));
         let ends_at = Instant::now() + duration;
         self.backups.push(self.rig.store.backup());
+        if self.fleet_faults && self.rng.random_bool(FLEET_FAULT_SHARE) {
+            return self.inject_fleet_fault(ends_at);
+        }
         let description = match self.rng.random_range(0..14) {
             0 | 1 => {
                 let slow = Fault::Slow(Duration::from_millis(200));
@@ -325,6 +342,26 @@
         Ok(())
     }
 
+    /// Cuts some or all hosts from all servers, or kills all hosts at once.
+    fn inject_fleet_fault(&mut self, ends_at: Instant) -> anyhow::Result<()> {
+        if self.rng.random_bool(0.3) {
+            self.gateways.iter_mut().for_each(Gateway::kill);
+            (0..GATEWAYS).try_for_each(|g| self.restart(g))?;
+            self.outcome.trace.push("all hosts killed and started again".to_string());
+            return Ok(());
+        }
+        let faults = [NetworkFault::Close, NetworkFault::Silence, NetworkFault::RefuseNew];
+        let fault = faults[self.rng.random_range(0..faults.len())];
+        let first = self.rng.random_range(0..GATEWAYS);
+        let hosts = self.rng.random_range(1..=GATEWAYS);
+        for g in (first..first + hosts).map(|g| g % GATEWAYS) {
+            self.server_proxies.iter().for_each(|proxy| proxy.set_for(source(g), fault));
+            self.active_faults.push((ends_at, ActiveFault::Partition(g)));
+        }
+        self.outcome.trace.push(format!("{hosts} hosts from g{first} on to all servers {fault:?}"));
+        Ok(())
+    }
+
     fn draw_network_fault(&mut self) -> NetworkFault {
         let delay = NetworkFault::Delay(Duration::from_millis(150));
         let faults = [
@@ -340,8 +377,8 @@
     fn restart(&mut self, g: usize) -> anyhow::Result<()> {
         let addresses = self.gateways[g].addresses;
         self.rig.duties_address = self.duty_proxies[g].address;
-        self.gateways[g] =
-            self.rig.launch(&format!("g{g}"), self.store_proxies[g].address, addresses)?;
+        let (name, store) = (format!("g{g}"), self.store_proxies[g].address);
+        self.gateways[g] = self.rig.launch_from(&name, store, addresses, Some(source(g)))?;
         Ok(())
     }
 
@@ -368,6 +405,9 @@
                 self.store_proxies[g].set(NetworkFault::None);
                 self.duty_proxies[g].set(NetworkFault::None);
             }
+            ActiveFault::Partition(g) => {
+                self.server_proxies.iter().for_each(|proxy| proxy.clear_for(source(g)));
+            }
             ActiveFault::ServerProxy(s) => self.server_proxies[s].set(NetworkFault::None),
             ActiveFault::Behavior(s) => self.rig.servers[s].0.set_behavior(None),
             ActiveFault::Paused(g) => self.gateways[g].signal("CONT")?,
