--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -55,6 +55,8 @@
     StallAfter(u64),
 }
 
+/// The path of health checks, as the rig's configuration names it.
+const HEALTH_PATH: &str = "/health";
 /// How long a brittle server is down after it has fallen over.
 const FALL_DURATION: Duration = Duration::from_millis(1_500);
 
@@ -110,6 +112,8 @@
     /// The `retry-after` header of responses that turn a request away.
     retry_after: Option<String>,
     arrivals: Vec<Arrival>,
+    /// The headers of the health checks received.
+    health_checks: Vec<HeaderMap>,
     /// How many requests run at the same time; more are turned away. No limit if unset.
     capacity: Option<usize>,
     /// Requests that run now.
@@ -272,6 +276,20 @@
         self.inner.lock().arrivals.clone()
     }
 
+    /// Returns the headers of the health checks received so far.
+    pub fn health_checks(&self) -> Vec<HeaderMap> {
+        self.inner.lock().health_checks.clone()
+    }
+
+    /// Answers a health check, without counting it as a request.
+    fn answer_health_check(&self, request: &ReceivedRequest) -> BoxResponse {
+        self.inner.lock().health_checks.push(request.headers().clone());
+        let mut response = net::full_response(200, "");
+        let id = HeaderValue::from_str(&self.id).expect("a header value");
+        response.headers_mut().insert("instance-id", id);
+        response
+    }
+
     /// Records a request and returns its index in `arrivals` and how it is handled. A request that
     /// does not name this instance in `expect-instance` is turned away.
     fn record_arrival(&self, request: &ReceivedRequest) -> (usize, Behavior) {
@@ -441,6 +459,9 @@
 impl Service for Server {
     fn serve(self: Arc<Self>, request: ReceivedRequest) -> ResponseFuture {
         Box::pin(async move {
+            if request.uri().path() == HEALTH_PATH {
+                return Some(self.answer_health_check(&request));
+            }
             let mut crashes = self.crashes.subscribe();
             let (arrival, mut behavior) = self.record_arrival(&request);
             if behavior == Behavior::Serve && !self.streams {
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -455,6 +455,10 @@
             *run_counts.entry(arrival.id.as_str()).or_default() += 1;
         }
         let mut violations = Vec::new();
+        let health_checks = self.rig.servers.iter().flat_map(|(server, _)| server.health_checks());
+        if health_checks.into_iter().any(|headers| headers.contains_key("authorization")) {
+            violations.push("a health check carried an API key".to_string());
+        }
         for arrival in &arrivals {
             let workspace = arrival.headers.get("tenant").map(|value| value.as_bytes());
             if workspace != Some(b"w1") || arrival.headers.contains_key("authorization") {
