A stream that goes on does not count failed connections as runs

What callers saw: a stream broke off although other servers could have gone on with it. Cause: while a stream goes on within its answer, every failed send but a rejection counted as a possible run, also one whose connection never stood, and used up the attempts of the route. Change: a send counts if the server may have run it; the log says which.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -363,7 +363,7 @@
                 sent = sending => sent,
                 () = self.producer.caller_gone().cancelled() => return None,
             };
-            let cause = match outcome {
+            let (cause, ran) = match outcome {
                 Outcome::Responded(backend_response)
                     if backend_response.http.status() == StatusCode::OK
                         && backend_response.reply.content.may_be_events() =>
@@ -371,24 +371,16 @@
                     self.history.possible_runs += 1;
                     return Some((guard, *backend_response));
                 }
-                Outcome::NotRun(cause) => cause,
-                Outcome::Responded(_) => "failed to resume",
-                Outcome::Unknown(cause) => cause,
+                Outcome::NotRun(cause) => (cause, "not run"),
+                Outcome::Responded(_) => ("failed to resume", "unknown"),
+                Outcome::Unknown(cause) => (cause, "unknown"),
                 Outcome::TimedOut => return None,
             };
             guard.end = End::Failed;
             let features = &self.inbound.features;
             self.state.record_failed_run(&guard, features, cause, Framing::Close);
-            // Logged as "unknown" even if the send did not run.
-            request_log::log_failed_send(
-                &self.state,
-                &self.inbound,
-                &guard,
-                "unknown",
-                cause,
-                None,
-            );
-            self.history.possible_runs += u32::from(cause != "turned away");
+            request_log::log_failed_send(&self.state, &self.inbound, &guard, ran, cause, None);
+            self.history.possible_runs += u32::from(ran != "not run");
             self.history.avoid.push(guard.placement.member.id.clone());
             self.history.last_cause = cause;
         }
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -117,6 +117,27 @@
 }
 
 /// The stream's route is not resumable, so the stream is cut at its deadline instead.
+#[test]
+fn a_stream_goes_on_although_the_next_server_cannot_be_connected() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_repeating_gateway("g1")?;
+    let changes = gateway.log_lines("backend servers changed").len();
+    for id in ["x1", "x2"] {
+        let unused = std::net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
+        rig.store.put("servers", id, wasabi_stand::server::store_object("llm", unused, "ready"));
+    }
+    wait_for("the list", || gateway.log_lines("backend servers changed").len() > changes)?;
+    for id in ["e1", "e2"] {
+        rig.server(id).set_behavior(Some(Behavior::BreakNew(3)));
+    }
+    for number in 0..12 {
+        let (path, id) = (format!("/chat/{number}"), format!("s{number}"));
+        let response = Request::new("POST", &path, &id).send(gateway.addresses.callers)?;
+        assert!(response.complete && response.event_ids().len() == 10, "{id}: {response:?}");
+    }
+    Ok(())
+}
+
 #[test]
 fn a_stream_that_must_not_run_twice_is_not_moved() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
