--- a/crates/belief/src/peers.rs
+++ b/crates/belief/src/peers.rs
@@ -107,7 +107,7 @@
     pub fn record_link(&mut self, host: &HostId, sent: Instant, report: link::Report) {
         let Some(peer) = self.known.get_mut(host) else { return };
         let answered_at = report.answered_ms.map(Duration::from_millis);
-        peer.answered_at = answered_at.and_then(|age| sent.checked_sub(age));
+        peer.answered_at = peer.answered_at.max(answered_at.and_then(|age| sent.checked_sub(age)));
         peer.cut = report.cut;
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod facts;
 pub mod gossip;
 pub mod incoming;
+pub mod lateness;
 pub mod limits;
 pub mod link_watch;
 pub mod listener;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,7 +22,7 @@
 use wasabi_platform::{duties, objects};
 
 use crate::{
-    duty, gossip, link_watch, listener,
+    duty, gossip, lateness, link_watch, listener,
     operator::{self, Audience},
     origin_store, refresh,
     settings::{self, Settings},
@@ -71,6 +71,7 @@
     spawn_local(gossip::run(state.clone(), socket));
     spawn_local(refresh::run(state.clone()));
     spawn_local(sample_clock(state.clone()));
+    spawn_local(lateness::run(state.clone()));
     spawn_local(link_watch::run(state.clone()));
     spawn_local(origin_store::run(state.clone()));
     let duty_task = spawn_local(duty::run(state.clone()));
--- a/tests/late_host.rs
+++ b/tests/late_host.rs
@@ -1,5 +1,5 @@
-//! A host that hears that others have a younger list of servers, but cannot get it: its link is full, or
-//! the store and its peers do not answer it.
+//! A host that is behind: one that hears that others have a younger list of servers, but cannot get it: its link is full, or
+//! the store and its peers do not answer it; one that gets no processor time.
 
 use std::{
     net::UdpSocket,
@@ -95,3 +95,18 @@
     announcer.join().expect("the announcer does not panic")?;
     Ok(())
 }
+
+#[test]
+fn a_process_that_runs_late_says_so() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let gateway = rig.start_gateway("g1")?;
+    gateway.signal("STOP")?;
+    thread::sleep(Duration::from_millis(1_000));
+    gateway.signal("CONT")?;
+    wait_for("the end", || !gateway.log_lines("process is on time again").is_empty())?;
+    let lines = gateway.log_lines("process runs late");
+    assert_eq!(lines.len(), 1);
+    assert!(lines[0]["late_ms"].as_u64().is_some_and(|late| late >= 800), "{lines:?}");
+    assert!(gateway.page("/metrics")?.contains("wasabi_gateway_lateness_seconds"));
+    Ok(())
+}
