--- a/crates/belief/src/lease.rs
+++ b/crates/belief/src/lease.rs
@@ -12,7 +12,7 @@
 use wasabi_core::{
     data,
     digest::digest,
-    units::{Epoch, HostId, Incarnation, Version},
+    units::{Epoch, Era, HostId, Incarnation, Version},
 };
 
 data! {
@@ -56,6 +56,10 @@
     Replace(Version, Record),
 }
 
+/// No more tokens are given out in an era of the store.
+const TOKENS_PER_ERA: u64 = 1_000_000;
+/// Later eras begin with the tokens of this one: platforms may hold tokens in 32 bits.
+const LAST_ERA_OF_TOKENS: u64 = 4_000;
 /// Hosts that try to take the duties at once when nobody is heard to hold them.
 const FIRST_CANDIDATES: usize = 4;
 
@@ -253,6 +257,12 @@
         self.restored_until = Some(now + self.times.length + self.times.margin);
     }
 
+    /// Takes in the store's era: tokens that this host gives out are higher than all of earlier eras, also
+    /// those that nobody remembers.
+    pub fn note_era(&mut self, era: Era) {
+        self.note_fence(Epoch(era.0.min(LAST_ERA_OF_TOKENS) * TOKENS_PER_ERA));
+    }
+
     /// Records that a host was heard to hold the lease under `fence`: a token that is taken later is
     /// higher, also if the record of this one is lost.
     pub fn note_fence(&mut self, fence: Epoch) {
--- a/crates/gateway/src/restore.rs
+++ b/crates/gateway/src/restore.rs
@@ -16,6 +16,7 @@
     /// anything that was read from the store or written to it.
     pub fn check_era(&self) {
         let Some(era) = self.objects.era() else { return };
+        self.lease.borrow_mut().note_era(era);
         let former = self.era.borrow_mut().observe(self.now(), era);
         self.give_up_older_era(former, era, "store");
     }
@@ -23,6 +24,7 @@
     /// Takes in what a peer knows of the store's era.
     pub fn merge_era(&self, theirs: era::Known) {
         let now = self.now();
+        self.lease.borrow_mut().note_era(theirs.era);
         let was_settled = self.era.borrow().is_settled(now);
         let former = self.era.borrow_mut().merge(theirs);
         let settled = self.era.borrow().is_settled(now);
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -68,6 +68,21 @@
     Ok(())
 }
 
+/// No host is left that remembers the tokens that the store has lost.
+#[test]
+fn no_token_is_given_out_again_after_a_restore_while_all_hosts_were_down() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let backup = rig.store.backup();
+    let mut hosts = two_hosts(&rig)?;
+    let first = holder(&rig, "")?;
+    hosts.values_mut().for_each(Gateway::kill);
+    restore(&rig, &backup);
+    let _again = rig.start_gateway("g3")?;
+    holder(&rig, &first)?;
+    check_duties(&rig);
+    Ok(())
+}
+
 /// The host that remembers the seal ends, and the next one never heard of the window.
 #[test]
 fn a_window_whose_seal_is_lost_is_never_reported_with_other_counts() -> anyhow::Result<()> {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,6 +7,8 @@
 const SEEDS: &[(u64, usize, &str)] = &[
     (3, 8, "the first seed"),
     (10_000, 20, "the first seed with faults of several hosts"),
+    (10_046, 20, "a fencing token was given out again after all hosts had forgotten a lost one"),
+    (10_047, 20, "the same, where nobody checks tokens"),
     (3008, 20, "a withdrawn key was accepted after the store had lost its withdrawal"),
 ];
 
