gateway: a named check for the cut; connections from peers send each event at once

No behaviour is meant to change but the latency of streams that are handed over: Nagle's algorithm held back events until the one before was acknowledged.

--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -11,7 +11,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
-use wasabi_platform::names;
+use wasabi_platform::{http, names};
 
 use crate::{
     listener, origin, peer_fetch, peer_relay, relay, response::ResponseBody, state::State,
@@ -41,6 +41,12 @@
 }
 
 async fn serve(state: Rc<State>, metrics: PrometheusHandle, audience: Audience, stream: TcpStream) {
+    let limits = state.config().map(|(catalog, _)| catalog.limits).unwrap_or_default();
+    // Events of a stream that a peer has handed over must not wait for each other.
+    if http::set_socket_options(&stream, limits.idle_timeout).is_err() {
+        // The other side has already closed the connection.
+        return;
+    }
     let service = service_fn(move |mut request: Request<Incoming>| {
         let handover = match audience {
             Audience::Peers => peer_relay::take_handover(request.headers_mut()),
@@ -171,7 +177,7 @@
         "host": state.settings.borrow().host,
         "incarnation": state.incarnation,
         "ready": state.is_ready(),
-        "cut_from_servers": state.link.borrow().is_cut(),
+        "cut_from_servers": state.is_cut_off(),
         "stopping": state.stopping_since.get().is_some(),
         "config": config,
         "members_proof_age_ms":
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -243,7 +243,7 @@
     metrics::counter!("wasabi_gateway_handed_over_total").increment(1);
     let request = inbound.head.id.as_str();
     info!(target: wasabi_logs::REQUEST_TARGET, request = request, peer = peer.as_str(),
-        cut = state.link.borrow().is_cut(), possible_runs = history.possible_runs,
+        cut = state.is_cut_off(), possible_runs = history.possible_runs,
         after = history.last_cause, resumed_after = last_event.unwrap_or(0); "handed to a peer");
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,7 +185,7 @@
     let mut history = SendHistory { build, possible_runs, ..SendHistory::default() };
     let mut counted_by_budget = possible_runs > 0;
     loop {
-        if state.link.borrow().is_cut()
+        if state.is_cut_off()
             && let Some(response) = hand_over(state, &inbound, &mut history).await
         {
             return response;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -215,13 +215,17 @@
     pub fn is_ready(&self) -> bool {
         let proven = self.config().is_some_and(|(_, age)| age < MAX_READY_PROOF_AGE);
         let listed = self.servers.borrow().digest_age(self.now()).is_some();
-        let cut = self.link.borrow().is_cut();
-        proven && listed && !cut && self.stopping_since.get().is_none()
+        proven && listed && !self.is_cut_off() && self.stopping_since.get().is_none()
     }
 
     /// Returns whether responses close their callers' connections: the next ones go to another host.
     pub fn sheds_connections(&self) -> bool {
-        self.stopping_since.get().is_some() || self.link.borrow().is_cut()
+        self.stopping_since.get().is_some() || self.is_cut_off()
+    }
+
+    /// Returns whether this host is cut off from all servers while its peers reach them.
+    pub fn is_cut_off(&self) -> bool {
+        self.link.borrow().is_cut()
     }
 
     /// Applies a configuration that was current at `proof`, unless a newer one is in force;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -326,7 +326,7 @@
         }
         loop {
             let last_id = self.events.last_id();
-            if self.state.link.borrow().is_cut() && self.continue_at_peer(last_id).await {
+            if self.state.is_cut_off() && self.continue_at_peer(last_id).await {
                 return None;
             }
             let next = match reserved.take() {
