gateway: no wake-ups while nothing has failed and no version has changed

Cause: the watch of the link counted servers 20 times a second, the record of versions compared lists four times a second, whatever happened; the platform charges each wake-up. Change: the watch sleeps until a server fails or while it is cut; the record looks again when the list of servers has changed; lateness is measured five times a second.

--- a/crates/belief/src/link.rs
+++ b/crates/belief/src/link.rs
@@ -81,6 +81,12 @@
         failures.servers.insert(server.clone());
     }
 
+    /// Whether servers may have to be probed now or later: one has failed since the last answer, or the link
+    /// is cut.
+    pub fn is_in_doubt(&self) -> bool {
+        self.is_cut() || self.new.since.is_some() || self.established.since.is_some()
+    }
+
     /// Since when servers have failed so that the link may be the cause; `known_servers` is how many
     /// servers there are.
     pub fn suspected_since(&self, known_servers: usize) -> Option<Instant> {
--- a/crates/belief/tests/link.rs
+++ b/crates/belief/tests/link.rs
@@ -67,7 +67,18 @@
     assert_eq!(link.record_answer(after(start, 400), Connection::Established), None);
     assert!(link.record_unanswered_probes(after(start, 700), [after(start, 600)], SERVERS));
     assert_eq!(link.record_answer(after(start, 900), Connection::Established), None);
-    assert!(link.is_cut());
+    assert!(link.is_cut() && link.is_in_doubt());
+}
+
+#[test]
+fn a_cut_that_old_connections_outlast_is_probed_until_a_new_one_is_answered() {
+    let start = Instant::now();
+    let mut link = failing(start, 2, Connection::Established);
+    assert!(link.record_unanswered_probes(after(start, 700), [after(start, 600)], SERVERS));
+    link.record_answer(after(start, 900), Connection::Established);
+    assert!(link.is_in_doubt() && link.needs_probe(after(start, 901), SERVERS));
+    link.record_answer(after(start, 950), Connection::New);
+    assert!(!link.is_in_doubt());
 }
 
 #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::{
     admit::Admission,
     connection_pool,
-    link_watch::record_answer,
+    link_watch::{record_answer, record_failure},
     state::{PlacementGuard, State},
 };
 
@@ -133,13 +133,13 @@
             }
             Ok(Err(mut e)) => {
                 if e.take_message().is_none() {
-                    record_failure(state, member, age(&connection));
+                    record_failure(state, &member.id, age(&connection));
                     return Outcome::Unknown(CONNECTION_BROKE);
                 }
                 // Nothing was sent: the server closed the connection. That is expected of a reused
                 // one, so another is tried.
                 if !connection.reused {
-                    record_failure(state, member, Connection::New);
+                    record_failure(state, &member.id, Connection::New);
                     return Outcome::NotRun("connection closed");
                 }
                 drop(connection);
@@ -157,10 +157,6 @@
     if connection.reused { Connection::Established } else { Connection::New }
 }
 
-fn record_failure(state: &State, member: &Member, connection: Connection) {
-    state.link.borrow_mut().record_failure(state.now(), &member.id, connection);
-}
-
 /// Records what an answer to a request sent at `sent` says of the server's limit. Answers of another
 /// server at its address, or of none, say nothing of it.
 fn record_limit(
--- a/crates/gateway/src/lateness.rs
+++ b/crates/gateway/src/lateness.rs
@@ -8,7 +8,7 @@
 use crate::state::State;
 
 /// How often lateness is measured.
-const PERIOD: Duration = Duration::from_millis(100);
+const PERIOD: Duration = Duration::from_millis(200);
 /// From this lateness on it is logged; callers who leave expect to be noticed within half a second.
 const LOGGED_FROM: Duration = Duration::from_millis(400);
 
--- a/crates/gateway/src/link_watch.rs
+++ b/crates/gateway/src/link_watch.rs
@@ -10,12 +10,15 @@
 use rand::seq::IteratorRandom as _;
 use tokio::task::JoinSet;
 use wasabi_belief::link::Connection;
-use wasabi_core::member::{Member, Phase};
+use wasabi_core::{
+    member::{Member, Phase},
+    units::ServerId,
+};
 use wasabi_platform::http::{self, ConnectOptions};
 
 use crate::{connection_pool::CONNECT_TIMEOUT, state::State};
 
-/// How often it is checked whether servers have to be probed.
+/// How often it is checked, after a failure, whether servers have to be probed.
 const TICK: Duration = Duration::from_millis(50);
 /// The pause after a round of probes that no server answered.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
@@ -25,7 +28,11 @@
 /// Probes servers whenever the link needs it, until the process ends.
 pub async fn run(state: Rc<State>) {
     loop {
-        tokio::time::sleep(TICK).await;
+        if state.link.borrow().is_in_doubt() {
+            tokio::time::sleep(TICK).await;
+        } else {
+            state.server_failed.notified().await;
+        }
         let servers = known_servers(&state);
         if !state.link.borrow().needs_probe(state.now(), servers) {
             continue;
@@ -39,6 +46,12 @@
     }
 }
 
+/// Records that a server has failed this host.
+pub fn record_failure(state: &State, server: &ServerId, connection: Connection) {
+    state.link.borrow_mut().record_failure(state.now(), server, connection);
+    state.server_failed.notify_one();
+}
+
 /// Records that no probed server has answered.
 fn record_unanswered_probes(state: &State, servers: usize) {
     let now = state.now();
--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -113,7 +113,7 @@
             Stored { version: Some(record.version), value: decode::<Record>(record.value)? }
         }
     };
-    let versions = Versions { stored, missing_since: None };
+    let versions = Versions { stored, ..Versions::default() };
     for (origin, age) in versions.stored.value.ages(now_ms) {
         state.origins.borrow_mut().record_listed_before(now, origin, age);
     }
@@ -161,13 +161,21 @@
     stored: Stored<Record>,
     /// Since when a version of the record is not listed.
     missing_since: Option<Instant>,
+    /// The digest of the list of servers that the record agreed with.
+    agreed: Option<u64>,
 }
 
 impl Versions {
     /// Writes the versions if those listed are not the recorded ones. A version is recorded as gone only
     /// once it has been missing for a while, since hosts learn of a change at different times.
     async fn update(&mut self, state: &State) -> Result<()> {
+        let digest = state.servers.borrow().digest_age(state.now()).map(|(digest, _)| digest);
+        if digest.is_some() && digest == self.agreed {
+            return Ok(());
+        }
+        self.agreed = None;
         if self.expected(state).is_none() {
+            self.agreed = digest.filter(|_| self.missing_since.is_none());
             return Ok(());
         }
         let spread = CHANGE_SPREAD_PER_HOST * state.live_hosts() as u32;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,7 +31,7 @@
 use crate::{
     admit::{self, Admission},
     attempt::{self, BackendResponse, Outcome, Outgoing},
-    buffers, origin,
+    buffers, link_watch, origin,
     peer_relay::{self, Handover},
     quarantine,
     request_log::{Received, log_completed, log_failed_send, log_gateway_error},
@@ -314,7 +314,7 @@
 pub fn record_stuck(state: &State, inbound: &AdmittedRequest, guard: &PlacementGuard) {
     let now = state.now();
     let server = &guard.placement.member.id;
-    state.link.borrow_mut().record_failure(now, server, Connection::Established);
+    link_watch::record_failure(state, server, Connection::Established);
     guard.with_balancer(|balancer, placement| balancer.record_stuck(now, placement));
     metrics::counter!("wasabi_gateway_stuck_total",
         "service" => inbound.admission.service.to_string())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -75,6 +75,8 @@
     pub origins: RefCell<origins::View>,
     /// Requests that crash servers.
     pub quarantine: RefCell<quarantine::View>,
+    /// Notified when a server has failed this host.
+    pub server_failed: Notify,
     /// Runs that broke off while this host's link is suspected.
     pub runs_on_suspected_link: RefCell<Vec<quarantine::BrokenRun>>,
     /// The instance whose statement on its limit was announced last.
@@ -142,6 +144,7 @@
             link: RefCell::default(),
             origins: RefCell::default(),
             quarantine: RefCell::new(quarantine::View::new(rand::random())),
+            server_failed: Notify::new(),
             runs_on_suspected_link: RefCell::default(),
             last_announced_limit: RefCell::default(),
             malformed_headers: RefCell::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,7 +24,7 @@
 use crate::{
     attempt::{self, BackendResponse, Outcome},
     events::Sequence,
-    peer_relay,
+    link_watch, peer_relay,
     relay::{self, AdmittedRequest, SendHistory},
     request_log::{self, Received},
     response::ResponseBody,
@@ -178,8 +178,7 @@
     fn record_link_failure(&self, guard: &PlacementGuard, cause: &str) {
         if cause == attempt::STREAM_BROKE_OFF {
             let server = &guard.placement.member.id;
-            let mut link = self.state.link.borrow_mut();
-            link.record_failure(self.state.now(), server, Connection::Established);
+            link_watch::record_failure(&self.state, server, Connection::Established);
         }
     }
 
