--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -90,7 +90,10 @@
             Err(e) if e.kind() == std::io::ErrorKind::Other => {
                 return Outcome::NotRun("connection limit");
             }
-            Err(_) => return Outcome::NotRun("no connection"),
+            Err(_) => {
+                record_failure(state, &member.id, Connection::New);
+                return Outcome::NotRun("no connection");
+            }
         };
     loop {
         // The process may have been suspended while it connected.
@@ -146,7 +149,10 @@
                 connection =
                     match state.connection_pool.acquire(state.now(), member, limit, source).await {
                         Ok(connection) => connection,
-                        Err(_) => return Outcome::NotRun("no connection"),
+                        Err(_) => {
+                            record_failure(state, &member.id, Connection::New);
+                            return Outcome::NotRun("no connection");
+                        }
                     };
             }
         }
--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -165,6 +165,37 @@
     Ok(())
 }
 
+/// Changes the address from which a gateway connects to servers, and has it read its settings again.
+fn set_source(gateway: &Gateway, source: IpAddr) -> anyhow::Result<()> {
+    let known = gateway.log_lines("settings changed").len();
+    let text = std::fs::read_to_string(&gateway.settings_path)?;
+    let mut settings: serde_json::Value = serde_json::from_str(&text)?;
+    settings["source"] = json!(source);
+    std::fs::write(&gateway.settings_path, settings.to_string())?;
+    gateway.signal("HUP")?;
+    wait_for("the new settings", || gateway.log_lines("settings changed").len() > known)
+}
+
+#[test]
+fn callers_of_a_host_that_cannot_connect_to_servers_at_all_are_served() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start(3)?;
+    assert!(fleet.count_served().iter().all(|served| *served == REQUESTS));
+    // No connection can be opened from an address that is not the host's own.
+    set_source(&fleet.gateways[0], IpAddr::from([192, 0, 2, 1]))?;
+    fleet.cut(0, NetworkFault::Close);
+    thread::sleep(PAUSE * 5);
+    fleet.cut(0, NetworkFault::None);
+    fleet.run_for(GRACE);
+    let served = fleet.count_served();
+    let others = served[1..].iter().sum::<usize>() / 2;
+    assert!(served[0] * 3 >= others * 2, "{served:?} of {REQUESTS} served at each host");
+    assert!(!fleet.gateways[0].is_ready(), "it takes new callers");
+    set_source(&fleet.gateways[0], source(0))?;
+    wait_for("the host to come back", || fleet.gateways[0].is_ready())?;
+    fleet.assert_writes_ran_once();
+    Ok(())
+}
+
 #[test]
 fn callers_of_most_hosts_are_served_by_the_one_that_reaches_servers() -> anyhow::Result<()> {
     assert_served_through_a_cut(NetworkFault::Close, 3, 2)
