--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,7 +119,7 @@
         match tokio::time::timeout(remaining, sending).await {
             Err(_) => return Outcome::TimedOut,
             Ok(Ok(http)) => {
-                record_answer(state, age(&connection));
+                record_answer(state, kind_of(&connection));
                 let reply = reply::decode(&outgoing.parts.method, http.status(), http.headers());
                 for header in &reply.malformed {
                     state.log_malformed_header(&member.id, header);
@@ -136,7 +136,7 @@
             }
             Ok(Err(mut e)) => {
                 if e.take_message().is_none() {
-                    record_failure(state, &member.id, age(&connection));
+                    record_failure(state, &member.id, kind_of(&connection));
                     return Outcome::Unknown(CONNECTION_BROKE);
                 }
                 // Nothing was sent: the server closed the connection. That is expected of a reused
@@ -159,7 +159,7 @@
     }
 }
 
-fn age(connection: &connection_pool::PooledConnection) -> Connection {
+fn kind_of(connection: &connection_pool::PooledConnection) -> Connection {
     if connection.reused { Connection::Established } else { Connection::New }
 }
 
