gateway: a stream that its caller takes up begins after the caller's last event

What callers saw: one with events 1 to 5 that took its stream up (`Last-Event-Id: 5`) got 3 to 8 from a server that began at 3, as a complete stream: events came twice.

Cause: an answer's sequence began empty, so the id that the caller stated was sent to the server and then forgotten. Only events passed on within the answer were a lower bound.

Change: the sequence of an answer begins after the caller's own last event.

Evidence: resumed: a_resumed_stream_of_its_caller_begins_after_the_callers_last_event, real gateway before scripted servers that begin at 1, 3, 5 and 6, three framings. Before: [1, 2, 3, 4, 5, 6, 7, 8] in place of [6, 7, 8], framed by the connection's end, begun at 1. After: green. The other tests of the file were green before: failures, bytes that are no answer, overlaps within one answer, comments.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Default)]
 pub struct Sequence {
     splitter: Splitter,
-    /// The last id among the events passed on.
+    /// The last id among the events that the caller has.
     last_id: Option<u64>,
     /// Number of events passed on.
     count: u64,
@@ -17,7 +17,12 @@
 }
 
 impl Sequence {
-    /// Returns the last id among the events passed on; events without an id do not change it.
+    /// Creates the sequence of a stream whose caller has the events up to `last_id`, if it takes one up.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self { last_id, ..Self::default() }
+    }
+
+    /// Returns the last id among the events that the caller has; events without an id do not change it.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -25,7 +25,7 @@
     pub bytes: u64,
     /// Events of the whole stream that were passed on.
     pub events: u64,
-    /// The id of the last event passed on; 0 if none had one.
+    /// The id of the last event that the caller has; 0 if none had one.
     pub last_event: u64,
     /// Bytes after the last complete event.
     pub partial_bytes: usize,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -47,12 +47,13 @@
     *response.status_mut() = backend_response.http.status();
     *response.headers_mut() = attempt::stream_headers(backend_response.http.headers());
     let running = CountGuard::request(state);
+    let events = Sequence::after(inbound.head.last_event);
     let stream = StreamRelay {
         state: state.clone(),
         inbound,
         history,
         producer,
-        events: Sequence::default(),
+        events,
         first_event_seen: false,
         last_event_at: None,
         framing: Framing::default(),
--- /dev/null
+++ b/tests/resumed.rs
@@ -0,0 +1,204 @@
+//! Streams that go on at another server, which may answer with anything: its events are compared with
+//! where the stream stands.
+
+use std::{
+    io::Write as _,
+    net::{Shutdown, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use wasabi_core::call::Framing;
+use wasabi_stand::{
+    caller::{Request, Response},
+    gateway::Gateway,
+    rig::Rig,
+    scripted::{self, Server},
+    server,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+const FRAMINGS: [Framing; 3] = [Framing::Close, Framing::Chunked, Framing::Length];
+const EVENTS: &str = "content-type: text/event-stream\r\n";
+/// Events of a stream before it breaks off.
+const BEGUN: u64 = 4;
+/// Text that must not get into a stream.
+const ERROR: &str = "the engine failed";
+
+/// Returns the bytes that a server writes in answer to a request with this head before it closes the
+/// connection.
+type Script = Arc<dyn Fn(&str) -> String + Send + Sync>;
+
+fn script(script: impl Fn(&str) -> String + Send + Sync + 'static) -> Script {
+    Arc::new(script)
+}
+
+fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    ids.into_iter().map(|id| format!("id: {id}\ndata: event {id}\n\n")).collect()
+}
+
+/// An answer with these events.
+fn stream(framing: Framing, body: String) -> Script {
+    script(move |head| scripted::framed(head, framing, EVENTS, &body))
+}
+
+/// A signed answer with this status.
+fn failure(status: u16, kind: &'static str, body: &'static str) -> Script {
+    let length = format!("content-length: {}\r\n", body.len());
+    script(move |head| scripted::signed(head, status, &format!("{kind}{length}")) + body)
+}
+
+/// Two servers that follow scripts.
+struct Stage {
+    _rig: Rig,
+    gateway: Gateway,
+    /// Requests that go on with a stream.
+    resumed: Arc<AtomicUsize>,
+}
+
+impl Stage {
+    /// Starts two servers that answer new streams with `first` and those that go on with `next`.
+    fn start(first: &Script, next: &Script) -> anyhow::Result<Self> {
+        let rig = Rig::start(PROGRAM)?;
+        let resumed = Arc::new(AtomicUsize::new(0));
+        let answer = |first: Script, next: Script, resumed: Arc<AtomicUsize>| {
+            move |mut connection: TcpStream, _: usize| {
+                let head = scripted::read_head(&mut connection)?;
+                let goes_on = !scripted::header(&head, "last-event-id").is_empty();
+                resumed.fetch_add(usize::from(goes_on), Ordering::SeqCst);
+                let bytes = if goes_on { next(&head) } else { first(&head) };
+                connection.write_all(bytes.as_bytes())?;
+                connection.shutdown(Shutdown::Both)
+            }
+        };
+        for name in ["x1", "x2"] {
+            let server = Server::start(answer(first.clone(), next.clone(), resumed.clone()))?;
+            if name == "x1" {
+                rig.replace_servers("llm", server.address);
+            }
+            rig.store.put("servers", name, server::store_object("llm", server.address, "ready"));
+        }
+        let gateway = rig.start_repeating_gateway("g1")?;
+        Ok(Self { _rig: rig, gateway, resumed })
+    }
+
+    /// Begins a stream that goes on at the other server.
+    fn begin(&self) -> anyhow::Result<Response> {
+        let response =
+            Request::new("POST", "/chat/x", "a1").send(self.gateway.addresses.callers)?;
+        assert_eq!(self.resumed.load(Ordering::SeqCst), 1, "it was not sent on: {response:?}");
+        Ok(response)
+    }
+
+    /// Takes a stream up after event `after`.
+    fn take_up(&self, after: u64) -> anyhow::Result<Response> {
+        Request::resume("/chat/x", "a2", "a1", after).send(self.gateway.addresses.callers)
+    }
+}
+
+/// A stream that breaks off after its first events.
+fn breaks_off() -> Script {
+    stream(Framing::Chunked, events(1..=BEGUN) + "id: 5\nda")
+}
+
+/// Begins a stream whose next server follows `next`.
+fn go_on(next: &Script) -> anyhow::Result<Response> {
+    Stage::start(&breaks_off(), next)?.begin()
+}
+
+fn assert_broken_off(name: &str, response: &Response) {
+    assert!(!response.complete, "{name}: it looks complete: {}", response.body);
+    assert_eq!(response.body, events(1..=BEGUN), "{name}");
+}
+
+#[test]
+fn a_resumed_stream_of_its_caller_begins_after_the_callers_last_event() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        for from in [1, 3, 5, 6] {
+            let next = stream(framing, events(from..=8));
+            let response = Stage::start(&breaks_off(), &next)?.take_up(5)?;
+            assert_eq!(response.event_ids(), [6, 7, 8], "{framing:?}, from {from}");
+            assert!(response.complete, "{framing:?}, from {from}");
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_resumed_stream_that_overlaps_has_each_event_once() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        for from in 1..=5 {
+            let response = go_on(&stream(framing, events(from..=10)))?;
+            assert_eq!(response.body, events(1..=10), "{framing:?}, from {from}");
+            assert!(response.complete, "{framing:?}, from {from}");
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_failure_gets_into_no_resumed_stream() -> anyhow::Result<()> {
+    for (status, kind) in [500, 503, 502, 404, 400].into_iter().flat_map(|s| [(s, EVENTS), (s, "")])
+    {
+        assert_broken_off(&status.to_string(), &go_on(&failure(status, kind, ERROR))?);
+    }
+    assert_broken_off("partial", &go_on(&failure(206, EVENTS, "id: 5\ndata: x\n\n"))?);
+    assert_broken_off("created", &go_on(&failure(201, EVENTS, "id: 5\ndata: x\n\n"))?);
+    let none = script(|head| scripted::signed(head, 204, EVENTS));
+    assert_broken_off("no content", &go_on(&none)?);
+    let unsigned = script(|head| {
+        let id = scripted::header(head, "request-id");
+        format!(
+            "HTTP/1.1 200 X\r\nrequest-id: {id}\r\n{EVENTS}content-length: 14\r\n\r\nid: 5\ndata: x\n\n"
+        )
+    });
+    assert_broken_off("unsigned", &go_on(&unsigned)?);
+    let of = |id: &'static str| {
+        script(move |_| {
+            let id = if id.is_empty() { String::new() } else { format!("request-id: {id}\r\n") };
+            format!(
+                "HTTP/1.1 200 X\r\n{id}response-signature: s\r\n{EVENTS}content-length: 14\r\n\r\n\
+                 id: 5\ndata: x\n\n"
+            )
+        })
+    };
+    assert_broken_off("of another request", &go_on(&of("z9"))?);
+    assert_broken_off("of no request", &go_on(&of(""))?);
+    Ok(())
+}
+
+#[test]
+fn bytes_that_are_no_answer_get_into_no_resumed_stream() -> anyhow::Result<()> {
+    let half = script(|head| {
+        let whole = scripted::signed(head, 200, EVENTS);
+        whole[..whole.len() - 6].to_string()
+    });
+    assert_broken_off("half a head", &go_on(&half)?);
+    assert_broken_off("no answer", &go_on(&script(|_| events(5..=10)))?);
+    assert_broken_off("nothing", &go_on(&script(|_| String::new()))?);
+    Ok(())
+}
+
+#[test]
+fn a_resumed_stream_may_hold_comments() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let response = go_on(&stream(framing, format!(": alive\n\n{}", events(5..=6))))?;
+        assert_eq!(response.event_ids(), [1, 2, 3, 4, 5, 6], "{framing:?}");
+        assert!(response.complete, "{framing:?}");
+    }
+    Ok(())
+}
+
+#[test]
+fn a_failure_answers_a_resumed_stream_of_its_caller_unchanged() -> anyhow::Result<()> {
+    for (status, body) in [(500, ERROR), (404, ERROR), (400, "")] {
+        let response =
+            Stage::start(&breaks_off(), &failure(status, "content-type: text/plain\r\n", body))?
+                .take_up(4)?;
+        assert_eq!((response.status, response.body.as_str()), (status, body));
+        assert!(response.complete && response.headers.contains_key("response-signature"));
+    }
+    Ok(())
+}
