gateway: an event that would leave a gap is not passed on

What callers saw: a stream broke off after event 4, the next server went on at 7, and the caller got 1 to 4 and 7 to 10 as a complete stream. The same within one server's part, and where the caller took the stream up itself.

Cause: an event's id was only compared for being greater than the last one.

A part is broken off before the first event that would leave a gap, after the events before it have been passed on, and goes on elsewhere if the route allows it; the cause in log and metrics is «events are missing».

Before: `1 2 3 4 7 8 9 10`, complete; a new stream `1 2 4 5 ... 10`, complete, sent once. After: `1 2 3 4` broken off, `1..10` where a further server has the rest. parts: resumed_parts_leave_no_gap_and_repeat_nothing (generated ids).

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -16,6 +16,8 @@
     InsideEvent,
     /// The stream ended with its connection, before its first event.
     NoEvent,
+    /// An event's id shows that events before it are missing.
+    EventsMissing,
     /// A JSON document without a length or chunks is incomplete.
     InsideDocument,
     /// The stream ended without the event that marks its end.
@@ -31,6 +33,7 @@
             Self::EventTooLarge => "an event is too large",
             Self::InsideEvent => "stream ended inside an event",
             Self::NoEvent => "stream ended without an event",
+            Self::EventsMissing => "events are missing",
             Self::InsideDocument => "answer ended inside a document",
             Self::NoEndMarker => "no end marker",
             Self::ConnectionLost => "the connection broke off",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -10,10 +10,14 @@
     splitter: Splitter,
     /// The last id among the events that the caller has.
     last_id: Option<u64>,
+    /// Whether events without an id were passed on after the one with `last_id`.
+    beyond_last_id: bool,
     /// Number of events passed on.
     count: u64,
     /// Whether the current server has sent an event.
     part_has_event: bool,
+    /// What is wrong with the event after those that were last returned.
+    broken: Option<Broken>,
 }
 
 impl Sequence {
@@ -41,33 +45,45 @@
     pub fn start_part(&mut self) {
         self.splitter.discard_partial();
         self.part_has_event = false;
+        self.broken = None;
     }
 
-    /// Adds bytes and returns the events that they complete, if any.
+    /// Adds bytes and returns the events that they complete, if any; [`Self::broken`] tells whether the
+    /// part can go on after them.
     ///
-    /// Events whose id is not greater than the last one are dropped: a server that resumes a stream
-    /// may repeat them.
+    /// Ids rise by one, from 1. Events whose id is not greater than the last one are dropped: a server
+    /// that resumes a stream may repeat them.
     ///
-    /// Errors: `EventTooLarge` if an event is too large.
+    /// Errors: `EventTooLarge`, or `EventsMissing` if the next event is not the one after the last.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, Broken> {
         self.splitter.push(bytes)?;
         let mut out = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            self.accept(&event, &mut out);
+        while self.broken.is_none()
+            && let Some(event) = self.splitter.next_event()
+        {
+            self.broken = self.accept(&event, &mut out).err();
         }
-        Ok((!out.is_empty()).then(|| out.freeze()))
+        match self.broken {
+            Some(broken) if out.is_empty() => Err(broken),
+            _ => Ok((!out.is_empty()).then(|| out.freeze())),
+        }
+    }
+
+    /// Why the current server's part cannot go on.
+    pub fn broken(&self) -> Option<Broken> {
+        self.broken
     }
 
     /// Ends the current server's part, whose end was marked by `framing`; returns the rest to pass
     /// on, if any.
     ///
-    /// Errors: `InsideEvent`, or `NoEvent` if neither its framing nor an event shows that the
+    /// Errors: as [`Self::push`], `InsideEvent`, or `NoEvent` if neither its framing nor an event shows that the
     /// server has sent all of it.
     pub fn finish(&mut self, framing: Framing) -> Result<Option<Bytes>, Broken> {
         let rest = self.splitter.finish()?;
         let mut out = BytesMut::new();
         if let Some(event) = rest {
-            self.accept(&event, &mut out);
+            self.accept(&event, &mut out)?;
         }
         if framing == Framing::Close && !self.part_has_event {
             return Err(Broken::NoEvent);
@@ -75,15 +91,23 @@
         Ok((!out.is_empty()).then(|| out.freeze()))
     }
 
-    fn accept(&mut self, event: &[u8], out: &mut BytesMut) {
+    fn accept(&mut self, event: &[u8], out: &mut BytesMut) -> Result<(), Broken> {
         self.part_has_event = true;
         let id = event_id(event);
-        if matches!((id, self.last_id), (Some(id), Some(last)) if id <= last) {
-            return;
+        match (id, self.last_id) {
+            (Some(id), Some(last)) if id <= last => return Ok(()),
+            (Some(id), last)
+                if !self.beyond_last_id && id > last.unwrap_or(0).saturating_add(1) =>
+            {
+                return Err(Broken::EventsMissing);
+            }
+            _ => {}
         }
         self.last_id = id.or(self.last_id);
+        self.beyond_last_id = id.is_none();
         self.count += 1;
         out.extend_from_slice(event);
+        Ok(())
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -226,6 +226,9 @@
             if !self.pass_on(guard, events).await {
                 return PartEnd::CallerLeft;
             }
+            if let Some(broken) = self.events.broken() {
+                return PartEnd::Broken(broken.cause());
+            }
             stuck_at = Some(self.state.now() + stuck::EVENT_GAP_TIMEOUT);
         }
         match self.events.finish(reply.framing) {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -49,6 +49,20 @@
         let expected: String = (1..=12).map(event).collect();
         partial == Ok(None) && out == expected.as_bytes() && events.last_id() == Some(12)
     }
+
+    fn resumed_parts_leave_no_gap_and_repeat_nothing(after: u8, parts: Vec<Vec<u8>>) -> bool {
+        let after = u64::from(after % 4);
+        let mut events = Sequence::after(Some(after));
+        let mut out = Vec::new();
+        for part in parts {
+            events.start_part();
+            let text: String = part.iter().map(|id| event(u64::from(id % 12))).collect();
+            out.extend(events.push(text.as_bytes()).ok().flatten().unwrap_or_default());
+        }
+        let last = events.last_id().unwrap_or(after);
+        let expected: String = (after + 1..=last).map(event).collect();
+        out == expected.as_bytes()
+    }
 }
 
 #[test]
