gateway: only the stream's own kind of answer goes on with it

What callers saw: a stream broke off after event 4 and the next server's answer was 200 and signed, without a `Content-Type`: its text, an error's or a whole head, stood in the stream, which ended as complete. So did text in blocks without an id under `text/event-stream`, and an answer that named no request.

Cause: an answer that goes on was taken for events unless its head said otherwise, and a block without an id was passed on wherever it came.

Change: an answer goes on only with 200, a signature, the request's own id, no content coding and `text/event-stream`, the kind that the caller's head states (`gateway::continuation`). The first new event of a part that goes on must have an id, also where the caller took the stream up; comments and `retry` pass. Only a first answer with 200 is streamed; another success is buffered and passed on whole.

Evidence: resumed: the_answer_of_another_kind_*, text_without_a_place_*, a_failure_gets_into_* (answer without a request's id), three framings. Before: events 1 to 4 and «the engine failed», complete, in all three. After: 1 to 4, broken off.

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -18,6 +18,8 @@
     NoEvent,
     /// An event's id shows that events before it are missing.
     EventsMissing,
+    /// An event without an id came where the stream goes on, so its place is not known.
+    EventUnplaced,
     /// A JSON document without a length or chunks is incomplete.
     InsideDocument,
     /// The stream ended without the event that marks its end.
@@ -34,6 +36,7 @@
             Self::InsideEvent => "stream ended inside an event",
             Self::NoEvent => "stream ended without an event",
             Self::EventsMissing => "events are missing",
+            Self::EventUnplaced => "an event without an id where the stream goes on",
             Self::InsideDocument => "answer ended inside a document",
             Self::NoEndMarker => "no end marker",
             Self::ConnectionLost => "the connection broke off",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -16,6 +16,8 @@
     count: u64,
     /// Whether the current server has sent an event.
     part_has_event: bool,
+    /// Whether an event of the current server was passed on.
+    part_has_new_event: bool,
     /// What is wrong with the event after those that were last returned.
     broken: Option<Broken>,
 }
@@ -44,7 +46,7 @@
     /// Starts the part of another server; the bytes of an incomplete event are discarded.
     pub fn start_part(&mut self) {
         self.splitter.discard_partial();
-        self.part_has_event = false;
+        (self.part_has_event, self.part_has_new_event) = (false, false);
         self.broken = None;
     }
 
@@ -54,7 +56,8 @@
     /// Ids rise by one, from 1. Events whose id is not greater than the last one are dropped: a server
     /// that resumes a stream may repeat them.
     ///
-    /// Errors: `EventTooLarge`, or `EventsMissing` if the next event is not the one after the last.
+    /// Errors: `EventTooLarge`, `EventsMissing` if the next event is not the one after the last, or
+    /// `EventUnplaced` if the stream goes on with an event without an id.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, Broken> {
         self.splitter.push(bytes)?;
         let mut out = BytesMut::new();
@@ -77,8 +80,8 @@
     /// Ends the current server's part, whose end was marked by `framing`; returns the rest to pass
     /// on, if any.
     ///
-    /// Errors: as [`Self::push`], `InsideEvent`, or `NoEvent` if neither its framing nor an event shows that the
-    /// server has sent all of it.
+    /// Errors: as [`Self::push`], `InsideEvent`, or `NoEvent` if neither its framing nor an event shows that
+    /// the server has sent all of it.
     pub fn finish(&mut self, framing: Framing) -> Result<Option<Bytes>, Broken> {
         let rest = self.splitter.finish()?;
         let mut out = BytesMut::new();
@@ -92,6 +95,10 @@
     }
 
     fn accept(&mut self, event: &[u8], out: &mut BytesMut) -> Result<(), Broken> {
+        if !has_content(event) {
+            out.extend_from_slice(event);
+            return Ok(());
+        }
         self.part_has_event = true;
         let id = event_id(event);
         match (id, self.last_id) {
@@ -101,8 +108,12 @@
             {
                 return Err(Broken::EventsMissing);
             }
+            (None, last) if !self.part_has_new_event && (self.count > 0 || last > Some(0)) => {
+                return Err(Broken::EventUnplaced);
+            }
             _ => {}
         }
+        self.part_has_new_event = true;
         self.last_id = id.or(self.last_id);
         self.beyond_last_id = id.is_none();
         self.count += 1;
@@ -111,6 +122,12 @@
     }
 }
 
+/// Whether an event has more than comments and the time after which to connect again.
+fn has_content(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":") && !line.starts_with(b"retry:"))
+}
+
 /// Returns the number in the event's first `id` field, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod buffers;
 pub mod connection_pool;
+pub mod continuation;
 pub mod duty;
 pub mod echo;
 pub mod envelope;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
-use hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use log::info;
 use rand::Rng as _;
 use wasabi_answer::{broken::Broken, whole};
@@ -503,7 +503,7 @@
             }
             history.possible_runs += 1;
             let may_be_events = backend_response.reply.content.may_be_events();
-            if admission.route.kind.is_stream() && status.is_success() && may_be_events {
+            if admission.route.kind.is_stream() && status == StatusCode::OK && may_be_events {
                 return Some(Ok(stream::start(
                     state,
                     inbound.clone(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
+    continuation,
     events::Sequence,
     link_watch, peer_relay,
     relay::{self, AdmittedRequest, SendHistory},
@@ -367,15 +368,17 @@
                 () = self.producer.caller_gone().cancelled() => return None,
             };
             let (cause, ran) = match outcome {
-                Outcome::Responded(backend_response)
-                    if backend_response.http.status() == StatusCode::OK
-                        && backend_response.reply.content.may_be_events() =>
-                {
-                    self.history.possible_runs += 1;
-                    return Some((guard, *backend_response));
+                Outcome::Responded(response) => {
+                    let (status, id) = (response.http.status(), &self.inbound.head.id);
+                    match continuation::check(status, &response.reply, id) {
+                        Ok(()) => {
+                            self.history.possible_runs += 1;
+                            return Some((guard, *response));
+                        }
+                        Err(cause) => (cause, "unknown"),
+                    }
                 }
                 Outcome::NotRun(cause) => (cause, "not run"),
-                Outcome::Responded(_) => ("failed to resume", "unknown"),
                 Outcome::Unknown(cause) => (cause, "unknown"),
                 Outcome::TimedOut => return None,
             };
--- a/tests/resumed.rs
+++ b/tests/resumed.rs
@@ -176,6 +176,30 @@
     Ok(())
 }
 
+#[test]
+fn the_answer_of_another_kind_gets_into_no_resumed_stream() -> anyhow::Result<()> {
+    let kind = |framing, kind: &'static str, body: &'static str| {
+        script(move |head| scripted::framed(head, framing, kind, body))
+    };
+    let whole = "HTTP/1.1 500 X\r\ncontent-length: 17\r\n\r\nthe engine failed\n\n";
+    for framing in FRAMINGS {
+        for body in [ERROR, "the engine failed\n\n", "data: the engine failed\n\n", whole] {
+            assert_broken_off("no content type", &go_on(&kind(framing, "", body))?);
+        }
+        assert_broken_off(
+            "typed events without a type",
+            &go_on(&kind(framing, "", "id: 5\ndata: the engine failed\n\n"))?,
+        );
+        let json = "content-type: application/json\r\n";
+        assert_broken_off("a document", &go_on(&kind(framing, json, "{\"error\": 1}"))?);
+        let text = "content-type: text/plain\r\n";
+        assert_broken_off("a text", &go_on(&kind(framing, text, ERROR))?);
+        let coded = "content-type: text/event-stream\r\ncontent-encoding: gzip\r\n";
+        assert_broken_off("encoded", &go_on(&kind(framing, coded, EVENT_5))?);
+    }
+    Ok(())
+}
+
 #[test]
 fn a_failure_gets_into_no_resumed_stream() -> anyhow::Result<()> {
     for (status, kind) in [500, 503, 502, 404, 400].into_iter().flat_map(|s| [(s, EVENTS), (s, "")])
@@ -201,6 +225,7 @@
         })
     };
     assert_broken_off("of another request", &go_on(&of("z9"))?);
+    assert_broken_off("of no request", &go_on(&of(""))?);
     assert_eq!(go_on(&of("a1"))?.event_ids(), [1, 2, 3, 4, 5], "the request's own");
     Ok(())
 }
@@ -217,6 +242,29 @@
     Ok(())
 }
 
+#[test]
+fn text_without_a_place_gets_into_no_resumed_stream() -> anyhow::Result<()> {
+    let whole = "HTTP/1.1 500 X\r\ncontent-length: 17\r\n\r\nthe engine failed\n\n";
+    for framing in FRAMINGS {
+        for body in [
+            ERROR,
+            "the engine failed\n\n",
+            "data: the engine failed\n\n",
+            whole,
+            "event: error\ndata: the engine failed\n\n",
+            "id: none\ndata: the engine failed\n\n",
+        ] {
+            assert_broken_off(body, &go_on(&stream(framing, body.to_string()))?);
+            let after_overlap = events(3..=4) + body;
+            assert_broken_off(body, &go_on(&stream(framing, after_overlap))?);
+            let stage = Stage::start(&breaks_off(), &stream(framing, body.to_string()))?;
+            let response = stage.take_up(4)?;
+            assert_eq!((response.body.as_str(), response.complete), ("", false), "{framing:?}");
+        }
+    }
+    Ok(())
+}
+
 #[test]
 fn a_resumed_stream_may_hold_comments() -> anyhow::Result<()> {
     for framing in FRAMINGS {
