gateway: a stream does not end with a part that brings nothing new

What callers saw: a stream broke off after event 4, the next server sent an empty `text/event-stream`, or events 1 and 2 once more, and the caller got 1 to 4 as a complete stream. A caller that took a stream up after 4 got an empty, complete answer from a server that sent 1 to 3.

Cause: any end that is framed as whole ended the stream, even of a part without an event that the caller lacks.

Change: a part that goes on within an answer must bring a new event, and one that only repeats events ends nothing.

Evidence: resumed: *_that_brings_no_event_is_not_complete, an_empty_answer_to_a_resumed_stream_*, three framings. Before: complete. After: broken off, with all events that were passed on.

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -20,6 +20,8 @@
     EventsMissing,
     /// An event without an id came where the stream goes on, so its place is not known.
     EventUnplaced,
+    /// The stream went on without an event that its caller lacks.
+    NothingNew,
     /// A JSON document without a length or chunks is incomplete.
     InsideDocument,
     /// The stream ended without the event that marks its end.
@@ -37,6 +39,7 @@
             Self::NoEvent => "stream ended without an event",
             Self::EventsMissing => "events are missing",
             Self::EventUnplaced => "an event without an id where the stream goes on",
+            Self::NothingNew => "the stream went on without a new event",
             Self::InsideDocument => "answer ended inside a document",
             Self::NoEndMarker => "no end marker",
             Self::ConnectionLost => "the connection broke off",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -80,16 +80,23 @@
     /// Ends the current server's part, whose end was marked by `framing`; returns the rest to pass
     /// on, if any.
     ///
-    /// Errors: as [`Self::push`], `InsideEvent`, or `NoEvent` if neither its framing nor an event shows that
-    /// the server has sent all of it.
+    /// A part that begins a stream, or answers its caller's last id, may be empty if its framing says so. One
+    /// that goes on within an answer must bring an event: that a server sends none does not show that the
+    /// run of the server before had ended.
+    ///
+    /// Errors: as [`Self::push`], `InsideEvent`, `NoEvent` if only the end of the connection says that there
+    /// is none, or `NothingNew`.
     pub fn finish(&mut self, framing: Framing) -> Result<Option<Bytes>, Broken> {
         let rest = self.splitter.finish()?;
         let mut out = BytesMut::new();
         if let Some(event) = rest {
             self.accept(&event, &mut out)?;
         }
-        if framing == Framing::Close && !self.part_has_event {
-            return Err(Broken::NoEvent);
+        match framing {
+            Framing::Close if !self.part_has_event => return Err(Broken::NoEvent),
+            _ if self.part_has_new_event => {}
+            _ if self.count > 0 || self.part_has_event => return Err(Broken::NothingNew),
+            _ => {}
         }
         Ok((!out.is_empty()).then(|| out.freeze()))
     }
--- a/tests/resumed.rs
+++ b/tests/resumed.rs
@@ -275,6 +275,33 @@
     Ok(())
 }
 
+#[test]
+fn a_resumed_stream_that_brings_no_event_is_not_complete() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        for body in [String::new(), events(1..=2), events(1..=4)] {
+            assert_broken_off(&format!("{framing:?} {body:?}"), &go_on(&stream(framing, body))?);
+        }
+        let response = go_on(&stream(framing, ": alive\n\n".to_string()))?;
+        assert_eq!((response.event_ids(), response.complete), (vec![1, 2, 3, 4], false));
+    }
+    Ok(())
+}
+
+/// A server may state in its own answer that nothing follows the caller's last event.
+#[test]
+fn an_empty_answer_to_a_resumed_stream_of_its_caller_ends_as_framed() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let stage = Stage::start(&breaks_off(), &stream(framing, String::new()))?;
+        let response = stage.take_up(4)?;
+        let expected = ("", framing != Framing::Close);
+        assert_eq!((response.body.as_str(), response.complete), expected, "{framing:?}");
+        let stage = Stage::start(&breaks_off(), &stream(framing, events(1..=3)))?;
+        let response = stage.take_up(4)?;
+        assert_eq!((response.body.as_str(), response.complete), ("", false), "{framing:?}");
+    }
+    Ok(())
+}
+
 #[test]
 fn a_failure_answers_a_resumed_stream_of_its_caller_unchanged() -> anyhow::Result<()> {
     for (status, body) in [(500, ERROR), (404, ERROR), (400, "")] {
