gateway: a stream whose last event has no id does not go on elsewhere

Cause: without a last id a stream that had begun was sent like a new one. Found while looking for the same class: where the stream stands was not known, and what came next was passed on all the same.

Change: a stream goes on elsewhere, after a break or when it is stuck, only if no event without an id was passed on after the last id. Else the caller's connection is broken off, as on routes that cannot be resumed.

Evidence: resumed: a_stream_without_ids_is_passed_on_and_not_resumed, three framings. With the guard taken out of this commit: sent twice. After: `one two`, broken off, sent once; without a break it passes whole, before and after.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -33,6 +33,11 @@
         self.last_id
     }
 
+    /// Whether `last_id` tells where the stream stands, so that it can go on after it.
+    pub fn is_placed(&self) -> bool {
+        !self.beyond_last_id
+    }
+
     /// Returns the number of events passed on.
     pub fn count(&self) -> u64 {
         self.count
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -249,6 +249,9 @@
     /// be resumed there.
     fn find_alternative(&mut self, guard: &PlacementGuard) -> Option<PlacementGuard> {
         relay::record_stuck(&self.state, &self.inbound, guard);
+        if !self.events.is_placed() {
+            return None;
+        }
         let last_id = self.events.last_id();
         relay::place_elsewhere(&self.state, &self.inbound, &mut self.history, guard, last_id)
     }
@@ -328,6 +331,11 @@
         if !self.inbound.admission.route.kind.is_repeatable() {
             return None;
         }
+        if !self.events.is_placed() {
+            info!(target: wasabi_logs::REQUEST_TARGET, request = self.inbound.head.id.as_str(),
+                events = self.events.count(); "events without ids cannot go on elsewhere");
+            return None;
+        }
         loop {
             let last_id = self.events.last_id();
             if self.state.is_cut_off() && self.continue_at_peer(last_id).await {
--- a/tests/resumed.rs
+++ b/tests/resumed.rs
@@ -314,6 +314,30 @@
     Ok(())
 }
 
+#[test]
+fn a_stream_without_ids_is_passed_on_and_not_resumed() -> anyhow::Result<()> {
+    const WHOLE: &str = "data: one\n\ndata: two\n\n";
+    for framing in FRAMINGS {
+        let whole = stream(framing, WHOLE.to_string());
+        let stage = Stage::start(&whole, &whole)?;
+        let callers = stage.gateway.addresses.callers;
+        let response = Request::new("POST", "/chat/x", "b1").send(callers)?;
+        assert_eq!((response.body.as_str(), response.complete), (WHOLE, true), "{framing:?}");
+        let sent = Arc::new(AtomicUsize::new(0));
+        let count = sent.clone();
+        let cut = script(move |head| {
+            count.fetch_add(usize::from(head.starts_with("POST")), Ordering::SeqCst);
+            scripted::framed(head, framing, EVENTS, &format!("{WHOLE}data: thr"))
+        });
+        let stage = Stage::start(&cut, &whole)?;
+        let callers = stage.gateway.addresses.callers;
+        let response = Request::new("POST", "/chat/x", "b2").send(callers)?;
+        assert_eq!((response.body.as_str(), response.complete), (WHOLE, false), "{framing:?}");
+        assert_eq!(sent.load(Ordering::SeqCst), 1, "{framing:?}");
+    }
+    Ok(())
+}
+
 /// The engines of the rig go on as their callers and the host ask them.
 #[test]
 fn a_resumed_stream_whose_first_next_server_fails_goes_on_at_a_third() -> anyhow::Result<()> {
