gateway: a peer's part of a stream is compared with where the stream stands

What callers saw: a stream of a host that is cut from all servers went on through a peer. Whatever the peer's body held was passed on: events 1 to 4 once more, a gap, text, and the end of half an event, as complete. The same where the caller took the stream up and the whole request was handed over; an answer that named another request was passed on too.

Cause: a peer's body was taken for checked, since peers run the same checks. A peer of an older build does not, and what was checked there knows nothing of what the caller has here.

Change: a peer's events pass through the same sequence as those of servers, and its head through the same check (`StreamRelay::forward_from_peer`, also for streams that begin there). A success that is not signed, or any answer that names another request, counts as a peer that broke off. Log and metric name the check.

--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -25,6 +25,7 @@
 use tokio::time::Sleep;
 use wasabi_belief::{origins::Origin, peers::Peer};
 use wasabi_core::{
+    call::ResponseHead,
     errors::{Code, Error, Ran, Result},
     units::HostId,
 };
@@ -65,6 +66,14 @@
     pub origin: Option<Origin>,
 }
 
+/// The answer of a peer, passed on from a backend server or its own.
+pub struct Answer {
+    /// The head as the peer sent it.
+    pub head: ResponseHead,
+    /// The answer without hop-by-hop headers.
+    pub response: Response<ResponseBody>,
+}
+
 /// The body of a peer's answer.
 pub struct PeerBody {
     body: Incoming,
@@ -90,7 +99,7 @@
     inbound: &AdmittedRequest,
     history: &mut SendHistory,
     last_event: Option<u64>,
-) -> Option<Result<Response<ResponseBody>>> {
+) -> Option<Result<Answer>> {
     if inbound.handover.is_some() {
         return None;
     }
@@ -118,7 +127,7 @@
         let request = build_request(state, inbound, history, last_event)?;
         log_handed_over(state, inbound, history, &host, last_event);
         match send(state, inbound, connection, request).await {
-            Sent::Answered(response) => return Some(Ok(*response)),
+            Sent::Answered(answer) => return Some(Ok(*answer)),
             Sent::Unsent => {}
             Sent::Broken => {
                 history.possible_runs += 1;
@@ -156,7 +165,7 @@
 /// How a send to a peer ended.
 enum Sent {
     /// The head of its answer has arrived.
-    Answered(Box<Response<ResponseBody>>),
+    Answered(Box<Answer>),
     /// Nothing was sent.
     Unsent,
     /// The connection ended before an answer; a server may have run the request.
@@ -181,11 +190,17 @@
         },
         Ok(Ok(answer)) => {
             let (parts, body) = answer.into_parts();
+            let head = reply::decode(&inbound.parts.method, parts.status, &parts.headers);
+            let is_others = head.id.as_ref().is_some_and(|id| *id != inbound.head.id);
+            if is_others || (parts.status.is_success() && !head.signed) {
+                log_broken(&inbound.head.id, "the answer is not to this request");
+                return Sent::Broken;
+            }
             let body = PeerBody { body, deadline, _connection: connection };
             let mut response = Response::new(ResponseBody::Peer(Box::new(body)));
             *response.status_mut() = parts.status;
             *response.headers_mut() = reply::forwarded_headers(&parts.headers);
-            Sent::Answered(Box::new(response))
+            Sent::Answered(Box::new(Answer { head, response }))
         }
     }
 }
@@ -253,11 +268,11 @@
         possible_runs = handover.possible_runs; "taken from a peer");
 }
 
-/// Logs that a peer's answer has ended before it was complete.
-pub fn log_broken(id: &str, cause: &io::Error) {
-    let cause = cause.to_string();
-    warn!(target: wasabi_logs::REQUEST_TARGET, request = id, cause = cause.as_str();
-        "answer of a peer broke off");
+/// Logs and counts that a peer's part of a stream has ended before it was complete, or cannot be passed on.
+pub fn log_broken(id: &str, cause: &'static str) {
+    metrics::counter!("wasabi_peer_broken_streams_total", "cause" => cause).increment(1);
+    warn!(target: wasabi_logs::REQUEST_TARGET, request = id, cause = cause;
+        "stream of a peer broke off");
 }
 
 impl Body for PeerBody {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use wasabi_answer::{broken::Broken, whole};
 use wasabi_belief::{link::Connection, members};
 use wasabi_core::{
-    call::{Framing, RequestHead},
+    call::{Framing, RequestHead, ResponseHead},
     errors::{Code, Error, Ran, Result},
     units::{Build, RequestRate, ServerId},
 };
@@ -228,15 +228,27 @@
 /// is logged.
 async fn hand_over(
     state: &Rc<State>,
-    inbound: &AdmittedRequest,
+    inbound: &Rc<AdmittedRequest>,
     history: &mut SendHistory,
 ) -> Option<Result<Response<ResponseBody>>> {
-    let response = peer_relay::hand_over(state, inbound, history, None).await?;
-    if let Err(error) = &response {
-        let (id, admission) = (&inbound.head.id, Some(&inbound.admission));
-        log_gateway_error(state, id, admission, inbound.arrived, error);
+    match peer_relay::hand_over(state, inbound, history, None).await? {
+        Ok(answer) if is_stream(inbound, answer.response.status(), &answer.head) => {
+            let history = std::mem::take(history);
+            Some(Ok(stream::start_at_peer(state, inbound.clone(), history, answer)))
+        }
+        Ok(answer) => Some(Ok(answer.response)),
+        Err(error) => {
+            let (id, admission) = (&inbound.head.id, Some(&inbound.admission));
+            log_gateway_error(state, id, admission, inbound.arrived, &error);
+            Some(Err(error))
+        }
     }
-    Some(response)
+}
+
+/// Whether an answer is passed on event by event; others are passed on whole.
+fn is_stream(inbound: &AdmittedRequest, status: StatusCode, head: &ResponseHead) -> bool {
+    let may_be_events = head.content.may_be_events();
+    inbound.admission.route.kind.is_stream() && status == StatusCode::OK && may_be_events
 }
 
 /// Sends a request to the server of `guard`. While it is stuck, moves it to another server if
@@ -502,8 +514,7 @@
                 guard.with_balancer(|balancer, placement| balancer.observe(now, placement, load));
             }
             history.possible_runs += 1;
-            let may_be_events = backend_response.reply.content.may_be_events();
-            if admission.route.kind.is_stream() && status == StatusCode::OK && may_be_events {
+            if is_stream(inbound, status, &backend_response.reply) {
                 return Some(Ok(stream::start(
                     state,
                     inbound.clone(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,19 +6,17 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use log::info;
-use wasabi_answer::body::{self, Producer};
+use wasabi_answer::{
+    body::{self, Producer},
+    broken::Broken,
+};
 use wasabi_belief::{
     link::Connection,
     origins::{self, Origin},
 };
-use wasabi_core::{
-    call::Framing,
-    errors::{Code, Result},
-    units::Tokens,
-};
-use wasabi_platform::reply;
+use wasabi_core::{call::Framing, errors::Code, units::Tokens};
 use wasabi_policy::{balancer::End, quarantine::SOUND_AFTER, stuck};
 
 use crate::{
@@ -43,25 +41,8 @@
     guard: PlacementGuard,
     backend_response: BackendResponse,
 ) -> Response<ResponseBody> {
-    let (producer, body) = body::channel(MAX_QUEUED_PARTS, |_| {});
-    let mut response = Response::new(ResponseBody::Stream(body));
-    *response.status_mut() = backend_response.http.status();
-    *response.headers_mut() = attempt::stream_headers(backend_response.http.headers());
+    let (stream, response) = StreamRelay::new(state, inbound, history, &backend_response.http);
     let running = CountGuard::request(state);
-    let events = Sequence::after(inbound.head.last_event);
-    let stream = StreamRelay {
-        state: state.clone(),
-        inbound,
-        history,
-        producer,
-        events,
-        first_event_seen: false,
-        last_event_at: None,
-        framing: Framing::default(),
-        received_bytes: 0,
-        part_began_at: None,
-        part_is_sound: false,
-    };
     tokio::task::spawn_local(async move {
         let _running = running;
         stream.run(guard, backend_response).await;
@@ -69,6 +50,22 @@
     response
 }
 
+/// Starts a task that forwards a stream from a peer, and returns the response that it feeds.
+pub fn start_at_peer(
+    state: &Rc<State>,
+    inbound: Rc<AdmittedRequest>,
+    history: SendHistory,
+    answer: peer_relay::Answer,
+) -> Response<ResponseBody> {
+    let (mut stream, response) = StreamRelay::new(state, inbound, history, &answer.response);
+    let running = CountGuard::request(state);
+    tokio::task::spawn_local(async move {
+        let _running = running;
+        stream.forward_from_peer(answer).await;
+    });
+    response
+}
+
 /// Forwards one stream to a caller, from one backend server after another.
 struct StreamRelay {
     state: Rc<State>,
@@ -91,14 +88,6 @@
     part_is_sound: bool,
 }
 
-/// Whether a peer goes on with a stream.
-fn is_continued(response: &Result<Response<ResponseBody>>) -> bool {
-    response.as_ref().is_ok_and(|response| {
-        let head = reply::decode(&Method::POST, response.status(), response.headers());
-        response.status() == StatusCode::OK && head.signed && head.content.may_be_events()
-    })
-}
-
 /// How one server's part of a stream ended.
 enum PartEnd {
     Complete,
@@ -110,6 +99,34 @@
 }
 
 impl StreamRelay {
+    /// Creates the stream that begins with `first`, and the response to the caller.
+    fn new<B>(
+        state: &Rc<State>,
+        inbound: Rc<AdmittedRequest>,
+        history: SendHistory,
+        first: &Response<B>,
+    ) -> (Self, Response<ResponseBody>) {
+        let (producer, body) = body::channel(MAX_QUEUED_PARTS, |_| {});
+        let mut response = Response::new(ResponseBody::Stream(body));
+        *response.status_mut() = first.status();
+        *response.headers_mut() = attempt::stream_headers(first.headers());
+        let events = Sequence::after(inbound.head.last_event);
+        let stream = Self {
+            state: state.clone(),
+            inbound,
+            history,
+            producer,
+            events,
+            first_event_seen: false,
+            last_event_at: None,
+            framing: Framing::default(),
+            received_bytes: 0,
+            part_began_at: None,
+            part_is_sound: false,
+        };
+        (stream, response)
+    }
+
     async fn run(mut self, mut guard: PlacementGuard, mut backend_response: BackendResponse) {
         loop {
             match self.forward(&mut guard, backend_response).await {
@@ -409,24 +426,50 @@
             handed_over = handing_over => handed_over,
             () = caller_gone.cancelled() => return true,
         };
-        let Some(Ok(response)) = handed_over.filter(is_continued) else { return false };
-        let mut body = response.into_body();
-        loop {
+        let Some(Ok(answer)) = handed_over else { return false };
+        match continuation::check(answer.response.status(), &answer.head, &inbound.head.id) {
+            Ok(()) => {
+                self.forward_from_peer(answer).await;
+                true
+            }
+            Err(cause) => {
+                peer_relay::log_broken(&inbound.head.id, cause);
+                false
+            }
+        }
+    }
+
+    /// Forwards a peer's part of the stream. One that breaks off does not go on elsewhere: how often the peer
+    /// has sent the request is not known.
+    async fn forward_from_peer(&mut self, answer: peer_relay::Answer) {
+        let mut body = answer.response.into_body();
+        let caller_gone = self.producer.caller_gone().clone();
+        self.events.start_part();
+        let ended = loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
-                () = caller_gone.cancelled() => return true,
+                () = caller_gone.cancelled() => return,
             };
-            match frame {
-                None => self.producer.finish(),
-                Some(Ok(frame)) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    if self.producer.send(bytes, Tokens(0)).await {
-                        continue;
-                    }
+            let received = match frame {
+                None => break self.events.finish(answer.head.framing),
+                Some(Ok(frame)) => self.events.push(&frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => break Err(Broken::ConnectionLost),
+            };
+            match received {
+                Ok(Some(events)) if !self.producer.send(events.clone(), Tokens(0)).await => {
+                    return;
                 }
-                Some(Err(e)) => peer_relay::log_broken(&inbound.head.id, &e),
+                Ok(_) => {}
+                Err(broken) => break Err(broken),
+            }
+            if let Some(broken) = self.events.broken() {
+                break Err(broken);
             }
-            return true;
+        };
+        match ended {
+            Ok(Some(rest)) if !self.producer.send(rest.clone(), Tokens(0)).await => {}
+            Ok(_) => self.producer.finish(),
+            Err(broken) => peer_relay::log_broken(&self.inbound.head.id, broken.cause()),
         }
     }
 
