tests: nothing but its own events gets into a resumed stream of `wasabirouter run`

Fourteen answers, all green without a change: each event must parse, bear the request's id, and the end must be marked.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -77,6 +77,8 @@
     pub drip: bool,
     /// Factor on the delay between tokens; 0 counts as 1.
     pub slowdown: u32,
+    /// The bytes that answer each stream that goes on, in place of an answer; `ID` stands for the request's id.
+    pub resumed_answer: Option<String>,
     /// The requests a second that streams which start name as the engine's limit, if any.
     pub limit: Option<f64>,
     /// A request whose path or body contains this text crashes the engine before its first token: the
@@ -322,6 +324,11 @@
         crashes: u64,
     ) -> std::io::Result<bool> {
         let faults = self.faults.lock().clone();
+        if let Some(bytes) = faults.resumed_answer.filter(|_| generation.resume_from > 0) {
+            out.write_all(bytes.replace("ID", &generation.id).as_bytes())?;
+            out.flush()?;
+            return Ok(false);
+        }
         let limit = faults.limit.map(|rate| format!("x-rate-limit: {rate}\r\n"));
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
--- a/tests/caller_interface.rs
+++ b/tests/caller_interface.rs
@@ -81,6 +81,54 @@
     Ok(())
 }
 
+#[test]
+fn only_events_of_its_own_get_into_a_resumed_stream() -> anyhow::Result<()> {
+    const EVENTS: &str = "HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n\r\n";
+    let whole = "HTTP/1.1 500 X\r\ncontent-length: 17\r\n\r\nthe engine failed";
+    let answers = [
+        whole.to_string(),
+        "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n".to_string(),
+        "HTTP/1.1 204 X\r\n\r\n".to_string(),
+        "HTTP/1.1 206 X\r\n\r\ndata: {\"id\": \"ID\", \"choices\": [{\"text\": \"x\"}]}\n\n"
+            .to_string(),
+        "HTTP/1.1 200 X\r\n\r\nthe engine failed\n\n".to_string(),
+        "HTTP/1.1 200 X\r\ncontent-type: application/json\r\n\r\n{\"error\": 1}".to_string(),
+        "HTTP/1.1 200 X\r\ncontent-ty".to_string(),
+        "data: {\"id\": \"ID\"}\n\n".to_string(),
+        format!("{EVENTS}{whole}"),
+        format!("{EVENTS}data: {whole}\n\n"),
+        format!("{EVENTS}data: {{\"error\": {{\"message\": \"failed\"}}}}\n\ndata: [DONE]\n\n"),
+        format!("{EVENTS}data: {{\"id\": \"other\", \"choices\": [{{\"text\": \"x\"}}]}}\n\n"),
+        EVENTS.to_string(),
+        String::new(),
+    ];
+    thread::scope(|scope| {
+        let checks = answers.chunks(4).map(|some| {
+            scope.spawn(|| some.iter().try_for_each(|answer| assert_not_in_resumed_stream(answer)))
+        });
+        let checks: Vec<_> = checks.collect();
+        checks.into_iter().try_for_each(|check| check.join().expect("no panic"))
+    })
+}
+
+/// Breaks a stream off after five tokens; all engines answer with `answer` when it goes on.
+fn assert_not_in_resumed_stream(answer: &str) -> anyhow::Result<()> {
+    let rig = Rig::start(programs(), &two_engines())?;
+    for engine in &rig.engines {
+        engine.update_faults(|faults| {
+            (faults.cut_after, faults.cut_new) = (Some(5), true);
+            faults.resumed_answer = Some(answer.to_string());
+        });
+    }
+    let stream = chat(&rig, "resume me", 20).stream(rig.hosts[0].callers)?;
+    let resumed =
+        |engine: &engine::Engine| engine.records().iter().any(|record| record.resume_from == 5);
+    assert!(rig.engines.iter().any(resumed), "{answer}: it did not go on: {stream:?}");
+    assert!(!stream.complete, "{answer}: {stream:?}");
+    assert_eq!(stream.text, engine::answer("resume me", 5), "{answer}");
+    Ok(())
+}
+
 #[test]
 fn a_broken_stream_never_looks_complete() -> anyhow::Result<()> {
     let rig = Rig::start(programs(), &two_engines())?;
