entry: an end marker alone does not end a stream that goes on

What callers saw: a model stream broke off after five tokens, the next server answered 200 with nothing but `data: [DONE]`, and the caller got five of twenty tokens as a complete stream.

Cause: the end marker is the one event that bears no id, and it ended an answer of which nothing else had shown that it was this request's.

Change: a server's answer must have an event with the request's id before its end marker.

Evidence: caller_interface: only_events_of_its_own_get_into_a_resumed_stream with one more answer. Before: `complete: true`, 5 tokens. After: green, with the whole of caller_interface (12) and crashes_entry (5).

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -239,6 +239,10 @@
                 any_event = true;
                 let Some(data) = sse::data(&event) else { continue };
                 if data == chat::DONE {
+                    if self.generating_since.is_none() {
+                        // The end marker bears no id, so nothing shows that it ends this answer.
+                        return Err(Broken::NothingNew.into());
+                    }
                     let passed = self.send_part(event, Tokens(0)).await;
                     return Ok(if passed { AttemptEnd::Complete } else { AttemptEnd::CallerGone });
                 }
--- a/tests/caller_interface.rs
+++ b/tests/caller_interface.rs
@@ -99,6 +99,7 @@
         format!("{EVENTS}data: {whole}\n\n"),
         format!("{EVENTS}data: {{\"error\": {{\"message\": \"failed\"}}}}\n\ndata: [DONE]\n\n"),
         format!("{EVENTS}data: {{\"id\": \"other\", \"choices\": [{{\"text\": \"x\"}}]}}\n\n"),
+        format!("{EVENTS}data: [DONE]\n\n"),
         EVENTS.to_string(),
         String::new(),
     ];
