--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -16,6 +16,12 @@
     InsideEvent,
     /// The stream ended with its connection, before its first event.
     NoEvent,
+    /// An event's id shows that events before it are missing.
+    EventsMissing,
+    /// An event without an id came where the stream goes on, so its place is not known.
+    EventUnplaced,
+    /// The stream went on without an event that its caller lacks.
+    NothingNew,
     /// A JSON document without a length or chunks is incomplete.
     InsideDocument,
     /// The stream ended without the event that marks its end.
@@ -31,6 +37,9 @@
             Self::EventTooLarge => "an event is too large",
             Self::InsideEvent => "stream ended inside an event",
             Self::NoEvent => "stream ended without an event",
+            Self::EventsMissing => "events are missing",
+            Self::EventUnplaced => "an event without an id where the stream goes on",
+            Self::NothingNew => "the stream went on without a new event",
             Self::InsideDocument => "answer ended inside a document",
             Self::NoEndMarker => "no end marker",
             Self::ConnectionLost => "the connection broke off",
