gateway: only an answer that bears the request's id says anything of the request or its server

What callers saw: an engine wrote an earlier refusal once more on a kept connection. A refusal with Not-Executed, or a 421, that bore no Request-Id was taken for the one of the request that had just been sent: a write and a stream that must not be repeated were sent again, or their callers got 503, «not run», while the engine ran them. Retry-After, limits and the word that it leaves counted from any answer, also from one to another request: a stale refusal with Retry-After: 30 took its server out for 30 s.

Cause: an answer without an id passed as this request's, since only another id was checked; and what an answer says of its server was recorded before it was known whose answer it is.

Change: an answer is this request's if it bears its id; a request without an id takes one without. Any other means that the request may have run (cause «answer without the request's id»), closes the connection and says nothing of the server.

PROTOCOL.md: engines echo Request-Id in their responses, and the id identifies an extra one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -124,13 +124,8 @@
                 for header in &reply.malformed {
                     state.log_malformed_header(&member.id, header);
                 }
-                record_limit(state, outgoing, member, http.status(), &reply, sent);
-                record_brittle(state, outgoing, guard, &reply, sent);
-                if reply.leaving {
-                    state.mark_leaving(members::instance(member), "answer");
-                }
-                if let Some(wait) = reply.pause {
-                    pause(state, guard, wait);
+                if is_own(outgoing, &reply) {
+                    record_server_state(state, guard, http.status(), &reply, sent);
                 }
                 return classify_response(outgoing, http, reply, connection);
             }
@@ -163,33 +158,51 @@
     if connection.reused { Connection::Established } else { Connection::New }
 }
 
-/// Records what an answer to a request sent at `sent` says of the server's limit. Answers of another
-/// server at its address, or of none, say nothing of it.
+/// Returns whether a response is the answer to the request: servers return its id. Any other says nothing
+/// of the request, nor of the server that was asked.
+fn is_own(outgoing: &Outgoing<'_>, reply: &ResponseHead) -> bool {
+    reply.id.as_deref().unwrap_or_default() == outgoing.head.id
+}
+
+/// Records what the answer to a request sent at `sent` says of its server.
+fn record_server_state(
+    state: &State,
+    guard: &PlacementGuard,
+    status: StatusCode,
+    reply: &ResponseHead,
+    sent: Instant,
+) {
+    let member = &guard.placement.member;
+    record_limit(state, member, status, reply, sent);
+    record_brittle(state, guard, reply, sent);
+    if reply.leaving {
+        state.mark_leaving(members::instance(member), "answer");
+    }
+    if let Some(wait) = reply.pause {
+        pause(state, guard, wait);
+    }
+}
+
+/// Records the server's limit. Answers of another server at its address, or of an intermediary, say nothing
+/// of it.
 fn record_limit(
     state: &State,
-    outgoing: &Outgoing<'_>,
     member: &Member,
     status: StatusCode,
     reply: &ResponseHead,
     sent: Instant,
 ) {
-    let is_own = reply.id.as_ref() == Some(&outgoing.head.id) && (reply.signed || reply.not_run);
-    if status != StatusCode::MISDIRECTED_REQUEST && (is_own || reply.limit.is_some()) {
+    let is_server = reply.signed || reply.not_run;
+    if status != StatusCode::MISDIRECTED_REQUEST && (is_server || reply.limit.is_some()) {
         state.record_limit(members::instance(member), reply.limit, sent);
     }
 }
 
 /// Records whether the servers of a service say that they are brittle; see [`record_limit`] for whose answers
 /// count.
-fn record_brittle(
-    state: &State,
-    outgoing: &Outgoing<'_>,
-    guard: &PlacementGuard,
-    reply: &ResponseHead,
-    sent: Instant,
-) {
-    let is_own = reply.id.as_ref() == Some(&outgoing.head.id) && (reply.signed || reply.not_run);
-    if is_own || reply.brittle.is_some() {
+fn record_brittle(state: &State, guard: &PlacementGuard, reply: &ResponseHead, sent: Instant) {
+    let is_server = reply.signed || reply.not_run;
+    if is_server || reply.brittle.is_some() {
         let now = state.now();
         guard.with_balancer(|balancer, _| balancer.record_brittle(now, sent, reply.brittle));
     }
@@ -251,8 +264,11 @@
     connection: connection_pool::PooledConnection,
 ) -> Outcome {
     let status = http.status();
-    if reply.id.as_ref().is_some_and(|id| *id != outgoing.head.id) {
-        return Outcome::Unknown("answer to another request");
+    if !is_own(outgoing, &reply) {
+        return Outcome::Unknown(match reply.id {
+            Some(_) => "answer to another request",
+            None => "answer without the request's id",
+        });
     }
     if reply.not_run {
         // The server states that it did not run the request.
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -478,6 +478,9 @@
                     guard.done = true;
                     let mut response = net::full_response(503, "");
                     response.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+                    if let Ok(id) = HeaderValue::from_str(&id) {
+                        response.headers_mut().insert("request-id", id);
+                    }
                     self.set_state_headers(&mut response);
                     return Some(response);
                 }
