gateway: a server does not get a request again that it has refused

What callers saw: 503, «not run», for a request that an engine ran. The only server that took work refused a request, got the same id again at once, and wrote the earlier refusal once more before it ran the request.

Cause: the id tells whose refusal it is only while the server has got the id once. Servers that have refused a request were merely avoided, so that the last one standing got it up to four times.

Change: the servers that have refused a request are left out of its placement, whether it is placed for a repeat, a move from a stuck server, a resumed stream, or at a peer that takes it over (`refused` in the handover; hosts of earlier builds send and read none). What was refused is an outcome of its own, apart from what was not sent.

Evidence: the five tests of `refusals` that come with this fail on the code before: a write sent to its only server 4 times and answered 503; a stream resumed, and one moved from a stuck server, at the server that had refused it («x1, x2, x1, x1»). All ten pass now, and `leaving`, `limits`, `brittle` unchanged. That a host names the refusing servers to its peer has no test with real processes, only that a peer heeds them. The policy tests name the new field of a placement request; nothing else in them is changed but one test added.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,6 +38,8 @@
 pub const ANSWER_BROKE_OFF: &str = "answer broke off";
 /// The cause of a send whose stream broke off.
 pub const STREAM_BROKE_OFF: &str = "stream broke off";
+/// The cause of a send that the server refused without running the request.
+pub const TURNED_AWAY: &str = "turned away";
 /// The causes of sends that the connection to the server ended.
 pub const BROKEN_OFF: [&str; 3] = [CONNECTION_BROKE, ANSWER_BROKE_OFF, STREAM_BROKE_OFF];
 
@@ -61,7 +63,9 @@
 pub enum Outcome {
     /// The head of the response has arrived; its body has not been read.
     Responded(Box<BackendResponse>),
-    /// The server did not run the request; the cause.
+    /// The server states that it did not run the request and never will.
+    TurnedAway,
+    /// The request was not sent; the cause.
     NotRun(&'static str),
     /// The server may have run the request; the cause.
     Unknown(&'static str),
@@ -271,8 +275,7 @@
         });
     }
     if reply.not_run {
-        // The server states that it did not run the request.
-        return Outcome::NotRun("turned away");
+        return Outcome::TurnedAway;
     }
     if status.is_success() && (!reply.signed || reply.encoded) {
         // An intermediary answered, or changed the body.
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -26,7 +26,7 @@
 use wasabi_belief::{origins::Origin, peers::Peer};
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
-    units::HostId,
+    units::{HostId, ServerId},
 };
 use wasabi_platform::{
     head,
@@ -63,6 +63,9 @@
     pub possible_runs: u32,
     /// Where the stream began, if it goes on.
     pub origin: Option<Origin>,
+    /// Servers that refused the request; hosts of earlier builds name none.
+    #[serde(default)]
+    pub refused: Vec<ServerId>,
 }
 
 /// The body of a peer's answer.
@@ -221,7 +224,8 @@
     let service = inbound.admission.service.clone();
     let origin = history.build.clone().map(|build| Origin { service, build });
     let from = state.settings.borrow().host.clone();
-    let handover = Handover { from, possible_runs: history.possible_runs, origin };
+    let refused = history.refused.clone();
+    let handover = Handover { from, possible_runs: history.possible_runs, origin, refused };
     let value = HeaderValue::try_from(serde_json::to_string(&handover).ok()?).ok()?;
     let remaining = inbound.deadline.saturating_duration_since(state.now());
     let mut headers = head::encode_for_peer(&inbound.parts.headers, remaining, last_event);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -182,7 +182,9 @@
 ) -> Result<Response<ResponseBody>> {
     let admission = &inbound.admission;
     let possible_runs = inbound.handover.as_ref().map_or(0, |handover| handover.possible_runs);
-    let mut history = SendHistory { build, possible_runs, ..SendHistory::default() };
+    let refused = inbound.handover.as_ref().map(|handover| handover.refused.clone());
+    let refused = refused.unwrap_or_default();
+    let mut history = SendHistory { build, possible_runs, refused, ..SendHistory::default() };
     let mut counted_by_budget = possible_runs > 0;
     loop {
         if state.is_cut_off()
@@ -335,6 +337,9 @@
     pub placements: usize,
     /// Servers that failed the request or where it was stuck.
     pub avoid: Vec<ServerId>,
+    /// Servers that refused the request. It is not sent to them again: a refusal that is written once more
+    /// could not be told from the answer.
+    pub refused: Vec<ServerId>,
     /// Whether the request has been counted as usage.
     pub counted: bool,
     /// The software version that began the stream, once the caller has an event of it.
@@ -409,6 +414,7 @@
         urgency: admission.urgency,
         build: history.build.as_ref(),
         avoid: &history.avoid,
+        refused: &history.refused,
     };
     let mut balancers = state.balancers.borrow_mut();
     let Some(balancer) = balancers.get_mut(&admission.service) else {
@@ -470,7 +476,10 @@
                 remaining,
                 rand::rng().random(),
             );
-            let detail = format!("expected {} ms", wait.as_millis());
+            let detail = match history.refused.is_empty() {
+                true => format!("expected {} ms", wait.as_millis()),
+                false => attempt::TURNED_AWAY.to_string(),
+            };
             Err(response::retry_later(Code::Overloaded, detail, pause).ran(ran))
         }
     }
@@ -526,13 +535,15 @@
                 }
             }
         }
+        Outcome::TurnedAway => {
+            guard.end = End::Rejected;
+            history.refused.push(guard.placement.member.id.clone());
+            record_unrun_send(state, inbound, history, &guard, attempt::TURNED_AWAY);
+            None
+        }
         Outcome::NotRun(cause) => {
-            // `classify_response` gives this cause if the server states that it did not run the
-            // request.
-            guard.end = if cause == "turned away" { End::Rejected } else { End::Failed };
-            history.avoid.push(guard.placement.member.id.clone());
-            history.last_cause = cause;
-            log_failed_send(state, inbound, &guard, "not run", cause, None);
+            guard.end = End::Failed;
+            record_unrun_send(state, inbound, history, &guard, cause);
             None
         }
         Outcome::Unknown(cause) => {
@@ -550,6 +561,19 @@
     }
 }
 
+/// Records a send that failed and has not run.
+fn record_unrun_send(
+    state: &State,
+    inbound: &AdmittedRequest,
+    history: &mut SendHistory,
+    guard: &PlacementGuard,
+    cause: &'static str,
+) {
+    history.avoid.push(guard.placement.member.id.clone());
+    history.last_cause = cause;
+    log_failed_send(state, inbound, guard, "not run", cause, None);
+}
+
 /// Records a send that failed and may have run.
 fn record_failed_send(
     state: &State,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -370,6 +370,10 @@
                     self.history.possible_runs += 1;
                     return Some((guard, *backend_response));
                 }
+                Outcome::TurnedAway => {
+                    self.history.refused.push(guard.placement.member.id.clone());
+                    (attempt::TURNED_AWAY, "not run")
+                }
                 Outcome::NotRun(cause) => (cause, "not run"),
                 Outcome::Responded(_) => ("failed to resume", "unknown"),
                 Outcome::Unknown(cause) => (cause, "unknown"),
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -79,6 +79,8 @@
     pub build: Option<&'a Build>,
     /// Servers that have failed this request; used only if no other one is ready.
     pub avoid: &'a [ServerId],
+    /// Servers that have refused this request; never used.
+    pub refused: &'a [ServerId],
 }
 
 impl PlacementRequest<'_> {
@@ -115,7 +117,7 @@
     /// All servers that take new work are paused or at their limits; the time until the first one
     /// takes a request.
     Paused(Duration),
-    /// No server both has room for it and is expected to serve it within its max wait. Holds the
+    /// No server has room for it, has not refused it and is expected to serve it within its max wait. Holds the
     /// least expected wait plus failure penalty of the servers, whether they have room or not;
     /// while announcements are stale, the wait is multiplied by the latency ratio. Servers that the
     /// request avoids are left out if there are others.
@@ -266,7 +268,7 @@
     /// Places the request on the server with the least cost: the expected wait, the estimate's
     /// `extra_cost`, and the penalties for failures, distance, affinity and reservation.
     ///
-    /// Only servers with room that are expected to serve it within its max wait are considered;
+    /// Only servers with room that have not refused it and are expected to serve it within its max wait are considered;
     /// while announcements are stale, the expected wait is multiplied by the latency ratio for this
     /// check.
     pub fn place(&mut self, now: Instant, ask: &PlacementRequest) -> Result<Placement, Refusal> {
@@ -321,6 +323,7 @@
                 + affinity_penalty_ms
                 + reservation_penalty_ms;
             let fits = estimate.has_room
+                && !ask.refused.contains(id)
                 && estimate.first_ms * latency_ratio <= ask.max_wait.as_secs_f64() * 1e3;
             if fits && best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, estimate, id));
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -58,6 +58,7 @@
         urgency,
         build: None,
         avoid: &[],
+        refused: &[],
     }
 }
 
@@ -195,8 +196,14 @@
 fn a_failing_server_is_left_alone_and_tried_again() {
     let now = Instant::now();
     let mut balancer = balancer(now, None, 2);
-    let plain =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 8, build: None, avoid: &[] };
+    let plain = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 8,
+        build: None,
+        avoid: &[],
+        refused: &[],
+    };
     let first = balancer.place(now, &plain).expect("a place");
     balancer.end(now, &first, End::Failed);
     for _ in 0..4 {
@@ -213,17 +220,49 @@
     let now = Instant::now();
     let mut balancer = balancer(now, None, 1);
     let avoid = ["s0".parse().expect("a name")];
-    let plain =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 8, build: None, avoid: &avoid };
+    let plain = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 8,
+        build: None,
+        avoid: &avoid,
+        refused: &[],
+    };
     assert!(balancer.place(now, &plain).is_ok());
 }
 
+#[test]
+fn a_server_is_not_used_for_a_request_that_it_refused() {
+    let now = Instant::now();
+    let mut balancer = balancer(now, None, 2);
+    let refused = ["s0", "s1"].map(|name| name.parse().expect("a name"));
+    let plain = |refused| PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 8,
+        build: None,
+        avoid: refused,
+        refused,
+    };
+    for _ in 0..3 {
+        assert_eq!(id(&balancer.place(now, &plain(&refused[..1])).expect("a place")), "s1");
+    }
+    let none_left = balancer.place(now, &plain(&refused));
+    assert!(matches!(none_left, Err(Refusal::NoServerInTime(wait)) if wait < SECOND));
+}
+
 #[test]
 fn draining_and_removed_servers_get_no_requests() {
     let now = Instant::now();
     let mut balancer = balancer(now, None, 1);
-    let plain =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 8, build: None, avoid: &[] };
+    let plain = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 8,
+        build: None,
+        avoid: &[],
+        refused: &[],
+    };
     let draining = Member { phase: Phase::Draining, ..member("s0") };
     balancer.set_servers(now, None, &[draining]);
     assert_eq!(balancer.place(now, &plain), Err(Refusal::NoServer));
@@ -306,8 +345,14 @@
 fn the_response_timeout_follows_the_average_response_time() {
     let start = Instant::now();
     let mut balancer = balancer(start, None, 2);
-    let plain =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 3, build: None, avoid: &[] };
+    let plain = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 3,
+        build: None,
+        avoid: &[],
+        refused: &[],
+    };
     let first = balancer.place(start, &plain).expect("a place");
     let before = balancer.stuck_timeout(start, &first);
     for i in 1..=60 {
@@ -326,8 +371,14 @@
 fn a_server_with_a_stuck_request_is_avoided_for_a_while() {
     let start = Instant::now();
     let mut balancer = balancer(start, None, 2);
-    let plain =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 3, build: None, avoid: &[] };
+    let plain = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 3,
+        build: None,
+        avoid: &[],
+        refused: &[],
+    };
     let stuck = balancer.place(start, &plain).expect("a place");
     balancer.record_stuck(start, &stuck);
     for i in 0..4 {
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -80,6 +80,7 @@
             urgency: 5,
             build: None,
             avoid: &[],
+            refused: &[],
         };
         let mut now = start;
         while now < start + length {
@@ -166,8 +167,14 @@
     play.set_limit(start, RequestRate::new(0.5));
     play.run(start, SECOND * 10);
     let now = start + SECOND * 10;
-    let request =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, build: None, avoid: &[] };
+    let request = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 5,
+        build: None,
+        avoid: &[],
+        refused: &[],
+    };
     let Err(Refusal::Paused(wait)) = play.balancers[0].place(now, &request) else {
         panic!("the server is at its limit");
     };
@@ -192,6 +199,7 @@
             urgency: 5,
             build: None,
             avoid: &[],
+            refused: &[],
         };
         while let Ok(placement) = balancer.place(now, &request) {
             balancer.end(now, &placement, End::Served);
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -32,8 +32,14 @@
 }
 
 fn place(balancer: &mut Balancer, now: Instant) -> Result<Placement, Refusal> {
-    let request =
-        PlacementRequest { prompt: None, max_wait: SECOND, urgency: 5, build: None, avoid: &[] };
+    let request = PlacementRequest {
+        prompt: None,
+        max_wait: SECOND,
+        urgency: 5,
+        build: None,
+        avoid: &[],
+        refused: &[],
+    };
     balancer.place(now, &request)
 }
 
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -124,6 +124,7 @@
         urgency: 5,
         build: Some(build),
         avoid: &avoid,
+        refused: &[],
     };
     for _ in 0..3 {
         let placement = balancer.place(now, &request(&v1)).expect("a server of its version");
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -337,6 +337,7 @@
             urgency: wait_limit::urgency(None, class.rank),
             build: None,
             avoid: &[],
+            refused: &[],
         };
         let draw = self.random.random();
         let instant = self.instant_at(now);
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -1,6 +1,12 @@
 //! Refusals that a backend server writes once more on a kept connection.
 
-use std::{io::Write as _, net::TcpStream, sync::Arc, thread, time::Duration};
+use std::{
+    io::Write as _,
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 use parking_lot::Mutex;
 use wasabi_core::call::Framing;
@@ -69,8 +75,14 @@
                         return Ok(());
                     }
                     let id = scripted::header(&head, "request-id");
-                    log.lock().push((name, id.clone()));
-                    let exchange = Exchange { id: id.clone(), head, before };
+                    let earlier = {
+                        let mut log = log.lock();
+                        let same = log.iter().filter(|(_, other)| *other == id);
+                        let earlier = same.map(|(server, _)| *server).collect();
+                        log.push((name, id.clone()));
+                        earlier
+                    };
+                    let exchange = Exchange { server: name, id: id.clone(), head, earlier, before };
                     script(&mut stream, &exchange)?;
                     before = Some(id);
                 }
@@ -99,8 +111,11 @@
 
 /// One request at a scripted server.
 struct Exchange {
+    server: &'static str,
     id: String,
     head: String,
+    /// The servers that have received the same id before.
+    earlier: Vec<&'static str>,
     /// The id of the request before it on the connection.
     before: Option<String>,
 }
@@ -187,6 +202,45 @@
     Ok(())
 }
 
+/// A server that refuses a request and, if it gets it again, writes that refusal once more and runs it.
+fn refuse_and_repeat(stream: &mut TcpStream, exchange: &Exchange) -> std::io::Result<()> {
+    stream.write_all(exchange.refusal().as_bytes())?;
+    if exchange.earlier.contains(&exchange.server) {
+        stream.write_all(exchange.answer().as_bytes())?;
+    }
+    Ok(())
+}
+
+#[test]
+fn a_request_is_not_sent_again_to_the_server_whose_refusal_may_be_repeated() -> anyhow::Result<()> {
+    for path in ONCE.into_iter().chain(REPEATABLE) {
+        let play = Play::start(&[("x1", "app"), ("x2", "llm")], refuse_and_repeat)?;
+        let response = play.send(path, "a0")?;
+        assert_eq!(play.arrivals("a0").len(), 1, "{path}: {response:?}");
+        assert_eq!(response.status, 503, "{path}: {response:?}");
+        let wait: f64 = response.headers["retry-after"].parse()?;
+        assert!(wait > 0.0 && wait <= 2.0, "{path}: {wait}");
+    }
+    Ok(())
+}
+
+#[test]
+fn all_servers_get_a_request_before_its_refusals_are_final() -> anyhow::Result<()> {
+    for path in ONCE {
+        let play = Play::start(
+            &[("x1", "app"), ("x2", "llm"), ("x3", "app"), ("x4", "llm")],
+            refuse_and_repeat,
+        )?;
+        let response = play.send(path, "a0")?;
+        let mut arrivals = play.arrivals("a0");
+        arrivals.sort_unstable();
+        arrivals.dedup();
+        assert_eq!((response.status, arrivals.len()), (503, 2), "{path}: {response:?}");
+        assert_eq!(play.arrivals("a0").len(), 2, "{path}");
+    }
+    Ok(())
+}
+
 /// The refusal is written once more while the connection idles, or in one write with itself.
 #[test]
 fn a_refusal_repeated_between_two_requests_answers_neither() -> anyhow::Result<()> {
@@ -248,3 +302,72 @@
     }
     Ok(())
 }
+
+/// Plays a stream that one server refuses and the other one fails, in either order. The refusal is repeated
+/// if its server gets the same id again.
+fn play_refused_stream(
+    fail: impl Fn(&mut TcpStream, &Exchange) -> std::io::Result<()> + Clone + Send + Sync + 'static,
+) -> anyhow::Result<()> {
+    for refusing in [0, 1] {
+        for number in 0..2 {
+            let fail = fail.clone();
+            let play =
+                Play::start(
+                    &[("x1", "llm"), ("x2", "llm")],
+                    move |stream, exchange| match exchange.earlier.len() {
+                        turn if turn == refusing => stream.write_all(exchange.refusal().as_bytes()),
+                        0 | 1 => fail(stream, exchange),
+                        _ if exchange.earlier.get(refusing) == Some(&exchange.server) => {
+                            refuse_and_repeat(stream, exchange)
+                        }
+                        _ => stream.write_all(exchange.answer().as_bytes()),
+                    },
+                )?;
+            let id = format!("a{number}");
+            let response = play.send("/chat/x", &id)?;
+            let arrivals = play.arrivals(&id);
+            let refuser = arrivals.get(refusing).copied();
+            let again = arrivals.iter().filter(|server| Some(**server) == refuser).count();
+            assert_eq!(again, 1, "refused by {refuser:?}, sent to {arrivals:?}: {response:?}");
+            assert!(!NOT_RUN.contains(&response.status), "{response:?}");
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_stuck_stream_does_not_move_to_a_server_whose_refusal_may_be_repeated() -> anyhow::Result<()> {
+    play_refused_stream(|stream, _| scripted::read_head(stream).map(drop))
+}
+
+#[test]
+fn a_broken_stream_does_not_go_on_at_a_server_whose_refusal_may_be_repeated() -> anyhow::Result<()>
+{
+    play_refused_stream(|stream, exchange| {
+        // It leaves, so that only the refusing server takes work afterwards.
+        let headers = format!("{EVENTS}server-leaving: 1\r\ntransfer-encoding: chunked\r\n");
+        stream.write_all(scripted::signed(&exchange.head, 200, &headers).as_bytes())?;
+        stream.write_all(b"11\r\nid: 1\ndata: one\n\n\r\n")?;
+        stream.shutdown(Shutdown::Both)
+    })
+}
+
+#[test]
+fn a_peer_does_not_send_a_request_to_a_server_whose_refusal_may_be_repeated() -> anyhow::Result<()>
+{
+    let play = Play::start(&[("x1", "app")], |stream, exchange| {
+        stream.write_all(exchange.answer().as_bytes())
+    })?;
+    let peer: SocketAddr = play.gateway.addresses.peers;
+    for (id, refused, status) in [("a0", "[]", 200), ("b0", "[\"x1\"]", 503)] {
+        let mut request = Request::new("POST", "/write/x", id);
+        let handover = format!(
+            "{{\"from\":\"g2\",\"possible_runs\":0,\"origin\":null,\"refused\":{refused}}}"
+        );
+        request.headers.push(("wasabi-handover".to_string(), handover));
+        let response = request.send(peer)?;
+        assert_eq!(response.status, status, "{id}: {response:?}");
+        assert_eq!(play.arrivals(id).len(), usize::from(status == 200));
+    }
+    Ok(())
+}
