--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -27,7 +27,7 @@
 use wasabi_core::{
     call::ResponseHead,
     errors::{Code, Error, Ran, Result},
-    units::HostId,
+    units::{HostId, ServerId},
 };
 use wasabi_platform::{
     head,
@@ -64,6 +64,9 @@
     pub possible_runs: u32,
     /// Where the stream began, if it goes on.
     pub origin: Option<Origin>,
+    /// Servers that refused the request; hosts of earlier builds name none.
+    #[serde(default)]
+    pub refused: Vec<ServerId>,
 }
 
 /// The answer of a peer, passed on from a backend server or its own.
@@ -236,7 +239,8 @@
     let service = inbound.admission.service.clone();
     let origin = history.build.clone().map(|build| Origin { service, build });
     let from = state.settings.borrow().host.clone();
-    let handover = Handover { from, possible_runs: history.possible_runs, origin };
+    let refused = history.refused.clone();
+    let handover = Handover { from, possible_runs: history.possible_runs, origin, refused };
     let value = HeaderValue::try_from(serde_json::to_string(&handover).ok()?).ok()?;
     let remaining = inbound.deadline.saturating_duration_since(state.now());
     let mut headers = head::encode_for_peer(&inbound.parts.headers, remaining, last_event);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -403,6 +403,10 @@
                         Err(cause) => (cause, "unknown"),
                     }
                 }
+                Outcome::TurnedAway => {
+                    self.history.refused.push(guard.placement.member.id.clone());
+                    (attempt::TURNED_AWAY, "not run")
+                }
                 Outcome::NotRun(cause) => (cause, "not run"),
                 Outcome::Unknown(cause) => (cause, "unknown"),
                 Outcome::TimedOut => return None,
