Tests: answers whose heads end at any byte, of servers, peers and the platform

Operators of systems like this one saw callers get a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head and closed. Earlier only ten lengths had been tried, over the gateway's routes.

--- a/crates/standin/src/rig.rs
+++ b/crates/standin/src/rig.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use serde_json::{Value, json};
-use wasabi_core::io::Host;
+use wasabi_core::{io::Host, note::Server};
 
 use crate::{
     engine::{Engine, Profile},
@@ -63,6 +63,16 @@
 impl Rig {
     /// Starts a deployment; returns once the sample note is in force on every host.
     pub fn start(programs: Programs, size: &Size) -> anyhow::Result<Self> {
+        Self::start_with(programs, size, &[], &[])
+    }
+
+    /// As [`Rig::start`], with further servers beside the stand-ins for engines and services.
+    pub fn start_with(
+        programs: Programs,
+        size: &Size,
+        more_engines: &[Server],
+        more_services: &[Server],
+    ) -> anyhow::Result<Self> {
         let platform = Platform::start()?;
         let domain = "tn-north-a".parse()?;
         let engines = (0..size.engines)
@@ -76,8 +86,10 @@
         for (server, build) in servers.iter_mut().zip(size.builds.iter().cycle()) {
             server.build = build.parse()?;
         }
-        let plain_servers: Vec<_> =
+        servers.extend_from_slice(more_engines);
+        let mut plain_servers: Vec<_> =
             services.iter().map(|service| service.server(&domain)).collect();
+        plain_servers.extend_from_slice(more_services);
         let sample = sample::build(&servers, &plain_servers);
         let mut rig = Self { programs, platform, engines, services, sample, hosts: Vec::new() };
         rig.apply(&rig.sample.note)?;
--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod caller;
+pub mod cut;
 pub mod duties;
 pub mod gateway;
 pub mod net;
--- a/tests/stand/src/scripted.rs
+++ b/tests/stand/src/scripted.rs
@@ -31,7 +31,15 @@
     pub fn start(
         script: impl Fn(TcpStream, usize) -> std::io::Result<()> + Send + Sync + 'static,
     ) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        Self::start_at(([127, 0, 0, 1], 0).into(), script)
+    }
+
+    /// As [`Server::start`], at this address.
+    pub fn start_at(
+        address: SocketAddr,
+        script: impl Fn(TcpStream, usize) -> std::io::Result<()> + Send + Sync + 'static,
+    ) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let connections = Arc::new(AtomicUsize::new(0));
         let counted = connections.clone();
