remote: a response whose head ends early is none, whatever length it had named

What callers saw: nothing that is known. Other operators report answers that were taken for whole although their head had ended early; the client by which `wasabirouter run` and `wasabictl` talk to the platform did that. A response that was cut after its status and `content-length: 0` gave "no such object" or "deleted", and a chunked document without its last chunk was taken for whole.

Cause: `minreq` reports neither a head nor a body that ends early, and the checks beside it (the length, or a complete JSON document) say nothing of a head whose body is empty. Class: the end of a connection is taken for the end of a message.

Change: the client reads with `hyper` and the same wrapper as all other clients, which fail on such an end, so the outcome is unknown. A call blocks as before; it has a runtime of its own, which ends with it.

--- a/crates/remote/src/billing.rs
+++ b/crates/remote/src/billing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use minreq::Method;
+use hyper::Method;
 use wasabi_core::{
     errors::{Code, Error, Result},
     io::{self, Billing, Report},
@@ -27,7 +27,7 @@
         let body = io::render(report);
         let endpoint = &self.endpoint;
         let response =
-            endpoint.call("usage_report", Method::Post, "/usage", Some(&body), Duration::ZERO)?;
+            endpoint.call("usage_report", Method::POST, "/usage", Some(&body), Duration::ZERO)?;
         match response.status {
             200 => Ok(()),
             status => Err(Error::new(Code::PlatformRefused, format!("usage: status {status}"))),
--- a/crates/remote/src/provider.rs
+++ b/crates/remote/src/provider.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use minreq::Method;
+use hyper::Method;
 use wasabi_core::{
     errors::{Code, Error, Result},
     io::{self, Order, Provider, ProvisionedServer},
@@ -27,7 +27,7 @@
         let body = io::render(order);
         let endpoint = &self.endpoint;
         let response =
-            endpoint.call("order", Method::Post, "/orders", Some(&body), Duration::ZERO)?;
+            endpoint.call("order", Method::POST, "/orders", Some(&body), Duration::ZERO)?;
         match response.status {
             200 => Ok(()),
             status => Err(Error::new(Code::PlatformRefused, format!("order: status {status}"))),
@@ -37,7 +37,7 @@
     fn is_accepted(&self, intent: &str) -> Result<bool> {
         let path = format!("/orders?intent={intent}");
         let response =
-            self.endpoint.call("order_look", Method::Get, &path, None, Duration::ZERO)?;
+            self.endpoint.call("order_look", Method::GET, &path, None, Duration::ZERO)?;
         match response.status {
             200 => Ok(true),
             404 => Ok(false),
@@ -48,7 +48,7 @@
     fn servers(&self) -> Result<Vec<ProvisionedServer>> {
         let endpoint = &self.endpoint;
         let response =
-            endpoint.call("server_list", Method::Get, "/servers", None, Duration::ZERO)?;
+            endpoint.call("server_list", Method::GET, "/servers", None, Duration::ZERO)?;
         http::read(&response)
     }
 }
--- a/crates/remote/src/roster.rs
+++ b/crates/remote/src/roster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use minreq::Method;
+use hyper::Method;
 use wasabi_core::{
     errors::Result,
     io::{Host, Roster},
@@ -25,7 +25,7 @@
 impl Roster for Client {
     fn hosts(&self) -> Result<Vec<Host>> {
         let response =
-            self.endpoint.call("host_list", Method::Get, "/hosts", None, Duration::ZERO)?;
+            self.endpoint.call("host_list", Method::GET, "/hosts", None, Duration::ZERO)?;
         http::read(&response)
     }
 }
--- a/crates/remote/src/store.rs
+++ b/crates/remote/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use minreq::Method;
+use hyper::Method;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use wasabi_core::{
     data,
@@ -52,7 +52,7 @@
 impl Store for Client {
     fn get(&self, key: &str) -> Result<Option<Object>> {
         let path = format!("/objects?key={}", encode(key));
-        let response = self.call("store_get", Method::Get, &path)?;
+        let response = self.call("store_get", Method::GET, &path)?;
         match response.status {
             200 => http::read(&response).map(Some),
             404 => Ok(None),
@@ -68,7 +68,7 @@
         let path = format!("/objects?key={}&if={condition}", encode(key));
         let endpoint = &self.endpoint;
         let response =
-            endpoint.call("store_put", Method::Put, &path, Some(value), Duration::ZERO)?;
+            endpoint.call("store_put", Method::PUT, &path, Some(value), Duration::ZERO)?;
         if response.status != 200 {
             return Err(status_error(key, &response));
         }
@@ -77,7 +77,7 @@
 
     fn delete(&self, key: &str, version: Version) -> Result<()> {
         let path = format!("/objects?key={}&if={version}", encode(key));
-        let response = self.call("store_delete", Method::Delete, &path)?;
+        let response = self.call("store_delete", Method::DELETE, &path)?;
         match response.status {
             200 | 404 => Ok(()),
             _ => Err(status_error(key, &response)),
@@ -86,14 +86,14 @@
 
     fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Object>> {
         let path = format!("/list?prefix={}&after={}&limit={limit}", encode(prefix), encode(after));
-        let response = self.call("store_list", Method::Get, &path)?;
+        let response = self.call("store_list", Method::GET, &path)?;
         http::read(&response)
     }
 
     fn watch(&self, prefix: &str, since: Version, wait: Duration) -> Result<WatchResult> {
         let wait_ms = wait.as_millis();
         let path = format!("/watch?prefix={}&since={since}&wait_ms={wait_ms}", encode(prefix));
-        let response = self.endpoint.call("store_watch", Method::Get, &path, None, wait)?;
+        let response = self.endpoint.call("store_watch", Method::GET, &path, None, wait)?;
         http::read(&response)
     }
 }
--- a/crates/remote/tests/cut.rs
+++ b/crates/remote/tests/cut.rs
@@ -18,15 +18,17 @@
 };
 use wasabi_remote::{http::Endpoint, provider, store};
 
-/// Responses that are cut at every kind of place, and that `minreq` reads without an error.
-const CUT: [&str; 7] = [
+/// Responses that are cut at every kind of place.
+const CUT: [&str; 9] = [
     "HTTP/1.1 2",
     "HTTP/1.1 40",
     "HTTP/1.1 404",
     "HTTP/1.1 409 Conflict\r\ncontent-len",
     "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"version\": 7",
     "HTTP/1.1 404 X\r\ncontent-length: 5\r\n\r\n",
+    "HTTP/1.1 404 X\r\n\r\n{\"error\"",
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nd\r\n{\"version\"",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nd\r\n{\"version\":7}\r\n",
 ];
 
 /// Answers each connection with `response` and closes it.
