wasabictl gateways: the era of the store that each host knows

Operators could learn of a restore from one log line a host, but not which era a host is in now, nor whether it still takes the store's contents for an older copy.

`wasabictl gateways ADDRESS...` asks hosts at their operator ports and shows the era, since when and whether it began with a restore, the configuration in force and the fencing token of the duties; it fails if a host does not answer, and shows the others. The dump page has the era under `store`.

tests/restore.rs: wasabictl_shows_the_era_of_the_store_that_each_host_knows, with two hosts through a restore (new; there was no such command before).

--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -173,9 +173,15 @@
                 "last_ms": quarantine.age(now).as_millis() as u64})
         })
         .collect();
+    let era = state.era.borrow();
+    let store = era.known().map(|known| {
+        json!({"era": known.era, "restored": known.restored, "settled": era.is_settled(now),
+            "age_ms": now.saturating_duration_since(known.since).as_millis() as u64})
+    });
     json!({
         "host": state.settings.borrow().host,
         "incarnation": state.incarnation,
+        "store": store,
         "ready": state.is_ready(),
         "cut_from_servers": state.is_cut_off(),
         "stopping": state.stopping_since.get().is_some(),
--- a/src/bin/wasabictl/commands.rs
+++ b/src/bin/wasabictl/commands.rs
@@ -25,6 +25,7 @@
 use crate::{
     explain,
     flags::{KeyCmd, NoteCmd, Wasabictl, WasabictlCmd},
+    gateways,
     output::{self, Failure},
 };
 
@@ -47,6 +48,7 @@
             KeyCmd::New(new) => new_key(&new.workspace, json),
         },
         WasabictlCmd::Dump(dump) => show_dump(&*store(flags)?, &dump.host),
+        WasabictlCmd::Gateways(gateways) => gateways::run(&gateways.address, json),
         WasabictlCmd::Explain(explain) => explain::run(&explain.id, &explain.file, json),
         WasabictlCmd::Usage(usage) => show_usage(&*store(flags)?, Window(usage.window), json),
     }
@@ -225,13 +227,17 @@
     let object = store.get(&format!("{}{host}", status::PREFIX))?;
     let object = object.ok_or_else(|| Error::new(Code::ObjectMissing, format!("host {host}")))?;
     let status: Status = io::parse(&object)?;
+    println!("{}", pretty(&fetch_dump(&status.operators.to_string())?));
+    Ok(())
+}
+
+/// Fetches the state of the process whose operators' port is at `address`.
+pub fn fetch_dump(address: &str) -> Result<Value> {
     let unavailable = |e: minreq::Error| Error::new(Code::PeerUnavailable, e.to_string());
-    let url = format!("http://{}/dump", status.operators);
+    let url = format!("http://{address}/dump");
     let answer = minreq::get(url).with_timeout(DUMP_TIMEOUT_SECONDS).send().map_err(unavailable)?;
-    let value: Value = serde_json::from_str(answer.as_str().map_err(unavailable)?)
-        .map_err(|e| Error::new(Code::PeerUnavailable, e.to_string()))?;
-    println!("{}", pretty(&value));
-    Ok(())
+    serde_json::from_str(answer.as_str().map_err(unavailable)?)
+        .map_err(|e| Error::new(Code::PeerUnavailable, e.to_string()))
 }
 
 fn show_usage(store: &dyn Store, number: Window, json: bool) -> Result<(), Failure> {
--- a/src/bin/wasabictl/flags.rs
+++ b/src/bin/wasabictl/flags.rs
@@ -53,6 +53,11 @@
             /// The host's name.
             required host: String
         }
+        /// Shows of gateways the era of the store, the configuration in force and who has the duties.
+        cmd gateways {
+            /// Their addresses for operators.
+            repeated address: String
+        }
         /// Prints what all hosts logged about one request, oldest first.
         cmd explain {
             /// The request's id.
--- a/src/bin/wasabictl/main.rs
+++ b/src/bin/wasabictl/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod explain;
 mod flags;
+mod gateways;
 mod output;
 
 use std::process::ExitCode;
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -1,6 +1,6 @@
 //! The store comes back from an older copy: what the router wrote since is gone.
 
-use std::{collections::BTreeMap, thread, time::Duration};
+use std::{collections::BTreeMap, process::Command, thread, time::Duration};
 
 use serde_json::Value;
 use wasabi_stand::{
@@ -229,3 +229,39 @@
     rig.store.rewrite(others);
     Ok(())
 }
+
+#[test]
+fn wasabictl_shows_the_era_of_the_store_that_each_host_knows() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let hosts = two_hosts(&rig)?;
+    let addresses: Vec<String> =
+        hosts.values().map(|host| host.addresses.operators.to_string()).collect();
+    let show = |options: &[&str]| -> anyhow::Result<(bool, String)> {
+        let mut ctl = Command::new(env!("CARGO_BIN_EXE_wasabictl"));
+        let output = ctl.args(options).arg("gateways").args(&addresses).output()?;
+        Ok((output.status.success(), String::from_utf8(output.stdout)?))
+    };
+    let eras = || -> anyhow::Result<Vec<(Value, Value)>> {
+        let (_, text) = show(&["--json"])?;
+        let shown: Value = serde_json::from_str(&text)?;
+        let hosts = shown["gateways"].as_array().cloned().unwrap_or_default();
+        let store =
+            |host: &Value| (host["store"]["era"].clone(), host["store"]["restored"].clone());
+        Ok(hosts.iter().map(store).collect())
+    };
+    let before = eras()?;
+    assert_eq!(before.len(), 2);
+    assert_eq!(before[0].1, false, "{before:?}");
+    restore(&rig, &rig.store.backup());
+    let next = before[0].0.as_u64().map(|era| era + 1);
+    wait_for("both hosts to show the next era", || {
+        let shown = eras().unwrap_or_default();
+        shown.len() == 2 && shown.iter().all(|(era, now)| era.as_u64() == next && now == true)
+    })?;
+    let (done, table) = show(&[])?;
+    let column = table.lines().next().is_some_and(|line| line.contains("ERA"));
+    assert!(done && column && table.contains("restored"), "{table}");
+    drop(hosts);
+    assert!(!show(&[])?.0, "hosts that are gone are not passed over");
+    Ok(())
+}
