--- a/crates/belief/src/lib.rs
+++ b/crates/belief/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod origins;
 pub mod peers;
 pub mod renewal;
+pub mod seals;
 pub mod version_record;
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -4,16 +4,18 @@
 //! A new holder of the duties reports what is already sealed, so no window is ever reported with
 //! two different counts.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use futures_util::future::join_all;
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
-use wasabi_belief::{counts::Counts, peers::Peer};
+use wasabi_belief::{
+    peers::Peer,
+    seals::{self, Seals, Step},
+};
 use wasabi_core::{
     errors::{self, Result},
     objects::{Verdict, Written},
-    units::{Epoch, Version, Window},
+    units::{Epoch, Window},
 };
 
 use crate::{duty, peer_fetch, refresh::with_timeout, state::State};
@@ -28,53 +30,17 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Peers that are asked for their counts at a time, so that their responses do not fill the link.
 const MAX_CONCURRENT_PEERS: usize = 16;
-/// Sealed windows that the record keeps. The report of a window is due `Bounds::usage_due_s` after
-/// its end, which is two windows with the usual settings.
-const KEPT_SEALED_WINDOWS: usize = 8;
-/// Windows before the newest settled one that are still reported.
-const MAX_LATE_WINDOWS: u64 = 3;
 /// The object kind of the sealed counts; with [`RECORD_NAME`] it identifies the record.
 const RECORD_KIND: &str = "usage";
 /// The object name of the sealed counts.
 const RECORD_NAME: &str = "sealed";
 
-/// The record in the store. The counts of a window never change once they are in it.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct SealedUsage {
-    windows: BTreeMap<Window, Counts>,
-}
-
-impl SealedUsage {
-    /// Forgets the oldest windows beyond [`KEPT_SEALED_WINDOWS`].
-    fn prune(&mut self) {
-        while self.windows.len() > KEPT_SEALED_WINDOWS {
-            self.windows.pop_first();
-        }
-    }
-}
-
-/// The last holder's copy of the record, and the last window that it has reported. The copy is kept
-/// after the duties are lost: the store may lose the record.
-#[derive(Default)]
-struct Reporter {
-    /// The fencing number under which the copy is current; `None` if the record must be read again.
-    fence: Option<Epoch>,
-    version: Option<Version>,
-    sealed: SealedUsage,
-    /// The newest window that was reported under this fencing number.
-    reported: Option<Window>,
-}
-
 /// Reports usage while this host holds the duties.
 pub async fn run(state: &State) {
-    let mut reporter = Reporter::default();
+    let mut seals = Seals::default();
     loop {
         tokio::time::sleep(TICK).await;
-        let Some(fence) = duty::fence(state) else {
-            reporter.fence = None;
-            continue;
-        };
-        if let Err(e) = reporter.report_settled(state, fence).await {
+        if let Err(e) = report_settled(state, &mut seals).await {
             let cause = e.to_string();
             warn!(cause = cause.as_str(); "usage not reported yet");
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -82,102 +48,94 @@
     }
 }
 
-impl Reporter {
-    /// Seals and reports each settled window that has not been reported, oldest first.
-    async fn report_settled(&mut self, state: &State, fence: Epoch) -> Result<()> {
-        if self.fence != Some(fence) {
-            self.load(state).await?;
-            self.fence = Some(fence);
-            self.reported = None;
-        }
-        let Some(newest) = newest_settled(state) else { return Ok(()) };
-        let oldest = Window(newest.0.saturating_sub(MAX_LATE_WINDOWS));
-        let next = self.reported.map_or(oldest, |window| Window(window.0 + 1)).max(oldest);
-        for window in (next.0..=newest.0).map(Window) {
-            if !self.sealed.windows.contains_key(&window) {
-                if !state.era_covers(window, SETTLE_TIME) {
-                    // Its seal may be lost; a second one could have other counts.
-                    warn!(window = window.0; "usage not reported: it may have been before a restore");
-                    self.reported = Some(window);
-                    continue;
-                }
+/// Seals and reports each settled window that has not been reported, oldest first.
+async fn report_settled(state: &State, seals: &mut Seals) -> Result<()> {
+    loop {
+        // Also takes in the era of the last answer: what comes next rests on it.
+        let Some(fence) = duty::fence(state) else {
+            seals.lose_duties();
+            return Ok(());
+        };
+        match next(state, seals, fence) {
+            Step::Wait => return Ok(()),
+            Step::Read => read(state, seals, fence).await?,
+            Step::Seal(window) => {
                 fetch_missing_counts(state, window).await;
-                self.seal(state, window).await?;
+                let is_still_next = duty::fence(state) == Some(fence)
+                    && next(state, seals, fence) == Step::Seal(window);
+                if is_still_next {
+                    seal(state, seals, fence, window).await?;
+                }
+            }
+            Step::Report(window) => report(state, seals, window).await?,
+            Step::Skip(window) => {
+                warn!(window = window.0; "usage not reported: it may have been before a restore");
+                seals.on_reported(window);
             }
-            self.report(state, window).await?;
         }
-        Ok(())
     }
+}
 
-    async fn load(&mut self, state: &State) -> Result<()> {
-        let record =
-            with_timeout(state.objects.read(RECORD_KIND, RECORD_NAME), CALL_TIMEOUT).await?;
-        let known = self.sealed.clone();
-        match record {
-            None => self.version = None,
-            Some(record) => self.set_record(record)?,
-        }
-        // What a restored store has lost is written again with the next seal.
-        for (window, counts) in known.windows {
-            self.sealed.windows.entry(window).or_insert(counts);
-        }
-        self.sealed.prune();
-        Ok(())
-    }
+fn next(state: &State, seals: &Seals, fence: Epoch) -> Step {
+    seals.next(fence, newest_settled(state), |window| state.era_covers(window, SETTLE_TIME))
+}
 
-    fn set_record(&mut self, record: wasabi_core::objects::Record) -> Result<()> {
-        self.version = Some(record.version);
-        self.sealed = serde_json::from_value(record.value)
-            .map_err(|e| errors::internal(format!("sealed usage: {e}")))?;
-        Ok(())
-    }
+async fn read(state: &State, seals: &mut Seals, fence: Epoch) -> Result<()> {
+    let record = with_timeout(state.objects.read(RECORD_KIND, RECORD_NAME), CALL_TIMEOUT).await?;
+    let found = match record {
+        None => None,
+        Some(record) => {
+            let sealed = serde_json::from_value(record.value);
+            let sealed = sealed.map_err(|e| errors::internal(format!("sealed usage: {e}")))?;
+            Some((record.version, sealed))
+        }
+    };
+    seals.on_read(fence, found);
+    Ok(())
+}
 
-    /// Adds the counts of a window to the record; fails if another holder changed the record since
-    /// it was read.
-    async fn seal(&mut self, state: &State, window: Window) -> Result<()> {
-        let mut sealed = self.sealed.clone();
-        let counts = state.usage_counts.borrow().sum(window);
-        sealed.windows.insert(window, counts);
-        sealed.prune();
-        let value = serde_json::to_value(&sealed).map_err(|e| errors::internal(e.to_string()))?;
-        let call = match self.version {
-            None => state.objects.create(RECORD_KIND, RECORD_NAME, value),
-            Some(version) => state.objects.replace(RECORD_KIND, RECORD_NAME, version, value),
-        };
-        // If the write gets no response, the record has to be read again.
-        self.fence = None;
-        match with_timeout(call, CALL_TIMEOUT).await? {
-            Written::Done(version) => {
-                self.version = Some(version);
-                self.sealed = sealed;
-                let total: u64 = self.sealed.windows[&window].values().sum();
-                info!(window = window.0, requests = total; "usage sealed");
-                self.fence = duty::fence(state);
-                Ok(())
+/// Adds the counts of a window to the record; fails if another holder changed the record since it was
+/// read.
+async fn seal(state: &State, seals: &mut Seals, fence: Epoch, window: Window) -> Result<()> {
+    let counts = state.usage_counts.borrow().sum(window);
+    let total: u64 = counts.values().sum();
+    let (replaced, record): (_, seals::Record) = seals.begin_seal(window, counts);
+    let value = serde_json::to_value(&record).map_err(|e| errors::internal(e.to_string()))?;
+    let call = match replaced {
+        None => state.objects.create(RECORD_KIND, RECORD_NAME, value),
+        Some(version) => state.objects.replace(RECORD_KIND, RECORD_NAME, version, value),
+    };
+    match with_timeout(call, CALL_TIMEOUT).await? {
+        Written::Done(version) => {
+            info!(window = window.0, requests = total; "usage sealed");
+            if duty::fence(state) == Some(fence) {
+                seals.on_sealed(fence, version, record);
             }
-            Written::Conflict(_) => Err(errors::conflict(RECORD_NAME)),
+            Ok(())
         }
+        Written::Conflict(_) => Err(errors::conflict(RECORD_NAME)),
     }
+}
 
-    async fn report(&mut self, state: &State, window: Window) -> Result<()> {
-        let counts = &self.sealed.windows[&window];
-        let call = duty::call(state, CALL_TIMEOUT, async |duties, authority| {
-            Ok((duties.report(authority, window, counts).await?, authority.fence))
-        });
-        let (verdict, fence) = call.await?;
-        info!(window = window.0, fence = fence.0, verdict:? = verdict;
-            "usage report answered");
-        match verdict {
-            Verdict::Taken => {
-                self.reported = Some(window);
-                Ok(())
-            }
-            Verdict::Refused => {
-                duty::give_up_lease(state);
-                Err(errors::unavailable("report refused"))
-            }
-            Verdict::Busy => Err(errors::unavailable("busy")),
+async fn report(state: &State, seals: &mut Seals, window: Window) -> Result<()> {
+    let sealed = || errors::internal(format!("window {window} is not sealed"));
+    let counts = seals.counts(window).ok_or_else(sealed)?;
+    let call = duty::call(state, CALL_TIMEOUT, async |duties, authority| {
+        Ok((duties.report(authority, window, counts).await?, authority.fence))
+    });
+    let (verdict, fence) = call.await?;
+    info!(window = window.0, fence = fence.0, verdict:? = verdict;
+        "usage report answered");
+    match verdict {
+        Verdict::Taken => {
+            seals.on_reported(window);
+            Ok(())
+        }
+        Verdict::Refused => {
+            duty::give_up_lease(state);
+            Err(errors::unavailable("report refused"))
         }
+        Verdict::Busy => Err(errors::unavailable("busy")),
     }
 }
 
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -105,6 +105,39 @@
     Ok(())
 }
 
+/// The next holder's read of the seals is the first answer of the restored store.
+#[test]
+fn a_holder_that_reads_an_older_copy_of_the_seals_does_not_seal_a_window_again()
+-> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut hosts = two_hosts(&rig)?;
+    let backup = rig.store.backup();
+    assert!(rig.store.get("usage", "sealed").is_none(), "the copy has no seals");
+    let first = holder(&rig, "")?;
+    let reported = || -> Vec<Value> {
+        let calls = rig.duties.calls().into_iter().filter(|call| call.path == "/usage");
+        calls.filter(|call| call.holder == first).map(|call| call.body["window"].clone()).collect()
+    };
+    wait_for("a window to be reported", || !reported().is_empty())?;
+    rig.store.restore_before_read("usage", "sealed", backup);
+    hosts.get_mut(&first).expect("it runs").kill();
+    let reported = reported();
+    let (_, next) = hosts.iter().find(|(name, _)| **name != first).expect("two hosts");
+    let windows = |message: &str| -> Vec<Value> {
+        next.log_lines(message).iter().map(|line| line["window"].clone()).collect()
+    };
+    let last = reported.last().expect("a window was reported");
+    wait_for("the window to be decided on", || {
+        windows("usage not reported: it may have been before a restore").contains(last)
+            || windows("usage sealed").contains(last)
+    })?;
+    let again: Vec<Value> =
+        windows("usage sealed").into_iter().filter(|window| reported.contains(window)).collect();
+    assert!(again.is_empty(), "windows {again:?} of {reported:?} were sealed again");
+    check_duties(&rig);
+    Ok(())
+}
+
 /// The holder remembers what it has sealed and writes it again.
 #[test]
 fn a_holder_that_saw_the_restore_goes_on_with_what_it_sealed() -> anyhow::Result<()> {
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -42,6 +42,8 @@
     calls: u64,
     /// How often it was restored.
     era: u64,
+    /// The object whose next read finds the store restored to a copy.
+    restored_by: Option<(String, String, Backup)>,
 }
 
 /// A copy of the contents, as a backup has it.
@@ -95,12 +97,12 @@
     /// Goes back to a copy: what was written since is gone, and revisions are given out again. The
     /// returned objects are those of the operator and the servers, for [`Self::rewrite`].
     pub fn restore(&self, backup: &Backup) -> Vec<(String, String, Value)> {
-        let mut inner = self.inner.lock();
-        let present = std::mem::replace(&mut inner.objects, backup.objects.clone());
-        inner.revision = backup.revision;
-        inner.era += 1;
-        let others = present.into_iter().map(|((kind, name), (_, value))| (kind, name, value));
-        others.filter(|(kind, _, _)| matches!(kind.as_str(), "config" | "servers")).collect()
+        self.inner.lock().restore(backup)
+    }
+
+    /// Goes back to a copy when an object is read next: its answer is the first of the new era.
+    pub fn restore_before_read(&self, kind: &str, name: &str, backup: Backup) {
+        self.inner.lock().restored_by = Some((kind.to_string(), name.to_string(), backup));
     }
 
     /// Writes objects as the operator and the servers do after a restore.
@@ -126,7 +128,13 @@
         let (kind, name) = path.split_once('/').unwrap_or((path.as_str(), ""));
         match (request.method(), name) {
             (&Method::GET, "") => inner.list(kind),
-            (&Method::GET, name) => inner.read(kind, name),
+            (&Method::GET, name) => {
+                let is_due = |due: &mut (String, String, Backup)| due.0 == kind && due.1 == name;
+                if let Some((_, _, backup)) = inner.restored_by.take_if(is_due) {
+                    inner.restore(&backup);
+                }
+                inner.read(kind, name)
+            }
             (&Method::POST, _) => {
                 let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
                 let name = body["metadata"]["name"].as_str().unwrap_or_default().to_string();
@@ -142,6 +150,14 @@
 }
 
 impl Inner {
+    fn restore(&mut self, backup: &Backup) -> Vec<(String, String, Value)> {
+        let present = std::mem::replace(&mut self.objects, backup.objects.clone());
+        self.revision = backup.revision;
+        self.era += 1;
+        let others = present.into_iter().map(|((kind, name), (_, value))| (kind, name, value));
+        others.filter(|(kind, _, _)| matches!(kind.as_str(), "config" | "servers")).collect()
+    }
+
     fn object(&self, kind: &str, name: &str) -> Option<Value> {
         let (revision, spec) = self.objects.get(&(kind.to_string(), name.to_string()))?;
         Some(json!({
