gateway: datagrams, hand-overs, pages and stored objects state their formats

Nothing that goes between hosts or into the store said its format, so a build could only guess what an older or newer one had meant. Now one module (wasabi_core::format) has the numbers:

- announcements: the first byte of the number in the header, which was always 0 and is echoed and passed on as it is; no byte more (one more in a datagram that is passed on);
- hand-overs and stored objects: a field `format`, which older builds ignore;
- pages for peers: a header `wasabi-format`.

Numbers below 128 add at the end; builds that do not know the addition read the rest. From 128 on the layout is another one: announcements are left out and counted, stored objects are neither taken over nor replaced, a hand-over is answered by E3202 as possibly run (before: a hand-over that could not be parsed was answered by the page '404, try /health', and the peer gave that to its caller). A peer of another build is logged once, stands in the dump and in wasabi_peers_of_other_builds.

--- a/crates/belief/src/peers.rs
+++ b/crates/belief/src/peers.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use wasabi_core::units::{Domain, Epoch, HostId, Incarnation, Revision};
+use wasabi_core::{
+    format::{self, Format},
+    units::{Domain, Epoch, HostId, Incarnation, Revision},
+};
 
 use crate::{announcement::Announcement, host_record::Host, link};
 
@@ -47,6 +50,8 @@
     pub members: Option<(u64, Instant)>,
     /// The fencing token under which it holds the duties, if it does.
     pub fence: Option<Epoch>,
+    /// The format of its last announcement; `None` before the first one.
+    pub format: Option<Format>,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// When a server last answered it, no later than it was; `None` if none has or it did not say.
@@ -102,6 +107,21 @@
         is_new
     }
 
+    /// Records the format of a peer's announcements; returns whether it has changed to one that is not this
+    /// build's.
+    pub fn record_format(&mut self, host: &HostId, format: Format) -> bool {
+        let Some(peer) = self.known.get_mut(host) else { return false };
+        let before = peer.format.replace(format).unwrap_or(format::ANNOUNCEMENT);
+        before != format && format != format::ANNOUNCEMENT
+    }
+
+    /// Records that the announcements of the peer at `address` cannot be read; returns the peer if they could
+    /// before.
+    pub fn record_unread(&mut self, address: SocketAddr, format: Format) -> Option<HostId> {
+        let (host, peer) = self.known.iter_mut().find(|(_, peer)| peer.address == address)?;
+        (peer.format.replace(format) != Some(format)).then(|| host.clone())
+    }
+
     /// Records what a peer has announced of its link to the servers; `sent` is no later than when it was
     /// sent.
     pub fn record_link(&mut self, host: &HostId, sent: Instant, report: link::Report) {
@@ -154,6 +174,11 @@
         self.known.iter().filter(move |(_, peer)| alone || lately(peer)).map(|(host, _)| host)
     }
 
+    /// The number of live peers whose announcements are not of this build's format.
+    pub fn live_of_other_formats(&self, now: Instant) -> usize {
+        self.live(now).filter(|(_, peer)| peer.format != Some(format::ANNOUNCEMENT)).count()
+    }
+
     /// The number of live hosts, including this one.
     pub fn live_host_count(&self, now: Instant) -> usize {
         1 + self.live(now).count()
@@ -172,6 +197,7 @@
             catalog: None,
             members: None,
             fence: None,
+            format: None,
             leaving: false,
             answered_at: None,
             cut: false,
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -135,6 +135,8 @@
     LeaseLost = 3102, 409;
     /// A peer did not answer.
     PeerUnavailable = 3201, 503;
+    /// What a peer said of the request that it handed over could not be read.
+    HandoverUnknown = 3202, 502;
     /// The outside system refused the call.
     PlatformRefused = 3301, 502;
     /// The router met a state it should never be in.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod catalog;
 pub mod digest;
 pub mod errors;
+pub mod format;
 pub mod io;
 pub mod macros;
 pub mod member;
--- a/crates/gateway/src/echo.rs
+++ b/crates/gateway/src/echo.rs
@@ -11,10 +11,15 @@
     time::Instant,
 };
 
+use wasabi_core::format::{self, Format};
+
 /// Announcements whose start time is remembered.
 const MAX_REMEMBERED: usize = 128;
-/// Two numbers of eight bytes in network byte order: the announcement's own and the echoed one.
+/// Two numbers of eight bytes in network byte order: the announcement's own and the echoed one. The first
+/// byte of each number is the format of the announcement that has it.
 pub const HEADER_BYTES: usize = 16;
+/// The bits of a number below its format.
+const COUNTED_BITS: u32 = 56;
 
 /// The numbers of the announcements sent and received by one host.
 pub struct EchoTracker {
@@ -39,9 +44,10 @@
 
 impl EchoTracker {
     /// Numbers announcements from `first` + 1. `first` must be random, so that the echo of a number
-    /// from a former run of the process is not taken for one of this run.
+    /// from a former run of the process is not taken for one of this run, and less than 2^56.
     pub fn new(first: u64) -> Self {
-        Self { last_number: first, begun: VecDeque::new(), last_received: HashMap::new() }
+        let format = u64::from(format::ANNOUNCEMENT.0) << COUNTED_BITS;
+        Self { last_number: format | first, begun: VecDeque::new(), last_received: HashMap::new() }
     }
 
     /// Begins an announcement at `now`; ages in it must be read after this call.
@@ -68,6 +74,11 @@
     Some(u64::from_be_bytes(*header.first_chunk()?))
 }
 
+/// Returns the format of the announcement with this number.
+pub fn format(number: u64) -> Format {
+    Format((number >> COUNTED_BITS) as u8)
+}
+
 impl HeaderTemplate {
     /// Returns the header of the datagram to `peer`; it echoes 0 if nothing was received from
     /// there.
--- a/crates/gateway/src/incoming.rs
+++ b/crates/gateway/src/incoming.rs
@@ -14,6 +14,7 @@
     forwarders::Received,
     link,
 };
+use wasabi_core::format;
 
 use crate::{
     echo::{self, EchoTracker},
@@ -47,13 +48,15 @@
             continue;
         };
         let earliest_send = echoes.borrow_mut().receive(from, header);
+        let number = echo::number(header).unwrap_or_default();
         match content {
             Content::Nothing => {}
-            Content::Direct(bytes, false) => apply_datagram(state, from, bytes, earliest_send),
+            Content::Direct(bytes, false) => {
+                apply_datagram(state, (from, number, earliest_send), bytes);
+            }
             Content::Direct(bytes, true) => {
-                let number = echo::number(header).unwrap_or_default();
                 if received.record(from, number) {
-                    apply_datagram(state, from, bytes, earliest_send);
+                    apply_datagram(state, (from, number, earliest_send), bytes);
                     forward(state, socket, echoes, (from, number, earliest_send), bytes).await;
                 }
             }
@@ -62,7 +65,7 @@
                     let begun = earliest_send
                         .zip(origin.age_ms)
                         .and_then(|(at, age_ms)| at.checked_sub(Duration::from_millis(age_ms)));
-                    apply_datagram(state, origin.sender, bytes, begun);
+                    apply_datagram(state, (origin.sender, origin.number, begun), bytes);
                 }
             }
         }
@@ -89,8 +92,22 @@
     gossip::send_datagram(socket, &template, Content::Nothing, sender).await;
 }
 
-/// Decodes and applies an announcement of `from` that was begun no earlier than `earliest_send`.
-fn apply_datagram(state: &State, from: SocketAddr, bytes: &[u8], earliest_send: Option<Instant>) {
+/// Decodes and applies an announcement with its sender, number and earliest time. Of a newer format only what
+/// this build knows is read, if that has not changed.
+fn apply_datagram(
+    state: &State,
+    (from, number, earliest_send): (SocketAddr, u64, Option<Instant>),
+    bytes: &[u8],
+) {
+    let format = echo::format(number);
+    if !format.is_readable(format::ANNOUNCEMENT) {
+        metrics::counter!("wasabi_unread_messages_total", "what" => "announcement").increment(1);
+        if let Some(host) = state.peers.borrow_mut().record_unread(from, format) {
+            warn!(peer = host.as_str(), format = format.0;
+                "peer's announcements are of a format that this build cannot read");
+        }
+        return;
+    }
     let Ok((announcement, rest)) = postcard::take_from_bytes(bytes) else {
         metrics::counter!("wasabi_gossip_failures_total").increment(1);
         return;
@@ -98,6 +115,10 @@
     // Hosts of older versions send no addition.
     let (addition, rest): (Addition, &[u8]) = postcard::take_from_bytes(rest).unwrap_or_default();
     apply(state, from, &announcement, earliest_send);
+    if state.peers.borrow_mut().record_format(&announcement.host, format) {
+        info!(peer = announcement.host.as_str(), format = format.0, own = format::ANNOUNCEMENT.0;
+            "peer runs another build");
+    }
     apply_addition(state, addition);
     let (facts, link) = facts::decode(rest);
     facts::apply(state, facts, earliest_send);
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -5,16 +5,20 @@
 
 use bytes::Bytes;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
+use wasabi_core::format;
 use wasabi_platform::{http, names};
 
 use crate::{
-    listener, origin, peer_fetch, peer_relay, relay, response::ResponseBody, state::State,
+    listener, origin, peer_fetch, peer_relay, relay,
+    response::{self, ResponseBody},
+    state::State,
 };
 
 type HttpResponse = Response<ResponseBody>;
@@ -50,13 +54,14 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         let handover = match audience {
             Audience::Peers => peer_relay::take_handover(request.headers_mut()),
-            Audience::Operators => None,
+            Audience::Operators => Ok(None),
         };
         let (state, metrics) = (state.clone(), metrics.clone());
         async move {
             let response = match handover {
-                Some(_) => relay::serve(state, request, handover).await,
-                None => respond(&state, &metrics, audience, request.uri().path()),
+                Ok(Some(_)) => relay::serve(state, request, handover.unwrap_or_default()).await,
+                Ok(None) => respond(&state, &metrics, audience, request.uri().path()),
+                Err(error) => response::error_response(&error),
             };
             Ok::<_, Infallible>(response)
         }
@@ -92,6 +97,11 @@
     };
     let mut response = Response::new(ResponseBody::Own(body));
     *response.status_mut() = status;
+    if audience == Audience::Peers {
+        response
+            .headers_mut()
+            .insert(peer_fetch::FORMAT, HeaderValue::from(u16::from(format::PAGE.0)));
+    }
     response
 }
 
@@ -116,6 +126,8 @@
     }
     metrics::gauge!("wasabi_gateway_running").set(state.running_requests.get() as f64);
     metrics::gauge!("wasabi_live_hosts").set(state.live_hosts() as f64);
+    let of_other_builds = state.peers.borrow().live_of_other_formats(now);
+    metrics::gauge!("wasabi_peers_of_other_builds").set(of_other_builds as f64);
     metrics::gauge!("wasabi_known_streams").set(state.origins.borrow().len() as f64);
     metrics::gauge!("wasabi_limited_servers").set(state.limits.borrow().limited().count() as f64);
     let quarantined = state.quarantine.borrow().quarantined().count();
@@ -155,7 +167,7 @@
         .map(|(host, peer)| {
             let silent_ms = now.saturating_duration_since(peer.last_seen).as_millis() as u64;
             json!({"host": host, "silent_ms": silent_ms, "leaving": peer.leaving,
-                "duties": peer.fence})
+                "duties": peer.fence, "format": peer.format})
         })
         .collect();
     let limits = state.limits.borrow();
@@ -176,6 +188,8 @@
     json!({
         "host": state.settings.borrow().host,
         "incarnation": state.incarnation,
+        "formats": {"announcement": format::ANNOUNCEMENT, "handover": format::HANDOVER,
+            "page": format::PAGE, "stored": format::STORED},
         "ready": state.is_ready(),
         "cut_from_servers": state.is_cut_off(),
         "stopping": state.stopping_since.get().is_some(),
--- a/crates/gateway/src/peer_fetch.rs
+++ b/crates/gateway/src/peer_fetch.rs
@@ -10,12 +10,16 @@
 };
 
 use bytes::Bytes;
-use hyper::{Method, header::HeaderMap};
+use hyper::{
+    Method,
+    header::{HeaderMap, HeaderName},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use wasabi_belief::announcement::CountReport;
 use wasabi_core::{
     catalog::Catalog,
     errors::{self, Result},
+    format::{self, Format},
     member::Member,
     units::{Incarnation, Revision},
 };
@@ -32,6 +36,8 @@
 pub const COUNTS_PATH: &str = "/counts";
 /// The path below which the origin of a stream is served, see [`crate::origin`].
 pub const ORIGIN_PATH: &str = "/origins/";
+/// The header that states the format of what is fetched.
+pub const FORMAT: HeaderName = HeaderName::from_static("wasabi-format");
 /// Stands for a version in a path below [`SNAPSHOT_PATH`] of a host that has no copy.
 const NOTHING_KNOWN: &str = "-";
 /// Timeout of a request to a peer.
@@ -126,10 +132,16 @@
     let response = tokio::time::timeout(FETCH_TIMEOUT, call)
         .await
         .map_err(|_| errors::unavailable("peer timed out"))??;
+    page_format(&response.headers).check(format::PAGE, path)?;
     serde_json::from_slice(&response.body)
         .map_err(|e| errors::unavailable(format!("peer's answer: {e}")))
 }
 
+fn page_format(headers: &HeaderMap) -> Format {
+    let stated = headers.get(FORMAT).map(|value| value.to_str().ok()?.parse().ok());
+    stated.map_or(Format::default(), |number| Format(number.unwrap_or(u8::MAX)))
+}
+
 /// Fetches and applies a peer's configuration and servers. Their ages count from when the request
 /// was sent, so that no proof looks younger than it is.
 pub async fn fetch_snapshot(state: &State, peer: SocketAddr) -> Result<()> {
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -22,10 +22,12 @@
 use log::{info, warn};
 use rand::Rng as _;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::time::Sleep;
 use wasabi_belief::{origins::Origin, peers::Peer};
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
+    format::{self, Format},
     units::HostId,
 };
 use wasabi_platform::{
@@ -57,6 +59,9 @@
 /// What a host tells the peer to which it hands a request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Handover {
+    /// Its format.
+    #[serde(default)]
+    pub format: Format,
     /// The host that hands it over.
     pub from: HostId,
     /// Sends so far that a server may have run.
@@ -74,10 +79,23 @@
     _connection: Connection,
 }
 
-/// Takes the handover out of the headers of a request on the port for peers.
-pub fn take_handover(headers: &mut HeaderMap) -> Option<Handover> {
-    let value = headers.remove(HEADER)?;
-    serde_json::from_slice(value.as_bytes()).ok()
+/// Takes the handover out of the headers of a request on the port for peers; `None` if it has none.
+///
+/// Errors: `HandoverUnknown` if it cannot be read, as one of a newer build.
+pub fn take_handover(headers: &mut HeaderMap) -> Result<Option<Handover>> {
+    let Some(value) = headers.remove(HEADER) else { return Ok(None) };
+    read_handover(value.as_bytes()).map(Some).map_err(|cause| {
+        metrics::counter!("wasabi_unread_messages_total", "what" => "handover").increment(1);
+        warn!(cause = cause.as_str(); "request of a peer left unread");
+        // Whether a server has run the request is a part of it.
+        Error::new(Code::HandoverUnknown, cause).ran(Ran::Unknown)
+    })
+}
+
+fn read_handover(value: &[u8]) -> std::result::Result<Handover, String> {
+    let value: Value = serde_json::from_slice(value).map_err(|e| e.to_string())?;
+    Format::of(&value).check(format::HANDOVER, "handover").map_err(|e| e.to_string())?;
+    serde_json::from_value(value).map_err(|e| e.to_string())
 }
 
 /// Hands a request to a peer that reaches servers, and returns its answer. A stream goes on after
@@ -221,7 +239,8 @@
     let service = inbound.admission.service.clone();
     let origin = history.build.clone().map(|build| Origin { service, build });
     let from = state.settings.borrow().host.clone();
-    let handover = Handover { from, possible_runs: history.possible_runs, origin };
+    let format = format::HANDOVER;
+    let handover = Handover { format, from, possible_runs: history.possible_runs, origin };
     let value = HeaderValue::try_from(serde_json::to_string(&handover).ok()?).ok()?;
     let remaining = inbound.deadline.saturating_duration_since(state.now());
     let mut headers = head::encode_for_peer(&inbound.parts.headers, remaining, last_event);
