--- a/tests/stand/src/gateway.rs
+++ b/tests/stand/src/gateway.rs
@@ -70,6 +70,14 @@
     Ok(address)
 }
 
+/// Returns the program that `.ci/older-build` has built from the history, beside today's `program`.
+pub fn older_program(program: &str) -> anyhow::Result<String> {
+    let target = Path::new(program).parent().and_then(Path::parent).context("no target folder")?;
+    let older = target.join("older/wasabirouter");
+    anyhow::ensure!(older.exists(), "{} is not there; run .ci/older-build", older.display());
+    Ok(older.to_string_lossy().into_owned())
+}
+
 /// Returns the settings of a gateway in failure domain `d1`; `store` and `duties` are the addresses
 /// of the platform's interfaces.
 pub fn settings(
