soak: hosts of two builds, replaced by the other one

Builds are drawn from a stream of their own, so faults stay what they were for each seed, and nothing changes without an older program.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -1,8 +1,8 @@
 //! Soak test of real gateways, with faults of the systems around them that are drawn from seeds.
 //!
 //! Usage: `cargo run --release --example soak -- [--seed N] [--seeds COUNT] [--steps COUNT]
-//! [--jobs COUNT]`. A step injects a fault and lasts 0.7 s. Build the program first with
-//! `cargo build --release`.
+//! [--jobs COUNT] [--older PROGRAM]`. A step injects a fault and lasts 0.7 s. Build the program first with
+//! `cargo build --release`. With an older program hosts run either, and are replaced by the other one.
 #![forbid(unsafe_code)]
 
 use std::{
@@ -11,7 +11,7 @@
 };
 
 use anyhow::{Context as _, ensure};
-use wasabi_stand::soak;
+use wasabi_stand::soak::{self, Programs};
 
 use flags::Soak;
 
@@ -28,6 +28,8 @@
             optional --steps steps: usize
             /// Number of seeds that run at the same time.
             optional --jobs jobs: usize
+            /// An older program, as `.ci/older-build` builds it.
+            optional --older older: String
         }
     }
 }
@@ -47,6 +49,7 @@
         .and_then(|directory| directory.parent())
         .context("the executable has no parent directory")?;
     let program = directory.join("wasabirouter").to_string_lossy().into_owned();
+    let programs = Programs { today: &program, older: flags.older.as_deref() };
     let next = AtomicU64::new(first);
     let failed = AtomicUsize::new(0);
     thread::scope(|scope| {
@@ -58,7 +61,7 @@
                         return;
                     }
                     failed
-                        .fetch_add(usize::from(!run_seed(&program, seed, steps)), Ordering::SeqCst);
+                        .fetch_add(usize::from(!run_seed(programs, seed, steps)), Ordering::SeqCst);
                 }
             });
         }
@@ -69,12 +72,14 @@
 }
 
 /// Runs a seed and prints the result; returns whether all properties held.
-fn run_seed(program: &str, seed: u64, steps: usize) -> bool {
-    match soak::run(program, seed, steps) {
+fn run_seed(programs: Programs<'_>, seed: u64, steps: usize) -> bool {
+    match soak::run(programs, seed, steps) {
         Ok(outcome) => {
             let (made, served) = outcome.requests;
+            let (today, older) = outcome.starts;
             println!(
-                "seed {seed}: {served} of {made} served whole, broken {:?}",
+                "seed {seed}: {served} of {made} served whole, starts {today} of today's and {older} of \
+                 the older build, broken {:?}",
                 outcome.violations
             );
             if !outcome.violations.is_empty() {
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -189,6 +189,11 @@
         });
     }
 
+    /// Sets the gateway binary of what is started from now on.
+    pub fn set_program(&mut self, program: &str) {
+        self.program = PathBuf::from(program);
+    }
+
     /// Starts a gateway on free ports and waits until it is ready.
     pub fn start_gateway(&self, name: &str) -> anyhow::Result<Gateway> {
         let gateway = self.launch(name, self.store_address, gateway::pick_ports()?)?;
@@ -244,7 +249,10 @@
         source: Option<IpAddr>,
     ) -> anyhow::Result<Gateway> {
         let mut settings = gateway::settings(name, &addresses, store, self.duties_address);
-        settings["source"] = json!(source);
+        // Older builds do not know it.
+        if let Some(source) = source {
+            settings["source"] = json!(source);
+        }
         Gateway::start(&self.program, addresses, &settings)
     }
 }
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -1,6 +1,7 @@
 //! Seeded soak test: gateway processes under load and injected faults; the guarantees are checked
 //! by what callers and backend servers observed.
 
+mod builds;
 mod calls;
 mod faults;
 mod promises;
@@ -20,10 +21,10 @@
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use serde_json::json;
 
-use self::faults::ActiveFault;
+use self::{builds::Builds, faults::ActiveFault};
 use crate::{
     caller::Request,
-    gateway::{self, Gateway},
+    gateway::{self, Gateway, ListenAddresses},
     proxy::Proxy,
     rig::Rig,
     store::Backup,
@@ -40,6 +41,15 @@
 /// Runs with earlier seeds go on injecting what they drew before there were faults of several hosts.
 const FIRST_SEED_OF_FLEET_FAULTS: u64 = 10_000;
 
+/// The programs that the hosts run.
+#[derive(Clone, Copy, Debug)]
+pub struct Programs<'a> {
+    /// Today's.
+    pub today: &'a str,
+    /// An older one, if hosts run either.
+    pub older: Option<&'a str>,
+}
+
 /// The result of a run.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -49,11 +59,14 @@
     pub violations: Vec<String>,
     /// The number of requests sent, and of those answered completely with status 200.
     pub requests: (usize, usize),
+    /// The number of starts of today's program, and of the older one.
+    pub starts: (usize, usize),
 }
 
 struct Run {
     rig: Rig,
     rng: StdRng,
+    builds: Builds,
     gateways: Vec<Gateway>,
     /// The proxy between each gateway and the store.
     store_proxies: Vec<Proxy>,
@@ -82,8 +95,8 @@
 
 /// Starts a deployment and callers, injects `steps` faults drawn from `seed`, waits for the
 /// recovery and checks the guarantees.
-pub fn run(program: &str, seed: u64, steps: usize) -> anyhow::Result<Outcome> {
-    let mut run = Run::start(program, seed)?;
+pub fn run(programs: Programs<'_>, seed: u64, steps: usize) -> anyhow::Result<Outcome> {
+    let mut run = Run::start(programs, seed)?;
     let stop = Arc::new(AtomicBool::new(false));
     let sent_requests = Arc::new(Mutex::new(Vec::new()));
     let callers: Vec<_> = (0..CALLERS)
@@ -116,8 +129,8 @@
 }
 
 impl Run {
-    fn start(program: &str, seed: u64) -> anyhow::Result<Self> {
-        let mut rig = Rig::start(program)?;
+    fn start(programs: Programs<'_>, seed: u64) -> anyhow::Result<Self> {
+        let mut rig = Rig::start(programs.today)?;
         rig.add_engines(&NEW_ENGINES)?;
         let mut server_proxies = Vec::new();
         for (server, address) in &rig.servers {
@@ -129,6 +142,7 @@
             unfenced: seed % 2 == 1,
             fleet_faults: seed >= FIRST_SEED_OF_FLEET_FAULTS,
             rng: StdRng::seed_from_u64(seed),
+            builds: Builds::draw(programs, seed),
             gateways: Vec::new(),
             store_proxies: Vec::new(),
             duty_proxies: Vec::new(),
@@ -153,8 +167,7 @@
             run.rig.duties_address = duty_proxy.address;
             run.duty_proxies.push(duty_proxy);
             let ports = gateway::pick_ports()?;
-            let gateway =
-                run.rig.launch_from(&format!("g{i}"), proxy.address, ports, Some(source(i)))?;
+            let gateway = run.launch(i, proxy.address, ports)?;
             gateway.wait_ready()?;
             run.caller_addresses.lock().push(gateway.addresses.callers);
             run.gateways.push(gateway);
@@ -175,11 +188,24 @@
     fn restart(&mut self, g: usize) -> anyhow::Result<()> {
         let addresses = self.gateways[g].addresses;
         self.rig.duties_address = self.duty_proxies[g].address;
-        let (name, store) = (format!("g{g}"), self.store_proxies[g].address);
-        self.gateways[g] = self.rig.launch_from(&name, store, addresses, Some(source(g)))?;
+        self.gateways[g] = self.launch(g, self.store_proxies[g].address, addresses)?;
         Ok(())
     }
 
+    /// Starts a host's process with the program that it runs.
+    fn launch(
+        &mut self,
+        g: usize,
+        store: SocketAddr,
+        addresses: ListenAddresses,
+    ) -> anyhow::Result<Gateway> {
+        let is_older = self.builds.runs_older[g];
+        let starts = &mut self.outcome.starts;
+        *(if is_older { &mut starts.1 } else { &mut starts.0 }) += 1;
+        self.rig.set_program(self.builds.program(g));
+        self.rig.launch_from(&format!("g{g}"), store, addresses, Some(source(g)))
+    }
+
     /// Sleeps for `time`, then ends the faults that are due and checks that no gateway has exited.
     fn run_for(&mut self, time: Duration) -> anyhow::Result<()> {
         thread::sleep(time);
--- a/tests/stand/src/soak/faults.rs
+++ b/tests/stand/src/soak/faults.rs
@@ -38,6 +38,9 @@
 impl Run {
     /// Injects the next fault.
     pub(super) fn inject_fault(&mut self) -> anyhow::Result<()> {
+        if self.replace_host()? {
+            return Ok(());
+        }
         let g = self.rng.random_range(0..GATEWAYS);
         let s = self.rng.random_range(0..self.server_proxies.len());
         let duration = Duration::from_millis(self.rng.random_range(300..4_000));
@@ -113,14 +116,7 @@
                 format!("g{g} reloads; key {before} withdrawn")
             }
             10 => {
-                self.gateways[g].signal("CONT")?;
-                self.gateways[g].signal("TERM")?;
-                let ended = self.gateways[g].wait_exit(Duration::from_secs(9));
-                if !ended.as_ref().is_ok_and(|well| *well) {
-                    self.outcome
-                        .violations
-                        .push(format!("g{g} did not exit with status 0 in time: {ended:?}"));
-                }
+                self.terminate(g)?;
                 self.restart(g)?;
                 format!("g{g} stopped and started again")
             }
@@ -136,6 +132,18 @@
         Ok(())
     }
 
+    /// Stops a host's process, and waits until it has ended.
+    pub(super) fn terminate(&mut self, g: usize) -> anyhow::Result<()> {
+        self.gateways[g].signal("CONT")?;
+        self.gateways[g].signal("TERM")?;
+        let ended = self.gateways[g].wait_exit(Duration::from_secs(9));
+        if !ended.as_ref().is_ok_and(|well| *well) {
+            let violation = format!("g{g} did not exit with status 0 in time: {ended:?}");
+            self.outcome.violations.push(violation);
+        }
+        Ok(())
+    }
+
     /// Cuts some or all hosts from all servers, or kills all hosts at once.
     fn inject_fleet_fault(&mut self, ends_at: Instant) -> anyhow::Result<()> {
         if self.rng.random_bool(0.3) {
