tests: hosts of two builds side by side, replaced one after the other, there and back

Checked from what callers, servers and the platform see: every request is answered with 200 and whole, one version and whole ids, no write or unrepeatable stream twice, keys refused in time everywhere, configuration, limit, leaving, tokens that rise with one holder each, windows with one count, and as many requests reported as ran. After a kill of all hosts the other build goes on with the stored streams, windows and tokens. Facts between two builds, each way: leaving servers, requests that crash servers, hand-overs of a cut host; and the settings of the template, checked by both programs.

--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod duties;
+pub mod fleet;
 pub mod gateway;
 pub mod net;
 pub mod proxy;
