--- a/crates/gateway/tests/echo.rs
+++ b/crates/gateway/tests/echo.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-use wasabi_gateway::echo::EchoTracker;
+use wasabi_core::format::{self, Format};
+use wasabi_gateway::echo::{self, EchoTracker};
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -44,3 +45,12 @@
     assert_eq!(receiver.receive(near, &template.header(far)), None);
     assert_eq!(receiver.receive(near, &[0; 3]), None, "a header that is cut");
 }
+
+#[test]
+fn a_number_states_the_format_of_its_announcement() {
+    let template = EchoTracker::new(u64::from(u32::MAX) << 24).begin(Instant::now());
+    let number = echo::number(&template.header(address(1))).expect("a whole header");
+    assert_eq!(echo::format(number), format::ANNOUNCEMENT);
+    // Builds without formats begin with four random bytes below the first one.
+    assert_eq!(echo::format((u64::from(u32::MAX) << 24) + 1), Format(0));
+}
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -245,3 +245,17 @@
     assert!(rig.duties.calls().is_empty(), "the duties were taken without the lease");
     Ok(())
 }
+
+#[test]
+fn what_states_no_known_number_is_of_an_unknown_layout() {
+    use wasabi_core::format::Format;
+    let of = |value: Value| Format::of(&value);
+    assert_eq!(of(json!({"holder": null})), Format(0));
+    assert_eq!(of(json!([{"format": 1}, {"format": 3}, {}])), Format(3));
+    for odd in [json!(256), json!(-1), json!("1"), json!(null)] {
+        assert!(!of(json!({"format": odd})).is_readable(format::STORED));
+    }
+    assert!(Format(127).is_readable(format::STORED) && !Format(128).is_readable(format::STORED));
+    let stamped = format::STORED.stamp(json!([{"a": 1}]));
+    assert_eq!(stamped, json!([{"a": 1, "format": format::STORED}]));
+}
