--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -2,25 +2,27 @@
 
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use serde_json::json;
 use wasabi_stand::{
-    gateway::{self, Gateway, wait_for},
+    gateway::{self, Gateway, older_program, wait_for},
     rig::Rig,
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+static FLEET: Mutex<()> = Mutex::new(());
 const DOMAINS: usize = 4;
 /// Two more than `renewal::LARGE_FLEET_HOSTS`.
 const HOSTS: usize = 32;
 /// The time in which a change has to be in force.
 const CHANGE_LIMIT: Duration = Duration::from_secs(3);
 
-fn launch(rig: &Rig, number: usize) -> anyhow::Result<Gateway> {
+fn launch(rig: &Rig, program: &str, number: usize) -> anyhow::Result<Gateway> {
     let addresses = gateway::pick_ports()?;
     let name = format!("g{number}");
     let mut settings = gateway::settings(&name, &addresses, rig.store_address, rig.duties_address);
     settings["domain"] = json!(format!("d{}", number % DOMAINS));
-    Gateway::start(PROGRAM.as_ref(), addresses, &settings)
+    Gateway::start(program.as_ref(), addresses, &settings)
 }
 
 fn metric(gateway: &Gateway, name: &str) -> Option<f64> {
@@ -29,12 +31,14 @@
     line.split(' ').next_back()?.parse().ok()
 }
 
-#[test]
-fn hosts_of_a_large_fleet_hear_each_other_and_learn_changes_with_few_reads() -> anyhow::Result<()> {
+/// Starts a fleet whose hosts run these programs in turn.
+fn assert_all_hear_and_learn(programs: &[&str]) -> anyhow::Result<()> {
+    // Two such fleets at once are too many processes.
+    let _one_at_a_time = FLEET.lock();
     let rig = Rig::start(PROGRAM)?;
     let mut hosts = Vec::new();
     for number in 0..HOSTS {
-        hosts.push(launch(&rig, number)?);
+        hosts.push(launch(&rig, programs[number % programs.len()], number)?);
     }
     for host in &hosts {
         host.wait_ready()?;
@@ -65,3 +69,15 @@
     assert!(reads < HOSTS as u64, "{reads} calls for two changes on {HOSTS} hosts in {took:?}");
     Ok(())
 }
+
+#[test]
+fn hosts_of_a_large_fleet_hear_each_other_and_learn_changes_with_few_reads() -> anyhow::Result<()> {
+    assert_all_hear_and_learn(&[PROGRAM])
+}
+
+/// Three hosts in turn, over four domains: each domain has hosts of both builds that pass announcements on.
+#[test]
+fn beside_the_older_build_hosts_of_a_large_fleet_hear_each_other() -> anyhow::Result<()> {
+    let older = older_program(PROGRAM)?;
+    assert_all_hear_and_learn(&[PROGRAM, &older, PROGRAM])
+}
