--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -22,11 +22,13 @@
 use log::{info, warn};
 use rand::Rng as _;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::time::Sleep;
 use wasabi_belief::{origins::Origin, peers::Peer};
 use wasabi_core::{
     call::ResponseHead,
     errors::{Code, Error, Ran, Result},
+    format::{self, Format},
     units::{HostId, ServerId},
 };
 use wasabi_platform::{
@@ -58,6 +60,9 @@
 /// What a host tells the peer to which it hands a request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Handover {
+    /// Its format.
+    #[serde(default)]
+    pub format: Format,
     /// The host that hands it over.
     pub from: HostId,
     /// Sends so far that a server may have run.
@@ -86,10 +91,23 @@
     _connection: Connection,
 }
 
-/// Takes the handover out of the headers of a request on the port for peers.
-pub fn take_handover(headers: &mut HeaderMap) -> Option<Handover> {
-    let value = headers.remove(HEADER)?;
-    serde_json::from_slice(value.as_bytes()).ok()
+/// Takes the handover out of the headers of a request on the port for peers; `None` if it has none.
+///
+/// Errors: `HandoverUnknown` if it cannot be read, as one of a newer build.
+pub fn take_handover(headers: &mut HeaderMap) -> Result<Option<Handover>> {
+    let Some(value) = headers.remove(HEADER) else { return Ok(None) };
+    read_handover(value.as_bytes()).map(Some).map_err(|cause| {
+        metrics::counter!("wasabi_unread_messages_total", "what" => "handover").increment(1);
+        warn!(cause = cause.as_str(); "request of a peer left unread");
+        // Whether a server has run the request is a part of it.
+        Error::new(Code::HandoverUnknown, cause).ran(Ran::Unknown)
+    })
+}
+
+fn read_handover(value: &[u8]) -> std::result::Result<Handover, String> {
+    let value: Value = serde_json::from_slice(value).map_err(|e| e.to_string())?;
+    Format::of(&value).check(format::HANDOVER, "handover").map_err(|e| e.to_string())?;
+    serde_json::from_value(value).map_err(|e| e.to_string())
 }
 
 /// Hands a request to a peer that reaches servers, and returns its answer. A stream goes on after
@@ -239,8 +257,8 @@
     let service = inbound.admission.service.clone();
     let origin = history.build.clone().map(|build| Origin { service, build });
     let from = state.settings.borrow().host.clone();
-    let refused = history.refused.clone();
-    let handover = Handover { from, possible_runs: history.possible_runs, origin, refused };
+    let (possible_runs, refused) = (history.possible_runs, history.refused.clone());
+    let handover = Handover { format: format::HANDOVER, from, possible_runs, origin, refused };
     let value = HeaderValue::try_from(serde_json::to_string(&handover).ok()?).ok()?;
     let remaining = inbound.deadline.saturating_duration_since(state.now());
     let mut headers = head::encode_for_peer(&inbound.parts.headers, remaining, last_event);
--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod cut;
 pub mod duties;
+pub mod fleet;
 pub mod gateway;
 pub mod net;
 pub mod proxy;
