KNOWN-RED: streams without length or chunks whose server process is killed look complete

The last stream of a server that says that it leaves, and then exits, is complete: green, and has to stay so.

--- /dev/null
+++ b/tests/killed_servers.rs
@@ -0,0 +1,120 @@
+//! Answers with neither a length nor chunks whose server process is killed: the kernel closes the
+//! connections as in order.
+
+use std::{
+    net::SocketAddr,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use wasabi_stand::{
+    caller::{Request, Response},
+    gateway::wait_for,
+    process::{self, EVENTS, FIRST_PART, Process},
+    rig::Rig,
+    server,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+/// The test that is the entry of the server processes.
+const ENTRY: &str = "server_process";
+/// Streams that are open when their server is killed.
+const STREAMS: usize = 8;
+/// Until a stream has its first events.
+const FIRST_EVENTS: Duration = Duration::from_millis(150);
+
+#[test]
+fn server_process() -> anyhow::Result<()> {
+    process::serve()
+}
+
+/// Sends `count` requests at once to `path`, each from a thread.
+fn send_all(
+    to: SocketAddr,
+    path: &'static str,
+    count: usize,
+) -> Vec<JoinHandle<anyhow::Result<Response>>> {
+    let send = move |number| Request::new("POST", path, &format!("k{number}")).send(to);
+    (0..count).map(|number| thread::spawn(move || send(number))).collect()
+}
+
+fn join_all(calls: Vec<JoinHandle<anyhow::Result<Response>>>) -> anyhow::Result<Vec<Response>> {
+    calls.into_iter().map(|call| call.join().expect("the caller did not panic")).collect()
+}
+
+/// Returns the responses that look complete and lack events, with the ids that they have.
+fn short_as_complete(responses: &[Response]) -> Vec<Vec<u64>> {
+    let whole: Vec<u64> = (1..=EVENTS).collect();
+    let complete = responses.iter().filter(|response| response.complete);
+    complete.map(Response::event_ids).filter(|ids| *ids != whole).collect()
+}
+
+#[test]
+fn streams_of_a_killed_server_never_look_complete() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut engine = Process::start(ENTRY)?;
+    rig.replace_servers("llm", engine.address);
+    let gateway = rig.start_gateway("g1")?;
+    let calls = send_all(gateway.addresses.callers, "/long/x", STREAMS);
+    wait_for("the streams", || engine.requests() == STREAMS)?;
+    thread::sleep(FIRST_EVENTS);
+    engine.kill();
+    let responses = join_all(calls)?;
+    let short = short_as_complete(&responses);
+    assert!(short.is_empty(), "{} of {STREAMS} look complete: {short:?}", short.len());
+    assert!(responses.iter().all(|response| !response.event_ids().is_empty()), "{responses:?}");
+    Ok(())
+}
+
+#[test]
+fn streams_of_a_killed_server_go_on_elsewhere() -> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    for id in ["e3", "e4"] {
+        rig.add_server(id, "llm", true)?;
+    }
+    let mut engine = Process::start(ENTRY)?;
+    rig.store.put("servers", "x1", server::store_object("llm", engine.address, "ready"));
+    let gateway = rig.start_repeating_gateway("g1")?;
+    let calls = send_all(gateway.addresses.callers, "/chat/x", 3 * STREAMS);
+    wait_for("streams at the process", || engine.requests() > 0)?;
+    thread::sleep(FIRST_EVENTS);
+    engine.kill();
+    let responses = join_all(calls)?;
+    let short = short_as_complete(&responses);
+    let of = engine.requests();
+    assert!(short.is_empty(), "{} of {of} look complete: {short:?}", short.len());
+    let broken = responses.iter().filter(|response| !response.complete).count();
+    assert_eq!(broken, 0, "broken off, though they may go on elsewhere");
+    Ok(())
+}
+
+#[test]
+fn a_plain_answer_of_a_killed_server_is_not_passed_on() -> anyhow::Result<()> {
+    for path in ["/read/x", "/write/x"] {
+        let rig = Rig::start(PROGRAM)?;
+        let mut server = Process::start(ENTRY)?;
+        rig.replace_servers("app", server.address);
+        let gateway = rig.start_gateway("g1")?;
+        let calls = send_all(gateway.addresses.callers, path, STREAMS);
+        wait_for("the requests", || server.requests() == STREAMS)?;
+        thread::sleep(FIRST_EVENTS);
+        server.kill();
+        for response in join_all(calls)? {
+            assert_eq!(response.status, 502, "{path}: {response:?}");
+            assert!(!response.body.contains(FIRST_PART), "{path}: {response:?}");
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn the_last_stream_of_a_server_that_leaves_is_complete() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let engine = Process::start(ENTRY)?;
+    rig.replace_servers("llm", engine.address);
+    let gateway = rig.start_gateway("g1")?;
+    let response = Request::new("POST", "/long/leave", "l1").send(gateway.addresses.callers)?;
+    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>());
+    assert!(response.complete);
+    Ok(())
+}
--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod duties;
 pub mod gateway;
 pub mod net;
+pub mod process;
 pub mod proxy;
 pub mod rig;
 pub mod scripted;
--- /dev/null
+++ b/tests/stand/src/process.rs
@@ -0,0 +1,124 @@
+//! Backend server in a process of its own: when it is killed, the kernel closes its connections.
+
+use std::{
+    env,
+    io::{BufRead as _, BufReader, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use anyhow::Context as _;
+
+use crate::scripted;
+
+/// Set for the processes that serve.
+const VARIABLE: &str = "WASABI_STAND_PROCESS";
+const LISTENING: &str = "listening ";
+const REQUEST: &str = "request";
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+/// The number of events of a whole stream.
+pub const EVENTS: u64 = 10;
+/// What a plain answer begins with; its end is never sent.
+pub const FIRST_PART: &str = "part one, ";
+
+/// A server process; it is killed when dropped.
+pub struct Process {
+    child: Child,
+    /// The listen address.
+    pub address: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+impl Process {
+    /// Starts the test program that runs now once more, with the test `entry` only, which has to call
+    /// [`serve`].
+    pub fn start(entry: &str) -> anyhow::Result<Self> {
+        let mut child = Command::new(env::current_exe()?)
+            .args(["--exact", entry, "--nocapture"])
+            .env(VARIABLE, "1")
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let output = child.stdout.take().context("the server process has no stdout pipe")?;
+        let mut lines = BufReader::new(output).lines().map_while(Result::ok);
+        let address = lines
+            .find_map(|line| line.split_once(LISTENING).map(|(_, address)| address.to_string()))
+            .context("the server process does not listen")?;
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counted = requests.clone();
+        thread::spawn(move || {
+            for _ in lines.filter(|line| line == REQUEST) {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        });
+        Ok(Self { child, address: address.parse()?, requests })
+    }
+
+    /// Returns the number of requests received so far.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+
+    /// Kills the process (SIGKILL) and waits for its exit.
+    pub fn kill(&mut self) {
+        // The process may have exited already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Serves until the process is killed, if [`Process::start`] has started it; returns at once otherwise.
+///
+/// Answers have neither a length nor chunks. Paths that begin with `/chat/` or `/long/` are answered with
+/// [`EVENTS`] events; below `/long/leave` the server says that it leaves and exits after the last one.
+pub fn serve() -> anyhow::Result<()> {
+    if env::var_os(VARIABLE).is_none() {
+        return Ok(());
+    }
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    println!("{LISTENING}{}", listener.local_addr()?);
+    for stream in listener.incoming() {
+        let stream = stream?;
+        thread::spawn(move || answer(stream));
+    }
+    Ok(())
+}
+
+fn answer(mut stream: TcpStream) -> std::io::Result<()> {
+    let head = scripted::read_head(&mut stream)?;
+    if head.is_empty() {
+        return Ok(());
+    }
+    println!("{REQUEST}");
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    if !path.starts_with("/chat/") && !path.starts_with("/long/") {
+        let head = scripted::signed(&head, 200, "content-type: text/plain\r\n");
+        stream.write_all(format!("{head}{FIRST_PART}").as_bytes())?;
+        loop {
+            thread::park();
+        }
+    }
+    let leaves = path.starts_with("/long/leave");
+    let leaving = if leaves { "server-leaving: 1\r\n" } else { "" };
+    let kind = format!("content-type: text/event-stream\r\n{leaving}");
+    stream.write_all(scripted::signed(&head, 200, &kind).as_bytes())?;
+    for id in 1..=EVENTS {
+        thread::sleep(EVENT_INTERVAL);
+        stream.write_all(format!("id: {id}\ndata: event {id}\n\n").as_bytes())?;
+    }
+    if leaves {
+        std::process::exit(0);
+    }
+    Ok(())
+}
