answer, gateway: an end that only the connection marks needs evidence that the server lives

Callers saw streams that ended after a few events as if complete, and plain answers with their first part only: the server had sent neither a length nor chunks and its process was killed. The kernel closes the connections of a killed process as in order (FIN), so between two events nothing in the answer tells the two apart.

Such an end now waits 20 ms (the connections of a killed process end together) for evidence, answer::evidence: an idle connection of this host to the same server is still open, or it accepts a new one, which takes the place of the used-up one in the pool, so that the next request finds it. Connections in use are no evidence: one whose caller reads slowly does not show its end. A server that refuses is gone: the answer broke off, so a stream goes on elsewhere if it may, a safe request is repeated, an unsafe one gets 502. One that does not answer within the connect timeout is not believed either. A server that has said that it leaves is believed: it may end after its last answer. JSON shows its own end, but a number. Events are passed on at once. wasabi_gateway_closed_ends_total and the line 'answer ended with its connection' tell which evidence decided.

Eight unframed answers of a server that lives cost at most nine connections.

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -22,6 +22,10 @@
     NoEndMarker,
     /// The connection was reset or closed.
     ConnectionLost,
+    /// Only the end of the connection marked the end, and the server's process has ended.
+    ServerGone,
+    /// Only the end of the connection marked the end, and nothing shows that the server lives.
+    EndUnconfirmed,
 }
 
 impl Broken {
@@ -34,6 +38,8 @@
             Self::InsideDocument => "answer ended inside a document",
             Self::NoEndMarker => "no end marker",
             Self::ConnectionLost => "the connection broke off",
+            Self::ServerGone => "the server ended with the answer",
+            Self::EndUnconfirmed => "end of the answer not confirmed",
         }
     }
 }
@@ -42,8 +48,14 @@
     /// Whether `cause` is that of an answer which ends as when the server's process ends: its connection is
     /// lost, or marks the end of an answer that lacks something. An end that is marked otherwise was sent.
     pub fn is_abrupt(cause: &str, framing: Framing) -> bool {
-        let incomplete =
-            [Self::InsideEvent, Self::NoEvent, Self::InsideDocument, Self::NoEndMarker];
+        let incomplete = [
+            Self::InsideEvent,
+            Self::NoEvent,
+            Self::InsideDocument,
+            Self::NoEndMarker,
+            Self::ServerGone,
+            Self::EndUnconfirmed,
+        ];
         cause == Self::ConnectionLost.cause()
             || (framing == Framing::Close && incomplete.map(Self::cause).contains(&cause))
     }
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod broken;
 pub mod connection;
 pub mod events;
+pub mod evidence;
 pub mod head_limit;
 pub mod whole;
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use wasabi_answer::evidence::Evidence;
 use wasabi_core::{member::Member, units::ServerId};
 use wasabi_platform::http::{self, Connection};
 
@@ -84,12 +85,9 @@
             counted: true,
             reused: false,
         };
-        metrics::counter!("wasabi_server_connections_total").increment(1);
-        let options = http::ConnectOptions { source, resets: false };
-        let connecting = http::connect(member.address, options);
-        match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(connection) => pooled.connection = Some(connection?),
-            Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+        match connect(member, source).await {
+            Some(connection) => pooled.connection = Some(connection?),
+            None => return Err(io::Error::from(io::ErrorKind::TimedOut)),
         }
         Ok(pooled)
     }
@@ -106,6 +104,13 @@
         self.0.borrow_mut().retain(|_, server| server.open > 0);
     }
 
+    /// Returns whether an idle connection is open.
+    fn has_idle(&self, key: &ServerKey) -> bool {
+        let servers = self.0.borrow();
+        let idle = servers.get(key).map(|server| server.idle.as_slice()).unwrap_or_default();
+        idle.iter().any(|(connection, _)| !connection.is_closed())
+    }
+
     fn take_idle(&self, now: Instant, key: &ServerKey) -> Option<Connection> {
         let mut servers = self.0.borrow_mut();
         let server = servers.get_mut(key)?;
@@ -134,6 +139,13 @@
     }
 }
 
+/// Opens a connection; `None` if that takes too long.
+async fn connect(member: &Member, source: Option<IpAddr>) -> Option<io::Result<Connection>> {
+    metrics::counter!("wasabi_server_connections_total").increment(1);
+    let options = http::ConnectOptions { source, resets: false };
+    tokio::time::timeout(CONNECT_TIMEOUT, http::connect(member.address, options)).await.ok()
+}
+
 impl PooledConnection {
     /// Returns the connection. Panics if connecting has not succeeded, which [`Pool::acquire`]
     /// rules out.
@@ -157,6 +169,28 @@
             }
         });
     }
+
+    /// Looks for evidence that the server lives, which has ended this connection. Connections in use
+    /// are none: one whose caller reads slowly does not show its end. If no idle one is open, a new one
+    /// takes the place of this one in the pool.
+    pub async fn replace(
+        mut self,
+        now: Instant,
+        member: &Member,
+        keep_alive: Option<Duration>,
+        source: Option<IpAddr>,
+    ) -> Evidence {
+        if self.pool.has_idle(&self.key) {
+            return Evidence::Open;
+        }
+        let connected = connect(member, source).await;
+        let evidence = Evidence::of_connecting(connected.as_ref());
+        if let Some(Ok(connection)) = connected {
+            self.connection = Some(connection);
+            self.release(now, keep_alive);
+        }
+        evidence
+    }
 }
 
 impl Drop for PooledConnection {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admit;
 pub mod attempt;
 pub mod buffers;
+pub mod closed_end;
 pub mod connection_pool;
 pub mod duty;
 pub mod echo;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts};
 use log::info;
 use rand::Rng as _;
-use wasabi_answer::{broken::Broken, whole};
+use wasabi_answer::{broken::Broken, evidence, whole};
 use wasabi_belief::{link::Connection, members};
 use wasabi_core::{
     call::{Framing, RequestHead},
@@ -31,7 +31,7 @@
 use crate::{
     admit::{self, Admission},
     attempt::{self, BackendResponse, Outcome, Outgoing},
-    buffers, link_watch, origin,
+    buffers, closed_end, link_watch, origin,
     peer_relay::{self, Handover},
     quarantine,
     request_log::{Received, log_completed, log_failed_send, log_gateway_error},
@@ -578,13 +578,21 @@
     let BackendResponse { http, reply, connection } = backend_response;
     let (parts, body) = http.into_parts();
     let remaining = inbound.deadline.saturating_duration_since(state.now()) + RESPONSE_GRACE;
-    let collecting = buffers::collect(&state.response_memory, body);
+    let collecting = async {
+        let (body, reservation) = buffers::collect(&state.response_memory, body).await?;
+        whole::check(reply.framing, reply.content, &body).map_err(Broken::cause)?;
+        if evidence::is_needed(reply.framing, reply.content, &body) {
+            let id = &inbound.head.id;
+            closed_end::confirm(state, guard, id, connection, reply.keep_alive).await?;
+        } else {
+            connection.release(state.now(), reply.keep_alive);
+        }
+        Ok((body, reservation))
+    };
     let (body, reservation) = tokio::time::timeout(remaining, collecting)
         .await
         .unwrap_or(Err("answer did not end in time"))?;
-    whole::check(reply.framing, reply.content, &body).map_err(Broken::cause)?;
     let now = state.now();
-    connection.release(now, reply.keep_alive);
     history.count_usage(state, inbound);
     state.record_sound_run(inbound);
     guard.with_balancer(|balancer, placement| balancer.record_first_output(now, placement));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,19 +2,25 @@
 //! resumed at another server if the route allows it; otherwise the caller's connection is broken
 //! off, so that the response cannot be taken for complete.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Method, Response, StatusCode};
 use log::info;
-use wasabi_answer::body::{self, Producer};
+use wasabi_answer::{
+    body::{self, Producer},
+    evidence,
+};
 use wasabi_belief::{
     link::Connection,
     origins::{self, Origin},
 };
 use wasabi_core::{
-    call::Framing,
+    call::{Content, Framing},
     errors::{Code, Result},
     units::Tokens,
 };
@@ -23,6 +29,8 @@
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
+    closed_end,
+    connection_pool::PooledConnection,
     events::Sequence,
     link_watch, peer_relay,
     relay::{self, AdmittedRequest, SendHistory},
@@ -236,8 +244,30 @@
             }
             Err(broken) => return PartEnd::Broken(broken.cause()),
         }
-        connection.release(self.state.now(), reply.keep_alive);
-        PartEnd::Complete
+        if !evidence::is_needed(reply.framing, Content::Events, &[]) {
+            connection.release(self.state.now(), reply.keep_alive);
+            return PartEnd::Complete;
+        }
+        self.confirm_end(guard, connection, reply.keep_alive).await
+    }
+
+    /// Decides whether the current server has sent all of its part, the end of which its connection has
+    /// marked.
+    async fn confirm_end(
+        &self,
+        guard: &PlacementGuard,
+        connection: PooledConnection,
+        keep_alive: Option<Duration>,
+    ) -> PartEnd {
+        let remaining = self.inbound.deadline.saturating_duration_since(self.state.now());
+        let id = &self.inbound.head.id;
+        tokio::select! {
+            confirmed = closed_end::confirm(&self.state, guard, id, connection, keep_alive) => {
+                confirmed.map_or_else(PartEnd::Broken, |()| PartEnd::Complete)
+            }
+            () = self.producer.caller_gone().cancelled() => PartEnd::CallerLeft,
+            () = tokio::time::sleep(remaining) => PartEnd::OutOfTime,
+        }
     }
 
     /// Records that the stream shows no progress; returns a placement on another server if it may
--- a/tests/killed_servers.rs
+++ b/tests/killed_servers.rs
@@ -2,16 +2,21 @@
 //! connections as in order.
 
 use std::{
-    net::SocketAddr,
+    io::Write as _,
+    net::{SocketAddr, TcpStream},
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use anyhow::Context as _;
+use socket2::{Domain, Socket, Type};
+use wasabi_core::call::Framing;
 use wasabi_stand::{
-    caller::{Request, Response},
+    caller::{self, Request, Response},
     gateway::wait_for,
-    process::{self, EVENTS, FIRST_PART, Process},
+    process::{self, EVENTS, FIRST_PART, LARGE_EVENTS, Process},
     rig::Rig,
+    scripted::{self, Server},
     server,
 };
 
@@ -118,3 +123,80 @@
     assert!(response.complete);
     Ok(())
 }
+
+/// The connection that shows that the server lives serves the next request.
+#[test]
+fn an_end_that_is_confirmed_costs_no_connection() -> anyhow::Result<()> {
+    const REQUESTS: usize = 8;
+    let rig = Rig::start(PROGRAM)?;
+    let server = Server::start(|mut stream, _| {
+        let head = scripted::read_head(&mut stream)?;
+        if head.is_empty() {
+            return Ok(());
+        }
+        let answer =
+            scripted::framed(&head, Framing::Close, "content-type: text/plain\r\n", "whole");
+        stream.write_all(answer.as_bytes())
+    })?;
+    rig.replace_servers("app", server.address);
+    let gateway = rig.start_gateway("g1")?;
+    for number in 0..REQUESTS {
+        let request = Request::new("POST", "/write/x", &format!("c{number}"));
+        let response = request.send(gateway.addresses.callers)?;
+        assert_eq!((response.status, response.body.as_str()), (200, "whole"));
+    }
+    let connections = server.connections();
+    assert!(connections <= REQUESTS + 1, "{connections} connections for {REQUESTS} requests");
+    let evidence = gateway.page("/metrics")?;
+    assert!(
+        evidence.contains("wasabi_gateway_closed_ends_total{evidence=\"accepted\""),
+        "{evidence}"
+    );
+    Ok(())
+}
+
+/// A stalled caller's gateway does not read, so it learns of the end of the connection late.
+#[test]
+fn a_stalled_stream_of_a_killed_server_never_looks_complete() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut engine = Process::start(ENTRY)?;
+    rig.replace_servers("llm", engine.address);
+    let gateway = rig.start_gateway("g1")?;
+    let mut slow = Request::new("POST", "/long/large", "s1").open(gateway.addresses.callers)?;
+    wait_for("the stream", || engine.requests() == 1)?;
+    thread::sleep(Duration::from_millis(1_000));
+    engine.kill();
+    thread::sleep(Duration::from_millis(500));
+    let response = caller::read(&mut slow)?;
+    let ids = response.event_ids();
+    assert!(!response.complete, "{} events look complete", ids.len());
+    assert!(ids.len() < LARGE_EVENTS as usize, "the caller did not stall");
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
+    Ok(())
+}
+
+/// A listener whose queue is full leaves attempts to connect unanswered.
+#[test]
+fn an_end_of_a_server_that_no_longer_answers_is_not_believed() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    listener.listen(0)?;
+    let address = listener.local_addr()?.as_socket().context("not an IP address")?;
+    rig.replace_servers("app", address);
+    let gateway = rig.start_gateway("g1")?;
+    let call = send_all(gateway.addresses.callers, "/write/x", 1);
+    let mut stream = TcpStream::from(listener.accept()?.0);
+    let head = scripted::read_head(&mut stream)?;
+    let connect = || TcpStream::connect_timeout(&address, FIRST_EVENTS);
+    let queued: Vec<TcpStream> = std::iter::from_fn(|| connect().ok()).collect();
+    let answer = scripted::framed(&head, Framing::Close, "content-type: text/plain\r\n", "whole?");
+    stream.write_all(answer.as_bytes())?;
+    drop(stream);
+    let ended = Instant::now();
+    let responses = join_all(call)?;
+    assert_eq!(responses[0].status, 502, "{responses:?}");
+    assert!(ended.elapsed() < Duration::from_secs(1), "{:?}", ended.elapsed());
+    drop(queued);
+    Ok(())
+}
--- a/tests/stand/src/process.rs
+++ b/tests/stand/src/process.rs
@@ -24,6 +24,10 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// The number of events of a whole stream.
 pub const EVENTS: u64 = 10;
+/// The number of events of a whole stream below `/long/large`.
+pub const LARGE_EVENTS: u64 = 2_000;
+/// The bytes of each of them.
+const LARGE_EVENT_BYTES: usize = 16 * 1024;
 /// What a plain answer begins with; its end is never sent.
 pub const FIRST_PART: &str = "part one, ";
 
@@ -81,7 +85,8 @@
 /// Serves until the process is killed, if [`Process::start`] has started it; returns at once otherwise.
 ///
 /// Answers have neither a length nor chunks. Paths that begin with `/chat/` or `/long/` are answered with
-/// [`EVENTS`] events; below `/long/leave` the server says that it leaves and exits after the last one.
+/// [`EVENTS`] events; below `/long/leave` the server says that it leaves and exits after the last one, below
+/// `/long/large` it sends [`LARGE_EVENTS`] as fast as they are taken.
 pub fn serve() -> anyhow::Result<()> {
     if env::var_os(VARIABLE).is_none() {
         return Ok(());
@@ -113,6 +118,13 @@
     let leaving = if leaves { "server-leaving: 1\r\n" } else { "" };
     let kind = format!("content-type: text/event-stream\r\n{leaving}");
     stream.write_all(scripted::signed(&head, 200, &kind).as_bytes())?;
+    if path.starts_with("/long/large") {
+        let data = "x".repeat(LARGE_EVENT_BYTES);
+        for id in 1..=LARGE_EVENTS {
+            stream.write_all(format!("id: {id}\ndata: {data}\n\n").as_bytes())?;
+        }
+        return Ok(());
+    }
     for id in 1..=EVENTS {
         thread::sleep(EVENT_INTERVAL);
         stream.write_all(format!("id: {id}\ndata: event {id}\n\n").as_bytes())?;
