entry: an answer that only its connection ends needs evidence that the server lives

Model streams have an end marker and are sound.

The entry has no idle connections, so it connects once more 20 ms after the end; such an end is believed only if the server accepts. Counted in wasabi_entry_closed_ends_total and logged.

The server process now reads the request's body: left unread, it makes the kernel reset the connection, which hid the fault.

--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -3,15 +3,20 @@
 //! Each call opens a connection and closes it afterwards, so a late response cannot be read as
 //! the response to another request.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
-use log::debug;
+use log::{debug, info};
 use tokio::{net::TcpStream, task::AbortHandle, time};
-use wasabi_answer::{broken::Broken, head_limit::Limited, whole};
+use wasabi_answer::{
+    broken::Broken,
+    evidence::{self, Evidence, SETTLING_TIME},
+    head_limit::Limited,
+    whole,
+};
 use wasabi_core::{
     call::{Content, Framing},
     errors::{Code, Error, Ran, Result},
@@ -54,6 +59,9 @@
     /// How the end of the body is marked.
     pub framing: Framing,
     body: Incoming,
+    address: SocketAddr,
+    /// Time limit for connecting to the server once more; see [`Reply::confirm_end`].
+    connect_timeout: Duration,
     _connection: Connection,
 }
 
@@ -108,6 +116,8 @@
         limit: parse_limit(text(LIMIT), server),
         framing: Framing::of(method.as_str(), status, has_chunks, has_length),
         body: response.into_body(),
+        address: server.address,
+        connect_timeout: options.connect_timeout,
         _connection: connection,
     })
 }
@@ -138,7 +148,7 @@
 
     /// Reads the rest of the body within `limit`.
     ///
-    /// Errors: `AnswerBroken` if it has more than `max` bytes, or is not whole.
+    /// Errors: `AnswerBroken` if it has more than `max` bytes, or is not known to be whole.
     pub async fn read_body(&mut self, limit: Duration, max: usize) -> Result<Bytes> {
         let deadline = time::Instant::now() + limit;
         let mut buffer = BytesMut::new();
@@ -150,10 +160,28 @@
             }
             buffer.extend_from_slice(&data);
         }
-        whole::check(self.framing, Content::of(self.content_type.as_deref()), &buffer)?;
+        let content = Content::of(self.content_type.as_deref());
+        whole::check(self.framing, content, &buffer)?;
+        if evidence::is_needed(self.framing, content, &buffer) {
+            self.confirm_end().await?;
+        }
         Ok(buffer.freeze())
     }
 
+    /// Connects to the server to see whether it lives, after its connection has marked the end of the
+    /// answer.
+    async fn confirm_end(&self) -> Result<(), Broken> {
+        time::sleep(SETTLING_TIME).await;
+        let connecting = TcpStream::connect(self.address);
+        let connected = time::timeout(self.connect_timeout, connecting).await;
+        let evidence = Evidence::of_connecting(connected.as_ref().ok());
+        metrics::counter!("wasabi_entry_closed_ends_total", "evidence" => evidence.name())
+            .increment(1);
+        info!(server = self.address.to_string().as_str(), evidence = evidence.name();
+            "answer ended with its connection");
+        evidence.check()
+    }
+
     /// Checks that the response does not carry the id of another request; a response without an id
     /// passes.
     ///
--- a/tests/stand/src/process.rs
+++ b/tests/stand/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     env,
-    io::{BufRead as _, BufReader, Write as _},
+    io::{BufRead as _, BufReader, Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
     sync::{
@@ -105,6 +105,9 @@
     if head.is_empty() {
         return Ok(());
     }
+    // Bytes that nobody has read would make the kernel reset the connection.
+    let length = scripted::header(&head, "content-length").parse().unwrap_or(0);
+    stream.read_exact(&mut vec![0; length])?;
     println!("{REQUEST}");
     let path = head.split(' ').nth(1).unwrap_or_default();
     if !path.starts_with("/chat/") && !path.starts_with("/long/") {
