--- a/tests/stand/src/process.rs
+++ b/tests/stand/src/process.rs
@@ -17,7 +17,7 @@
 
 use crate::scripted;
 
-/// Set for the processes that serve.
+/// Set for the processes that serve, to the version of their software.
 const VARIABLE: &str = "WASABI_STAND_PROCESS";
 const LISTENING: &str = "listening ";
 const REQUEST: &str = "request";
@@ -43,9 +43,14 @@
     /// Starts the test program that runs now once more, with the test `entry` only, which has to call
     /// [`serve`].
     pub fn start(entry: &str) -> anyhow::Result<Self> {
+        Self::start_version(entry, "v1")
+    }
+
+    /// As [`Process::start`]; the server names `version` as that of its software in its events.
+    pub fn start_version(entry: &str, version: &str) -> anyhow::Result<Self> {
         let mut child = Command::new(env::current_exe()?)
             .args(["--exact", entry, "--nocapture"])
-            .env(VARIABLE, "1")
+            .env(VARIABLE, version)
             .stdout(Stdio::piped())
             .spawn()?;
         let output = child.stdout.take().context("the server process has no stdout pipe")?;
@@ -85,22 +90,22 @@
 /// Serves until the process is killed, if [`Process::start`] has started it; returns at once otherwise.
 ///
 /// Answers have neither a length nor chunks. Paths that begin with `/chat/` or `/long/` are answered with
-/// [`EVENTS`] events; below `/long/leave` the server says that it leaves and exits after the last one, below
+/// [`EVENTS`] events, from the one after `last-event-id` on; below `/long/leave` the server says that it leaves and exits after the last one, below
 /// `/long/large` it sends [`LARGE_EVENTS`] as fast as they are taken.
 pub fn serve() -> anyhow::Result<()> {
-    if env::var_os(VARIABLE).is_none() {
-        return Ok(());
-    }
+    let Ok(version) = env::var(VARIABLE) else { return Ok(()) };
+    let version: Arc<str> = version.into();
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
     println!("{LISTENING}{}", listener.local_addr()?);
     for stream in listener.incoming() {
         let stream = stream?;
-        thread::spawn(move || answer(stream));
+        let version = version.clone();
+        thread::spawn(move || answer(stream, &version));
     }
     Ok(())
 }
 
-fn answer(mut stream: TcpStream) -> std::io::Result<()> {
+fn answer(mut stream: TcpStream, version: &str) -> std::io::Result<()> {
     let head = scripted::read_head(&mut stream)?;
     if head.is_empty() {
         return Ok(());
@@ -128,9 +133,10 @@
         }
         return Ok(());
     }
-    for id in 1..=EVENTS {
+    let after: u64 = scripted::header(&head, "last-event-id").parse().unwrap_or(0);
+    for id in after + 1..=EVENTS {
         thread::sleep(EVENT_INTERVAL);
-        stream.write_all(format!("id: {id}\ndata: event {id}\n\n").as_bytes())?;
+        stream.write_all(format!("id: {id}\ndata: event {id} of {version}\n\n").as_bytes())?;
     }
     if leaves {
         std::process::exit(0);
