gateway: no stream begins before the store records the versions in service

Callers whose hosts had all been killed soon after their start, together with the servers of one of two versions, took their streams up and got the rest from the other version. The versions in service were written to the store 0.25 s after a host had begun to serve: a stream begun by then left no trace.

A host that starts now looks at the record at once, and accepts callers only when it holds the versions that it lists, within the 0.4 s that a start may wait for the store anyway. With a record from before nothing is written.

--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/origin_store.rs
@@ -33,6 +33,8 @@
 /// How often it is checked whether something has to be written, and the period of writing streams in a
 /// small fleet.
 const PERIOD: Duration = Duration::from_millis(250);
+/// The same until this host has found its versions recorded; callers wait for that.
+const START_PERIOD: Duration = Duration::from_millis(20);
 /// In a large fleet the period of writing streams is this long for each host, so that all hosts together
 /// write at most 200 times a second.
 const PERIOD_PER_HOST: Duration = Duration::from_millis(5);
@@ -74,10 +76,12 @@
     let mut streams = Stored::<Vec<Group>>::default();
     let mut written_at: Option<Instant> = None;
     loop {
-        tokio::time::sleep(PERIOD).await;
         if let Err(e) = versions.update(&state).await {
             pause_after_failure("versions", &e).await;
         }
+        if versions.include_listed(&state) {
+            state.versions_recorded.set(true);
+        }
         let now = state.now();
         let period = (PERIOD_PER_HOST * state.live_hosts() as u32).max(PERIOD);
         let due = written_at.is_none_or(|at| now.saturating_duration_since(at) >= period);
@@ -87,6 +91,8 @@
                 pause_after_failure("streams", &e).await;
             }
         }
+        let is_recorded = state.versions_recorded.get();
+        tokio::time::sleep(if is_recorded { PERIOD } else { START_PERIOD }).await;
     }
 }
 
@@ -192,6 +198,12 @@
         Ok(())
     }
 
+    /// Returns whether all versions that this host knows are recorded as listed.
+    fn include_listed(&self, state: &State) -> bool {
+        let listed = listed(state);
+        !listed.is_empty() && listed.is_subset(&self.stored.value.present())
+    }
+
     /// Returns what should be recorded as listed, if that is not what is.
     fn expected(&mut self, state: &State) -> Option<BTreeSet<Origin>> {
         let (recorded, listed) = (self.stored.value.present(), listed(state));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -69,6 +69,8 @@
     pub limits: RefCell<stated_limits::View>,
     /// Whether what earlier hosts have stored of versions and streams has been read.
     pub stored_origins_read: Cell<bool>,
+    /// Whether the versions that this host knew first are recorded for hosts that start later.
+    pub versions_recorded: Cell<bool>,
     /// Whether this host's own link to the servers works.
     pub link: RefCell<link::Link>,
     /// Where streams began.
@@ -141,6 +143,7 @@
             servers: RefCell::default(),
             limits: RefCell::default(),
             stored_origins_read: Cell::new(false),
+            versions_recorded: Cell::new(false),
             link: RefCell::default(),
             origins: RefCell::default(),
             quarantine: RefCell::new(quarantine::View::new(rand::random())),
@@ -200,7 +203,8 @@
 
     /// Returns whether a host that starts knows enough to serve: a configuration and a server list, and,
     /// if there are other hosts, a configuration that is not older than that of one of them. The
-    /// store may have been restored from an older copy.
+    /// store may have been restored from an older copy. The versions of the servers must be recorded:
+    /// if all hosts end, only that tells where streams may have begun.
     pub fn may_start_serving(&self) -> bool {
         let own = self.config.borrow().revision();
         let peers = self.peers.borrow();
@@ -209,7 +213,7 @@
             None => self.host_records_read.get() && peers.all().next().is_none(),
             Some(_) => live.all(|(_, peer)| peer.catalog.map(|(version, _)| version) <= own),
         };
-        confirmed && self.has_config_and_servers()
+        confirmed && self.has_config_and_servers() && self.versions_recorded.get()
     }
 
     /// Returns whether the load balancer may send new connections: the configuration is proven
--- a/tests/killed_together.rs
+++ b/tests/killed_together.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use wasabi_stand::{
     caller::{Request, Response},
-    gateway::{self, Gateway, ListenAddresses},
+    gateway::{self, Gateway, ListenAddresses, wait_for},
     process::{self, EVENTS, Process},
     rig::Rig,
     server,
@@ -22,6 +22,8 @@
 const STREAMS: usize = 24;
 /// Until a stream has its first events.
 const FIRST_EVENTS: Duration = Duration::from_millis(150);
+/// Until all streams have an event, once all have been sent.
+const FIRST_EVENT: Duration = Duration::from_millis(60);
 
 #[test]
 fn server_process() -> anyhow::Result<()> {
@@ -150,12 +152,12 @@
     Ok(())
 }
 
-/// Kills all hosts and the servers of one version `age` after the hosts have started.
-fn kill_hosts_and_a_version(age: Duration) -> anyhow::Result<()> {
-    let mut site = Site::start()?;
-    thread::sleep(age);
+/// Starts streams, and kills all hosts and the servers of one version.
+fn kill_hosts_and_a_version(mut site: Site) -> anyhow::Result<()> {
     let calls = site.open_streams(Duration::from_secs(2));
-    thread::sleep(FIRST_EVENTS);
+    let begun = || site.engines.iter().map(|(_, _, engine)| engine.requests()).sum::<usize>();
+    wait_for("the streams", || begun() >= STREAMS)?;
+    thread::sleep(FIRST_EVENT);
     site.hosts.iter_mut().for_each(Gateway::kill);
     site.hosts.clear();
     let gone = site.engines.iter_mut().filter(|(_, version, _)| *version == "v1");
@@ -171,11 +173,13 @@
 
 #[test]
 fn streams_stay_in_order_when_all_hosts_and_a_version_are_killed() -> anyhow::Result<()> {
-    kill_hosts_and_a_version(Duration::from_secs(2))
+    let site = Site::start()?;
+    thread::sleep(Duration::from_secs(2));
+    kill_hosts_and_a_version(site)
 }
 
 #[test]
 fn streams_stay_in_order_when_all_hosts_and_a_version_are_killed_soon_after_the_start()
 -> anyhow::Result<()> {
-    kill_hosts_and_a_version(Duration::ZERO)
+    kill_hosts_and_a_version(Site::start()?)
 }
