--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -135,3 +135,33 @@
     }
     Ok(())
 }
+
+/// One write holds the end of a stream and a whole answer that nobody asked for.
+#[test]
+fn bytes_after_the_end_of_a_stream_reach_no_caller() -> anyhow::Result<()> {
+    const FOREIGN: &str = "id: 7\ndata: foreign\n\n";
+    for framing in [Framing::Length, Framing::Chunked] {
+        let server = Server::start(move |mut stream, _| {
+            loop {
+                let head = scripted::read_head(&mut stream)?;
+                if head.is_empty() {
+                    return Ok(());
+                }
+                let own = format!("id: 1\ndata: {}\n\n", scripted::header(&head, "request-id"));
+                let own = scripted::framed(&head, framing, EVENTS, &own);
+                let foreign = scripted::framed(&head, framing, EVENTS, FOREIGN);
+                stream.write_all(format!("{own}{foreign}").as_bytes())?;
+            }
+        })?;
+        let rig = Rig::start(PROGRAM)?;
+        rig.replace_servers("llm", server.address);
+        let gateway = rig.start_gateway("g1")?;
+        for number in 0..8 {
+            let id = format!("f{number}");
+            let response = Request::new("POST", "/long/x", &id).send(gateway.addresses.callers)?;
+            let own = format!("id: 1\ndata: {id}\n\n");
+            assert_eq!((response.body, response.complete), (own, true), "{framing:?}");
+        }
+    }
+    Ok(())
+}
