--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod net;
+pub mod process;
 pub mod proxy;
 pub mod rig;
 pub mod scripted;
