answer: the head of another answer inside a stream is no event

A caller found 'HTTP/1.1 500 X' and its headers between the events of its stream, also in one that then went on elsewhere and ended as complete: the head of an answer, which ends with a blank line, has the shape of an event. It came from a server that wrote an answer to some other request into a stream that it had not ended.

No field of an event stream has a name that begins with HTTP/1., so such a line ends the server's part: events before it are delivered, and the stream counts as broken off.

answer_ends, the_head_of_another_answer_inside_a_stream_reaches_no_caller: red before with the framings close and chunked, green now; the splitter is tested at each cut.

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -14,6 +14,8 @@
     EventTooLarge,
     /// The stream ended before the blank line of its last event.
     InsideEvent,
+    /// The head of another answer stands in place of an event.
+    OtherAnswer,
     /// The stream ended with its connection, before its first event.
     NoEvent,
     /// A JSON document without a length or chunks is incomplete.
@@ -34,6 +36,7 @@
         match self {
             Self::EventTooLarge => "an event is too large",
             Self::InsideEvent => "stream ended inside an event",
+            Self::OtherAnswer => "another answer inside a stream",
             Self::NoEvent => "stream ended without an event",
             Self::InsideDocument => "answer ended inside a document",
             Self::NoEndMarker => "no end marker",
--- a/crates/answer/src/events.rs
+++ b/crates/answer/src/events.rs
@@ -6,6 +6,8 @@
 
 /// Larger events fail the answer.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// No field of an event has such a name; it begins the head of another answer.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
 
 /// Buffers bytes until an event is complete. Lines end with LF, CR LF or CR.
 #[derive(Debug)]
@@ -17,11 +19,13 @@
     scanned: usize,
     /// Whether `scanned` ends a line, or is 0.
     at_line_start: bool,
+    /// Whether the head of another answer has been found in place of an event.
+    has_other_answer: bool,
 }
 
 impl Default for Splitter {
     fn default() -> Self {
-        Self { buffer: BytesMut::new(), scanned: 0, at_line_start: true }
+        Self { buffer: BytesMut::new(), scanned: 0, at_line_start: true, has_other_answer: false }
     }
 }
 
@@ -29,8 +33,11 @@
     /// Appends bytes as they were received.
     ///
     /// Errors: `EventTooLarge` if more than 1 MiB was already searched without finding the end of
-    /// the event, even if `bytes` contain it.
+    /// the event, even if `bytes` contain it; `OtherAnswer` after the head of another answer.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Broken> {
+        if self.has_other_answer {
+            return Err(Broken::OtherAnswer);
+        }
         self.buffer.extend_from_slice(bytes);
         if self.scanned > MAX_EVENT_BYTES {
             return Err(Broken::EventTooLarge);
@@ -38,9 +45,12 @@
         Ok(())
     }
 
-    /// Removes and returns the next complete event with its blank line. Call it until it returns
-    /// `None`, before the next `push`.
+    /// Removes and returns the next complete event with its blank line; there is none after the head of
+    /// another answer. Call it until it returns `None`, before the next `push`.
     pub fn next_event(&mut self) -> Option<Bytes> {
+        if self.has_other_answer {
+            return None;
+        }
         while let Some(byte) = self.buffer.get(self.scanned) {
             let line_end = match (byte, self.buffer.get(self.scanned + 1)) {
                 (b'\n', _) => 1,
@@ -54,7 +64,8 @@
             self.scanned += line_end.max(1);
             self.at_line_start = line_end > 0;
             if ends_event {
-                return Some(self.take_scanned());
+                self.has_other_answer = has_status_line(&self.buffer[..self.scanned]);
+                return (!self.has_other_answer).then(|| self.take_scanned());
             }
         }
         None
@@ -62,8 +73,11 @@
 
     /// Ends the stream; returns its last event if the line end of that is a lone CR.
     ///
-    /// Errors: `InsideEvent` if the stream ends inside an event.
+    /// Errors: `InsideEvent` if the stream ends inside an event, `OtherAnswer` inside another answer.
     pub fn finish(&mut self) -> Result<Option<Bytes>, Broken> {
+        if self.has_other_answer {
+            return Err(Broken::OtherAnswer);
+        }
         match &self.buffer[self.scanned..] {
             [] if self.scanned == 0 => Ok(None),
             [b'\r'] if self.at_line_start => {
@@ -90,3 +104,8 @@
         event
     }
 }
+
+fn has_status_line(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| line.starts_with(STATUS_LINE))
+}
--- a/crates/answer/tests/events.rs
+++ b/crates/answer/tests/events.rs
@@ -49,3 +49,22 @@
     });
     assert_eq!(failed, Some(Broken::EventTooLarge));
 }
+
+#[test]
+fn the_head_of_another_answer_is_no_event_however_it_is_cut() {
+    const HEAD: &str = "HTTP/1.1 500 X\r\ncontent-length: 1\r\n\r\nid: 2\ndata: y\n\n";
+    for before in ["", "id: 2\r\n"] {
+        let stream = format!("id: 1\ndata: x\n\n{before}{HEAD}");
+        for cut in 0..stream.len() {
+            let mut splitter = Splitter::default();
+            let (mut events, mut broken) = (Vec::new(), None);
+            for part in [&stream[..cut], &stream[cut..]] {
+                broken = broken.or(splitter.push(part.as_bytes()).err());
+                events.extend(std::iter::from_fn(|| splitter.next_event()));
+            }
+            broken = broken.or(splitter.finish().err());
+            assert_eq!(events, ["id: 1\ndata: x\n\n"], "cut at {cut}");
+            assert_eq!(broken, Some(Broken::OtherAnswer), "cut at {cut}");
+        }
+    }
+}
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -136,6 +136,31 @@
     Ok(())
 }
 
+/// Two events, and the answer to some other request.
+const MIXED_STREAM: &str = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n\
+                            HTTP/1.1 500 X\r\ncontent-length: 5\r\n\r\nerror";
+
+#[test]
+fn the_head_of_another_answer_inside_a_stream_reaches_no_caller() -> anyhow::Result<()> {
+    for framing in FRAMINGS {
+        let response = fetch("llm", "/long/x", framing, EVENTS, MIXED_STREAM)?;
+        assert_eq!(response.event_ids(), [1, 2], "{framing:?}");
+        assert!(!response.complete, "{framing:?}: {}", response.body);
+        assert!(!response.body.contains("HTTP/1.1"), "{framing:?}: {}", response.body);
+        let rig = Rig::start(PROGRAM)?;
+        let mixed = serve(framing, EVENTS, MIXED_STREAM)?;
+        rig.store.put("servers", "x1", server::store_object("llm", mixed.address, "ready"));
+        let gateway = rig.start_gateway("g1")?;
+        while mixed.connections() == 0 {
+            let response = Request::new("POST", "/chat/x", "m1").send(gateway.addresses.callers)?;
+            assert!(!response.body.contains("HTTP/1.1"), "{framing:?}: {}", response.body);
+            assert_eq!(response.event_ids(), (1..=10).collect::<Vec<_>>(), "{framing:?}");
+            assert!(response.complete, "{framing:?}");
+        }
+    }
+    Ok(())
+}
+
 /// One write holds the end of a stream and a whole answer that nobody asked for.
 #[test]
 fn bytes_after_the_end_of_a_stream_reach_no_caller() -> anyhow::Result<()> {
