--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -14,6 +14,8 @@
     EventTooLarge,
     /// The stream ended before the blank line of its last event.
     InsideEvent,
+    /// The head of another answer stands in place of an event.
+    OtherAnswer,
     /// The stream ended with its connection, before its first event.
     NoEvent,
     /// An event's id shows that events before it are missing.
@@ -40,6 +42,7 @@
         match self {
             Self::EventTooLarge => "an event is too large",
             Self::InsideEvent => "stream ended inside an event",
+            Self::OtherAnswer => "another answer inside a stream",
             Self::NoEvent => "stream ended without an event",
             Self::EventsMissing => "events are missing",
             Self::EventUnplaced => "an event without an id where the stream goes on",
