gateway: a stream that fails to resume keeps its cause's name

causes: a_stream_that_fails_to_resume_is_counted went red when the check of the head was given a name of its own; the status keeps the old one.

--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -10,7 +10,7 @@
 pub fn check(status: StatusCode, head: &ResponseHead, id: &str) -> Result<(), &'static str> {
     let own = head.id.as_deref().unwrap_or_default() == id;
     match () {
-        () if status != StatusCode::OK => Err("the stream went on with another status"),
+        () if status != StatusCode::OK => Err("failed to resume"),
         () if head.content != Content::Events => Err("the stream went on with other content"),
         () if !own => Err("the stream went on without the request's id"),
         () if !head.signed || head.encoded => Err("the stream went on with another's answer"),
