--- a/tests/resumed.rs
+++ b/tests/resumed.rs
@@ -338,7 +338,6 @@
     Ok(())
 }
 
-/// The engines of the rig go on as their callers and the host ask them.
 #[test]
 fn a_resumed_stream_whose_first_next_server_fails_goes_on_at_a_third() -> anyhow::Result<()> {
     let served = Arc::new(AtomicUsize::new(0));
