renewal: a read that proves nothing is not repeated at once

What the platform could see: for two seconds after a restore of the store each host read the configuration again and again, as fast as the store answered: 487 reads a second and host, measured with two. The store answers 2,000 a second to all hosts together and refuses the rest, so five hosts would have kept renewals, leases and seals from it.

Cause: until the operator has had the time to write the configuration again, a read of it does not renew the proof; the read counted as a success, the proof stayed old, and the next read was due at once. Only failed reads had a pause. Class: a loop whose pause rests on an effect that its step may not have.

Change: a read of the store that renews no proof is followed by a pause of 75 to 300 ms, drawn anew each time. It is not doubled: once the store proves something again, hosts whose proof is old must learn it soon.

Evidence: tests/restore: hosts_do_not_exceed_the_rate_of_reads_* was red before with "974 reads a second of 2 hosts, allowed 44" (2,000 for 89 hosts) and passes now, as do the other ten; belief/tests/renewal: a_read_that_proves_nothing_*. With the mutant reads-that-prove-nothing-are-repeated-at-once both fail.

--- a/crates/belief/src/renewal.rs
+++ b/crates/belief/src/renewal.rs
@@ -38,7 +38,9 @@
 
 /// The least pause after a read that failed; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// The same in a large fleet.
+/// The pause after a read that renewed no proof, as shortly after a restore of the store.
+const UNPROVEN_PAUSE: Duration = Duration::from_millis(150);
+/// The same as [`RETRY_PAUSE`] in a large fleet.
 const LARGE_RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// The longest pause, for each host that shares the reads: while the store answers nobody, they try it
 /// in turn, and the first that gets an answer tells the others.
@@ -103,12 +105,15 @@
     fetch_failed: bool,
     /// Reads of the store that failed since the last one that did not, and when the last one ended.
     failed_reads: Option<(u32, Instant)>,
+    /// When the last read of the store ended, if it renewed no proof.
+    unproven_read: Option<Instant>,
 }
 
 impl Renewal {
     /// Begins with a random number from 0 to 1.
     pub fn new(draw: f64) -> Self {
-        Self { draw, behind_since: None, fetch_failed: false, failed_reads: None }
+        let (behind_since, failed_reads, unproven_read) = (None, None, None);
+        Self { draw, behind_since, fetch_failed: false, failed_reads, unproven_read }
     }
 
     /// Returns the source of the renewal that is due now, if one is.
@@ -117,8 +122,14 @@
         (source != Source::Store || !self.pauses(now, situation)).then_some(source)
     }
 
-    /// Returns whether the store is left alone after failed reads.
+    /// Returns whether the store is left alone after reads that failed or proved nothing.
     fn pauses(&self, now: Instant, situation: &Situation) -> bool {
+        let spread = 0.5 + 1.5 * self.draw;
+        let rests =
+            |at: Instant| now.saturating_duration_since(at) < UNPROVEN_PAUSE.mul_f64(spread);
+        if self.unproven_read.is_some_and(rests) {
+            return true;
+        }
         let Some((count, at)) = self.failed_reads else { return false };
         let (least, per_host) = match situation.is_large() {
             true => (LARGE_RETRY_PAUSE, LARGE_MAX_PAUSE_PER_HOST),
@@ -126,7 +137,7 @@
         };
         let most = (per_host * situation.sharing_hosts() as u32).max(least);
         let pause = least.saturating_mul(2_u32.saturating_pow(count - 1)).min(most);
-        now.saturating_duration_since(at) < pause.mul_f64(0.5 + 1.5 * self.draw)
+        now.saturating_duration_since(at) < pause.mul_f64(spread)
     }
 
     fn wanted(&mut self, now: Instant, situation: &Situation) -> Option<Source> {
@@ -172,10 +183,16 @@
         if source == Source::Store {
             let before = self.failed_reads.map_or(0, |(count, _)| count);
             self.failed_reads = (!succeeded).then_some((before.saturating_add(1), now));
+            self.unproven_read = None;
         }
         self.behind_since = None;
         self.draw = draw;
     }
+
+    /// Records that the read of the store that has just ended renewed no proof.
+    pub fn record_unproven(&mut self, now: Instant) {
+        self.unproven_read = Some(now);
+    }
 }
 
 impl Situation {
--- a/crates/belief/tests/renewal.rs
+++ b/crates/belief/tests/renewal.rs
@@ -166,6 +166,26 @@
     assert_eq!(renewal.due(now, &situation), Some(Source::Store));
 }
 
+#[test]
+fn a_read_that_proves_nothing_is_not_repeated_at_once() {
+    const READS: usize = 10;
+    let mut rng = StdRng::seed_from_u64(6);
+    let start = Instant::now();
+    let old = start.checked_sub(Duration::from_secs(5)).expect("the machine runs for longer");
+    let situation = fleet(Versions::Grow, Some((1, old)), Vec::new());
+    let mut renewal = Renewal::new(rng.random());
+    let mut reads = 0;
+    for now in 0..1_000 {
+        let at = start + Duration::from_millis(now);
+        if let Some(source) = renewal.due(at, &situation) {
+            renewal.ended(at, source, true, rng.random());
+            renewal.record_unproven(at);
+            reads += 1;
+        }
+    }
+    assert!((1..=READS).contains(&reads), "{reads} reads in a second");
+}
+
 /// All hosts together try a store that answers nobody a bounded number of times, and its return is noticed
 /// soon.
 #[test]
--- a/crates/gateway/src/refresh.rs
+++ b/crates/gateway/src/refresh.rs
@@ -78,12 +78,17 @@
             tokio::time::sleep(TICK).await;
             continue;
         };
+        let proof = |state: &State| dataset.own(state).map(|(_, proof)| proof);
+        let before = proof(&state);
         let renewed = match source {
             Source::Store => dataset.read(&state).await,
             Source::Peer(peer) => peer_fetch::fetch_snapshot(&state, peer).await,
         };
         let succeeded = renewed.is_ok() && dataset.own(&state).is_some();
         renewal.ended(state.now(), source, succeeded, rand::rng().random());
+        if source == Source::Store && proof(&state) <= before {
+            renewal.record_unproven(state.now());
+        }
         if matches!(source, Source::Peer(_)) {
             if renewed.is_err() {
                 metrics::counter!("wasabi_peer_failures_total").increment(1);
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -1,6 +1,11 @@
 //! The store comes back from an older copy: what the router wrote since is gone.
 
-use std::{collections::BTreeMap, process::Command, thread, time::Duration};
+use std::{
+    collections::BTreeMap,
+    process::Command,
+    thread,
+    time::{Duration, Instant},
+};
 
 use serde_json::Value;
 use wasabi_stand::{
@@ -44,6 +49,10 @@
     }
 }
 
+/// The reads of the store that all hosts together may make a second, and the hosts of a large deployment.
+const READ_RATE: usize = 2_000;
+const LARGE_FLEET: usize = 89;
+
 fn two_hosts(rig: &Rig) -> anyhow::Result<BTreeMap<String, Gateway>> {
     let names = ["g1", "g2"];
     names.iter().map(|name| Ok((name.to_string(), rig.start_gateway(name)?))).collect()
@@ -298,3 +307,24 @@
     assert!(!show(&[])?.0, "hosts that are gone are not passed over");
     Ok(())
 }
+
+/// Until the operator has written the configuration again, reads of it prove nothing.
+#[test]
+fn hosts_do_not_exceed_the_rate_of_reads_while_a_restored_store_proves_nothing()
+-> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let hosts = two_hosts(&rig)?;
+    let restored = Instant::now();
+    restore(&rig, &rig.store.backup());
+    thread::sleep(Duration::from_secs(3));
+    let arrivals = rig.store.arrivals(restored);
+    let reads: Vec<Instant> =
+        arrivals.iter().filter(|(_, write)| !write).map(|(at, _)| *at).collect();
+    let in_second_from = |from: Instant| {
+        reads.iter().filter(|at| (from..from + Duration::from_secs(1)).contains(*at)).count()
+    };
+    let most = reads.iter().map(|from| in_second_from(*from)).max().unwrap_or(0);
+    let allowed = READ_RATE * hosts.len() / LARGE_FLEET;
+    assert!(most <= allowed, "{most} reads a second of {} hosts, allowed {allowed}", hosts.len());
+    Ok(())
+}
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -1,6 +1,11 @@
 //! In-memory test double of the platform's object store, with faults.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hyper::{Method, header::HeaderValue};
 use parking_lot::Mutex;
@@ -40,6 +45,8 @@
     /// Kind, name and value of every write over HTTP, oldest first.
     writes: Vec<(String, String, Value)>,
     calls: u64,
+    /// When each call arrived, and whether it was a write.
+    arrivals: Vec<(Instant, bool)>,
     /// How often it was restored.
     era: u64,
     /// The object whose next read finds the store restored to a copy.
@@ -122,6 +129,12 @@
         self.inner.lock().calls
     }
 
+    /// Returns when each call since `from` arrived, and whether it was a write.
+    pub fn arrivals(&self, from: Instant) -> Vec<(Instant, bool)> {
+        let arrivals = self.inner.lock().arrivals.clone();
+        arrivals.into_iter().filter(|(at, _)| *at >= from).collect()
+    }
+
     fn execute(&self, request: &ReceivedRequest) -> BoxResponse {
         let mut inner = self.inner.lock();
         let path = request.uri().path().trim_start_matches("/api/objects/").to_string();
@@ -208,6 +221,7 @@
             let fault = {
                 let mut inner = self.inner.lock();
                 inner.calls += 1;
+                inner.arrivals.push((Instant::now(), request.method() != Method::GET));
                 inner.fault
             };
             let mut response = self.clone().respond(&request, fault).await?;
