--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -1,6 +1,9 @@
 //! A fleet that is large enough for hosts to pass announcements on and to share reads of the store.
 
-use std::time::{Duration, Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use serde_json::json;
 use wasabi_stand::{
@@ -15,6 +18,10 @@
 /// The time in which a change has to be in force.
 const CHANGE_LIMIT: Duration = Duration::from_secs(3);
 
+/// The rates of the store, in calls a second.
+const WRITE_RATE: usize = 400;
+const READ_RATE: usize = 2_000;
+
 fn launch(rig: &Rig, number: usize) -> anyhow::Result<Gateway> {
     let addresses = gateway::pick_ports()?;
     let name = format!("g{number}");
@@ -65,3 +72,48 @@
     assert!(reads < HOSTS as u64, "{reads} calls for two changes on {HOSTS} hosts in {took:?}");
     Ok(())
 }
+
+/// Returns the most calls of a kind in any second.
+fn peak_rate(arrivals: &[(Instant, bool)], writes: bool) -> usize {
+    let times: Vec<Instant> =
+        arrivals.iter().filter(|(_, write)| *write == writes).map(|(at, _)| *at).collect();
+    let in_second_from = |from: Instant| {
+        times.iter().filter(|at| (from..from + Duration::from_secs(1)).contains(*at)).count()
+    };
+    times.iter().map(|from| in_second_from(*from)).max().unwrap_or(0)
+}
+
+#[test]
+fn what_a_restored_store_has_lost_is_written_again_within_its_rates() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let backup = rig.store.backup();
+    let mut hosts = Vec::new();
+    for number in 0..HOSTS {
+        hosts.push(launch(&rig, number)?);
+    }
+    for host in &hosts {
+        host.wait_ready()?;
+    }
+    let is_listed = |number: usize| rig.store.get("gateways", &format!("g{number}")).is_some();
+    let all_listed = || (0..HOSTS).all(is_listed);
+    wait_for("the records", all_listed)?;
+    let all_live =
+        || hosts.iter().all(|host| metric(host, "wasabi_live_hosts") == Some(HOSTS as f64));
+    wait_for("all hosts to hear each other", all_live)?;
+
+    let restored = Instant::now();
+    let others = rig.store.restore(&backup);
+    rig.store.rewrite(others);
+    assert!(!(0..HOSTS).any(is_listed));
+    wait_for("the records again", all_listed)?;
+    let took = restored.elapsed();
+    thread::sleep(CHANGE_LIMIT.saturating_sub(took));
+    let arrivals = rig.store.arrivals(restored);
+    let (writes, reads) = (peak_rate(&arrivals, true), peak_rate(&arrivals, false));
+    println!(
+        "{HOSTS} hosts: all records in {took:?}; at most {writes} writes and {reads} reads a second"
+    );
+    assert!(took <= CHANGE_LIMIT, "{took:?}");
+    assert!(writes <= WRITE_RATE && reads <= READ_RATE, "{writes} writes, {reads} reads a second");
+    Ok(())
+}
