answer: a connection that is reset at once shows that its server lives

Callers got 502 for whole answers with neither a length nor chunks, when the server had all the connections that it accepts at the moment of the check.

Cause: a server resets connections above that number, and a reset that arrives before the attempt to connect has returned was taken for a refusal, so for the end of the process. A refusal comes before the connection is established, a reset after it, so the server's listener is there, as with a connection that is accepted.

--- a/crates/answer/src/evidence.rs
+++ b/crates/answer/src/evidence.rs
@@ -17,7 +17,7 @@
 pub enum Evidence {
     /// Another connection to it is still open.
     Open,
-    /// It has accepted a new connection.
+    /// It has accepted a new connection; it resets those above the number that it serves.
     Accepted,
     /// It has said before that it leaves, so it may end after its last answer.
     Leaving,
@@ -33,7 +33,9 @@
         match connected {
             Some(Ok(_)) => Self::Accepted,
             Some(Err(e)) => match e.kind() {
-                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Self::Refused,
+                // A refused connection was never established; one that is reset was.
+                io::ErrorKind::ConnectionRefused => Self::Refused,
+                io::ErrorKind::ConnectionReset => Self::Accepted,
                 _ => Self::Unanswered,
             },
             None => Self::Unanswered,
--- a/tests/killed_servers.rs
+++ b/tests/killed_servers.rs
@@ -9,7 +9,7 @@
 };
 
 use anyhow::Context as _;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use wasabi_core::call::Framing;
 use wasabi_stand::{
     caller::{self, Request, Response},
@@ -200,3 +200,30 @@
     drop(queued);
     Ok(())
 }
+
+/// As a server does that has all the connections that it accepts.
+#[test]
+fn a_whole_answer_of_a_server_that_resets_new_connections_is_passed_on() -> anyhow::Result<()> {
+    const REQUESTS: usize = 20;
+    const RESET_TIME: Duration = Duration::from_millis(50);
+    let rig = Rig::start(PROGRAM)?;
+    let server = Server::start(|mut stream, number| {
+        if number % 2 == 1 {
+            return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+        let head = scripted::read_head(&mut stream)?;
+        let answer =
+            scripted::framed(&head, Framing::Close, "content-type: text/plain\r\n", "whole");
+        stream.write_all(answer.as_bytes())
+    })?;
+    rig.replace_servers("app", server.address);
+    let gateway = rig.start_gateway("g1")?;
+    let mut statuses = Vec::new();
+    for number in 0..REQUESTS {
+        let request = Request::new("POST", "/write/x", &format!("r{number}"));
+        statuses.push(request.send(gateway.addresses.callers)?.status);
+        thread::sleep(RESET_TIME);
+    }
+    assert_eq!(statuses, [200; REQUESTS], "{}", gateway.page("/metrics")?);
+    Ok(())
+}
