gateway: a server that is missing from the list has not said that it leaves

Callers got the first part of an answer with neither a length nor chunks as a whole 200, when its server was killed after its entry had lapsed in the store or had become that of its next process.

Cause: such an end was believed at once of every server that takes no work, so of one that is only missing from the list. An entry lapses after three heartbeats of silence, at times while the store is down; nothing was said.

Now only a statement counts, in an answer or as a draining entry, which is remembered beyond the entry. Other servers are asked; if another process is listed with the id or the address, the end is not believed.

--- a/crates/answer/src/evidence.rs
+++ b/crates/answer/src/evidence.rs
@@ -23,6 +23,8 @@
     Leaving,
     /// It refuses connections: its process has ended.
     Refused,
+    /// Another process has its id or its address, so it has ended.
+    Replaced,
     /// It has not answered, or this host could not ask.
     Unanswered,
 }
@@ -48,7 +50,7 @@
     pub fn check(self) -> Result<(), Broken> {
         match self {
             Self::Open | Self::Accepted | Self::Leaving => Ok(()),
-            Self::Refused => Err(Broken::ServerGone),
+            Self::Refused | Self::Replaced => Err(Broken::ServerGone),
             Self::Unanswered => Err(Broken::EndUnconfirmed),
         }
     }
@@ -60,6 +62,7 @@
             Self::Accepted => "accepted",
             Self::Leaving => "leaving",
             Self::Refused => "refused",
+            Self::Replaced => "replaced",
             Self::Unanswered => "unanswered",
         }
     }
--- a/crates/answer/tests/evidence.rs
+++ b/crates/answer/tests/evidence.rs
@@ -13,7 +13,9 @@
     for evidence in [Evidence::Open, Evidence::Accepted, Evidence::Leaving] {
         assert_eq!(evidence.check(), Ok(()), "{evidence:?}");
     }
-    assert_eq!(Evidence::Refused.check(), Err(Broken::ServerGone));
+    for evidence in [Evidence::Refused, Evidence::Replaced] {
+        assert_eq!(evidence.check(), Err(Broken::ServerGone), "{evidence:?}");
+    }
     assert_eq!(Evidence::Unanswered.check(), Err(Broken::EndUnconfirmed));
     for broken in [Broken::ServerGone, Broken::EndUnconfirmed] {
         assert!(Broken::is_abrupt(broken.cause(), Framing::Close), "{broken}");
--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -45,6 +45,8 @@
     grace_until: Option<Instant>,
     /// Instances that said that they leave, and when this host learned it.
     leaving: BTreeMap<Instance, Instant>,
+    /// Instances that were listed as draining, and when this host last saw it.
+    drained: BTreeMap<Instance, Instant>,
 }
 
 impl View {
@@ -74,13 +76,7 @@
         if self.leaving.contains_key(&instance) {
             return false;
         }
-        self.leaving.retain(|_, since| now.saturating_duration_since(*since) < LEAVING_RETENTION);
-        if self.leaving.len() >= MAX_LEAVING {
-            let oldest = self.leaving.iter().min_by_key(|(_, since)| **since);
-            let oldest = oldest.map(|(instance, _)| instance.clone());
-            oldest.and_then(|instance| self.leaving.remove(&instance));
-        }
-        self.leaving.insert(instance, now);
+        remember(&mut self.leaving, now, instance);
         true
     }
 
@@ -105,6 +101,19 @@
             && !self.leaving.contains_key(&instance(member))
     }
 
+    /// Whether an instance has said that it leaves, in an answer or its entry, also if it is not listed any
+    /// more. One that is only missing from the list may have lost its way to the store.
+    pub fn has_announced_leave(&self, member: &Member) -> bool {
+        let instance = instance(member);
+        self.leaving.contains_key(&instance) || self.drained.contains_key(&instance)
+    }
+
+    /// Whether another instance is listed with the id or the address of this one, so it has ended.
+    pub fn is_replaced(&self, member: &Member) -> bool {
+        let mut others = self.listed.values().filter(|m| instance(m) != instance(member));
+        others.any(|other| other.id == member.id || other.address == member.address)
+    }
+
     /// The servers of the last list, without lapsed ones.
     pub fn listed(&self) -> Vec<Member> {
         self.listed.values().cloned().collect()
@@ -134,6 +143,9 @@
         self.lapsed.retain(|id, (_, until)| !fresh.contains_key(id) && now < *until);
         // An address belongs to one server at a time: a listed server supersedes a lapsed one.
         self.lapsed.retain(|_, (m, _)| fresh.values().all(|other| other.address != m.address));
+        for draining in fresh.values().filter(|member| member.phase == Phase::Draining) {
+            remember(&mut self.drained, now, instance(draining));
+        }
         self.digest = digest(&fresh);
         self.listed = fresh;
         self.confirmed_at = Some(confirmed_at);
@@ -174,6 +186,18 @@
     }
 }
 
+/// Adds an instance to those remembered, and forgets those that have been remembered long enough, or the
+/// oldest if there are too many.
+fn remember(instances: &mut BTreeMap<Instance, Instant>, now: Instant, instance: Instance) {
+    instances.retain(|_, since| now.saturating_duration_since(*since) < LEAVING_RETENTION);
+    if instances.len() >= MAX_LEAVING && !instances.contains_key(&instance) {
+        let oldest = instances.iter().min_by_key(|(_, since)| **since);
+        let oldest = oldest.map(|(instance, _)| instance.clone());
+        oldest.and_then(|instance| instances.remove(&instance));
+    }
+    instances.insert(instance, now);
+}
+
 /// The instance that a member announces.
 pub fn instance(member: &Member) -> Instance {
     (member.id.clone(), member.born_ms)
--- a/tests/killed_servers.rs
+++ b/tests/killed_servers.rs
@@ -227,3 +227,32 @@
     assert_eq!(statuses, [200; REQUESTS], "{}", gateway.page("/metrics")?);
     Ok(())
 }
+
+/// Its entry lapses in the store, or is that of its next process, which listens at the same address.
+#[test]
+fn a_plain_answer_of_a_killed_server_without_its_entry_is_not_passed_on() -> anyhow::Result<()> {
+    for restarts in [false, true] {
+        let rig = Rig::start(PROGRAM)?;
+        let mut server = Process::start(ENTRY)?;
+        rig.replace_servers("app", server.address);
+        let gateway = rig.start_gateway("g1")?;
+        let calls = send_all(gateway.addresses.callers, "/write/x", STREAMS);
+        wait_for("the requests", || server.requests() == STREAMS)?;
+        let changes = || gateway.log_lines("backend servers changed").len();
+        let before = changes();
+        let mut entry = server::store_object("app", server.address, "ready");
+        entry["born"] = 2_000.into();
+        match restarts {
+            true => rig.store.put("servers", "x1", entry),
+            false => rig.store.remove("servers", "x1"),
+        }
+        wait_for("the list", || changes() > before)?;
+        server.kill();
+        let _next =
+            restarts.then(|| Server::start_at(server.address, |_, _| Ok(()))).transpose()?;
+        let responses = join_all(calls)?;
+        let statuses: Vec<u16> = responses.iter().map(|response| response.status).collect();
+        assert_eq!(statuses, [502; STREAMS], "starts again: {restarts}");
+    }
+    Ok(())
+}
