--- a/crates/answer/src/evidence.rs
+++ b/crates/answer/src/evidence.rs
@@ -17,12 +17,14 @@
 pub enum Evidence {
     /// Another connection to it is still open.
     Open,
-    /// It has accepted a new connection.
+    /// It has accepted a new connection; it resets those above the number that it serves.
     Accepted,
     /// It has said before that it leaves, so it may end after its last answer.
     Leaving,
     /// It refuses connections: its process has ended.
     Refused,
+    /// Another process has its id or its address, so it has ended.
+    Replaced,
     /// It has not answered, or this host could not ask.
     Unanswered,
 }
@@ -33,7 +35,9 @@
         match connected {
             Some(Ok(_)) => Self::Accepted,
             Some(Err(e)) => match e.kind() {
-                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Self::Refused,
+                // A refused connection was never established; one that is reset was.
+                io::ErrorKind::ConnectionRefused => Self::Refused,
+                io::ErrorKind::ConnectionReset => Self::Accepted,
                 _ => Self::Unanswered,
             },
             None => Self::Unanswered,
@@ -46,7 +50,7 @@
     pub fn check(self) -> Result<(), Broken> {
         match self {
             Self::Open | Self::Accepted | Self::Leaving => Ok(()),
-            Self::Refused => Err(Broken::ServerGone),
+            Self::Refused | Self::Replaced => Err(Broken::ServerGone),
             Self::Unanswered => Err(Broken::EndUnconfirmed),
         }
     }
@@ -58,6 +62,7 @@
             Self::Accepted => "accepted",
             Self::Leaving => "leaving",
             Self::Refused => "refused",
+            Self::Replaced => "replaced",
             Self::Unanswered => "unanswered",
         }
     }
