gateway: a stream that may not be sent again waits for the verdict on the link

Callers saw: a stream whose host is cut from all servers ended after a few events, although a peer reached servers and could have gone on with it.

There is no budget to repeat, so no send finds a second failing server; a verdict was only awaited under suspicion, which needs two.

Change: such a stream asks for the verdict once any server has failed since the last answer. While somebody waits, one failure is enough to probe servers, and probed servers that do not answer have failed. Nothing changes while nobody waits; a suspicion and a cut need as much evidence as before.

The old test sends and asserts what it did; its load has become a type that both share.

--- a/crates/belief/src/link.rs
+++ b/crates/belief/src/link.rs
@@ -57,12 +57,15 @@
     answered_at: Option<Instant>,
     /// Since when the link is known to be cut.
     cut_since: Option<Instant>,
+    /// Whether somebody has waited since the last answer to learn if the link is cut.
+    awaited: bool,
 }
 
 impl Link {
     /// Records an answer of a server; returns for how long the link was cut, if this ends the cut.
     pub fn record_answer(&mut self, now: Instant, connection: Connection) -> Option<Duration> {
         self.answered_at = Some(now);
+        self.awaited = false;
         self.established = Failures::default();
         if connection == Connection::Established {
             return None;
@@ -81,10 +84,30 @@
         failures.servers.insert(server.clone());
     }
 
+    /// Records that a probed server has not answered. While nobody waits for a verdict, probes only find out
+    /// whether a server answers.
+    pub fn record_failed_probe(&mut self, now: Instant, server: &ServerId) {
+        if self.awaited {
+            self.record_failure(now, server, Connection::New);
+        }
+    }
+
     /// Whether servers may have to be probed now or later: one has failed since the last answer, or the link
     /// is cut.
     pub fn is_in_doubt(&self) -> bool {
-        self.is_cut() || self.new.since.is_some() || self.established.since.is_some()
+        self.is_cut() || self.failing_since().is_some()
+    }
+
+    /// Asks for a verdict although one server may be all that has failed: a request that may not be sent
+    /// again finds no second. Returns whether it is open: a server has failed since the last answer.
+    pub fn await_verdict(&mut self) -> bool {
+        let failing = self.failing_since().is_some();
+        self.awaited |= failing;
+        failing
+    }
+
+    fn failing_since(&self) -> Option<Instant> {
+        self.new.since.into_iter().chain(self.established.since).min()
     }
 
     /// Since when servers have failed so that the link may be the cause; `known_servers` is how many
@@ -92,13 +115,15 @@
     pub fn suspected_since(&self, known_servers: usize) -> Option<Instant> {
         let needed = MIN_FAILED_SERVERS.min(known_servers.max(1));
         let failed = self.new.servers.union(&self.established.servers).count();
-        let since = self.new.since.into_iter().chain(self.established.since).min();
-        since.filter(|_| failed >= needed)
+        self.failing_since().filter(|_| failed >= needed)
     }
 
-    /// Whether servers should be probed now: the link is suspected or cut.
+    /// Whether servers should be probed now: the link is suspected or cut, or a verdict is awaited.
     pub fn needs_probe(&self, now: Instant, known_servers: usize) -> bool {
-        let suspected = self.suspected_since(known_servers);
+        let suspected = match self.awaited {
+            true => self.failing_since(),
+            false => self.suspected_since(known_servers),
+        };
         self.is_cut()
             || suspected.is_some_and(|since| now.saturating_duration_since(since) >= PROBE_DELAY)
     }
--- a/crates/belief/tests/link.rs
+++ b/crates/belief/tests/link.rs
@@ -53,6 +53,32 @@
     assert!(!link.needs_probe(after(start, 5_000), SERVERS));
 }
 
+#[test]
+fn one_failed_server_is_enough_to_probe_for_a_verdict_that_is_awaited() {
+    let start = Instant::now();
+    let mut link = failing(start, 1, Connection::Established);
+    assert!(link.await_verdict());
+    assert!(!link.needs_probe(after(start, 100), SERVERS), "other answers may still come");
+    assert!(link.needs_probe(after(start, 150), SERVERS));
+    assert!(!link.record_unanswered_probes(after(start, 700), [after(start, 600)], SERVERS));
+    link.record_failed_probe(after(start, 700), &server(1));
+    assert!(link.record_unanswered_probes(after(start, 700), [after(start, 600)], SERVERS));
+}
+
+#[test]
+fn an_answer_ends_the_wait_for_a_verdict() {
+    let start = Instant::now();
+    let mut link = Link::default();
+    assert!(!link.await_verdict(), "nothing has failed");
+    link.record_failure(start, &server(0), Connection::Established);
+    assert!(link.await_verdict());
+    link.record_answer(after(start, 50), Connection::Established);
+    assert!(!link.await_verdict());
+    link.record_failure(after(start, 60), &server(0), Connection::Established);
+    link.record_failed_probe(after(start, 70), &server(1));
+    assert!(!link.needs_probe(after(start, 500), SERVERS), "nobody waits any more");
+}
+
 #[test]
 fn a_sole_server_is_enough_for_a_suspicion() {
     let start = Instant::now();
--- a/crates/gateway/src/link_watch.rs
+++ b/crates/gateway/src/link_watch.rs
@@ -100,14 +100,21 @@
         let state = state.clone();
         probes.spawn_local(async move {
             let probing = probe(&state, &member);
-            tokio::time::timeout(CONNECT_TIMEOUT, probing).await.unwrap_or(None).is_some()
+            let probed = tokio::time::timeout(CONNECT_TIMEOUT, probing).await;
+            (member.id.clone(), probed.unwrap_or(None).is_some())
         });
     }
+    let mut failed = Vec::new();
     while let Some(probed) = probes.join_next().await {
-        if matches!(probed, Ok(true)) {
-            return true;
+        match probed {
+            Ok((_, true)) => return true,
+            Ok((server, false)) => failed.push(server),
+            Err(_) => {}
         }
     }
+    let now = state.now();
+    let mut link = state.link.borrow_mut();
+    failed.iter().for_each(|server| link.record_failed_probe(now, server));
     false
 }
 
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -166,17 +166,14 @@
     None
 }
 
-/// Waits while the link is suspected and no peer is known to reach servers. A caller that has a part of its
+/// Waits while servers fail and no peer is known to reach them. A caller that has a part of its
 /// stream would have to take it up again if it broke off at once.
 async fn await_verdict(state: &State) {
     let since = state.now();
     loop {
-        let suspected = {
-            let servers = link_watch::known_servers(state);
-            state.link.borrow().suspected_since(servers).is_some()
-        };
+        let failing = state.link.borrow_mut().await_verdict();
         let waited = state.now().saturating_duration_since(since);
-        if !suspected || waited >= MAX_VERDICT_WAIT || choose_peer(state, &[]).is_some() {
+        if !failing || waited >= MAX_VERDICT_WAIT || choose_peer(state, &[]).is_some() {
             return;
         }
         tokio::time::sleep(VERDICT_POLL).await;
--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -2,7 +2,7 @@
 //! reach them.
 
 use std::{
-    net::IpAddr,
+    net::{IpAddr, SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -11,7 +11,8 @@
     time::{Duration, Instant},
 };
 
-use serde_json::json;
+use anyhow::Context as _;
+use serde_json::{Value, json};
 use wasabi_stand::{
     caller::{self, Request},
     gateway::{Gateway, wait_for},
@@ -165,17 +166,22 @@
     Ok(())
 }
 
-/// Changes the address from which a gateway connects to servers, and has it read its settings again.
-fn set_source(gateway: &Gateway, source: IpAddr) -> anyhow::Result<()> {
+/// Changes the settings of a gateway, and has it read them again.
+fn change_settings(gateway: &Gateway, change: impl FnOnce(&mut Value)) -> anyhow::Result<()> {
     let known = gateway.log_lines("settings changed").len();
     let text = std::fs::read_to_string(&gateway.settings_path)?;
-    let mut settings: serde_json::Value = serde_json::from_str(&text)?;
-    settings["source"] = json!(source);
+    let mut settings: Value = serde_json::from_str(&text)?;
+    change(&mut settings);
     std::fs::write(&gateway.settings_path, settings.to_string())?;
     gateway.signal("HUP")?;
     wait_for("the new settings", || gateway.log_lines("settings changed").len() > known)
 }
 
+/// Changes the address from which a gateway connects to servers.
+fn set_source(gateway: &Gateway, source: IpAddr) -> anyhow::Result<()> {
+    change_settings(gateway, |settings| settings["source"] = json!(source))
+}
+
 #[test]
 fn callers_of_a_host_that_cannot_connect_to_servers_at_all_are_served() -> anyhow::Result<()> {
     let mut fleet = Fleet::start(3)?;
@@ -220,23 +226,39 @@
     Ok(())
 }
 
+/// Requests that keep a host in contact with servers.
+struct Load {
+    running: Arc<AtomicBool>,
+    sending: thread::JoinHandle<()>,
+}
+
+impl Load {
+    fn start(to: SocketAddr) -> Self {
+        let running = Arc::new(AtomicBool::new(true));
+        let flag = running.clone();
+        let sending = thread::spawn(move || {
+            let mut number = 0;
+            while flag.load(Ordering::SeqCst) {
+                number += 1;
+                let _ = Request::new("GET", "/read/x", &format!("busy{number}")).send(to);
+                thread::sleep(PAUSE);
+            }
+        });
+        Self { running, sending }
+    }
+
+    fn stop(self) {
+        self.running.store(false, Ordering::SeqCst);
+        self.sending.join().expect("the load does not panic");
+    }
+}
+
 #[test]
 fn a_stream_whose_host_is_cut_from_servers_goes_on_through_a_peer() -> anyhow::Result<()> {
     let mut fleet = Fleet::start(2)?;
     fleet.rig.configure(2, |config| config["routes"][0]["max_attempts"] = json!(4));
     fleet.count_served();
-    let busy = Arc::new(AtomicBool::new(true));
-    let to = fleet.gateways[1].addresses.callers;
-    let flag = busy.clone();
-    let load = thread::spawn(move || {
-        let mut number = 0;
-        while flag.load(Ordering::SeqCst) {
-            number += 1;
-            // Only to keep the other host in contact with servers.
-            let _ = Request::new("GET", "/read/x", &format!("busy{number}")).send(to);
-            thread::sleep(PAUSE);
-        }
-    });
+    let load = Load::start(fleet.gateways[1].addresses.callers);
     for (server, _) in fleet.rig.servers.iter().filter(|(server, _)| server.streams) {
         server.set_behavior(Some(Behavior::StallAfter(3)));
     }
@@ -250,8 +272,57 @@
     let response = caller::read(&mut stream)?;
     assert!(response.complete, "{response:?}");
     assert!(response.event_ids().into_iter().eq(1..=10), "{response:?}");
-    busy.store(false, Ordering::SeqCst);
-    load.join().expect("the load does not panic");
+    load.stop();
+    Ok(())
+}
+
+/// Waits until the caller has been sent this event; reads nothing.
+fn wait_event(stream: &TcpStream, event: u64) -> anyhow::Result<()> {
+    wait_for("an event", || {
+        let mut bytes = [0; 16 * 1024];
+        let count = stream.peek(&mut bytes).unwrap_or(0);
+        String::from_utf8_lossy(&bytes[..count]).contains(&format!("id: {event}\n"))
+    })
+}
+
+#[test]
+fn a_stream_whose_last_repeat_was_answered_goes_on_through_a_peer_after_a_cut() -> anyhow::Result<()>
+{
+    let fleet = Fleet::start(2)?;
+    fleet.rig.configure(2, |config| config["routes"][0]["max_attempts"] = json!(4));
+    for gateway in &fleet.gateways {
+        wait_for("the configuration", || {
+            let _ = Request::new("GET", "/read/x", "first").send(gateway.addresses.callers);
+            gateway.log_lines("placed").iter().any(|line| line["version"] == 2)
+        })?;
+    }
+    // One repeat in each window is always allowed, and no other here.
+    change_settings(&fleet.gateways[0], |settings| {
+        settings["bounds"]["repeat_ratio"] = json!(0);
+        settings["bounds"]["repeat_allowance"] = json!(0);
+    })?;
+    let load = Load::start(fleet.gateways[1].addresses.callers);
+    let engines = fleet.proxies.iter().zip(&fleet.rig.servers);
+    let engines: Vec<_> = engines.filter(|(_, (server, _))| server.streams).collect();
+    let stall = |after| {
+        let behavior = Some(Behavior::StallAfter(after));
+        engines.iter().for_each(|(_, (server, _))| server.set_behavior(behavior));
+    };
+    stall(3);
+    let mut stream =
+        Request::new("POST", "/chat/x", "s1").open(fleet.gateways[0].addresses.callers)?;
+    wait_event(&stream, 3)?;
+    stall(6);
+    let began = engines.iter().find(|(_, (server, _))| !server.arrivals().is_empty());
+    let (proxy, _) = began.context("an engine runs the stream")?;
+    proxy.set_for(source(0), NetworkFault::Close);
+    wait_event(&stream, 6)?;
+    engines.iter().for_each(|(_, (server, _))| server.set_behavior(None));
+    fleet.cut(0, NetworkFault::Close);
+    let response = caller::read(&mut stream)?;
+    assert!(response.complete, "{response:?}");
+    assert!(response.event_ids().into_iter().eq(1..=10), "{response:?}");
+    load.stop();
     Ok(())
 }
 
