--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,9 +22,10 @@
 
 use crate::{
     admit::Admission,
-    connection_pool,
+    cause, connection_pool,
+    guard::PlacementGuard,
     link_watch::{record_answer, record_failure},
-    state::{PlacementGuard, State},
+    state::State,
 };
 
 /// A request with less time left is not sent.
@@ -32,17 +33,6 @@
 /// Each host may open this many connections to a server, however many hosts share its limit.
 const MIN_CONNECTIONS: u32 = 4;
 
-/// The cause of a send whose connection broke before the head of a response.
-pub const CONNECTION_BROKE: &str = "connection broke";
-/// The cause of a send whose buffered response broke off.
-pub const ANSWER_BROKE_OFF: &str = "answer broke off";
-/// The cause of a send whose stream broke off.
-pub const STREAM_BROKE_OFF: &str = "stream broke off";
-/// The cause of a send that the server refused without running the request.
-pub const TURNED_AWAY: &str = "turned away";
-/// The causes of sends that the connection to the server ended.
-pub const BROKEN_OFF: [&str; 3] = [CONNECTION_BROKE, ANSWER_BROKE_OFF, STREAM_BROKE_OFF];
-
 /// A request to send to a backend server.
 pub struct Outgoing<'a> {
     /// The HTTP head of the caller's request.
@@ -136,7 +126,7 @@
             Ok(Err(mut e)) => {
                 if e.take_message().is_none() {
                     record_failure(state, &member.id, kind_of(&connection));
-                    return Outcome::Unknown(CONNECTION_BROKE);
+                    return Outcome::Unknown(cause::CONNECTION_BROKE);
                 }
                 // Nothing was sent: the server closed the connection. That is expected of a reused
                 // one, so another is tried.
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -1,12 +1,12 @@
 //! The memory that buffered responses may take together.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
-use crate::attempt;
+use crate::cause;
 
 /// The most that all buffered responses take, beside [`FREE_BYTES`] each.
 const MAX_BYTES: usize = 32 * 1024 * 1024;
@@ -15,6 +15,9 @@
 /// The largest response that is buffered.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// How long past the deadline the rest of a buffered response that has begun is awaited.
+pub const RESPONSE_GRACE: Duration = Duration::from_millis(40);
+
 /// Counts the bytes of all buffered responses beyond [`FREE_BYTES`] each.
 #[derive(Clone, Debug, Default)]
 pub struct Memory(Rc<Cell<usize>>);
@@ -61,7 +64,7 @@
     let mut reservation = memory.reserve();
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| attempt::ANSWER_BROKE_OFF)?;
+        let frame = frame.map_err(|_| cause::ANSWER_BROKE_OFF)?;
         let Ok(data) = frame.into_data() else { continue };
         if !reservation.extend_to(buffer.len() + data.len()) {
             return Err("answer too large to buffer");
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -16,7 +16,7 @@
 use wasabi_platform::{http, names};
 
 use crate::{
-    listener, origin, peer_fetch, peer_relay, relay,
+    handover, listener, origin, peer_fetch, relay,
     response::{self, ResponseBody},
     state::State,
 };
@@ -53,7 +53,7 @@
     }
     let service = service_fn(move |mut request: Request<Incoming>| {
         let handover = match audience {
-            Audience::Peers => peer_relay::take_handover(request.headers_mut()),
+            Audience::Peers => handover::take(request.headers_mut()),
             Audience::Operators => Ok(None),
         };
         let (state, metrics) = (state.clone(), metrics.clone());
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/peer_relay.rs
@@ -3,33 +3,19 @@
 //! The peer handles a request like one of its own callers: it checks the key, places and counts it. A
 //! request is handed over once; the peer does not hand it on.
 
-use std::{
-    io,
-    net::SocketAddr,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    Request, Response,
-    body::{Body, Frame, Incoming, SizeHint},
-    header::{HeaderMap, HeaderName, HeaderValue},
-};
+use hyper::{Request, Response, header::HeaderValue};
 use log::{info, warn};
 use rand::Rng as _;
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
-use tokio::time::Sleep;
 use wasabi_belief::{origins::Origin, peers::Peer};
 use wasabi_core::{
     call::ResponseHead,
     errors::{Code, Error, Ran, Result},
-    format::{self, Format},
-    units::{HostId, ServerId},
+    format,
+    units::HostId,
 };
 use wasabi_platform::{
     head,
@@ -38,15 +24,16 @@
 };
 
 use crate::{
+    buffers::RESPONSE_GRACE,
+    handover::{self, Handover},
+    history::SendHistory,
     link_watch,
-    relay::{AdmittedRequest, RESPONSE_GRACE, SendHistory},
+    peer_body::PeerBody,
+    request::AdmittedRequest,
     response::ResponseBody,
     state::State,
 };
 
-/// The header of a request that a peer hands over; its value is a [`Handover`] as JSON. It is read on the
-/// port for peers only.
-const HEADER: HeaderName = HeaderName::from_static("wasabi-handover");
 /// The most peers to which a request is handed, one after the other.
 const MAX_PEERS: usize = 2;
 /// Timeout of connecting to a peer.
@@ -57,23 +44,6 @@
 /// How often that is checked.
 const VERDICT_POLL: Duration = Duration::from_millis(40);
 
-/// What a host tells the peer to which it hands a request.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Handover {
-    /// Its format.
-    #[serde(default)]
-    pub format: Format,
-    /// The host that hands it over.
-    pub from: HostId,
-    /// Sends so far that a server may have run.
-    pub possible_runs: u32,
-    /// Where the stream began, if it goes on.
-    pub origin: Option<Origin>,
-    /// Servers that refused the request; hosts of earlier builds name none.
-    #[serde(default)]
-    pub refused: Vec<ServerId>,
-}
-
 /// The answer of a peer, passed on from a backend server or its own.
 pub struct Answer {
     /// The head as the peer sent it.
@@ -82,34 +52,6 @@
     pub response: Response<ResponseBody>,
 }
 
-/// The body of a peer's answer.
-pub struct PeerBody {
-    body: Incoming,
-    /// Ends the body with an error.
-    deadline: Pin<Box<Sleep>>,
-    /// Closes when it is dropped, which tells the peer that the caller is gone.
-    _connection: Connection,
-}
-
-/// Takes the handover out of the headers of a request on the port for peers; `None` if it has none.
-///
-/// Errors: `HandoverUnknown` if it cannot be read, as one of a newer build.
-pub fn take_handover(headers: &mut HeaderMap) -> Result<Option<Handover>> {
-    let Some(value) = headers.remove(HEADER) else { return Ok(None) };
-    read_handover(value.as_bytes()).map(Some).map_err(|cause| {
-        metrics::counter!("wasabi_unread_messages_total", "what" => "handover").increment(1);
-        warn!(cause = cause.as_str(); "request of a peer left unread");
-        // Whether a server has run the request is a part of it.
-        Error::new(Code::HandoverUnknown, cause).ran(Ran::Unknown)
-    })
-}
-
-fn read_handover(value: &[u8]) -> std::result::Result<Handover, String> {
-    let value: Value = serde_json::from_slice(value).map_err(|e| e.to_string())?;
-    Format::of(&value).check(format::HANDOVER, "handover").map_err(|e| e.to_string())?;
-    serde_json::from_value(value).map_err(|e| e.to_string())
-}
-
 /// Hands a request to a peer that reaches servers, and returns its answer. A stream goes on after
 /// `last_event`.
 ///
@@ -214,7 +156,7 @@
                 log_broken(&inbound.head.id, "the answer is not to this request");
                 return Sent::Broken;
             }
-            let body = PeerBody { body, deadline, _connection: connection };
+            let body = PeerBody::new(body, deadline, connection);
             let mut response = Response::new(ResponseBody::Peer(Box::new(body)));
             *response.status_mut() = parts.status;
             *response.headers_mut() = reply::forwarded_headers(&parts.headers);
@@ -259,7 +201,7 @@
     let value = HeaderValue::try_from(serde_json::to_string(&handover).ok()?).ok()?;
     let remaining = inbound.deadline.saturating_duration_since(state.now());
     let mut headers = head::encode_for_peer(&inbound.parts.headers, remaining, last_event);
-    headers.insert(HEADER, value);
+    headers.insert(handover::HEADER, value);
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.parts.method.clone();
     *request.uri_mut() = inbound.parts.uri.path_and_query()?.as_str().parse().ok()?;
@@ -293,29 +235,3 @@
     warn!(target: wasabi_logs::REQUEST_TARGET, request = id, cause = cause;
         "stream of a peer broke off");
 }
-
-impl Body for PeerBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        match Pin::new(&mut self.body).poll_frame(cx) {
-            Poll::Ready(frame) => Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other))),
-            Poll::Pending => match self.deadline.as_mut().poll(cx) {
-                Poll::Ready(()) => Poll::Ready(Some(Err(io::Error::from(io::ErrorKind::TimedOut)))),
-                Poll::Pending => Poll::Pending,
-            },
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/placement.rs
@@ -0,0 +1,177 @@
+//! Chooses the backend server for the first or next send of a request, or refuses it.
+
+use std::{rc::Rc, time::Instant};
+
+use log::info;
+use rand::Rng as _;
+use wasabi_belief::members;
+use wasabi_core::{
+    errors::{Code, Error, Ran, Result},
+    units::RequestRate,
+};
+use wasabi_policy::{
+    balancer::{PlacementRequest, Refusal},
+    wait_limit,
+};
+
+use crate::{
+    admit, attempt, cause, guard::PlacementGuard, history::SendHistory, request::AdmittedRequest,
+    response, state::State,
+};
+
+/// Placements allowed beyond the route's `max_attempts`, for sends that servers did not run.
+const MAX_EXTRA_PLACEMENTS: usize = 2;
+
+/// Places a request for its first or next send.
+///
+/// Fails if the time, the attempts or the repeat budget are used up, if the request may not run
+/// twice, if it might be cut off by this host's stop, if its key is no longer proven to be in
+/// force, if requests like it crash servers, or if no server can take it in time.
+pub fn place(
+    state: &Rc<State>,
+    inbound: &AdmittedRequest,
+    history: &mut SendHistory,
+    last_event: Option<u64>,
+) -> Result<PlacementGuard> {
+    let admission = &inbound.admission;
+    let now = state.now();
+    let ran = if history.possible_runs > 0 { Ran::Unknown } else { Ran::No };
+    let remaining = inbound.deadline.saturating_duration_since(now);
+    let refuse = |code: Code, detail: &str| {
+        let wait = wait_limit::unplaced_retry_delay(rand::rng().random(), remaining);
+        response::retry_later(code, detail, wait).ran(ran)
+    };
+    let unavailable = |detail: &str| refuse(Code::ServerUnavailable, detail);
+    if remaining < attempt::MIN_REMAINING_TIME {
+        return Err(Error::new(Code::AnswerTimeout, history.last_cause).ran(Ran::Unknown));
+    }
+    if history.placements > 0 || history.possible_runs > 0 {
+        let exhausted = history.possible_runs >= admission.route.max_attempts
+            || history.placements >= admission.route.max_attempts as usize + MAX_EXTRA_PLACEMENTS;
+        let repeatable = history.possible_runs == 0 || admission.route.kind.is_repeatable();
+        if exhausted || !repeatable {
+            return Err(unavailable(history.last_cause));
+        }
+        let hosts = state.live_hosts();
+        if !state.with_repeat_budget(&admission.service, |budget| budget.try_repeat(now, hosts)) {
+            return Err(unavailable("no budget to repeat"));
+        }
+    }
+    if history.placements == 0 && may_outlast_host(state, inbound, now) {
+        return Err(refuse(Code::Stopping, "it would be cut off here"));
+    }
+    admit::check_key(state, admission).map_err(|e| e.ran(ran))?;
+    if state.has_outdated_servers() {
+        return Err(refuse(Code::Isolated, "other hosts have a younger list of servers"));
+    }
+    if let Some(refusal) = state.check_quarantine(&inbound.features) {
+        return Err(refusal.error().ran(ran));
+    }
+    let max_wait = match history.placements {
+        0 => inbound.max_wait,
+        _ => remaining,
+    };
+    let placement_request = PlacementRequest {
+        prompt: inbound.head.prompt.as_ref(),
+        max_wait,
+        urgency: admission.urgency,
+        build: history.build.as_ref(),
+        avoid: &history.avoid,
+        refused: &history.refused,
+    };
+    let mut balancers = state.balancers.borrow_mut();
+    let Some(balancer) = balancers.get_mut(&admission.service) else {
+        return Err(unavailable("no servers are known"));
+    };
+    match balancer.place(now, &placement_request) {
+        Ok(placement) => {
+            drop(balancers);
+            history.placements += 1;
+            state.quarantine.borrow_mut().record_sent(now, &inbound.features);
+            let instance = members::instance(&placement.member);
+            let limit = state.limits.borrow().limit(&instance).map(RequestRate::per_second);
+            if limit.is_some() {
+                metrics::counter!("wasabi_gateway_limited_placements_total",
+                    "service" => placement.member.service.to_string())
+                .increment(1);
+            }
+            let continued_by = match (last_event, inbound.continues()) {
+                (Some(_), _) => Some("host"),
+                (None, true) => Some("caller"),
+                (None, false) => None,
+            };
+            if let Some(by) = continued_by {
+                metrics::counter!("wasabi_gateway_continued_streams_total", "by" => by)
+                    .increment(1);
+            }
+            let request = inbound.head.id.as_str();
+            info!(target: wasabi_logs::REQUEST_TARGET, request = request,
+                server = placement.member.id.as_str(), domain = placement.member.domain.as_str(),
+                sent = history.placements,
+                expected_ms = placement.expected_wait.as_millis() as u64,
+                work_ms = placement.prefill_ms as u64,
+                patience_ms = max_wait.as_millis() as u64,
+                rank = admission.rank, urgency = admission.urgency,
+                version = admission.catalog.version.0, limit = limit,
+                build = placement.member.build.as_str(),
+                content = inbound.content.to_string().as_str(),
+                resumes = inbound.head.resumes.as_deref().unwrap_or_default(),
+                after = history.last_cause, resumed_after = last_event.or(inbound.head.last_event).unwrap_or(0); "placed");
+            Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
+        }
+        Err(Refusal::NoServer) if history.build.is_some() => {
+            Err(unavailable("no server of the version that began the stream"))
+        }
+        Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
+        Err(Refusal::Paused(wait)) => {
+            let wait = wait_limit::after_pause(wait, rand::rng().random());
+            Err(response::retry_later(
+                Code::Overloaded,
+                "all servers pause or are at their limits",
+                wait,
+            )
+            .ran(ran))
+        }
+        Err(Refusal::NoServerInTime(wait)) => {
+            let pause = wait_limit::late_retry_delay(
+                wait,
+                inbound.max_wait,
+                remaining,
+                rand::rng().random(),
+            );
+            let detail = match history.refused.is_empty() {
+                true => format!("expected {} ms", wait.as_millis()),
+                false => cause::TURNED_AWAY.to_string(),
+            };
+            Err(response::retry_later(Code::Overloaded, detail, pause).ran(ran))
+        }
+    }
+}
+
+/// Returns a placement on another server for a request that is stuck; `None` if it has to stay.
+pub fn place_elsewhere(
+    state: &Rc<State>,
+    inbound: &AdmittedRequest,
+    history: &mut SendHistory,
+    guard: &PlacementGuard,
+    last_event: Option<u64>,
+) -> Option<PlacementGuard> {
+    let previous_cause = std::mem::replace(&mut history.last_cause, cause::STUCK);
+    history.avoid.push(guard.placement.member.id.clone());
+    let other = place(state, inbound, history, last_event).ok();
+    let other = other.filter(|other| other.placement.member.id != guard.placement.member.id);
+    if other.is_none() {
+        history.last_cause = previous_cause;
+        history.avoid.pop();
+    }
+    other
+}
+
+/// Returns whether this host is stopping and a stream may last longer than the time that is left.
+///
+/// A stopping host still gets requests for some seconds; a caller that is refused at once can try
+/// another host, while one that is served might be cut off.
+fn may_outlast_host(state: &State, inbound: &AdmittedRequest, now: Instant) -> bool {
+    let (Some(end), Some(prompt)) = (state.drain_end(), &inbound.head.prompt) else { return false };
+    inbound.admission.route.kind.is_stream() && now + wait_limit::max_stream_duration(prompt) > end
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,10 +10,8 @@
 use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
 
 use crate::{
-    admit::Admission,
-    attempt, link_watch,
-    relay::AdmittedRequest,
-    state::{PlacementGuard, State},
+    admit::Admission, cause, guard::PlacementGuard, link_watch, request::AdmittedRequest,
+    state::State,
 };
 
 /// The most runs that are kept while the link is suspected.
@@ -43,7 +41,7 @@
 
 /// Whether a send failed with this cause because the server broke off, so that it may have crashed.
 fn may_be_crash(cause: &str, framing: Framing) -> bool {
-    attempt::BROKEN_OFF.contains(&cause) || Broken::is_abrupt(cause, framing)
+    cause::BROKEN_OFF.contains(&cause) || Broken::is_abrupt(cause, framing)
 }
 
 impl State {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,75 +3,35 @@
 //! A request that has not run is refused with the time after which to retry. One that may have run
 //! is sent again only if its route is repeatable, and is never reported as not run.
 
-use std::{
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
-use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
-use log::info;
-use rand::Rng as _;
 use wasabi_answer::{broken::Broken, evidence, whole};
-use wasabi_belief::{link::Connection, members};
 use wasabi_core::{
     call::{Framing, RequestHead, ResponseHead},
     errors::{Code, Error, Ran, Result},
-    units::{Build, RequestRate, ServerId},
+    units::Build,
 };
 use wasabi_platform::{head, reply};
-use wasabi_policy::{
-    balancer::{End, PlacementRequest, Refusal},
-    quarantine::Feature,
-    wait_limit,
-};
+use wasabi_policy::{balancer::End, wait_limit};
 
 use crate::{
-    admit::{self, Admission},
-    attempt::{self, BackendResponse, Outcome, Outgoing},
-    buffers, closed_end, link_watch, origin,
-    peer_relay::{self, Handover},
-    quarantine,
+    admit::{self},
+    attempt::{self, BackendResponse, Outcome},
+    buffers, cause, closed_end,
+    guard::{CountGuard, PlacementGuard},
+    handover::Handover,
+    history::SendHistory,
+    origin, peer_relay, placement, quarantine,
+    request::AdmittedRequest,
     request_log::{Received, log_completed, log_failed_send, log_gateway_error},
     response::{self, ResponseBody},
-    state::{CountGuard, PlacementGuard, State},
+    sending,
+    state::State,
     stream,
 };
 
-/// How long past the deadline the rest of a buffered response that has begun is awaited.
-pub const RESPONSE_GRACE: Duration = Duration::from_millis(40);
-/// Placements allowed beyond the route's `max_attempts`, for sends that servers did not run.
-const MAX_EXTRA_PLACEMENTS: usize = 2;
-/// The `cause` in logs and metrics of a send that showed no progress.
-pub const STUCK: &str = "stuck";
-
-/// A caller's request with its complete body, admitted and ready to be placed.
-pub struct AdmittedRequest {
-    /// The HTTP head as received.
-    pub parts: Parts,
-    /// The caller's id, key, timeout and prompt, decoded from the HTTP head.
-    pub head: RequestHead,
-    /// The complete body.
-    pub body: Bytes,
-    /// When the HTTP head had been received.
-    pub arrived: Instant,
-    /// The result of admission.
-    pub admission: Admission,
-    /// The earlier of the caller's deadline and the route's timeout.
-    pub deadline: Instant,
-    /// The first placement is refused if a longer wait is expected, for the first event of a stream
-    /// or for a plain response.
-    pub max_wait: Duration,
-    /// What the request has in common with others; known once the service is.
-    pub features: Vec<Feature>,
-    /// The same for requests of one caller with the same method, path and body.
-    pub content: Feature,
-    /// What the peer said that handed it over, if one did.
-    pub handover: Option<Handover>,
-}
-
 /// Handles a request of a caller, or one that a peer hands over; errors become error responses.
 pub async fn serve(
     state: Rc<State>,
@@ -196,7 +156,7 @@
             let now = state.now();
             state.with_repeat_budget(&admission.service, |budget| budget.record_first_send(now));
         }
-        let guard = match place(state, &inbound, &mut history, None) {
+        let guard = match placement::place(state, &inbound, &mut history, None) {
             Ok(guard) => guard,
             Err(error) => {
                 if let Some(response) = history.fallback.take() {
@@ -218,7 +178,7 @@
             }
         };
         let (guard, outcome) =
-            send_until_finished(state, &inbound, &mut history, guard, None).await;
+            sending::send_until_finished(state, &inbound, &mut history, guard, None).await;
         if let Some(response) = handle_outcome(state, &inbound, &mut history, guard, outcome).await
         {
             return response;
@@ -253,259 +213,6 @@
     inbound.admission.route.kind.is_stream() && status == StatusCode::OK && may_be_events
 }
 
-/// Sends a request to the server of `guard`. While it is stuck, moves it to another server if
-/// it may run twice. Returns the outcome and the placement that it belongs to.
-pub async fn send_until_finished(
-    state: &Rc<State>,
-    inbound: &AdmittedRequest,
-    history: &mut SendHistory,
-    mut guard: PlacementGuard,
-    last_event: Option<u64>,
-) -> (PlacementGuard, Outcome) {
-    loop {
-        match send_once(state, inbound, history, &guard, last_event).await {
-            SendProgress::Finished(outcome) => return (guard, outcome),
-            SendProgress::Stuck(other) => {
-                log_failed_send(state, inbound, &guard, "unknown", STUCK, None);
-                guard = *other;
-            }
-        }
-    }
-}
-
-/// The result of [`send_once`].
-enum SendProgress {
-    /// The send has ended.
-    Finished(Outcome),
-    /// The send shows no progress; the placement to move to.
-    Stuck(Box<PlacementGuard>),
-}
-
-/// Sends a request to the server of `guard`, until it ends or is stuck and has another
-/// placement.
-async fn send_once(
-    state: &Rc<State>,
-    inbound: &AdmittedRequest,
-    history: &mut SendHistory,
-    guard: &PlacementGuard,
-    last_event: Option<u64>,
-) -> SendProgress {
-    let outgoing = inbound.outgoing(last_event);
-    let mut sending = pin!(attempt::send(state, guard, &outgoing));
-    if let Ok(outcome) = tokio::time::timeout(guard.time_until_stuck(), sending.as_mut()).await {
-        return SendProgress::Finished(outcome);
-    }
-    record_stuck(state, inbound, guard);
-    // The next placement must see that the stuck send may have run.
-    history.possible_runs += 1;
-    if let Some(other) = place_elsewhere(state, inbound, history, guard, last_event) {
-        return SendProgress::Stuck(Box::new(other));
-    }
-    history.possible_runs -= 1;
-    SendProgress::Finished(sending.await)
-}
-
-/// Returns a placement on another server for a request that is stuck; `None` if it has to stay.
-pub fn place_elsewhere(
-    state: &Rc<State>,
-    inbound: &AdmittedRequest,
-    history: &mut SendHistory,
-    guard: &PlacementGuard,
-    last_event: Option<u64>,
-) -> Option<PlacementGuard> {
-    let previous_cause = std::mem::replace(&mut history.last_cause, STUCK);
-    history.avoid.push(guard.placement.member.id.clone());
-    let other = place(state, inbound, history, last_event).ok();
-    let other = other.filter(|other| other.placement.member.id != guard.placement.member.id);
-    if other.is_none() {
-        history.last_cause = previous_cause;
-        history.avoid.pop();
-    }
-    other
-}
-
-/// Records in the balancer, metrics and log that a request shows no progress at its server.
-pub fn record_stuck(state: &State, inbound: &AdmittedRequest, guard: &PlacementGuard) {
-    let now = state.now();
-    let server = &guard.placement.member.id;
-    link_watch::record_failure(state, server, Connection::Established);
-    guard.with_balancer(|balancer, placement| balancer.record_stuck(now, placement));
-    metrics::counter!("wasabi_gateway_stuck_total",
-        "service" => inbound.admission.service.to_string())
-    .increment(1);
-    let since_placed = now.saturating_duration_since(guard.placement.since);
-    info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
-        server = guard.placement.member.id.as_str(), placed_ms = since_placed.as_millis() as u64,
-        expected_ms = guard.placement.expected_wait.as_millis() as u64; "no progress");
-}
-
-/// The sends of one request so far.
-#[derive(Default)]
-pub struct SendHistory {
-    /// Sends that a server may have run. For resumed streams all failed sends count, except those
-    /// that a server rejected.
-    pub possible_runs: u32,
-    /// Placements so far, also those that were dropped again or not sent.
-    pub placements: usize,
-    /// Servers that failed the request or where it was stuck.
-    pub avoid: Vec<ServerId>,
-    /// Servers that refused the request. It is not sent to them again: a refusal that is written once more
-    /// could not be told from the answer.
-    pub refused: Vec<ServerId>,
-    /// Whether the request has been counted as usage.
-    pub counted: bool,
-    /// The software version that began the stream, once the caller has an event of it.
-    pub build: Option<Build>,
-    /// Why the last send failed; empty before the first failure.
-    pub last_cause: &'static str,
-    /// A server's 5xx response, passed on if no later send gets a response.
-    fallback: Option<Response<ResponseBody>>,
-}
-
-impl SendHistory {
-    /// Counts the request as usage, once however many servers run it.
-    pub fn count_usage(&mut self, state: &State, inbound: &AdmittedRequest) {
-        if !std::mem::replace(&mut self.counted, true) {
-            state.count_usage(inbound.admission.workspace.as_ref());
-        }
-    }
-}
-
-/// Places a request for its first or next send.
-///
-/// Fails if the time, the attempts or the repeat budget are used up, if the request may not run
-/// twice, if it might be cut off by this host's stop, if its key is no longer proven to be in
-/// force, if requests like it crash servers, or if no server can take it in time.
-pub fn place(
-    state: &Rc<State>,
-    inbound: &AdmittedRequest,
-    history: &mut SendHistory,
-    last_event: Option<u64>,
-) -> Result<PlacementGuard> {
-    let admission = &inbound.admission;
-    let now = state.now();
-    let ran = if history.possible_runs > 0 { Ran::Unknown } else { Ran::No };
-    let remaining = inbound.deadline.saturating_duration_since(now);
-    let refuse = |code: Code, detail: &str| {
-        let wait = wait_limit::unplaced_retry_delay(rand::rng().random(), remaining);
-        response::retry_later(code, detail, wait).ran(ran)
-    };
-    let unavailable = |detail: &str| refuse(Code::ServerUnavailable, detail);
-    if remaining < attempt::MIN_REMAINING_TIME {
-        return Err(Error::new(Code::AnswerTimeout, history.last_cause).ran(Ran::Unknown));
-    }
-    if history.placements > 0 || history.possible_runs > 0 {
-        let exhausted = history.possible_runs >= admission.route.max_attempts
-            || history.placements >= admission.route.max_attempts as usize + MAX_EXTRA_PLACEMENTS;
-        let repeatable = history.possible_runs == 0 || admission.route.kind.is_repeatable();
-        if exhausted || !repeatable {
-            return Err(unavailable(history.last_cause));
-        }
-        let hosts = state.live_hosts();
-        if !state.with_repeat_budget(&admission.service, |budget| budget.try_repeat(now, hosts)) {
-            return Err(unavailable("no budget to repeat"));
-        }
-    }
-    if history.placements == 0 && may_outlast_host(state, inbound, now) {
-        return Err(refuse(Code::Stopping, "it would be cut off here"));
-    }
-    admit::check_key(state, admission).map_err(|e| e.ran(ran))?;
-    if state.has_outdated_servers() {
-        return Err(refuse(Code::Isolated, "other hosts have a younger list of servers"));
-    }
-    if let Some(refusal) = state.check_quarantine(&inbound.features) {
-        return Err(refusal.error().ran(ran));
-    }
-    let max_wait = match history.placements {
-        0 => inbound.max_wait,
-        _ => remaining,
-    };
-    let placement_request = PlacementRequest {
-        prompt: inbound.head.prompt.as_ref(),
-        max_wait,
-        urgency: admission.urgency,
-        build: history.build.as_ref(),
-        avoid: &history.avoid,
-        refused: &history.refused,
-    };
-    let mut balancers = state.balancers.borrow_mut();
-    let Some(balancer) = balancers.get_mut(&admission.service) else {
-        return Err(unavailable("no servers are known"));
-    };
-    match balancer.place(now, &placement_request) {
-        Ok(placement) => {
-            drop(balancers);
-            history.placements += 1;
-            state.quarantine.borrow_mut().record_sent(now, &inbound.features);
-            let instance = members::instance(&placement.member);
-            let limit = state.limits.borrow().limit(&instance).map(RequestRate::per_second);
-            if limit.is_some() {
-                metrics::counter!("wasabi_gateway_limited_placements_total",
-                    "service" => placement.member.service.to_string())
-                .increment(1);
-            }
-            let continued_by = match (last_event, inbound.continues()) {
-                (Some(_), _) => Some("host"),
-                (None, true) => Some("caller"),
-                (None, false) => None,
-            };
-            if let Some(by) = continued_by {
-                metrics::counter!("wasabi_gateway_continued_streams_total", "by" => by)
-                    .increment(1);
-            }
-            let request = inbound.head.id.as_str();
-            info!(target: wasabi_logs::REQUEST_TARGET, request = request,
-                server = placement.member.id.as_str(), domain = placement.member.domain.as_str(),
-                sent = history.placements,
-                expected_ms = placement.expected_wait.as_millis() as u64,
-                work_ms = placement.prefill_ms as u64,
-                patience_ms = max_wait.as_millis() as u64,
-                rank = admission.rank, urgency = admission.urgency,
-                version = admission.catalog.version.0, limit = limit,
-                build = placement.member.build.as_str(),
-                content = inbound.content.to_string().as_str(),
-                resumes = inbound.head.resumes.as_deref().unwrap_or_default(),
-                after = history.last_cause, resumed_after = last_event.or(inbound.head.last_event).unwrap_or(0); "placed");
-            Ok(PlacementGuard::new(state.clone(), admission.service.clone(), placement))
-        }
-        Err(Refusal::NoServer) if history.build.is_some() => {
-            Err(unavailable("no server of the version that began the stream"))
-        }
-        Err(Refusal::NoServer) => Err(unavailable("no server takes work")),
-        Err(Refusal::Paused(wait)) => {
-            let wait = wait_limit::after_pause(wait, rand::rng().random());
-            Err(response::retry_later(
-                Code::Overloaded,
-                "all servers pause or are at their limits",
-                wait,
-            )
-            .ran(ran))
-        }
-        Err(Refusal::NoServerInTime(wait)) => {
-            let pause = wait_limit::late_retry_delay(
-                wait,
-                inbound.max_wait,
-                remaining,
-                rand::rng().random(),
-            );
-            let detail = match history.refused.is_empty() {
-                true => format!("expected {} ms", wait.as_millis()),
-                false => attempt::TURNED_AWAY.to_string(),
-            };
-            Err(response::retry_later(Code::Overloaded, detail, pause).ran(ran))
-        }
-    }
-}
-
-/// Returns whether this host is stopping and a stream may last longer than the time that is left.
-///
-/// A stopping host still gets requests for some seconds; a caller that is refused at once can try
-/// another host, while one that is served might be cut off.
-fn may_outlast_host(state: &State, inbound: &AdmittedRequest, now: Instant) -> bool {
-    let (Some(end), Some(prompt)) = (state.drain_end(), &inbound.head.prompt) else { return false };
-    inbound.admission.route.kind.is_stream() && now + wait_limit::max_stream_duration(prompt) > end
-}
-
 /// Handles the outcome of a send; returns `None` if the request should be placed again.
 async fn handle_outcome(
     state: &Rc<State>,
@@ -549,7 +256,7 @@
         Outcome::TurnedAway => {
             guard.end = End::Rejected;
             history.refused.push(guard.placement.member.id.clone());
-            record_unrun_send(state, inbound, history, &guard, attempt::TURNED_AWAY);
+            record_unrun_send(state, inbound, history, &guard, cause::TURNED_AWAY);
             None
         }
         Outcome::NotRun(cause) => {
@@ -612,7 +319,8 @@
 ) -> std::result::Result<Response<ResponseBody>, &'static str> {
     let BackendResponse { http, reply, connection } = backend_response;
     let (parts, body) = http.into_parts();
-    let remaining = inbound.deadline.saturating_duration_since(state.now()) + RESPONSE_GRACE;
+    let remaining =
+        inbound.deadline.saturating_duration_since(state.now()) + buffers::RESPONSE_GRACE;
     let collecting = async {
         let (body, reservation) = buffers::collect(&state.response_memory, body).await?;
         whole::check(reply.framing, reply.content, &body).map_err(Broken::cause)?;
@@ -640,22 +348,3 @@
     log_completed(state, inbound, guard, "answered", parts.status, &received);
     Ok(response)
 }
-
-impl AdmittedRequest {
-    /// Whether the caller takes up a stream of which it has some events.
-    pub fn continues(&self) -> bool {
-        self.head.resumes.is_some() || self.head.last_event.is_some_and(|event| event > 0)
-    }
-
-    /// Returns the request to send; a stream resumes after `last_event`.
-    pub fn outgoing(&self, last_event: Option<u64>) -> Outgoing<'_> {
-        Outgoing {
-            parts: &self.parts,
-            head: &self.head,
-            body: &self.body,
-            admission: &self.admission,
-            deadline: self.deadline,
-            last_event: last_event.or(self.head.last_event),
-        }
-    }
-}
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -10,11 +10,7 @@
 };
 use wasabi_policy::quarantine::Feature;
 
-use crate::{
-    admit::Admission,
-    relay::AdmittedRequest,
-    state::{PlacementGuard, State},
-};
+use crate::{admit::Admission, guard::PlacementGuard, request::AdmittedRequest, state::State};
 
 /// What was received of a response body by the time it ended.
 #[derive(Default)]
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,6 @@
 use log::info;
 use wasabi_answer::{
     body::{self, Producer},
-    broken::Broken,
     evidence,
 };
 use wasabi_belief::{
@@ -29,17 +28,24 @@
 
 use crate::{
     attempt::{self, BackendResponse, Outcome},
-    closed_end,
+    cause, closed_end,
     connection_pool::PooledConnection,
     continuation,
     events::Sequence,
-    link_watch, peer_relay,
-    relay::{self, AdmittedRequest, SendHistory},
+    guard::{CountGuard, PlacementGuard},
+    history::SendHistory,
+    link_watch, placement,
+    request::AdmittedRequest,
     request_log::{self, Received},
     response::ResponseBody,
-    state::{CountGuard, PlacementGuard, State},
+    sending,
+    state::State,
 };
 
+mod from_peer;
+
+pub use from_peer::start_at_peer;
+
 /// Parts that are queued for a slow caller.
 const MAX_QUEUED_PARTS: usize = 4;
 
@@ -60,22 +66,6 @@
     response
 }
 
-/// Starts a task that forwards a stream from a peer, and returns the response that it feeds.
-pub fn start_at_peer(
-    state: &Rc<State>,
-    inbound: Rc<AdmittedRequest>,
-    history: SendHistory,
-    answer: peer_relay::Answer,
-) -> Response<ResponseBody> {
-    let (mut stream, response) = StreamRelay::new(state, inbound, history, &answer.response);
-    let running = CountGuard::request(state);
-    tokio::task::spawn_local(async move {
-        let _running = running;
-        stream.forward_from_peer(answer).await;
-    });
-    response
-}
-
 /// Forwards one stream to a caller, from one backend server after another.
 struct StreamRelay {
     state: Rc<State>,
@@ -176,7 +166,7 @@
         ended: PartEnd,
     ) -> Option<(PlacementGuard, BackendResponse)> {
         let (cause, next) = match ended {
-            PartEnd::Stuck(next) => (relay::STUCK, Some(*next)),
+            PartEnd::Stuck(next) => (cause::STUCK, Some(*next)),
             PartEnd::Broken(cause) => {
                 guard.end = End::Failed;
                 self.history.avoid.push(guard.placement.member.id.clone());
@@ -205,7 +195,7 @@
 
     /// Records a broken connection, which may be the fault of this host's link.
     fn record_link_failure(&self, guard: &PlacementGuard, cause: &str) {
-        if cause == attempt::STREAM_BROKE_OFF {
+        if cause == cause::STREAM_BROKE_OFF {
             let server = &guard.placement.member.id;
             link_watch::record_failure(&self.state, server, Connection::Established);
         }
@@ -242,7 +232,7 @@
             };
             let bytes = match frame {
                 None => break,
-                Some(Err(_)) => return PartEnd::Broken(attempt::STREAM_BROKE_OFF),
+                Some(Err(_)) => return PartEnd::Broken(cause::STREAM_BROKE_OFF),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.received_bytes += bytes.len() as u64;
@@ -297,12 +287,12 @@
     /// Records that the stream shows no progress; returns a placement on another server if it may
     /// be resumed there.
     fn find_alternative(&mut self, guard: &PlacementGuard) -> Option<PlacementGuard> {
-        relay::record_stuck(&self.state, &self.inbound, guard);
+        sending::record_stuck(&self.state, &self.inbound, guard);
         if !self.events.is_placed() {
             return None;
         }
         let last_id = self.events.last_id();
-        relay::place_elsewhere(&self.state, &self.inbound, &mut self.history, guard, last_id)
+        placement::place_elsewhere(&self.state, &self.inbound, &mut self.history, guard, last_id)
     }
 
     /// Records the first event of the stream; later calls do nothing.
@@ -392,7 +382,7 @@
             }
             let next = match reserved.take() {
                 Some(guard) => Ok(guard),
-                None => relay::place(&self.state, &self.inbound, &mut self.history, last_id),
+                None => placement::place(&self.state, &self.inbound, &mut self.history, last_id),
             };
             let guard = match next {
                 Ok(guard) => guard,
@@ -413,7 +403,7 @@
                     return None;
                 }
             };
-            let sending = relay::send_until_finished(
+            let sending = sending::send_until_finished(
                 &self.state,
                 &self.inbound,
                 &mut self.history,
@@ -437,7 +427,7 @@
                 }
                 Outcome::TurnedAway => {
                     self.history.refused.push(guard.placement.member.id.clone());
-                    (attempt::TURNED_AWAY, "not run")
+                    (cause::TURNED_AWAY, "not run")
                 }
                 Outcome::NotRun(cause) => (cause, "not run"),
                 Outcome::Unknown(cause) => (cause, "unknown"),
@@ -453,62 +443,6 @@
         }
     }
 
-    /// Passes the rest of the stream on from a peer, if one takes it over; returns whether one did.
-    async fn continue_at_peer(&mut self, last_id: Option<u64>) -> bool {
-        let (state, inbound) = (self.state.clone(), self.inbound.clone());
-        let caller_gone = self.producer.caller_gone().clone();
-        let handing_over = peer_relay::hand_over(&state, &inbound, &mut self.history, last_id);
-        let handed_over = tokio::select! {
-            handed_over = handing_over => handed_over,
-            () = caller_gone.cancelled() => return true,
-        };
-        let Some(Ok(answer)) = handed_over else { return false };
-        match continuation::check(answer.response.status(), &answer.head, &inbound.head.id) {
-            Ok(()) => {
-                self.forward_from_peer(answer).await;
-                true
-            }
-            Err(cause) => {
-                peer_relay::log_broken(&inbound.head.id, cause);
-                false
-            }
-        }
-    }
-
-    /// Forwards a peer's part of the stream. One that breaks off does not go on elsewhere: how often the peer
-    /// has sent the request is not known.
-    async fn forward_from_peer(&mut self, answer: peer_relay::Answer) {
-        let mut body = answer.response.into_body();
-        let caller_gone = self.producer.caller_gone().clone();
-        self.events.start_part();
-        let ended = loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = caller_gone.cancelled() => return,
-            };
-            let received = match frame {
-                None => break self.events.finish(answer.head.framing),
-                Some(Ok(frame)) => self.events.push(&frame.into_data().unwrap_or_default()),
-                Some(Err(_)) => break Err(Broken::ConnectionLost),
-            };
-            match received {
-                Ok(Some(events)) if !self.producer.send(events.clone(), Tokens(0)).await => {
-                    return;
-                }
-                Ok(_) => {}
-                Err(broken) => break Err(broken),
-            }
-            if let Some(broken) = self.events.broken() {
-                break Err(broken);
-            }
-        };
-        match ended {
-            Ok(Some(rest)) if !self.producer.send(rest.clone(), Tokens(0)).await => {}
-            Ok(_) => self.producer.finish(),
-            Err(broken) => peer_relay::log_broken(&self.inbound.head.id, broken.cause()),
-        }
-    }
-
     fn log_completed(&self, guard: &PlacementGuard, outcome: &'static str) {
         let (status, received) = (StatusCode::OK, self.received());
         request_log::log_completed(&self.state, &self.inbound, guard, outcome, status, &received);
