gateway: folders for what it receives, sends, shares with hosts and holds as duties; no change of behaviour

Modules are moved as they are. The two entry points that started their siblings (announcements, duties) stand in their folder's own file, so that no module of the crate depends on itself through others: the five circles are gone.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duties/duty.rs
@@ -1,10 +1,7 @@
 //! The duties that one host of the fleet performs at a time, under a lease in the store: usage
 //! reports and orders of backend servers.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use wasabi_belief::lease::{self, Record, StoreCall};
@@ -14,7 +11,7 @@
     units::{Epoch, Version},
 };
 
-use crate::{orders, refresh::with_timeout, state::State, usage};
+use crate::{share::refresh::with_timeout, state::State};
 
 /// How often the state of the lease is checked.
 const TICK: Duration = Duration::from_millis(150);
@@ -24,25 +21,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// The least pause after a read that failed; at most twice as long.
 const RETRY_PAUSE: Duration = Duration::from_millis(800);
-/// Wait after the start before trying to acquire the lease, so that peers have announced whether
-/// one of them holds it and what they know.
-const STARTUP_DELAY: Duration = Duration::from_millis(1_500);
 /// The object kind of the lease; with [`LEASE_NAME`] it identifies the record.
 const LEASE_KIND: &str = "leases";
 /// The object name of the lease.
 const LEASE_NAME: &str = "duties";
 
-/// Tries to acquire the lease, and performs the duties while this host holds it; returns at once on a
-/// host without an address for the duties.
-pub async fn run(state: Rc<State>) {
-    if state.duty_api.is_none() {
-        info!("no address for the duties; this host never takes them");
-        return;
-    }
-    tokio::time::sleep(STARTUP_DELAY).await;
-    tokio::join!(maintain_lease(&state), usage::run(&state), orders::run(&state));
-}
-
 /// Returns the fencing number, if this host holds the lease.
 pub fn fence(state: &State) -> Option<Epoch> {
     state.check_era();
@@ -85,7 +68,7 @@
 }
 
 /// Acquires and renews the lease until the host stops, then releases it.
-async fn maintain_lease(state: &State) {
+pub async fn maintain_lease(state: &State) {
     let mut held = None;
     let mut failing = false;
     let mut unheld_since = state.now();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/duties/orders.rs
@@ -10,7 +10,7 @@
 };
 use wasabi_policy::capacity::Planner;
 
-use crate::{duty, state::State};
+use crate::{duties::duty, state::State};
 
 /// How often orders are planned.
 const TICK: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -18,7 +18,11 @@
     units::{Epoch, Window},
 };
 
-use crate::{duty, peer_fetch, refresh::with_timeout, state::State};
+use crate::{
+    duties::duty,
+    share::{peer_fetch, refresh::with_timeout},
+    state::State,
+};
 
 /// How often the reporter checks for windows that have ended.
 const TICK: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -16,8 +16,12 @@
 use wasabi_platform::{http, names};
 
 use crate::{
-    handover, listener, origin, peer_fetch, relay,
-    response::{self, ResponseBody},
+    receive::{
+        listener,
+        response::{self, ResponseBody},
+    },
+    send::{handover, origin, relay},
+    share::peer_fetch,
     state::State,
 };
 
--- /dev/null
+++ b/crates/gateway/src/receive.rs
@@ -0,0 +1,9 @@
+//! Receives requests of callers and writes their responses.
+
+pub mod admit;
+pub mod buffers;
+pub mod listener;
+pub mod peer_body;
+pub mod request;
+pub mod request_log;
+pub mod response;
--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/receive/admit.rs
@@ -12,7 +12,7 @@
 };
 use wasabi_policy::wait_limit;
 
-use crate::{response, state::State};
+use crate::{receive::response, state::State};
 
 /// A request is denied only by a configuration whose proof is younger: an older copy may lack a
 /// route or key that was added meanwhile.
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/receive/buffers.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
-use crate::cause;
+use crate::send::cause;
 
 /// The most that all buffered responses take, beside [`FREE_BYTES`] each.
 const MAX_BYTES: usize = 32 * 1024 * 1024;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/receive/listener.rs
@@ -15,7 +15,7 @@
 use wasabi_answer::connection::Connection;
 use wasabi_platform::http;
 
-use crate::{guard::CountGuard, relay, state::State};
+use crate::{guard::CountGuard, send::relay, state::State};
 
 /// Pause between attempts to bind a port that the previous process may still hold.
 const BIND_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/receive/request.rs
@@ -7,7 +7,10 @@
 use wasabi_core::call::RequestHead;
 use wasabi_policy::quarantine::Feature;
 
-use crate::{admit::Admission, attempt::Outgoing, handover::Handover};
+use crate::{
+    receive::admit::Admission,
+    send::{attempt::Outgoing, handover::Handover},
+};
 
 /// A caller's request with its complete body, admitted and ready to be placed.
 pub struct AdmittedRequest {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/receive/request_log.rs
@@ -10,7 +10,11 @@
 };
 use wasabi_policy::quarantine::Feature;
 
-use crate::{admit::Admission, guard::PlacementGuard, request::AdmittedRequest, state::State};
+use crate::{
+    guard::PlacementGuard,
+    receive::{admit::Admission, request::AdmittedRequest},
+    state::State,
+};
 
 /// What was received of a response body by the time it ended.
 #[derive(Default)]
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/receive/response.rs
@@ -17,7 +17,7 @@
 use wasabi_answer::body::Streamed;
 use wasabi_core::errors::{Code, Error, Ran};
 
-use crate::{buffers, peer_body::PeerBody};
+use crate::receive::{buffers, peer_body::PeerBody};
 
 /// A buffered body is handed on in parts of this size, so that what a slow caller does not read stays
 /// counted as buffered.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,10 +22,12 @@
 use wasabi_platform::{duties, objects};
 
 use crate::{
-    duty, gossip, lateness, link_watch, listener,
+    lateness,
     operator::{self, Audience},
-    origin_store, refresh,
+    receive::listener,
+    send::link_watch,
     settings::{self, Settings},
+    share::{self, origin_store, refresh},
     state::{STOP_MARGIN, State},
 };
 
@@ -68,13 +70,13 @@
         domain = settings.domain.as_str(), callers = settings.callers.to_string().as_str();
         "started");
     let socket = bind_udp(&settings).await;
-    spawn_local(gossip::run(state.clone(), socket));
+    spawn_local(share::run(state.clone(), socket));
     spawn_local(refresh::run(state.clone()));
     spawn_local(sample_clock(state.clone()));
     spawn_local(lateness::run(state.clone()));
     spawn_local(link_watch::run(state.clone()));
     spawn_local(origin_store::run(state.clone()));
-    let duty_task = spawn_local(duty::run(state.clone()));
+    let duty_task = spawn_local(crate::duties::run(state.clone()));
     for (address, audience) in [
         (settings.ready, Audience::Operators),
         (settings.operators, Audience::Operators),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/send/attempt.rs
@@ -21,10 +21,12 @@
 use wasabi_platform::{head, reply};
 
 use crate::{
-    admit::Admission,
-    cause, connection_pool,
     guard::PlacementGuard,
-    link_watch::{record_answer, record_failure},
+    receive::admit::Admission,
+    send::{
+        cause, connection_pool,
+        link_watch::{record_answer, record_failure},
+    },
     state::State,
 };
 
@@ -91,7 +93,7 @@
         };
     loop {
         // The process may have been suspended while it connected.
-        if crate::admit::check_key(state, outgoing.admission).is_err() {
+        if crate::receive::admit::check_key(state, outgoing.admission).is_err() {
             // This cause is also given if the key was withdrawn.
             return Outcome::NotRun("key proof too old");
         }
--- a/crates/gateway/src/closed_end.rs
+++ b/crates/gateway/src/send/closed_end.rs
@@ -6,7 +6,11 @@
 use wasabi_answer::evidence::{Evidence, SETTLING_TIME};
 use wasabi_belief::link::Connection;
 
-use crate::{connection_pool::PooledConnection, guard::PlacementGuard, link_watch, state::State};
+use crate::{
+    guard::PlacementGuard,
+    send::{connection_pool::PooledConnection, link_watch},
+    state::State,
+};
 
 /// Decides whether the server of `guard` has sent all of an answer whose end `connection` has marked by
 /// its own; returns the cause if not. `request` is the id of the request.
--- a/crates/gateway/src/history.rs
+++ b/crates/gateway/src/send/history.rs
@@ -3,7 +3,10 @@
 use hyper::Response;
 use wasabi_core::units::{Build, ServerId};
 
-use crate::{request::AdmittedRequest, response::ResponseBody, state::State};
+use crate::{
+    receive::{request::AdmittedRequest, response::ResponseBody},
+    state::State,
+};
 
 /// The sends of one request so far.
 #[derive(Default)]
--- a/crates/gateway/src/link_watch.rs
+++ b/crates/gateway/src/send/link_watch.rs
@@ -16,7 +16,7 @@
 };
 use wasabi_platform::http::{self, ConnectOptions};
 
-use crate::{connection_pool::CONNECT_TIMEOUT, state::State};
+use crate::{send::connection_pool::CONNECT_TIMEOUT, state::State};
 
 /// How often it is checked, after a failure, whether servers have to be probed.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -12,7 +12,11 @@
     units::{Build, PoolId},
 };
 
-use crate::{origin_store, peer_fetch, request::AdmittedRequest, response, state::State};
+use crate::{
+    receive::{request::AdmittedRequest, response},
+    share::{origin_store, peer_fetch},
+    state::State,
+};
 
 /// The most peers that are asked for one stream, those of the own failure domain first.
 const MAX_ASKED_PEERS: usize = 8;
--- a/crates/gateway/src/peer_relay.rs
+++ b/crates/gateway/src/send/peer_relay.rs
@@ -24,13 +24,15 @@
 };
 
 use crate::{
-    buffers::RESPONSE_GRACE,
-    handover::{self, Handover},
-    history::SendHistory,
-    link_watch,
-    peer_body::PeerBody,
-    request::AdmittedRequest,
-    response::ResponseBody,
+    receive::{
+        buffers::RESPONSE_GRACE, peer_body::PeerBody, request::AdmittedRequest,
+        response::ResponseBody,
+    },
+    send::{
+        handover::{self, Handover},
+        history::SendHistory,
+        link_watch,
+    },
     state::State,
 };
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -15,8 +15,10 @@
 };
 
 use crate::{
-    admit, attempt, cause, guard::PlacementGuard, history::SendHistory, request::AdmittedRequest,
-    response, state::State,
+    guard::PlacementGuard,
+    receive::{admit, request::AdmittedRequest, response},
+    send::{attempt, cause, history::SendHistory},
+    state::State,
 };
 
 /// Placements allowed beyond the route's `max_attempts`, for sends that servers did not run.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/send/quarantine.rs
@@ -10,7 +10,9 @@
 use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
 
 use crate::{
-    admit::Admission, cause, guard::PlacementGuard, link_watch, request::AdmittedRequest,
+    guard::PlacementGuard,
+    receive::{admit::Admission, request::AdmittedRequest},
+    send::{cause, link_watch},
     state::State,
 };
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/send/relay.rs
@@ -17,19 +17,22 @@
 use wasabi_policy::{balancer::End, wait_limit};
 
 use crate::{
-    admit::{self},
-    attempt::{self, BackendResponse, Outcome},
-    buffers, cause, closed_end,
     guard::{CountGuard, PlacementGuard},
-    handover::Handover,
-    history::SendHistory,
-    origin, peer_relay, placement, quarantine,
-    request::AdmittedRequest,
-    request_log::{Received, log_completed, log_failed_send, log_gateway_error},
-    response::{self, ResponseBody},
-    sending,
+    receive::{
+        admit::{self},
+        buffers,
+        request::AdmittedRequest,
+        request_log::{Received, log_completed, log_failed_send, log_gateway_error},
+        response::{self, ResponseBody},
+    },
+    send::{
+        attempt::{self, BackendResponse, Outcome},
+        cause, closed_end,
+        handover::Handover,
+        history::SendHistory,
+        origin, peer_relay, placement, quarantine, sending, stream,
+    },
     state::State,
-    stream,
 };
 
 /// Handles a request of a caller, or one that a peer hands over; errors become error responses.
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/send/sending.rs
@@ -6,13 +6,14 @@
 use wasabi_belief::link::Connection;
 
 use crate::{
-    attempt::{self, Outcome},
-    cause,
     guard::PlacementGuard,
-    history::SendHistory,
-    link_watch, placement,
-    request::AdmittedRequest,
-    request_log::log_failed_send,
+    receive::{request::AdmittedRequest, request_log::log_failed_send},
+    send::{
+        attempt::{self, Outcome},
+        cause,
+        history::SendHistory,
+        link_watch, placement,
+    },
     state::State,
 };
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -27,18 +27,21 @@
 use wasabi_policy::{balancer::End, quarantine::SOUND_AFTER, stuck};
 
 use crate::{
-    attempt::{self, BackendResponse, Outcome},
-    cause, closed_end,
-    connection_pool::PooledConnection,
-    continuation,
-    events::Sequence,
     guard::{CountGuard, PlacementGuard},
-    history::SendHistory,
-    link_watch, placement,
-    request::AdmittedRequest,
-    request_log::{self, Received},
-    response::ResponseBody,
-    sending,
+    receive::{
+        request::AdmittedRequest,
+        request_log::{self, Received},
+        response::ResponseBody,
+    },
+    send::{
+        attempt::{self, BackendResponse, Outcome},
+        cause, closed_end,
+        connection_pool::PooledConnection,
+        continuation,
+        events::Sequence,
+        history::SendHistory,
+        link_watch, placement, sending,
+    },
     state::State,
 };
 
--- a/crates/gateway/src/stream/from_peer.rs
+++ b/crates/gateway/src/send/stream/from_peer.rs
@@ -9,8 +9,10 @@
 
 use super::StreamRelay;
 use crate::{
-    continuation, guard::CountGuard, history::SendHistory, peer_relay, request::AdmittedRequest,
-    response::ResponseBody, state::State,
+    guard::CountGuard,
+    receive::{request::AdmittedRequest, response::ResponseBody},
+    send::{continuation, history::SendHistory, peer_relay},
+    state::State,
 };
 
 /// Starts a task that forwards a stream from a peer, and returns the response that it feeds.
--- a/crates/gateway/src/envelope.rs
+++ b/crates/gateway/src/share/envelope.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::echo::HEADER_BYTES;
+use crate::share::echo::HEADER_BYTES;
 
 /// Precedes an announcement that its receiver passes on. An announcement itself begins with the length of
 /// a host name, which is less.
@@ -20,7 +20,7 @@
 pub struct Origin {
     /// The address of the host that made it.
     pub sender: SocketAddr,
-    /// Its number, see [`crate::echo`].
+    /// Its number, see [`crate::share::echo`].
     pub number: u64,
     /// At most how long ago it was begun; `None` without a bound.
     pub age_ms: Option<u64>,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/share/gossip.rs
@@ -1,13 +1,12 @@
 //! Announcements between hosts over UDP.
 //!
 //! The encoding is binary: in a large fleet under load, JSON would fill a link of 10 Mbit/s. Each
-//! datagram begins with a header that bounds its age, see [`crate::echo`].
+//! datagram begins with a header that bounds its age, see [`crate::share::echo`].
 
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -24,9 +23,11 @@
 use wasabi_policy::load_report::PendingReport;
 
 use crate::{
-    echo::{EchoTracker, HEADER_BYTES, HeaderTemplate},
-    envelope::{self, Content, FORWARDING_BYTES},
-    facts, incoming,
+    share::{
+        echo::{EchoTracker, HEADER_BYTES, HeaderTemplate},
+        envelope::{self, Content, FORWARDING_BYTES},
+        facts,
+    },
     state::State,
 };
 
@@ -61,15 +62,8 @@
     link: link::Report,
 }
 
-/// Sends and receives announcements until the process ends.
-pub async fn run(state: Rc<State>, socket: UdpSocket) {
-    let first_number = u64::from(rand::random::<u32>()) << 24;
-    let echoes = RefCell::new(EchoTracker::new(first_number));
-    tokio::join!(announce(&state, &socket, &echoes), incoming::run(&state, &socket, &echoes));
-}
-
 /// Sends announcements periodically, and at once when a read of the store has renewed a proof.
-async fn announce(state: &State, socket: &UdpSocket, echoes: &RefCell<EchoTracker>) {
+pub async fn announce(state: &State, socket: &UdpSocket, echoes: &RefCell<EchoTracker>) {
     let mut counts_sent: Option<Instant> = None;
     let mut last_sent: Option<Instant> = None;
     let mut due: Option<Instant> = None;
--- a/crates/gateway/src/incoming.rs
+++ b/crates/gateway/src/share/incoming.rs
@@ -17,10 +17,12 @@
 use wasabi_core::format;
 
 use crate::{
-    echo::{self, EchoTracker},
-    envelope::{self, Content, Origin},
-    facts,
-    gossip::{self, PERIOD},
+    share::{
+        echo::{self, EchoTracker},
+        envelope::{self, Content, Origin},
+        facts,
+        gossip::{self, PERIOD},
+    },
     state::State,
 };
 
--- a/crates/gateway/src/origin_store.rs
+++ b/crates/gateway/src/share/origin_store.rs
@@ -23,7 +23,7 @@
     units::Version,
 };
 
-use crate::{refresh::with_timeout, state::State};
+use crate::{share::refresh::with_timeout, state::State};
 
 /// The object kind of the record of versions; with [`VERSIONS_NAME`] it identifies it.
 const VERSIONS_KIND: &str = "stream-versions";
--- a/crates/gateway/src/peer_fetch.rs
+++ b/crates/gateway/src/share/peer_fetch.rs
@@ -34,7 +34,7 @@
 pub const SNAPSHOT_PATH: &str = "/knowledge/";
 /// The path that serves the usage counts of this incarnation and of those that have ended.
 pub const COUNTS_PATH: &str = "/counts";
-/// The path below which the origin of a stream is served, see [`crate::origin`].
+/// The path below which the origin of a stream is served, see [`crate::send::origin`].
 pub const ORIGIN_PATH: &str = "/origins/";
 /// The header that states the format of what is fetched.
 pub const FORMAT: HeaderName = HeaderName::from_static("wasabi-format");
--- a/crates/gateway/src/refresh.rs
+++ b/crates/gateway/src/share/refresh.rs
@@ -20,7 +20,7 @@
     objects::CallFuture,
 };
 
-use crate::{peer_fetch, state::State};
+use crate::{share::peer_fetch, state::State};
 
 /// How often the age of the proofs is checked.
 const TICK: Duration = Duration::from_millis(40);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,7 +34,7 @@
     stated_limits,
 };
 
-use crate::{buffers, connection_pool::Pool, settings::Settings};
+use crate::{receive::buffers, send::connection_pool::Pool, settings::Settings};
 
 /// The greatest age of the configuration's proof at which a host is ready for new connections.
 const MAX_READY_PROOF_AGE: Duration = Duration::from_millis(4_000);
--- a/crates/gateway/tests/announcement.rs
+++ b/crates/gateway/tests/announcement.rs
@@ -12,7 +12,7 @@
 use wasabi_core::units::{
     Epoch, Era, HostId, Incarnation, PoolId, RequestRate, Revision, ServerId,
 };
-use wasabi_gateway::{
+use wasabi_gateway::share::{
     echo::HEADER_BYTES,
     envelope::FORWARDING_BYTES,
     facts::{self, MAX_ANNOUNCED_LIMITS, MAX_ANNOUNCED_STREAMS},
--- a/crates/gateway/tests/echo.rs
+++ b/crates/gateway/tests/echo.rs
@@ -6,7 +6,7 @@
 };
 
 use wasabi_core::format::{self, Format};
-use wasabi_gateway::echo::{self, EchoTracker};
+use wasabi_gateway::share::echo::{self, EchoTracker};
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
--- a/crates/gateway/tests/envelope.rs
+++ b/crates/gateway/tests/envelope.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use wasabi_gateway::{
+use wasabi_gateway::share::{
     echo::{EchoTracker, HEADER_BYTES},
     envelope::{Content, FORWARDING_BYTES, Origin, open, seal},
 };
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -8,7 +8,7 @@
     call::Framing,
     errors::{Code, Error, Ran},
 };
-use wasabi_gateway::{events::Sequence, response, settings};
+use wasabi_gateway::{receive::response, send::events::Sequence, settings};
 
 fn event(id: u64) -> String {
     format!("id: {id}\r\ndata: text {id}\n\n")
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -21,7 +21,7 @@
     format,
     units::{Epoch, HostId, Incarnation},
 };
-use wasabi_gateway::echo::{EchoTracker, HEADER_BYTES};
+use wasabi_gateway::share::echo::{EchoTracker, HEADER_BYTES};
 use wasabi_stand::{
     caller::{self, Request},
     gateway::{Gateway, wait_for},
--- a/tests/late_host.rs
+++ b/tests/late_host.rs
@@ -17,7 +17,7 @@
     facts::Facts,
 };
 use wasabi_core::units::{HostId, Incarnation, Revision};
-use wasabi_gateway::echo::{EchoTracker, HEADER_BYTES};
+use wasabi_gateway::share::echo::{EchoTracker, HEADER_BYTES};
 use wasabi_stand::{
     caller::Request,
     gateway::{pick_ports, wait_for},
