gateway: only an idle connection that the kernel reports as open is evidence

On a busy host an answer with neither a length nor chunks whose server was killed could count as whole.

Cause: whether an idle connection to the server is open was asked of the task that drives it, which may not have run since the kernel got the end of that connection. The pool asks the kernel before it hands out a connection; so does the check now.

How often this happens to a running host was not measured.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -108,7 +108,7 @@
     fn has_idle(&self, key: &ServerKey) -> bool {
         let servers = self.0.borrow();
         let idle = servers.get(key).map(|server| server.idle.as_slice()).unwrap_or_default();
-        idle.iter().any(|(connection, _)| !connection.is_closed())
+        idle.iter().any(|(connection, _)| connection.is_ready())
     }
 
     fn take_idle(&self, now: Instant, key: &ServerKey) -> Option<Connection> {
--- /dev/null
+++ b/crates/gateway/tests/connection_pool.rs
@@ -0,0 +1,47 @@
+//! Tests of the pool of connections to backend servers, on real sockets.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::Instant,
+};
+
+use wasabi_answer::evidence::Evidence;
+use wasabi_core::member::{Member, Phase};
+use wasabi_gateway::connection_pool::Pool;
+
+fn member(address: SocketAddr) -> Member {
+    Member {
+        id: "a".parse().expect("a name"),
+        born_ms: 1,
+        service: "s".parse().expect("a name"),
+        address,
+        domain: "d".parse().expect("a name"),
+        slots: 1,
+        build: Default::default(),
+        phase: Phase::Ready,
+        reclaimable: false,
+    }
+}
+
+/// On a busy host the connection's task has not run since.
+#[tokio::test]
+async fn an_idle_connection_that_the_server_has_just_closed_is_no_evidence() -> std::io::Result<()>
+{
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let member = member(listener.local_addr()?);
+    let pool = Pool::default();
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let now = Instant::now();
+            let idle = pool.acquire(now, &member, 2, None).await?;
+            let ended = pool.acquire(now, &member, 2, None).await?;
+            let accepted = (listener.accept()?, listener.accept()?);
+            idle.release(now, None);
+            tokio::task::yield_now().await;
+            drop((accepted, listener));
+            assert_eq!(ended.replace(now, &member, None, None).await, Evidence::Refused);
+            Ok(())
+        })
+        .await
+}
