gateway: a peer's early refusal does not state that a request has not run

A caller could get 503, «not run, try again», for a request that a server may have run: its host had sent it, then handed it to a peer, which refused it before it placed it (the key, the configuration, the service of its stream).

Cause: the peer counts the sends that the host names only in the errors of placing and sending. Now every error of a handed-over request does.

Test: refusals, a_peer_does_not_state_*: 503 before, 502 after; a request that was never sent still gets 503.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,6 +85,7 @@
     if let Some(handover) = &handover {
         peer_relay::log_taken_over(&head.id, handover);
     }
+    let may_have_run = handover.as_ref().is_some_and(|handover| handover.possible_runs > 0);
     let response = match receive(&state, arrived, parts, head, body).await {
         Ok(inbound) => find_origin_and_send(&state, AdmittedRequest { handover, ..inbound }).await,
         Err((id, error)) => {
@@ -92,7 +93,11 @@
             Err(error)
         }
     };
-    response.unwrap_or_else(|error| response::error_response(&error))
+    response.unwrap_or_else(|error| {
+        // An error before the first send here does not count the sends of the peer.
+        let ran = if may_have_run && error.ran == Ran::No { Ran::Unknown } else { error.ran };
+        response::error_response(&error.ran(ran))
+    })
 }
 
 /// Admits a request and reads its body.
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -371,3 +371,24 @@
     }
     Ok(())
 }
+
+/// The peer refuses both before it places them: their stream began at a service that their route does not use.
+#[test]
+fn a_peer_does_not_state_that_a_request_has_not_run_that_may_have_run_before() -> anyhow::Result<()>
+{
+    let play = Play::start(&[("x1", "app")], |stream, exchange| {
+        stream.write_all(exchange.answer().as_bytes())
+    })?;
+    let peer: SocketAddr = play.gateway.addresses.peers;
+    for (possible_runs, status) in [(0, 503), (1, 502)] {
+        let mut request = Request::new("POST", "/chat/x", &format!("c{possible_runs}"));
+        let handover = format!(
+            "{{\"from\":\"g2\",\"possible_runs\":{possible_runs},\
+             \"origin\":{{\"service\":\"app\",\"build\":\"v1\"}}}}"
+        );
+        request.headers.push(("wasabi-handover".to_string(), handover));
+        let response = request.send(peer)?;
+        assert_eq!(response.status, status, "{response:?}");
+    }
+    Ok(())
+}
