platform: two heads that ran into each other bear no id

What callers saw: a server cut the head of a refusal inside a header and wrote the true answer after it. The two were read as one head: the refusal's status and Not-Executed, the answer's id. A write that had run got 503, not run, and was sent twice where another server was there; with a cut 500 the caller got a wrong status.

Cause: HTTP lets any text stand in a header's value, so the cut head takes the next status line in.

--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -202,6 +202,27 @@
     Ok(())
 }
 
+/// The head of a refusal is cut inside a header, and the answer follows.
+#[test]
+fn half_a_refusal_before_the_answer_is_no_promise() -> anyhow::Result<()> {
+    for status in [503, 429, 421, 500] {
+        for headers in ["not-executed: 1\r\nx-old: ", "not-executed: 1\r\nx-old: abc", "x-old: "] {
+            let play = Play::start(&[("x1", "app"), ("x2", "llm")], move |stream, exchange| {
+                let half = format!("HTTP/1.1 {status} X\r\n{headers}");
+                stream.write_all((half + &exchange.answer()).as_bytes())
+            })?;
+            for path in ONCE {
+                let response = play.send(path, path)?;
+                let label = format!("{path}, {status} {headers:?}: {response:?}");
+                assert_eq!(response.status, 502, "{label}");
+                assert!(!response.body.contains("answer to"), "{label}");
+                assert_eq!(play.arrivals(path).len(), 1, "{label}");
+            }
+        }
+    }
+    Ok(())
+}
+
 /// A server that refuses a request and, if it gets it again, writes that refusal once more and runs it.
 fn refuse_and_repeat(stream: &mut TcpStream, exchange: &Exchange) -> std::io::Result<()> {
     stream.write_all(exchange.refusal().as_bytes())?;
