config, entry, policy: no module depends on itself through another one; no change of behaviour

The keys of log entries, the line and metrics of an ended request, and what the balancer and its servers both know of a placement have files of their own.

--- a/crates/config/src/follow.rs
+++ b/crates/config/src/follow.rs
@@ -11,6 +11,7 @@
 use crate::{
     current::CurrentState,
     log::{self, Entry},
+    log_key,
 };
 
 /// The key prefix of all objects that hosts follow; one watch covers them.
@@ -52,7 +53,7 @@
     pub fn step(&mut self, wait: Duration) -> Result<()> {
         let Some(since) = self.since else { return self.start() };
         let batch = self.store.watch(PREFIX, since, wait).inspect_err(|_| self.since = None)?;
-        let is_entry = |object: &&Object| object.key.starts_with(log::PREFIX);
+        let is_entry = |object: &&Object| object.key.starts_with(log_key::PREFIX);
         let (logged, others): (Vec<&Object>, Vec<&Object>) =
             batch.objects.iter().partition(is_entry);
         others.into_iter().for_each(|object| (self.on_object)(object));
@@ -94,7 +95,7 @@
     /// If no next entry was found (`empty`) but the log has later ones, the next entry has been
     /// trimmed from the log; reloads the state, since the snapshot covers it.
     fn reload_if_trimmed(&self, revision: Revision, empty: bool) -> Result<()> {
-        if !empty || self.store.list(log::PREFIX, &log::key(revision), 1)?.is_empty() {
+        if !empty || self.store.list(log_key::PREFIX, &log_key::key(revision), 1)?.is_empty() {
             return Ok(());
         }
         self.config.replace(log::load(&*self.store)?);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod follow;
 pub mod keys;
 pub mod log;
+pub mod log_key;
 pub mod parse;
 pub mod snapshot;
 pub mod state;
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -14,13 +14,10 @@
 };
 
 use crate::{
-    snapshot,
+    log_key, snapshot,
     state::{Problem, State},
 };
 
-/// The key prefix of log entries.
-pub const PREFIX: &str = "live/log/";
-
 /// Limit of one list call.
 const PAGE_ENTRIES: usize = 200;
 
@@ -62,11 +59,6 @@
     }
 }
 
-/// Returns the key of the log entry for `revision`.
-pub fn key(revision: Revision) -> String {
-    format!("{PREFIX}{:012}", revision.0)
-}
-
 /// Returns the digest that distinguishes a repeated note from another note with the same id.
 pub fn digest(note: &Note) -> String {
     hex::encode(Sha256::digest(io::render(note)))
@@ -79,7 +71,7 @@
 
 /// Reads up to `PAGE_ENTRIES` entries that follow `revision`, in order and up to the first gap.
 pub fn page_after(store: &dyn Store, revision: Revision) -> Result<Vec<Entry>> {
-    let objects = store.list(PREFIX, &key(revision), PAGE_ENTRIES)?;
+    let objects = store.list(log_key::PREFIX, &log_key::key(revision), PAGE_ENTRIES)?;
     let mut entries = Vec::with_capacity(objects.len());
     let mut expected = revision.next();
     for object in &objects {
@@ -146,7 +138,7 @@
         let entry = Entry { revision, note: note.clone(), accepted_ms, token: token.to_string() };
         let is_own = |found: &Object| self::entry(found).is_ok_and(|e| e.token == token);
         let text = io::render(&entry);
-        match io::put_confirmed(store, &key(revision), &text, Condition::Absent, is_own) {
+        match io::put_confirmed(store, &log_key::key(revision), &text, Condition::Absent, is_own) {
             Ok(_) => return Ok(Receipt { revision, repeated: false }),
             Err(e) if e.code == Code::StoreConflict => catch_up(store, state)?,
             Err(e) => return Err(e.into()),
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -10,7 +10,7 @@
     units::Revision,
 };
 
-use crate::{log, state::State};
+use crate::{log_key, state::State};
 
 const MANIFEST_KEY: &str = "snapshot/head";
 /// Below the limit of one megabyte for the text of an object.
@@ -98,8 +98,8 @@
 }
 
 fn trim(store: &dyn Store, snapshot: Revision) -> Result<()> {
-    let end = log::key(Revision(snapshot.0.saturating_sub(RETAINED_ENTRIES)));
-    for object in store.list(log::PREFIX, "", RETAINED_ENTRIES as usize)? {
+    let end = log_key::key(Revision(snapshot.0.saturating_sub(RETAINED_ENTRIES)));
+    for object in store.list(log_key::PREFIX, "", RETAINED_ENTRIES as usize)? {
         if object.key >= end {
             break;
         }
--- a/crates/entry/src/at_most_once.rs
+++ b/crates/entry/src/at_most_once.rs
@@ -19,7 +19,7 @@
     buffered::{self, CompleteAnswer},
     context::Context,
     job::Job,
-    response, serve,
+    request_end, response,
 };
 
 /// Runs a call at most once; it runs to its end even if the caller disconnects.
@@ -37,7 +37,7 @@
     tokio::spawn(async move {
         let result = claim_and_run(&ctx, &job, key).await;
         let code = result.as_ref().err().map(|e| e.code);
-        serve::record_end(&ctx, Some(&job), &job.request_id, code, job.received_at);
+        request_end::record(&ctx, Some(&job), &job.request_id, code, job.received_at);
         let _ = sender.send(result);
     });
     let answered = tokio::select! {
--- a/crates/entry/src/buffered.rs
+++ b/crates/entry/src/buffered.rs
@@ -19,7 +19,7 @@
     context::Context,
     dispatch::{Grant, Run},
     job::Job,
-    response, serve,
+    request_end, response,
 };
 
 /// A complete answer of a backend server.
@@ -44,7 +44,7 @@
     let ran = if sent { Ran::Unknown } else { Ran::No };
     let result = result.map_err(|e| e.ran(ran));
     let code = result.as_ref().err().map(|e| e.code);
-    serve::record_end(&ctx, Some(&job), &job.request_id, code, job.received_at);
+    request_end::record(&ctx, Some(&job), &job.request_id, code, job.received_at);
     let answered = match result {
         Ok(answered) => answered,
         Err(e) => return Ok(response::error(&e, &job.request_id)),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod key;
 pub mod listener;
 pub mod prepare;
+pub mod request_end;
 pub mod response;
 pub mod running;
 pub mod serve;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,18 +1,14 @@
 //! Handles one request, from its head to its answer.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use hyper::{
     Request, Response,
     body::Incoming,
     header::{self, HeaderValue},
 };
-use log::info;
 use tokio_util::sync::CancellationToken;
-use wasabi_core::{
-    errors::{Code, Result},
-    units::RequestId,
-};
+use wasabi_core::{errors::Result, units::RequestId};
 
 use crate::{
     at_most_once,
@@ -21,7 +17,7 @@
     context::Context,
     job::Job,
     prepare::{self, Prepared},
-    response, stream,
+    request_end, response, stream,
 };
 
 /// Handles one request; errors become responses. `close_connection` closes the caller's connection
@@ -42,7 +38,7 @@
         Err(e) => Err(e),
     };
     let mut response = result.unwrap_or_else(|e| {
-        record_end(&ctx, None, &id, Some(e.code), received_at);
+        request_end::record(&ctx, None, &id, Some(e.code), received_at);
         response::error(&e, &id)
     });
     if chunked || ctx.host_state.is_leaving() {
@@ -61,28 +57,3 @@
     }
     buffered::run(ctx, job).await
 }
-
-/// Logs a request that has ended and counts it in the metrics; `code` is `None` on success.
-pub fn record_end(
-    ctx: &Context,
-    job: Option<&Job>,
-    request: &RequestId,
-    code: Option<Code>,
-    received_at: Instant,
-) {
-    let elapsed = ctx.clock.now().saturating_duration_since(received_at);
-    let or_dash = |text: Option<&str>| text.unwrap_or("-").to_string();
-    let class = or_dash(job.map(|job| job.class.name.as_str()));
-    let workspace = or_dash(job.map(|job| job.workspace.name.as_str()));
-    let route = or_dash(job.map(|job| job.route.name.as_str()));
-    let number = code.map_or(0, Code::number);
-    let labels = [("class", class.clone()), ("code", number.to_string())];
-    metrics::counter!("wasabi_requests_total", &labels).increment(1);
-    metrics::histogram!("wasabi_request_seconds", &labels).record(elapsed.as_secs_f64());
-    info!(
-        request = request.as_str(), workspace = workspace.as_str(), class = class.as_str(),
-        route = route.as_str(), code = number,
-        ms = elapsed.as_millis() as u64;
-        "request ended"
-    );
-}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -26,7 +26,7 @@
     context::Context,
     dispatch::{Grant, Run},
     job::Job,
-    response, serve, sse,
+    request_end, response, sse,
 };
 
 /// Parts that are buffered for a slow caller.
@@ -114,7 +114,7 @@
         if self.sent {
             self.record_request_usage();
         }
-        serve::record_end(
+        request_end::record(
             &self.ctx,
             Some(&self.job),
             &self.job.request_id,
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -12,13 +12,14 @@
 };
 
 use wasabi_core::{
-    call::{Load, Prompt},
+    call::Load,
     catalog::Engine,
     digest::digest,
     member::Member,
-    units::{Build, Domain, HostId, RequestRate, ServerId},
+    units::{Domain, HostId, RequestRate, ServerId},
 };
 
+pub use crate::placement::{End, Placement, PlacementRequest, Refusal};
 use crate::{
     brittle::Brittleness,
     failures::FailureHistory,
@@ -66,78 +67,6 @@
 /// The counts that a peer announced are dropped after this time without an announcement from it.
 const PEER_COUNTS_TTL: Duration = Duration::from_millis(2_500);
 
-/// A request to be placed.
-#[derive(Clone, Debug)]
-pub struct PlacementRequest<'a> {
-    /// The prompt, for requests to engines.
-    pub prompt: Option<&'a Prompt>,
-    /// The longest acceptable wait for the first event or the response.
-    pub max_wait: Duration,
-    /// The priority for engines: 0 is the most urgent, 9 the least.
-    pub urgency: u8,
-    /// The only software version that may run it, if it goes on with what a server generated.
-    pub build: Option<&'a Build>,
-    /// Servers that have failed this request; used only if no other one is ready.
-    pub avoid: &'a [ServerId],
-    /// Servers that have refused this request; never used.
-    pub refused: &'a [ServerId],
-}
-
-impl PlacementRequest<'_> {
-    /// Returns whether a server of this software version may run the request.
-    fn accepts(&self, server: &ServerState) -> bool {
-        self.build.is_none_or(|build| server.member.build == *build)
-    }
-}
-
-/// A request's slot on a server; released by `Balancer::end`.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Placement {
-    /// The server, as it was announced at the time of placement.
-    pub member: Member,
-    /// When the request was placed.
-    pub since: Instant,
-    /// The expected time until the first event; zero on plain servers.
-    pub expected_wait: Duration,
-    /// The expected prefill time in milliseconds.
-    pub prefill_ms: f64,
-    /// The priority for the engine: 0 is the most urgent, 9 the least.
-    pub urgency: u8,
-    /// Whether its prompt is short, see `server_state::MAX_LIGHT_PREFILL_MS`.
-    pub light: bool,
-    /// Tokens of its prompt and its longest answer, which it may hold in the engine's memory.
-    pub tokens: u64,
-}
-
-/// Why a request was not placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// No server of the service, or of the version that the request needs, takes new work.
-    NoServer,
-    /// All servers that take new work are paused or at their limits; the time until the first one
-    /// takes a request.
-    Paused(Duration),
-    /// No server has room for it, has not refused it and is expected to serve it within its max wait. Holds the
-    /// least expected wait plus failure penalty of the servers, whether they have room or not;
-    /// while announcements are stale, the wait is multiplied by the latency ratio. Servers that the
-    /// request avoids are left out if there are others.
-    NoServerInTime(Duration),
-}
-
-/// How a request ended at a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The server sent the whole response.
-    Served,
-    /// The server refused it without running it.
-    Rejected,
-    /// The server failed it.
-    Failed,
-    /// The caller disconnected, the request's time ran out, a stuck request moved to another
-    /// server, or the placement was dropped before the request was sent.
-    Abandoned,
-}
-
 /// The servers of one service and their expected load.
 #[derive(Debug)]
 pub struct Balancer {
@@ -278,7 +207,7 @@
         let has_alternative = self
             .servers
             .iter()
-            .filter(|(_, server)| ask.accepts(server))
+            .filter(|(_, server)| ask.accepts(&server.member))
             .any(|(id, server)| server.takes_work(now) && !ask.avoid.contains(id));
         let reserved = match self.engine {
             Some(engine) => self.reserved(engine.slots),
@@ -292,7 +221,7 @@
         } else {
             CROSS_DOMAIN_PENALTY_MS
         };
-        for (id, server) in self.servers.iter().filter(|(_, server)| ask.accepts(server)) {
+        for (id, server) in self.servers.iter().filter(|(_, server)| ask.accepts(&server.member)) {
             let avoided = ask.avoid.contains(id);
             if !server.takes_work(now) || (avoided && has_alternative) {
                 continue;
@@ -333,8 +262,10 @@
             if least_ms.is_finite() {
                 return Err(Refusal::NoServerInTime(Duration::from_secs_f64(least_ms / 1e3)));
             }
-            let ready =
-                self.servers.values().filter(|server| server.is_ready() && ask.accepts(server));
+            let ready = self
+                .servers
+                .values()
+                .filter(|server| server.is_ready() && ask.accepts(&server.member));
             let first_back = ready.map(|server| server.wait(now)).min();
             return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
@@ -537,7 +468,7 @@
         let light = is_light(f64::from(prompt.tokens));
         let score = |id: &ServerId| digest(&(session.id, id));
         let working = self.servers.iter().filter(|(_, server)| server.takes_work(now));
-        let working = working.filter(|(_, server)| ask.accepts(server));
+        let working = working.filter(|(_, server)| ask.accepts(&server.member));
         let ids = working.map(|(id, _)| id);
         let fits = |id: &ServerId| self.stale_announcements && reserved.contains(id) == light;
         ids.max_by_key(|id| (fits(id), score(id))).cloned()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod moving_average;
 pub mod pace;
 pub mod pause;
+pub mod placement;
 pub mod prefix_cache;
 pub mod quarantine;
 pub mod queue;
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -9,12 +9,12 @@
 };
 
 use crate::{
-    balancer::{Placement, PlacementRequest},
     brittle::Brittleness,
     failures::FailureHistory,
     load_report::LoadReport,
     pace::Pace,
     pause::Pause,
+    placement::{Placement, PlacementRequest},
     prefix_cache::Cache,
     reservation,
 };
--- a/src/bin/wasabictl/commands.rs
+++ b/src/bin/wasabictl/commands.rs
@@ -7,7 +7,7 @@
 use wasabi_config::{
     keys,
     log::{self, Entry},
-    parse,
+    log_key, parse,
     state::{Problem, State, Versioned},
 };
 use wasabi_core::{
@@ -107,7 +107,7 @@
 
 fn show_log(store: &dyn Store, json: bool) -> Result<(), Failure> {
     let entries: Vec<Entry> =
-        list_all(store, log::PREFIX)?.iter().map(log::entry).collect::<Result<_>>()?;
+        list_all(store, log_key::PREFIX)?.iter().map(log::entry).collect::<Result<_>>()?;
     if json {
         println!("{}", io::render(&entries));
         return Ok(());
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use serde_json::json;
-use wasabi_config::{log, parse, state::State};
+use wasabi_config::{log, log_key, parse, state::State};
 use wasabi_core::{
     errors::{Code, Ran, Result},
     io::{Billing, Report, Store, UsageTotals},
@@ -158,14 +158,14 @@
             store.apply_delayed_writes();
         }
         let Ok(receipt) = accepted else { continue };
-        let entry = store.objects.get(&log::key(receipt.revision));
+        let entry = store.objects.get(&log_key::key(receipt.revision));
         let found = entry.and_then(|object| log::entry(&object).ok());
         if found.is_none_or(|entry| entry.note != note) {
             return test_result(Some(format!("{} is not revision {}", note.id, receipt.revision)));
         }
     }
     store.apply_delayed_writes();
-    let history = store.objects.history(log::PREFIX);
+    let history = store.objects.history(log_key::PREFIX);
     let entries = history.iter().filter_map(|object| log::entry(object).ok());
     let mut ids = BTreeSet::new();
     let mut names = BTreeSet::new();
