--- a/tests/killed_servers.rs
+++ b/tests/killed_servers.rs
@@ -4,6 +4,10 @@
 use std::{
     io::Write as _,
     net::{SocketAddr, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -205,11 +209,15 @@
 #[test]
 fn a_whole_answer_of_a_server_that_resets_new_connections_is_passed_on() -> anyhow::Result<()> {
     const REQUESTS: usize = 20;
-    const RESET_TIME: Duration = Duration::from_millis(50);
     let rig = Rig::start(PROGRAM)?;
-    let server = Server::start(|mut stream, number| {
+    let resets = Arc::new(AtomicUsize::new(0));
+    let counted = resets.clone();
+    let server = Server::start(move |mut stream, number| {
         if number % 2 == 1 {
-            return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+            drop(stream);
+            counted.fetch_add(1, Ordering::SeqCst);
+            return Ok(());
         }
         let head = scripted::read_head(&mut stream)?;
         let answer =
@@ -222,7 +230,7 @@
     for number in 0..REQUESTS {
         let request = Request::new("POST", "/write/x", &format!("r{number}"));
         statuses.push(request.send(gateway.addresses.callers)?.status);
-        thread::sleep(RESET_TIME);
+        wait_for("the reset", || resets.load(Ordering::SeqCst) > number)?;
     }
     assert_eq!(statuses, [200; REQUESTS], "{}", gateway.page("/metrics")?);
     Ok(())
