quarantine: the first run that a cut of the link breaks off accuses no request

What callers saw: after a few cuts between a host and its servers, sound requests that callers send again were refused with 1207 for up to minutes.

Cause: runs that break off wait for the verdict on the link once it is suspected, and a suspicion needs two failed servers. The first failure of each cut was recorded as a crash at once, by every host.

Change: a run waits from the first failure on, and asks for the verdict, so that servers are probed if none answers.

--- a/crates/gateway/src/send/quarantine.rs
+++ b/crates/gateway/src/send/quarantine.rs
@@ -12,11 +12,11 @@
 use crate::{
     guard::PlacementGuard,
     receive::{admit::Admission, request::AdmittedRequest},
-    send::{cause, link_watch},
+    send::cause,
     state::State,
 };
 
-/// The most runs that are kept while the link is suspected.
+/// The most runs that are kept while servers fail.
 const MAX_UNDECIDED_RUNS: usize = 64;
 
 /// Returns what a request has in common with others: the parts of its prompt that others may share, and what
@@ -68,8 +68,8 @@
             features: features.to_vec(),
             controlled: false,
         };
-        let servers = link_watch::known_servers(self);
-        if self.link.borrow().suspected_since(servers).is_some() {
+        // The run itself may be the first sign of a cut; a second server need not fail for that.
+        if self.link.borrow_mut().await_verdict() {
             let mut undecided = self.runs_on_suspected_link.borrow_mut();
             if undecided.len() < MAX_UNDECIDED_RUNS {
                 undecided.push(run);
@@ -80,7 +80,7 @@
         self.refresh_quarantine();
     }
 
-    /// Decides on the runs that broke off while the link was suspected: they are evidence only if it was
+    /// Decides on the runs that broke off while servers failed: they are evidence only if it was
     /// not the link.
     pub fn judge_runs_on_suspected_link(&self, link_was_cut: bool) {
         let runs = std::mem::take(&mut *self.runs_on_suspected_link.borrow_mut());
--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -326,6 +326,41 @@
     Ok(())
 }
 
+/// Each cut breaks the same write off at one server, and nothing else at that moment.
+#[test]
+fn a_request_that_cuts_of_the_link_break_off_is_not_taken_for_one_that_crashes_servers()
+-> anyhow::Result<()> {
+    const CUTS: usize = 6;
+    let fleet = Fleet::start(2)?;
+    let (host, load) = (&fleet.gateways[0], Load::start(fleet.gateways[1].addresses.callers));
+    let plain = fleet.rig.servers.iter().filter(|(server, _)| !server.streams);
+    let plain: Vec<_> = plain.map(|(server, _)| server).collect();
+    for number in 0..CUTS {
+        plain.iter().for_each(|server| server.set_behavior(Some(Behavior::Hang)));
+        let id = format!("w{number}");
+        let mut write = Request::new("POST", "/write/x", &id).open(host.addresses.callers)?;
+        wait_for("the write", || fleet.rig.count_runs(&id) == 1)?;
+        plain.iter().for_each(|server| server.set_behavior(None));
+        fleet.cut(0, NetworkFault::Close);
+        assert_eq!(caller::read(&mut write)?.status, 502, "{id}");
+        let ends = |message| host.log_lines(message).len() > number;
+        wait_for("the cut", || {
+            let _ =
+                Request::new("GET", "/read/x", &format!("r{number}")).send(host.addresses.callers);
+            ends("cut off from all backend servers")
+        })?;
+        fleet.proxies.iter().for_each(|proxy| proxy.clear_for(source(0)));
+        wait_for("its end", || ends("backend servers reached again"))?;
+    }
+    let response = Request::new("POST", "/write/x", "last").send(host.addresses.callers)?;
+    assert_eq!(response.status, 200, "{response:?}");
+    for gateway in &fleet.gateways {
+        assert!(gateway.log_lines("requests that crash servers quarantined").is_empty());
+    }
+    load.stop();
+    Ok(())
+}
+
 #[test]
 fn a_request_that_its_caller_gives_up_ends_at_the_server_behind_a_peer() -> anyhow::Result<()> {
     const LIMIT: Duration = Duration::from_millis(500);
