--- /dev/null
+++ b/review/stand/engine.rs
@@ -0,0 +1,205 @@
+//! A model engine as a process of its own: when it is killed, the kernel closes its connections.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::fleet::unix_ms;
+use crate::http::{Head, Input};
+
+/// Until when the engine is silent, in milliseconds since 1970: it generates, but neither sends nor sees what
+/// callers do.
+static SILENT_UNTIL: AtomicU64 = AtomicU64::new(0);
+
+/// Serves as the engine `id` until the process that started it ends.
+///
+/// The body of a request says what it generates: `events=N gap_ms=M framing=close|chunked`, and beside it
+/// `size=B` for the bytes of each event; or `work_ms=M size=B` for a plain answer.
+pub fn run(id: &str) -> io::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    println!("listening {}", listener.local_addr()?);
+    thread::spawn(|| {
+        for line in io::stdin().lines().map_while(Result::ok) {
+            if let Some(ms) = line.strip_prefix("silent ").and_then(|ms| ms.parse::<u64>().ok()) {
+                SILENT_UNTIL.store(unix_ms() + ms, Ordering::SeqCst);
+            }
+        }
+        std::process::exit(0);
+    });
+    for stream in listener.incoming().flatten() {
+        let id = id.to_string();
+        thread::spawn(move || serve(stream, &id).ok());
+    }
+    Ok(())
+}
+
+fn option(body: &str, name: &str) -> Option<String> {
+    let mut words = body.split_whitespace();
+    words.find_map(|word| Some(word.strip_prefix(name)?.strip_prefix('=')?.to_string()))
+}
+
+fn serve(mut stream: TcpStream, id: &str) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut input = Input::new(&stream)?;
+    while let Some(head) = input.head()? {
+        let mut body = Vec::new();
+        if !input.body(&head, false, &mut body)? {
+            break;
+        }
+        let echo = format!("Request-Id: {}\r\nInstance-Id: {id}\r\n", head.get("request-id"));
+        if head.word(1) == "/health" {
+            let answer = format!("HTTP/1.1 200 OK\r\n{echo}Content-Length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes())?;
+            continue;
+        }
+        let expected = head.get("expect-instance");
+        if !expected.is_empty() && expected != id {
+            let answer = format!("HTTP/1.1 421 -\r\n{echo}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes())?;
+            continue;
+        }
+        let body = String::from_utf8_lossy(&body).into_owned();
+        println!("runs {}", head.get("request-id"));
+        if !answer(&mut stream, &head, &echo, &body)? {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Answers a request; returns whether the connection may be used again.
+fn answer(stream: &mut TcpStream, head: &Head, echo: &str, body: &str) -> io::Result<bool> {
+    let id = head.get("request-id");
+    let number = |name: &str| option(body, name).and_then(|text| text.parse::<u64>().ok());
+    let signature = format!("Response-Signature: {id}.s\r\n");
+    let Some(events) = number("events") else {
+        thread::sleep(Duration::from_millis(number("work_ms").unwrap_or(60)));
+        let bytes = "x".repeat(number("size").unwrap_or(800) as usize);
+        let kind = format!("Content-Type: text/plain\r\nContent-Length: {}\r\n", bytes.len());
+        let answer = format!("HTTP/1.1 200 OK\r\n{echo}{signature}{kind}\r\n{bytes}");
+        stream.write_all(answer.as_bytes())?;
+        println!("ended {id}");
+        return Ok(true);
+    };
+    let close = option(body, "framing").as_deref() == Some("close");
+    let framing = if close { "Connection: close" } else { "Transfer-Encoding: chunked" };
+    let start = format!(
+        "HTTP/1.1 200 OK\r\n{echo}{signature}Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
+    );
+    stream.write_all(start.as_bytes())?;
+    let after = head.get("last-event-id").parse::<u64>().unwrap_or(0);
+    let gap = Duration::from_millis(number("gap_ms").unwrap_or(20));
+    let engine = head.get("expect-instance");
+    let filler = "y".repeat(number("size").unwrap_or(40) as usize);
+    let began = unix_ms();
+    let mut unsent = String::new();
+    let mut worked = || println!("worked {id} {began} {}", unix_ms());
+    thread::sleep(Duration::from_millis(number("first_ms").unwrap_or(0)));
+    for event in after + 1..=events {
+        if !gap.is_zero() {
+            thread::sleep(gap);
+        }
+        let event = format!("id: {event}\ndata: piece {event} of {events} by {engine} {filler}\n\n");
+        let event = if close { event } else { format!("{:x}\r\n{event}\r\n", event.len()) };
+        unsent.push_str(&event);
+        if unix_ms() < SILENT_UNTIL.load(Ordering::SeqCst) {
+            continue;
+        }
+        if is_closed(stream) || stream.write_all(unsent.as_bytes()).is_err() {
+            worked();
+            return Ok(false);
+        }
+        unsent.clear();
+    }
+    worked();
+    stream.write_all(unsent.as_bytes())?;
+    if !close {
+        stream.write_all(b"0\r\n\r\n")?;
+    }
+    println!("ended {id}");
+    Ok(!close)
+}
+
+/// Whether the caller has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut [0]);
+    let open = matches!(&peeked, Ok(1..)) || peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+    stream.set_nonblocking(false).is_err() || !open
+}
+
+/// A running engine; it is killed when dropped.
+pub struct Engine {
+    pub id: String,
+    pub address: SocketAddr,
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Engine {
+    pub fn start(id: &str) -> io::Result<Self> {
+        let mut child = Command::new(std::env::current_exe()?)
+            .args(["engine", id])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut output = BufReader::new(output);
+        let mut first = String::new();
+        output.read_line(&mut first)?;
+        let address = first.trim().strip_prefix("listening ").and_then(|text| text.parse().ok());
+        let address = address.ok_or(io::ErrorKind::InvalidData)?;
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let collected = lines.clone();
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                collected.lock().unwrap().push(line);
+            }
+        });
+        Ok(Self { id: id.to_string(), address, child, lines })
+    }
+
+    /// Returns the ids of the requests that it has begun to run, in order.
+    pub fn runs(&self) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().filter_map(|line| line.strip_prefix("runs ")).map(str::to_string).collect()
+    }
+
+    /// Returns the ids of the requests that it has answered to the end.
+    pub fn ended(&self) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().filter_map(|line| line.strip_prefix("ended ")).map(str::to_string).collect()
+    }
+
+    /// Returns when it began to generate for a request and when it stopped, in milliseconds since 1970.
+    pub fn worked(&self, id: &str) -> Option<(u64, u64)> {
+        let lines = self.lines.lock().unwrap();
+        let mut found = lines.iter().filter_map(|line| line.strip_prefix(&format!("worked {id} ")));
+        let (from, until) = found.next()?.split_once(' ')?;
+        Some((from.parse().ok()?, until.parse().ok()?))
+    }
+
+    /// Makes it silent from now on for `time`.
+    pub fn silence(&mut self, time: Duration) -> io::Result<()> {
+        let commands = self.child.stdin.as_mut().ok_or(io::ErrorKind::BrokenPipe)?;
+        commands.write_all(format!("silent {}\n", time.as_millis()).as_bytes())
+    }
+
+    /// Ends the process at once (SIGKILL).
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
