Review case 1: a torn answer vouches for another one's status

Tried: an engine that sends the beginning of a late second answer, broken off within its first line, before 3 in 100 of its answers.

--- a/review/stand/engine.rs
+++ b/review/stand/engine.rs
@@ -14,6 +14,17 @@
 /// Until when the engine is silent, in milliseconds since 1970: it generates, but neither sends nor sees what
 /// callers do.
 static SILENT_UNTIL: AtomicU64 = AtomicU64::new(0);
+/// Every so many answers are spoiled; 0 for none.
+static SPOILED: AtomicU64 = AtomicU64::new(0);
+/// Answers over kept connections so far.
+static ANSWERS: AtomicU64 = AtomicU64::new(0);
+
+/// Late second answers to earlier requests: refusals, and the answer at the deadline.
+const LATE_ANSWERS: [&str; 3] = [
+    "HTTP/1.1 503 Service Unavailable\r\n",
+    "HTTP/1.1 421 Misdirected Request\r\n",
+    "HTTP/1.1 504 Gateway Timeout\r\n",
+];
 
 /// Serves as the engine `id` until the process that started it ends.
 ///
@@ -27,6 +38,9 @@
             if let Some(ms) = line.strip_prefix("silent ").and_then(|ms| ms.parse::<u64>().ok()) {
                 SILENT_UNTIL.store(unix_ms() + ms, Ordering::SeqCst);
             }
+            if let Some(every) = line.strip_prefix("spoil ").and_then(|every| every.parse().ok()) {
+                SPOILED.store(every, Ordering::SeqCst);
+            }
         }
         std::process::exit(0);
     });
@@ -45,11 +59,15 @@
 fn serve(mut stream: TcpStream, id: &str) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut input = Input::new(&stream)?;
-    while let Some(head) = input.head()? {
+    for number in 0.. {
+        let Some(head) = input.head()? else { break };
         let mut body = Vec::new();
         if !input.body(&head, false, &mut body)? {
             break;
         }
+        if number > 0 {
+            spoil(&mut stream, head.get("request-id"))?;
+        }
         let echo = format!("Request-Id: {}\r\nInstance-Id: {id}\r\n", head.get("request-id"));
         if head.word(1) == "/health" {
             let answer = format!("HTTP/1.1 200 OK\r\n{echo}Content-Length: 0\r\n\r\n");
@@ -71,6 +89,22 @@
     Ok(())
 }
 
+/// Where the answer to the request `id` is expected, sends the beginning of a late second answer to an earlier
+/// one, broken off within its first line, if it is the turn of that.
+fn spoil(stream: &mut TcpStream, id: &str) -> io::Result<()> {
+    let every = SPOILED.load(Ordering::SeqCst);
+    let answers = ANSWERS.fetch_add(1, Ordering::SeqCst) + 1;
+    if every == 0 || answers % every != 0 {
+        return Ok(());
+    }
+    let turn = answers / every;
+    let late = LATE_ANSWERS[turn as usize % LATE_ANSWERS.len()];
+    // Everywhere within the line, in an order that repeats.
+    let length = 1 + (turn * 19 % (late.len() as u64 - 1)) as usize;
+    println!("spoils {id} {:?}", &late[..length]);
+    stream.write_all(late[..length].as_bytes())
+}
+
 /// Answers a request; returns whether the connection may be used again.
 fn answer(stream: &mut TcpStream, head: &Head, echo: &str, body: &str) -> io::Result<bool> {
     let id = head.get("request-id");
@@ -185,10 +219,25 @@
         Some((from.parse().ok()?, until.parse().ok()?))
     }
 
+    /// Returns what stood in front of the answer to a request, if that was spoiled.
+    pub fn spoiled(&self, id: &str) -> Option<String> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().find_map(|line| line.strip_prefix(&format!("spoils {id} ")).map(str::to_string))
+    }
+
     /// Makes it silent from now on for `time`.
     pub fn silence(&mut self, time: Duration) -> io::Result<()> {
+        self.command(&format!("silent {}\n", time.as_millis()))
+    }
+
+    /// Makes it spoil one in `every` answers over kept connections from now on.
+    pub fn spoil(&mut self, every: u64) -> io::Result<()> {
+        self.command(&format!("spoil {every}\n"))
+    }
+
+    fn command(&mut self, line: &str) -> io::Result<()> {
         let commands = self.child.stdin.as_mut().ok_or(io::ErrorKind::BrokenPipe)?;
-        commands.write_all(format!("silent {}\n", time.as_millis()).as_bytes())
+        commands.write_all(line.as_bytes())
     }
 
     /// Ends the process at once (SIGKILL).
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -163,11 +163,6 @@
         self.child.id()
     }
 
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// Ends the process at once (SIGKILL).
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod relay;
 mod silent;
+mod spoiled;
 mod unread;
 mod versions;
 
@@ -49,6 +50,7 @@
         "large" => large::run(folder, trouble),
         "lossy" => lossy::run(folder, trouble),
         "silent" => silent::run(folder, trouble),
+        "spoiled" => spoiled::run(folder, trouble),
         "versions" => versions::run(folder, trouble),
         "unread" => unread::run(folder, trouble),
         other => Err(std::io::Error::other(format!("no case {other}"))),
--- a/review/stand/platform.rs
+++ b/review/stand/platform.rs
@@ -74,12 +74,6 @@
         inner.objects.remove(&(kind.to_string(), name.to_string()));
     }
 
-    pub fn get(&self, kind: &str, name: &str) -> Option<Json> {
-        let inner = self.inner.lock().unwrap();
-        let found = inner.objects.get(&(kind.to_string(), name.to_string()));
-        found.map(|(_, spec)| spec.clone())
-    }
-
     fn serve(&self, mut stream: TcpStream, way: &Way) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut input = Input::new(&stream)?;
--- a/review/stand/unread.rs
+++ b/review/stand/unread.rs
@@ -1,9 +1,9 @@
-//! Nobody fetches the metrics of a machine.
+//! Nobody fetches the metrics of a machine. No case of the review: the load is that of hours in two minutes.
 
 use std::fs;
 use std::io;
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +13,13 @@
 use crate::fleet::{self, Gateway, Record};
 use crate::platform::Platform;
 
+const LENGTH: Duration = Duration::from_secs(108);
+const STREAMS: usize = 64;
+/// The memory of a machine of the site.
+const MEMORY_MB: f64 = 110.0;
+/// How often the platform fetches them while an incident is being examined.
+const FETCHED: Duration = Duration::from_secs(5);
+
 pub fn run(out: &Path, trouble: bool) -> io::Result<bool> {
     let record = Record::create(out)?;
     let folder = fleet::temporary_folder("unread")?;
@@ -22,9 +29,6 @@
 }
 
 fn play(record: &Record, folder: &Path, trouble: bool) -> io::Result<bool> {
-    let streams: usize = std::env::var("STREAMS").ok().and_then(|s| s.parse().ok()).unwrap_or(64);
-    let gap: u64 = std::env::var("GAP").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
-    let secs: u64 = std::env::var("SECS").ok().and_then(|s| s.parse().ok()).unwrap_or(30);
     let (platform, address) = Platform::start()?;
     platform.put("config", "main", fleet::configuration(1));
     let engines = [Engine::start("i-a")?, Engine::start("i-b")?, Engine::start("i-c")?];
@@ -32,29 +36,40 @@
         platform.put("servers", &engine.id, fleet::entry("model", engine.address, "z1", 1));
     }
     let machine = Gateway::start(folder, "front-z1-1", "z1", address)?;
+    let (stop, events) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let callers: Vec<_> = (0..STREAMS)
+        .map(|caller| {
+            let (to, stop, events) = (machine.callers, stop.clone(), events.clone());
+            thread::spawn(move || {
+                for round in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let parts = format!("{:x}:100,{:x}:20", 0xa00 + caller, 0xb0000 + round * 1000 + caller);
+                    let request = Request::new(&format!("c{caller}r{round}"), "POST", "/draft/x", "events=2000 gap_ms=1 size=10")
+                        .with("Model", "m")
+                        .with("Token-Usage", "120,360")
+                        .with("Prompt-Prefix", &parts);
+                    events.fetch_add(request.send(to).event_ids().len(), Ordering::SeqCst);
+                }
+            })
+        })
+        .collect();
     let began = Instant::now();
-    let events = Arc::new(AtomicUsize::new(0));
-    for number in 0..streams {
-        let (to, events) = (machine.callers, events.clone());
-        thread::spawn(move || {
-            for round in 0.. {
-                if began.elapsed() > Duration::from_secs(secs) { break; }
-                let parts = format!("{:x}:100,{:x}:20", 0xa00 + number, 0xb0000 + round * 1000 + number);
-                let body = format!("events={} gap_ms={gap} size=10", 8000 / (gap.max(1) + 0));
-                let a = Request::new(&format!("s{number}r{round}"), "POST", "/draft/x", &body)
-                    .with("Token-Usage", "120,360").with("Prompt-Prefix", &parts).send(to);
-                events.fetch_add(a.event_ids().len(), Ordering::SeqCst);
-                if a.status != 200 { thread::sleep(Duration::from_millis(200)); }
-            }
-        });
+    let mut peak = 0.0_f64;
+    while began.elapsed() < LENGTH {
+        thread::sleep(FETCHED);
+        if !trouble {
+            machine.metrics();
+        }
+        let (now, _) = fleet::memory_mb(machine.pid()).unwrap_or_default();
+        peak = peak.max(now);
+        record.line(format!("{now:.1} MB after {} pieces", events.load(Ordering::SeqCst)));
     }
-    while began.elapsed() < Duration::from_secs(secs) {
-        thread::sleep(Duration::from_secs(5));
-        if !trouble { machine.metrics(); }
-        record.say(format!("{:?} {:?} {}", began.elapsed(), fleet::memory_mb(machine.pid()), events.load(Ordering::SeqCst)));
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.join().map_err(|_| io::Error::other("a caller panicked"))?;
     }
-    let m = machine.metrics();
-    for l in m.lines().filter(|l| l.contains("_seconds_count")) { record.say(l); }
-    record.say(format!("{:?}", fleet::memory_mb(machine.pid())));
-    Ok(false)
+    record.say(format!("{peak:.1} MB of {MEMORY_MB:.0} MB after {} pieces", events.load(Ordering::SeqCst)));
+    Ok(peak > MEMORY_MB)
 }
