--- a/review/stand/engine.rs
+++ b/review/stand/engine.rs
@@ -131,7 +131,7 @@
     let filler = "y".repeat(number("size").unwrap_or(40) as usize);
     let began = unix_ms();
     let mut unsent = String::new();
-    let mut worked = || println!("worked {id} {began} {}", unix_ms());
+    let worked = || println!("worked {id} {began} {}", unix_ms());
     thread::sleep(Duration::from_millis(number("first_ms").unwrap_or(0)));
     for event in after + 1..=events {
         if !gap.is_zero() {
--- a/review/stand/large.rs
+++ b/review/stand/large.rs
@@ -84,9 +84,10 @@
         }));
     }
     let lost = Arc::new(Mutex::new(Vec::new()));
+    let answered = Arc::new(Mutex::new(std::collections::BTreeMap::<u16, usize>::new()));
     let mut others = Vec::new();
     for number in 0..2 * OTHERS {
-        let (stop, lost) = (stop.clone(), lost.clone());
+        let (stop, lost, answered) = (stop.clone(), lost.clone(), answered.clone());
         let (machine, to) = (number % 2, places[number % 2].2.callers);
         others.push(thread::spawn(move || {
             let mut kept = None;
@@ -104,6 +105,7 @@
                 if connection.exchange(&request, &mut answer).is_ok() {
                     kept = Some(connection);
                 }
+                *answered.lock().unwrap().entry(answer.status).or_default() += 1;
                 if answer.status == 0 {
                     lost.lock().unwrap().push(Lost { id, machine });
                 }
@@ -148,6 +150,8 @@
     for watch in watches {
         watch.join().map_err(|_| io::Error::other("the platform panicked"))??;
     }
+    let answered = answered.lock().unwrap().clone();
+    record.line(format!("requests of {} other callers on kept connections, by status: {answered:?} (0: none)", 2 * OTHERS));
     let runs: Vec<String> = apps.iter().flat_map(Engine::runs).collect();
     let mut passed_on = 0;
     for Lost { id, machine } in lost.lock().unwrap().iter() {
--- a/review/stand/lossy.rs
+++ b/review/stand/lossy.rs
@@ -166,16 +166,14 @@
             let whole: Vec<u64> = (1..=EVENTS).collect();
             let is_short = answer.is_success() && answer.complete && pieces != whole;
             short += usize::from(is_short);
-            if by_crashed || !answer.complete || is_short {
-                record.line(format!(
-                    "{id}: status {}, {}, {} of {EVENTS} pieces, {}{}",
-                    answer.status,
-                    if answer.complete { "ends as complete" } else { "broken off" },
-                    pieces.len(),
-                    if by_crashed { "run by the engine that crashed" } else { "run by another engine" },
-                    if is_short { " <- ENDS AS COMPLETE BEFORE ITS LAST PIECE" } else { "" }
-                ));
-            }
+            record.line(format!(
+                "{id}: status {}, {}, {} of {EVENTS} pieces, {}{}",
+                answer.status,
+                if answer.complete { "ends as complete" } else { "broken off" },
+                pieces.len(),
+                if by_crashed { "run by the engine that crashed" } else { "run by another engine" },
+                if is_short { " <- ENDS AS COMPLETE BEFORE ITS LAST PIECE" } else { "" }
+            ));
         }
         if let Some(engine) = crashed {
             platform.remove("servers", &engine.id);
--- a/review/stand/spoiled.rs
+++ b/review/stand/spoiled.rs
@@ -84,6 +84,7 @@
         mixed += usize::from(is_mixed);
         refused += usize::from(is_refused);
         if before.is_none() && !is_twice && !is_mixed && !is_refused {
+            record.line(format!("{id}: runs {ran}; the caller gets {}", answer.status));
             continue;
         }
         record.line(format!(
