--- a/review/stand/engine.rs
+++ b/review/stand/engine.rs
@@ -1,5 +1,6 @@
 //! A model engine as a process of its own: when it is killed, the kernel closes its connections.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -222,12 +223,11 @@
         Some((from.parse().ok()?, until.parse().ok()?))
     }
 
-    /// Returns what stood in front of the answer to a request, if that was spoiled.
-    pub fn spoiled(&self, id: &str) -> Option<String> {
+    /// Returns what stood in front of the answers that were spoiled, by the ids of the requests.
+    pub fn spoiled(&self) -> BTreeMap<String, String> {
         let lines = self.lines.lock().unwrap();
-        lines
-            .iter()
-            .find_map(|line| line.strip_prefix(&format!("spoils {id} ")).map(str::to_string))
+        let spoiled = lines.iter().filter_map(|line| line.strip_prefix("spoils ")?.split_once(' '));
+        spoiled.map(|(id, before)| (id.to_string(), before.to_string())).collect()
     }
 
     /// Makes it silent from now on for `time`.
--- a/review/stand/spoiled.rs
+++ b/review/stand/spoiled.rs
@@ -1,5 +1,6 @@
 //! An engine sends late second answers that are broken off, in front of the answers that are due.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -12,7 +13,9 @@
 use crate::fleet::{self, Gateway, Record};
 use crate::platform::Platform;
 
-const LENGTH: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_secs(80);
+/// How long answers are spoiled at a time, as at the site.
+const SPAN: Duration = Duration::from_secs(5);
 const CALLERS: usize = 16;
 const WORK_MS: u64 = 60;
 /// One answer in 33 is spoiled, at one engine of two; the site has a share of 0.6 and x = 0.03.
@@ -36,10 +39,6 @@
     }
     platform.put("servers", &model.id, fleet::entry("model", model.address, "z1", 1));
     let machine = Gateway::start(folder, "front-z1-1", "z1", address)?;
-    if trouble {
-        apps[0].spoil(SPOILED)?;
-        record.line(format!("{} spoils one answer in {SPOILED}", apps[0].id));
-    }
     let answers = Arc::new(Mutex::new(Vec::new()));
     let began = Instant::now();
     let callers: Vec<_> = (0..CALLERS)
@@ -68,20 +67,33 @@
             })
         })
         .collect();
+    // Spans of the disruption, with pauses as long.
+    while trouble && began.elapsed() + SPAN < LENGTH {
+        apps[0].spoil(SPOILED)?;
+        record.line(format!("{} spoils one answer in {SPOILED}", apps[0].id));
+        thread::sleep(SPAN);
+        apps[0].spoil(0)?;
+        record.line(format!("{} spoils none", apps[0].id));
+        thread::sleep(SPAN);
+    }
     for caller in callers {
         caller.join().map_err(|_| io::Error::other("a caller panicked"))?;
     }
     let (mut spoiled, mut mixed, mut refused, mut twice) = (0, 0, 0, 0);
     let answers = answers.lock().unwrap();
-    let runs = apps.each_ref().map(Engine::runs);
+    let mut runs = BTreeMap::<String, usize>::new();
+    for id in apps.iter().flat_map(Engine::runs) {
+        *runs.entry(id).or_default() += 1;
+    }
+    let before_answers = apps[0].spoiled();
     for (id, answer) in answers.iter() {
-        let ran = runs.iter().flatten().filter(|run| *run == id).count();
+        let ran = runs.get(id).copied().unwrap_or(0);
         let is_twice = ran > 1;
         // An engine has answered with 200 whatever it has run.
         let signed = answer.head.has("response-signature");
         let is_mixed = ran > 0 && signed && answer.status != 200;
         let is_refused = ran > 0 && matches!(answer.status, 408 | 421 | 429 | 503);
-        let before = apps[0].spoiled(id);
+        let before = before_answers.get(id).cloned();
         spoiled += usize::from(before.is_some());
         twice += usize::from(is_twice);
         mixed += usize::from(is_mixed);
