--- a/review/stand/large.rs
+++ b/review/stand/large.rs
@@ -116,7 +116,8 @@
             }
         }));
     }
-    thread::sleep(Duration::from_secs(1));
+    // Machines are in touch 3 s after their start.
+    thread::sleep(Duration::from_secs(4));
     let burst = if trouble { BURST_CLIENTS } else { CLIENTS };
     for round in 0..ROUNDS {
         record.line(format!(
@@ -165,12 +166,12 @@
         2 * OTHERS
     ));
     let runs: Vec<String> = apps.iter().flat_map(Engine::runs).collect();
-    let (mut passed_on, mut of_burst) = (0, 0);
+    let (mut passed_on, mut of_burst) = ([0; 2], 0);
     for Lost { id, machine } in lost.lock().unwrap().iter() {
         let ran = runs.contains(id);
         // The rule speaks of kept connections; those of the burst carry one request each.
         let kept = id.starts_with("other");
-        passed_on += usize::from(ran && kept);
+        passed_on[*machine] += usize::from(ran && kept);
         of_burst += usize::from(ran && !kept);
         let place = places[*machine].0;
         let what = if ran { "passed on to a sound engine, which ran it" } else { "not passed on" };
@@ -178,7 +179,7 @@
     }
     let (ends, peaks) = (*ends.lock().unwrap(), *peaks.lock().unwrap());
     record.say(format!(
-        "processes killed for their memory: {ends:?}; most memory {peaks:.0?} MB; {passed_on} requests of kept connections, and {of_burst} of the burst, were passed on to a sound engine and their connections closed without an answer"
+        "processes killed for their memory: {ends:?}; most memory {peaks:.0?} MB; {passed_on:?} requests of kept connections, and {of_burst} of the burst, were passed on to a sound engine and their connections closed without an answer"
     ));
-    Ok(passed_on > 3)
+    Ok(passed_on.iter().any(|lost| *lost > 3))
 }
--- a/review/stand/versions.rs
+++ b/review/stand/versions.rs
@@ -28,14 +28,18 @@
 pub fn run(out: &Path, trouble: bool) -> io::Result<bool> {
     let record = Record::create(out)?;
     let folder = fleet::temporary_folder("versions")?;
-    let mut mixed: io::Result<usize> = Ok(0);
+    let mut mixed: io::Result<Vec<usize>> = Ok(Vec::new());
     for round in 0..ROUNDS {
-        mixed = mixed.and_then(|sum: usize| Ok(sum + play(&record, &folder, round, trouble)?));
+        mixed = mixed.and_then(|mut before| {
+            before.push(play(&record, &folder, round, trouble)?);
+            Ok(before)
+        });
     }
     let _ = fs::remove_dir_all(&folder);
     let mixed = mixed?;
-    record.say(format!("{mixed} of {} streams hold events of two versions", ROUNDS * STREAMS));
-    Ok(mixed > 2)
+    record.say(format!("{mixed:?} of {STREAMS} streams each hold events of two versions"));
+    // Each round has a fleet of its own, so the rule holds for each.
+    Ok(mixed.iter().any(|mixed| *mixed > 2))
 }
 
 /// Plays one release at a fleet of its own; returns the number of streams with events of two versions.
