--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,3 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 rustc --edition 2021 -O review/stand/main.rs -o target/review/stand
-rustc --edition 2024 -O review/rig/main.rs -o target/review/rig
--- a/review/stand/engine.rs
+++ b/review/stand/engine.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::Duration;
 
@@ -20,6 +20,9 @@
 /// Answers over kept connections so far.
 static ANSWERS: AtomicU64 = AtomicU64::new(0);
 
+/// The version of the engine's software.
+static VERSION: OnceLock<String> = OnceLock::new();
+
 /// Late second answers to earlier requests: refusals, and the answer at the deadline.
 const LATE_ANSWERS: [&str; 3] = [
     "HTTP/1.1 503 Service Unavailable\r\n",
@@ -27,12 +30,17 @@
     "HTTP/1.1 504 Gateway Timeout\r\n",
 ];
 
-/// Serves as the engine `id` until the process that started it ends.
+/// Serves as an engine until the process that started it ends. `argument` holds its id, the address at which it
+/// listens and the version of its software, parted by blanks.
 ///
 /// The body of a request says what it generates: `events=N gap_ms=M framing=close|chunked`, and beside it
-/// `size=B` for the bytes of each event; or `work_ms=M size=B` for a plain answer.
-pub fn run(id: &str) -> io::Result<()> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
+/// `size=B` for the bytes of each event; or `work_ms=M size=B` for a plain answer, with `framing=close rest_ms=R` one
+/// that ends with its connection and whose second half takes so long.
+pub fn run(argument: &str) -> io::Result<()> {
+    let words: Vec<&str> = argument.split(' ').collect();
+    let [id, address, version] = words[..] else { return Err(io::ErrorKind::InvalidInput.into()) };
+    VERSION.get_or_init(|| version.to_string());
+    let listener = TcpListener::bind(address)?;
     println!("listening {}", listener.local_addr()?);
     thread::spawn(|| {
         for line in io::stdin().lines().map_while(Result::ok) {
@@ -115,6 +123,16 @@
     let Some(events) = number("events") else {
         thread::sleep(Duration::from_millis(number("work_ms").unwrap_or(60)));
         let bytes = "x".repeat(number("size").unwrap_or(800) as usize);
+        if option(body, "framing").as_deref() == Some("close") {
+            let kind = "Content-Type: text/plain\r\nConnection: close\r\n";
+            let (first, rest) = bytes.split_at(bytes.len() / 2);
+            let answer = format!("HTTP/1.1 200 OK\r\n{echo}{signature}{kind}\r\n{first}");
+            stream.write_all(answer.as_bytes())?;
+            thread::sleep(Duration::from_millis(number("rest_ms").unwrap_or(0)));
+            stream.write_all(rest.as_bytes())?;
+            println!("ended {id}");
+            return Ok(false);
+        }
         let kind = format!("Content-Type: text/plain\r\nContent-Length: {}\r\n", bytes.len());
         let answer = format!("HTTP/1.1 200 OK\r\n{echo}{signature}{kind}\r\n{bytes}");
         stream.write_all(answer.as_bytes())?;
@@ -130,6 +148,7 @@
     let after = head.get("last-event-id").parse::<u64>().unwrap_or(0);
     let gap = Duration::from_millis(number("gap_ms").unwrap_or(20));
     let engine = head.get("expect-instance");
+    let version = VERSION.get().map_or("", String::as_str);
     let filler = "y".repeat(number("size").unwrap_or(40) as usize);
     let began = unix_ms();
     let mut unsent = String::new();
@@ -140,7 +159,7 @@
             thread::sleep(gap);
         }
         let event =
-            format!("id: {event}\ndata: piece {event} of {events} by {engine} {filler}\n\n");
+            format!("id: {event}\ndata: piece {event} of {events} by {engine} as {version} {filler}\n\n");
         let event = if close { event } else { format!("{:x}\r\n{event}\r\n", event.len()) };
         unsent.push_str(&event);
         if unix_ms() < SILENT_UNTIL.load(Ordering::SeqCst) {
@@ -182,8 +201,14 @@
 
 impl Engine {
     pub fn start(id: &str) -> io::Result<Self> {
+        Self::start_version(id, None, "v1")
+    }
+
+    /// Starts an engine with this version of its software, at `address` if that is given.
+    pub fn start_version(id: &str, address: Option<SocketAddr>, version: &str) -> io::Result<Self> {
+        let address = address.map_or("127.0.0.1:0".to_string(), |address| address.to_string());
         let mut child = Command::new(std::env::current_exe()?)
-            .args(["engine", id])
+            .args(["engine", &format!("{id} {address} {version}")])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -107,13 +107,32 @@
         Self::start_at(Addresses::pick()?, folder, name, zone, platform)
     }
 
-    /// Starts a machine at these addresses.
+    /// Starts a machine at these addresses, and waits until it is ready.
     pub fn start_at(
         addresses: Addresses,
         folder: &Path,
         name: &str,
         zone: &str,
         platform: SocketAddr,
+    ) -> io::Result<Self> {
+        let mut gateway = Self::launch_at(addresses, folder, name, zone, platform)?;
+        let began = Instant::now();
+        while !gateway.is_ready() {
+            if began.elapsed() > Duration::from_secs(10) || gateway.child.try_wait()?.is_some() {
+                return Err(io::Error::other("a machine does not become ready"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Ok(gateway)
+    }
+
+    /// Starts a machine at these addresses.
+    pub fn launch_at(
+        addresses: Addresses,
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        platform: SocketAddr,
     ) -> io::Result<Self> {
         let Addresses { callers, ready, peers, operators } = addresses;
         let settings = format!(
@@ -136,18 +155,10 @@
             .spawn()?;
         tell_minder('+', child.id())?;
         let name = name.to_string();
-        let mut gateway = Self { name, callers, operators, ready, child };
-        let began = Instant::now();
-        while !gateway.is_ready() {
-            if began.elapsed() > Duration::from_secs(10) || gateway.child.try_wait()?.is_some() {
-                return Err(io::Error::other("a machine does not become ready"));
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        Ok(gateway)
+        Ok(Self { name, callers, operators, ready, child })
     }
 
-    fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         let mut probe = Request::new("ready", "GET", "/api/readiness", "");
         probe.deadline = Duration::from_secs(1);
         probe.send(self.ready).status == 200
--- a/review/stand/leaving.rs
+++ b/review/stand/leaving.rs
@@ -116,6 +116,51 @@
     Ok(short > 0)
 }
 
+/// The same for plain answers, to requests that may run once: their second half is not sent yet when the engine
+/// is taken away.
+pub fn run_plain(out: &Path, trouble: bool) -> io::Result<bool> {
+    const REQUESTS: usize = 5;
+    const SIZE: usize = 800;
+    let record = Record::create(out)?;
+    let folder = fleet::temporary_folder("leaving-plain")?;
+    let (platform, address) = Platform::start()?;
+    platform.put("config", "main", fleet::configuration(1));
+    let mut spot = Engine::start("i-spot")?;
+    let mut entry = fleet::entry("app", spot.address, "z1", 1);
+    entry.set("spot", Json::Bool(true));
+    platform.put("servers", &spot.id, entry.clone());
+    let machine = Gateway::start(&folder, "front-z1-1", "z1", address);
+    let _ = fs::remove_dir_all(&folder);
+    let to = machine.as_ref().map_err(|e| io::Error::other(e.to_string()))?.callers;
+    thread::sleep(Duration::from_millis(1_200));
+    let callers: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            let body = format!("work_ms=1500 rest_ms=1500 size={SIZE} framing=close");
+            let request = Request::new(&format!("w{number}"), "POST", "/confirm/x", &body);
+            thread::spawn(move || (request.send(to), request.id))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    if trouble {
+        entry.set("state", "draining".into());
+        entry.set("leaves_ms", (NOTICE.as_millis() as u64).into());
+        platform.put("servers", &spot.id, entry);
+        record.line(format!("i-spot is draining, to be taken away in {NOTICE:?}"));
+        thread::sleep(NOTICE);
+        spot.kill();
+        record.line("i-spot is taken away");
+    }
+    let mut short = 0;
+    for caller in callers {
+        let (answer, id) = caller.join().map_err(|_| io::Error::other("a caller panicked"))?;
+        short += usize::from(looks_whole(&answer) && answer.body.len() != SIZE);
+        let (status, length) = (answer.status, answer.body.len());
+        record.line(format!("{id}: status {status}, {length} of {SIZE} bytes, complete {}", answer.complete));
+    }
+    record.say(format!("{short} of {REQUESTS} requests got a success with a part of the engine's body"));
+    Ok(short > 0)
+}
+
 fn looks_whole(answer: &Answer) -> bool {
     answer.is_success() && answer.complete
 }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod engine;
+mod entry;
 mod fleet;
 mod http;
 mod json;
@@ -17,6 +18,7 @@
 mod spoiled;
 mod taken_up;
 mod unread;
+mod upgraded;
 mod versions;
 
 use std::path::Path;
@@ -47,13 +49,16 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(argument);
     let broken = match case.as_str() {
+        "entry" => entry::run(folder, trouble),
         "leaving" => leaving::run(folder, trouble),
         "large" => large::run(folder, trouble),
+        "leaving-plain" => leaving::run_plain(folder, trouble),
         "lossy" => lossy::run(folder, trouble),
         "silent" => silent::run(folder, trouble),
         "spoiled" => spoiled::run(folder, trouble),
         "taken-up" => taken_up::run(folder, trouble),
         "versions" => versions::run(folder, trouble),
+        "upgraded" => upgraded::run(folder, trouble),
         "unread" => unread::run(folder, trouble),
         other => Err(std::io::Error::other(format!("no case {other}"))),
     };
