--- a/review/7/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Runs the case; TROUBLE=0 leaves the disruption out. Build first: the build of deploy/system.toml, and review/build.sh.
-cd "$(dirname "$0")/../.." || exit 2
-exec target/review/rig upgraded review/7/record.txt
