gateway: what the origin of a stream was concluded from, and how old the list was

The record of fleet-order can't tell a conclusion from an old list from one that a peer confirmed, nor a server that started again under its id. stream taken up has the versions, the peers asked and those that answered, and the age of the list; placed has the age and the start of the server's process; a line and a counter for a known stream whose origin changes. No change of behaviour.

--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -89,15 +89,16 @@
         self.streams.is_empty()
     }
 
-    /// Records where a stream of this host began or has gone on; it will be announced.
-    pub fn record(&mut self, now: Instant, stream: StreamId, origin: Origin) {
-        self.merge(now, stream, origin);
+    /// Records where a stream of this host began or has gone on; it will be announced. Returns what
+    /// [`View::merge`] does.
+    pub fn record(&mut self, now: Instant, stream: StreamId, origin: Origin) -> Option<Origin> {
         self.unannounced.push(stream);
         self.own.push_back((now, stream));
+        self.merge(now, stream, origin)
     }
 
-    /// Records what a peer has told of a stream.
-    pub fn merge(&mut self, now: Instant, stream: StreamId, origin: Origin) {
+    /// Records what a peer has told of a stream; returns the origin known before if that is another one.
+    pub fn merge(&mut self, now: Instant, stream: StreamId, origin: Origin) -> Option<Origin> {
         self.expire(now);
         let origin = match self.origins.get(&origin) {
             Some(known) => known.clone(),
@@ -107,8 +108,9 @@
                 origin
             }
         };
-        self.streams.insert(stream, (origin, now));
+        let before = self.streams.insert(stream, (origin.clone(), now));
         self.by_age.push_back((now, stream));
+        before.filter(|(before, _)| *before != origin).map(|(before, _)| (*before).clone())
     }
 
     /// Takes at most `count` streams that have not been announced, by origin.
--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -34,6 +34,21 @@
     builds: BTreeSet<Build>,
 }
 
+/// What a host finds out of where a stream began.
+#[derive(Default)]
+struct Finding {
+    /// Where it began, if that is known.
+    origin: Option<Origin>,
+    /// What the origin is known from.
+    source: &'static str,
+    /// The versions seen lately, here and by the peers that answered, if nobody remembers the stream.
+    builds: BTreeSet<Build>,
+    /// The peers that were asked.
+    asked: usize,
+    /// Those that answered in time.
+    answered: usize,
+}
+
 /// Returns the path at which a host serves the [`Page`] of a stream.
 fn path(stream: StreamId, service: &PoolId) -> String {
     format!("{}{stream:016x}/{service}", peer_fetch::ORIGIN_PATH)
@@ -66,19 +81,13 @@
         return Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER));
     }
     let known = known.or_else(|| state.origins.borrow().get(stream?).cloned());
-    let (origin, source) = match (known, stream) {
-        (Some(origin), _) => (Some(origin), "own"),
-        (None, Some(stream)) => (ask_peers(state, stream, service).await, "peers"),
-        (None, None) => (sole_origin(state, service, BTreeSet::new()), "list"),
+    let finding = match (known, stream) {
+        (Some(origin), _) => Finding { origin: Some(origin), source: "own", ..Finding::default() },
+        (None, Some(stream)) => ask_peers(state, stream, service).await,
+        (None, None) => sole_origin(state, service, Finding::default()),
     };
-    metrics::counter!("wasabi_gateway_taken_up_streams_total",
-        "origin" => if origin.is_some() { source } else { "unknown" })
-    .increment(1);
-    let build = origin.as_ref().map_or("", |origin| origin.build.as_str());
-    info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
-        resumes = inbound.head.resumes.as_deref().unwrap_or_default(), build = build,
-        source = source; "stream taken up");
-    match origin {
+    finding.log(state, inbound);
+    match finding.origin {
         Some(origin) => Ok(Some(origin)),
         None => {
             let detail = "several versions are in service";
@@ -87,32 +96,33 @@
     }
 }
 
-async fn ask_peers(state: &Rc<State>, stream: StreamId, service: &PoolId) -> Option<Origin> {
+async fn ask_peers(state: &Rc<State>, stream: StreamId, service: &PoolId) -> Finding {
     let path = path(stream, service);
     let mut asked = JoinSet::new();
     for peer in peers_to_ask(state) {
         let path = path.clone();
         asked.spawn_local(async move { peer_fetch::fetch::<Page>(peer, &path).await });
     }
-    let mut builds = BTreeSet::new();
-    let answered = tokio::time::timeout(ASK_TIMEOUT, async {
+    let mut finding = Finding { asked: asked.len(), ..Finding::default() };
+    let found = tokio::time::timeout(ASK_TIMEOUT, async {
         while let Some(page) = asked.join_next().await {
             let Ok(Ok(page)) = page else {
                 metrics::counter!("wasabi_peer_failures_total").increment(1);
                 continue;
             };
+            finding.answered += 1;
             if let Some(origin) = page.origin {
                 return Some(origin);
             }
-            builds.extend(page.builds);
+            finding.builds.extend(page.builds);
         }
         None
     });
-    if let Some(origin) = answered.await.unwrap_or(None) {
-        state.origins.borrow_mut().merge(state.now(), stream, origin.clone());
-        return Some(origin);
+    if let Some(origin) = found.await.unwrap_or(None) {
+        state.merge_origin(stream, origin.clone());
+        return Finding { origin: Some(origin), source: "peers", ..finding };
     }
-    sole_origin(state, service, builds)
+    sole_origin(state, service, finding)
 }
 
 fn peers_to_ask(state: &State) -> Vec<SocketAddr> {
@@ -123,13 +133,26 @@
     near.into_iter().chain(far).map(|(_, peer)| peer.address).take(MAX_ASKED_PEERS).collect()
 }
 
-/// Returns the only version of the service that this host and its peers have seen lately; `None` if there
-/// are several.
-fn sole_origin(state: &State, service: &PoolId, seen_by_peers: BTreeSet<Build>) -> Option<Origin> {
-    let mut builds = seen_by_peers;
-    builds.extend(state.recent_builds(service));
-    let build = builds.pop_first().filter(|_| builds.is_empty())?;
-    Some(Origin { service: service.clone(), build })
+/// Concludes that a stream which nobody remembers began at the only version of the service that this host
+/// and its peers have seen lately; finds nothing if there are several.
+fn sole_origin(state: &State, service: &PoolId, mut finding: Finding) -> Finding {
+    finding.builds.extend(state.recent_builds(service));
+    let sole = finding.builds.first().filter(|_| finding.builds.len() == 1).cloned();
+    let origin = sole.map(|build| Origin { service: service.clone(), build });
+    Finding { origin, source: "sole version", ..finding }
+}
+
+impl Finding {
+    fn log(&self, state: &State, inbound: &AdmittedRequest) {
+        let source = if self.origin.is_some() { self.source } else { "unknown" };
+        metrics::counter!("wasabi_gateway_taken_up_streams_total", "origin" => source).increment(1);
+        let build = self.origin.as_ref().map_or("", |origin| origin.build.as_str());
+        let builds = self.builds.iter().map(Build::as_str).collect::<Vec<_>>().join(",");
+        info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
+            resumes = inbound.head.resumes.as_deref().unwrap_or_default(), build = build,
+            source = source, builds = builds.as_str(), asked = self.asked,
+            answered = self.answered, list_age_ms = state.list_age_ms(); "stream taken up");
+    }
 }
 
 impl AdmittedRequest {
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -115,7 +115,8 @@
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
                 version = admission.catalog.version.0, limit = limit,
-                build = placement.member.build.as_str(),
+                build = placement.member.build.as_str(), born_ms = placement.member.born_ms,
+                list_age_ms = state.list_age_ms(),
                 content = inbound.content.to_string().as_str(),
                 resumes = inbound.head.resumes.as_deref().unwrap_or_default(),
                 after = history.last_cause, resumed_after = last_event.or(inbound.head.last_event).unwrap_or(0); "placed");
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -332,7 +332,7 @@
         });
         let origin = Origin { service: admission.service.clone(), build: build.clone() };
         self.history.build = Some(build);
-        self.state.origins.borrow_mut().record(self.state.now(), begun, origin);
+        self.state.record_origin(begun, origin);
     }
 
     /// Records once that the current server has generated for long enough.
--- a/crates/gateway/src/share/facts.rs
+++ b/crates/gateway/src/share/facts.rs
@@ -112,9 +112,8 @@
     let now = state.now();
     state.merge_evidence(facts.evidence, earliest_send);
     for group in facts.origins {
-        let mut known = state.origins.borrow_mut();
         for stream in group.streams {
-            known.merge(now, u64::from_be_bytes(stream), group.origin.clone());
+            state.merge_origin(u64::from_be_bytes(stream), group.origin.clone());
         }
     }
     for report in facts.limits {
--- a/crates/gateway/src/share/origin_store.rs
+++ b/crates/gateway/src/share/origin_store.rs
@@ -147,14 +147,13 @@
 
 /// Takes over stored streams; those of this host's earlier process are stored again. Returns their number.
 fn merge(state: &State, groups: Vec<Group>, is_own: bool) -> usize {
-    let (now, mut origins) = (state.now(), state.origins.borrow_mut());
     let mut known = 0;
     for group in groups {
         known += group.streams.len();
         for stream in group.streams.into_iter().map(u64::from_be_bytes) {
             match is_own {
-                true => origins.record(now, stream, group.origin.clone()),
-                false => origins.merge(now, stream, group.origin.clone()),
+                true => state.record_origin(stream, group.origin.clone()),
+                false => state.merge_origin(stream, group.origin.clone()),
             }
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,7 +17,8 @@
     cluster_clock::ClusterClock,
     counts, era,
     lease::{self, Lease},
-    link, members, origins,
+    link, members,
+    origins::{self, Origin, StreamId},
     peers::Peers,
 };
 use wasabi_core::{
@@ -267,6 +268,25 @@
         self.origins.borrow().recent_builds(self.now(), service)
     }
 
+    /// Records where a stream of this host began or has gone on.
+    pub fn record_origin(&self, stream: StreamId, origin: Origin) {
+        let before = self.origins.borrow_mut().record(self.now(), stream, origin.clone());
+        log_changed_origin(stream, &origin, before);
+    }
+
+    /// Records what a peer, or the store, tells of where a stream began.
+    pub fn merge_origin(&self, stream: StreamId, origin: Origin) {
+        let before = self.origins.borrow_mut().merge(self.now(), stream, origin.clone());
+        log_changed_origin(stream, &origin, before);
+    }
+
+    /// Returns the time since the list of servers was last known to be complete, in milliseconds, for logs;
+    /// `None` without a list.
+    pub fn list_age_ms(&self) -> Option<u64> {
+        let age = self.servers.borrow().digest_age(self.now()).map(|(_, age)| age);
+        age.map(|age| age.as_millis() as u64)
+    }
+
     /// Records the versions in service. Called before each change of the servers, so that a version
     /// counts until it goes.
     pub fn record_builds(&self) {
@@ -458,3 +478,11 @@
             age_ms = age.as_millis() as u64; "backend servers changed");
     }
 }
+
+/// Logs and counts that a stream was known to have begun elsewhere `before`.
+fn log_changed_origin(stream: StreamId, origin: &Origin, before: Option<Origin>) {
+    let Some(before) = before else { return };
+    metrics::counter!("wasabi_gateway_changed_origins_total").increment(1);
+    warn!(stream = format!("{stream:016x}").as_str(), build = origin.build.as_str(),
+        before = before.build.as_str(); "another origin of a known stream");
+}
