--- /dev/null
+++ b/tests/release.rs
@@ -0,0 +1,173 @@
+//! A release brings servers of a new software version while a host's view of them is old: streams hold
+//! events of one version only.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use serde_json::json;
+use wasabi_stand::{
+    caller::{Request, Response},
+    gateway::{self, Gateway, wait_for},
+    process::{self, EVENTS, Process},
+    rig::Rig,
+    scripted::BORN,
+    server::{self, Behavior},
+    store::Fault,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
+/// The test that is the entry of the server processes.
+const ENTRY: &str = "server_process";
+/// Streams of each test.
+const STREAMS: usize = 24;
+/// Until a stream has its first events.
+const FIRST_EVENTS: Duration = Duration::from_millis(150);
+/// How often a caller takes its stream up.
+const TRIES: usize = 4;
+
+#[test]
+fn server_process() -> anyhow::Result<()> {
+    process::serve()
+}
+
+/// Adds a server process to the rig's list, or replaces the entry of that name.
+fn list(rig: &Rig, id: &str, address: SocketAddr, version: &str, born: u64) {
+    let mut entry = server::store_object("llm", address, "ready");
+    (entry["version"], entry["born"]) = (json!(version), json!(born));
+    rig.store.put("servers", id, entry);
+}
+
+/// A rig whose engines are processes, named `x0` and so on, with these versions.
+fn start_engines(versions: &[&str]) -> anyhow::Result<(Rig, Vec<Process>)> {
+    let rig = Rig::start(PROGRAM)?;
+    ["e1", "e2"].iter().for_each(|id| rig.store.remove("servers", id));
+    let mut engines = Vec::new();
+    for (number, version) in versions.iter().enumerate() {
+        let engine = Process::start_version(ENTRY, version)?;
+        list(&rig, &format!("x{number}"), engine.address, version, BORN);
+        engines.push(engine);
+    }
+    Ok((rig, engines))
+}
+
+/// Returns the versions of the servers that sent the events of a response, as their texts name them.
+fn versions(response: &Response) -> BTreeSet<String> {
+    let lines = response.body.lines().filter_map(|line| line.split_once(" of "));
+    lines.map(|(_, version)| version.to_string()).collect()
+}
+
+/// Opens all streams at once, at the hosts by turns. Each caller takes its stream up until it is whole.
+fn open_streams(hosts: &[Gateway]) -> Vec<JoinHandle<anyhow::Result<(BTreeSet<String>, bool)>>> {
+    let addresses: Vec<SocketAddr> = hosts.iter().map(|host| host.addresses.callers).collect();
+    let follow = move |number: usize, addresses: Vec<SocketAddr>| {
+        let (id, path) = (format!("s{number}"), format!("/chat/{number}"));
+        let mut response = Request::new("POST", &path, &id).send(addresses[number % 2])?;
+        let (mut seen, mut last) = (BTreeSet::new(), 0);
+        for again in 1..=TRIES {
+            if response.status == 200 {
+                seen.extend(versions(&response));
+                last = response.event_ids().last().copied().unwrap_or(last);
+            }
+            if last == EVENTS || last == 0 {
+                break;
+            }
+            thread::sleep(Duration::from_millis(300));
+            let request = Request::resume(&path, &format!("{id}-{again}"), &id, last);
+            response = request.send(addresses[(number + again) % 2])?;
+        }
+        Ok((seen, last == EVENTS))
+    };
+    let open = |number| {
+        let addresses = addresses.clone();
+        thread::spawn(move || follow(number, addresses))
+    };
+    (0..STREAMS).map(open).collect()
+}
+
+/// Returns how many streams hold events of several versions, and how many are whole.
+fn count(calls: Vec<JoinHandle<anyhow::Result<(BTreeSet<String>, bool)>>>) -> (usize, usize) {
+    let streams = calls.into_iter().filter_map(|call| call.join().expect("no panic").ok());
+    streams.fold((0, 0), |(joined, whole), (versions, is_whole)| {
+        (joined + usize::from(versions.len() > 1), whole + usize::from(is_whole))
+    })
+}
+
+#[test]
+fn a_host_out_of_step_during_a_release_does_not_join_versions() -> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    let (copy, copy_address) = rig.copy_store()?;
+    let mut knowing = rig.start_gateway("g1")?;
+    let late = rig.launch("g2", copy_address, gateway::pick_ports()?)?;
+    late.wait_ready()?;
+    copy.set_fault(Fault::Silent);
+    rig.add_engines(&[("f1", "v2"), ("f2", "v2")])?;
+    ["e1", "e2"].iter().for_each(|id| rig.store.remove("servers", id));
+    wait_for("the release", || knowing.log_lines("backend servers changed").len() > 1)?;
+    let engines = || rig.servers.iter().filter(|(server, _)| server.streams);
+    engines().for_each(|(server, _)| server.set_behavior(Some(Behavior::BreakAfter(3))));
+    let address = knowing.addresses.callers;
+    let begin = |number: usize| {
+        let (id, path) = (format!("s{number}"), format!("/chat/{number}"));
+        thread::spawn(move || Request::new("POST", &path, &id).send(address))
+    };
+    // As many at a time as the servers have room for.
+    for first in (0..STREAMS).step_by(6) {
+        let begun: Vec<_> = (first..first + 6).map(begin).collect();
+        for call in begun {
+            let response = call.join().expect("no panic")?;
+            anyhow::ensure!(response.event_ids() == [1, 2, 3], "{response:?}");
+        }
+    }
+    engines().for_each(|(server, _)| server.set_behavior(None));
+    knowing.kill();
+    let (mut joined, mut statuses) = (0, Vec::new());
+    for number in 0..STREAMS {
+        let path = format!("/chat/{number}");
+        let request = Request::resume(&path, &format!("s{number}-again"), &format!("s{number}"), 3);
+        let response = request.send(late.addresses.callers)?;
+        statuses.push(response.status);
+        joined += usize::from(!response.event_ids().is_empty());
+    }
+    assert_eq!(joined, 0, "of {STREAMS} streams of v2 went on at v1: {statuses:?}");
+    Ok(())
+}
+
+#[test]
+fn streams_do_not_go_on_at_a_server_that_is_back_under_its_id_with_another_version()
+-> anyhow::Result<()> {
+    let (rig, mut engines) = start_engines(&["v1", "v2", "v2", "v2"])?;
+    let hosts = [rig.start_gateway("g1")?, rig.start_gateway("g2")?];
+    let calls = open_streams(&hosts);
+    wait_for("streams at the engine", || engines[0].requests() >= 2)?;
+    thread::sleep(FIRST_EVENTS);
+    engines[0].kill();
+    let address = engines[0].address;
+    let again = Process::start_at(ENTRY, "v2", BORN + 1, address)?;
+    // Entries are written some time after the start.
+    thread::sleep(Duration::from_millis(800));
+    list(&rig, "x0", again.address, "v2", BORN + 1);
+    let (joined, whole) = count(calls);
+    assert_eq!(joined, 0, "of {STREAMS} streams hold events of two versions, {whole} are whole");
+    Ok(())
+}
+
+#[test]
+fn streams_that_begin_at_a_server_that_is_back_under_its_id_do_not_go_on_at_its_former_version()
+-> anyhow::Result<()> {
+    let (rig, mut engines) = start_engines(&["v1", "v1", "v1"])?;
+    let hosts = [rig.start_gateway("g1")?, rig.start_gateway("g2")?];
+    let address = engines[0].address;
+    engines[0].kill();
+    let mut again = Process::start_at(ENTRY, "v2", BORN + 1, address)?;
+    let calls = open_streams(&hosts);
+    thread::sleep(FIRST_EVENTS);
+    again.kill();
+    let (joined, whole) = count(calls);
+    assert_eq!(joined, 0, "of {STREAMS} streams hold events of two versions, {whole} are whole");
+    assert!(whole >= STREAMS / 2, "only {whole} of {STREAMS} are whole");
+    Ok(())
+}
--- a/tests/stand/src/process.rs
+++ b/tests/stand/src/process.rs
@@ -17,7 +17,8 @@
 
 use crate::scripted;
 
-/// Set for the processes that serve, to the version of their software.
+/// Set for the processes that serve, to the version of their software, when they were born, and the address at
+/// which they listen, parted by blanks.
 const VARIABLE: &str = "WASABI_STAND_PROCESS";
 const LISTENING: &str = "listening ";
 const REQUEST: &str = "request";
@@ -48,9 +49,19 @@
 
     /// As [`Process::start`]; the server names `version` as that of its software in its events.
     pub fn start_version(entry: &str, version: &str) -> anyhow::Result<Self> {
+        Self::start_at(entry, version, scripted::BORN, SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// As [`Process::start_version`], at an address; the server says that it was born at `born`.
+    pub fn start_at(
+        entry: &str,
+        version: &str,
+        born: u64,
+        address: SocketAddr,
+    ) -> anyhow::Result<Self> {
         let mut child = Command::new(env::current_exe()?)
             .args(["--exact", entry, "--nocapture"])
-            .env(VARIABLE, version)
+            .env(VARIABLE, format!("{version} {born} {address}"))
             .stdout(Stdio::piped())
             .spawn()?;
         let output = child.stdout.take().context("the server process has no stdout pipe")?;
@@ -93,20 +104,23 @@
 /// [`EVENTS`] events, from the one after `last-event-id` on; below `/long/leave` the server says that it leaves and exits after the last one, below
 /// `/long/large` it sends [`LARGE_EVENTS`] as fast as they are taken.
 pub fn serve() -> anyhow::Result<()> {
-    let Ok(version) = env::var(VARIABLE) else { return Ok(()) };
+    let Ok(arguments) = env::var(VARIABLE) else { return Ok(()) };
+    let arguments: Vec<&str> = arguments.split(' ').collect();
+    let [version, born, address] = arguments[..] else { anyhow::bail!("three are needed") };
     let version: Arc<str> = version.into();
-    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let born: u64 = born.parse()?;
+    let listener = TcpListener::bind(address)?;
     println!("{LISTENING}{}", listener.local_addr()?);
     for stream in listener.incoming() {
         let stream = stream?;
         let version = version.clone();
-        thread::spawn(move || answer(stream, &version));
+        thread::spawn(move || answer(stream, &version, born));
     }
     Ok(())
 }
 
-fn answer(mut stream: TcpStream, version: &str) -> std::io::Result<()> {
-    let head = scripted::read_head(&mut stream)?;
+fn answer(mut stream: TcpStream, version: &str, born: u64) -> std::io::Result<()> {
+    let head = scripted::read_head_of(&mut stream, born)?;
     if head.is_empty() {
         return Ok(());
     }
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -100,6 +100,13 @@
         self.store.put("servers", id, entry);
     }
 
+    /// Starts a second store with what this one holds now, for hosts that are to be out of step.
+    pub fn copy_store(&self) -> anyhow::Result<(Arc<Store>, SocketAddr)> {
+        let (copy, address) = Store::start(self.runtime.handle())?;
+        copy.restore(&self.store.backup());
+        Ok((copy, address))
+    }
+
     /// Returns the versions of the servers that sent events to the request ids in `attempts`.
     pub fn versions_of(&self, attempts: &[&str]) -> BTreeSet<String> {
         let ran = |server: &Arc<Server>| {
--- a/tests/stand/src/scripted.rs
+++ b/tests/stand/src/scripted.rs
@@ -13,6 +13,10 @@
 
 use wasabi_core::call::Framing;
 
+/// When servers say that they were born, unless a test says otherwise.
+pub const BORN: u64 = 1_000;
+/// The path of a server's report.
+pub const REPORT_PATH: &str = "/api/report";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 const LAST_CHUNK: &str = "0\r\n\r\n";
 /// Ends a script whose next request does not arrive.
@@ -63,17 +67,36 @@
     }
 }
 
-/// Reads one request head; it is empty if the peer has closed the connection.
+/// Reads one request head; it is empty if the peer has closed the connection. Requests for the server's report
+/// are answered, as a server that was born at [`BORN`], and not returned.
 pub fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
-    let mut head = Vec::new();
-    let mut byte = [0; 1];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte)? == 0 {
-            return Ok(String::new());
+    read_head_of(stream, BORN)
+}
+
+/// As [`read_head`], for a server that was born at `born`.
+pub fn read_head_of(stream: &mut TcpStream, born: u64) -> std::io::Result<String> {
+    loop {
+        let mut head = Vec::new();
+        let mut byte = [0; 1];
+        while !head.ends_with(b"\r\n\r\n") {
+            if stream.read(&mut byte)? == 0 {
+                return Ok(String::new());
+            }
+            head.push(byte[0]);
         }
-        head.push(byte[0]);
+        let head = String::from_utf8_lossy(&head).into_owned();
+        if !head.starts_with(&format!("GET {REPORT_PATH} ")) {
+            return Ok(head);
+        }
+        let body = report(born);
+        let length = body.len();
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}")?;
     }
-    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// Returns the report of a server that was born at `born`.
+pub fn report(born: u64) -> String {
+    format!(r#"{{"stage":"both","sequence":2,"queued":0,"running":1,"born":{born}}}"#)
 }
 
 /// Writes `part` again and again until the peer closes the connection; waits for `pause` in between.
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -23,7 +23,10 @@
     sync::{mpsc, watch},
 };
 
-use crate::net::{self, BoxResponse, ReceivedRequest, ResponseFuture, Service};
+use crate::{
+    net::{self, BoxResponse, ReceivedRequest, ResponseFuture, Service},
+    scripted::{self, BORN, REPORT_PATH},
+};
 
 /// How a server handles a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -107,6 +110,8 @@
     leaving: bool,
     /// The version of its software in its entry; `v1` if unset.
     version: Option<String>,
+    /// When it says that it was born; [`BORN`] if unset.
+    born: Option<u64>,
     /// The `server-limit` header of all responses.
     limit: Option<String>,
     /// The `retry-after` header of responses that turn a request away.
@@ -166,9 +171,14 @@
     /// Returns the server's object of kind `servers`.
     pub fn store_object(&self, address: SocketAddr, state: &str) -> Value {
         let mut entry = store_object(&self.service, address, state);
-        if let Some(version) = &self.inner.lock().version {
+        let inner = self.inner.lock();
+        if let Some(version) = &inner.version {
             entry["version"] = json!(version);
         }
+        if let Some(born) = inner.born {
+            entry["born"] = json!(born);
+        }
+        drop(inner);
         entry
     }
 
@@ -177,6 +187,11 @@
         self.inner.lock().version = Some(version.to_string());
     }
 
+    /// Sets when it says that it was born, in its report and in entries that are made from now on.
+    pub fn set_born(&self, born: u64) {
+        self.inner.lock().born = Some(born);
+    }
+
     /// Sets how the next request is handled; repeated calls queue up.
     pub fn plan_next(&self, behavior: Behavior) {
         self.inner.lock().planned.push_back(behavior);
@@ -413,7 +428,7 @@
 /// Returns the object of kind `servers` for a server of `service` at `address`.
 pub fn store_object(service: &str, address: SocketAddr, state: &str) -> Value {
     json!({"service": service, "address": address.to_string(), "zone": "d1", "version": "v1",
-        "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1_000})
+        "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": BORN})
 }
 
 /// Records that the client is gone unless `done` is set before the drop: the handler's future is
@@ -462,6 +477,10 @@
             if request.uri().path() == HEALTH_PATH {
                 return Some(self.answer_health_check(&request));
             }
+            if request.uri().path() == REPORT_PATH {
+                let born = self.inner.lock().born.unwrap_or(BORN);
+                return Some(net::full_response(200, scripted::report(born)));
+            }
             let mut crashes = self.crashes.subscribe();
             let (arrival, mut behavior) = self.record_arrival(&request);
             if behavior == Behavior::Serve && !self.streams {
