gateway: a stream's version is concluded from reads after the request, and tied to the server's process

Callers got streams with events of two software versions. A host concluded that a stream which nobody remembered had begun at the only version in its own list, however old that was, and took an unanswered question to its peers for a no. And it tied a version to a server's id: a server that is back under its id with another version was taken for the one before, to go on at or to begin at, until the next list. The class: absence is concluded from, and identity believed for, what has no age.

Now a conclusion needs a list of servers and a record of versions that were read after the request arrived (share::survey), from a settled era; without them the caller is told 1206. Streams that keep to a version are sent only over connections whose process has said, in its report, that it started when the list says (send::identity); one that does not say is believed if a list read after connecting still has it. What is not proven is neither recorded nor announced, and a stream on whose origin hosts do not agree goes on nowhere. A placement of which nothing was sent is no repeat for the budget.

--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -47,16 +47,19 @@
     leaving: BTreeMap<Instance, Instant>,
     /// Instances that were listed as draining, and when this host last saw it.
     drained: BTreeMap<Instance, Instant>,
+    /// Instances whose process has ended, as the one that followed it says, and when this host learned it.
+    ended: BTreeMap<Instance, Instant>,
 }
 
 impl View {
     /// The servers to use: those of the last list, and lapsed ones that are still kept. Instances
-    /// that said that they leave are draining, whatever the list says.
+    /// that said that they leave, or have ended, are draining, whatever the list says.
     pub fn get(&self) -> Vec<Member> {
         let lapsed = self.lapsed.values().map(|(member, _)| member);
         let mut members: Vec<Member> = self.listed.values().chain(lapsed).cloned().collect();
         for member in &mut members {
-            if self.leaving.contains_key(&instance(member)) {
+            let instance = instance(member);
+            if self.leaving.contains_key(&instance) || self.ended.contains_key(&instance) {
                 member.phase = Phase::Draining;
             }
         }
@@ -80,6 +83,20 @@
         true
     }
 
+    /// Records that the process of an instance has ended; returns whether that was new.
+    pub fn mark_ended(&mut self, now: Instant, instance: Instance) -> bool {
+        if self.ended.contains_key(&instance) {
+            return false;
+        }
+        remember(&mut self.ended, now, instance);
+        true
+    }
+
+    /// Whether the last list has this instance.
+    pub fn lists(&self, instance: &Instance) -> bool {
+        self.listed.get(&instance.0).is_some_and(|member| member.born_ms == instance.1)
+    }
+
     /// Whether this host's list is older than `max_age` although the store has answered other hosts
     /// since: servers that have left meanwhile are not known here. While the store answers nobody, no
     /// host can know better.
@@ -97,8 +114,10 @@
         let lapsed = self.lapsed.get(&member.id).map(|(member, _)| member);
         let known = self.listed.get(&member.id).or(lapsed);
         let same = known.filter(|known| instance(known) == instance(member));
+        let instance = instance(member);
         same.is_some_and(|known| known.phase == Phase::Ready)
-            && !self.leaving.contains_key(&instance(member))
+            && !self.leaving.contains_key(&instance)
+            && !self.ended.contains_key(&instance)
     }
 
     /// Whether an instance has said that it leaves, in an answer or its entry, also if it is not listed any
@@ -108,8 +127,11 @@
         self.leaving.contains_key(&instance) || self.drained.contains_key(&instance)
     }
 
-    /// Whether another instance is listed with the id or the address of this one, so it has ended.
+    /// Whether another instance has the id or the address of this one, so it has ended.
     pub fn is_replaced(&self, member: &Member) -> bool {
+        if self.ended.contains_key(&instance(member)) {
+            return true;
+        }
         let mut others = self.listed.values().filter(|m| instance(m) != instance(member));
         others.any(|other| other.id == member.id || other.address == member.address)
     }
--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -52,7 +52,9 @@
 /// The streams whose origin this host knows, and the versions that it has seen in service.
 #[derive(Debug, Default)]
 pub struct View {
-    streams: HashMap<StreamId, (Rc<Origin>, Instant)>,
+    /// The streams with their origins, and when each was recorded; without an origin if hosts do not agree
+    /// on it.
+    streams: HashMap<StreamId, (Option<Rc<Origin>>, Instant)>,
     /// The streams by the time of an entry, oldest first. A stream that was recorded again is here
     /// more than once; only its latest entry counts.
     by_age: VecDeque<(Instant, StreamId)>,
@@ -76,7 +78,12 @@
 impl View {
     /// Where a stream began, if that is known.
     pub fn get(&self, stream: StreamId) -> Option<&Origin> {
-        self.streams.get(&stream).map(|(origin, _)| &**origin)
+        self.streams.get(&stream)?.0.as_deref()
+    }
+
+    /// Whether hosts do not agree on where a stream began.
+    pub fn is_disputed(&self, stream: StreamId) -> bool {
+        self.streams.get(&stream).is_some_and(|(origin, _)| origin.is_none())
     }
 
     /// The number of streams whose origin is known.
@@ -98,6 +105,7 @@
     }
 
     /// Records what a peer has told of a stream; returns the origin known before if that is another one.
+    /// Which one is right is not known then.
     pub fn merge(&mut self, now: Instant, stream: StreamId, origin: Origin) -> Option<Origin> {
         self.expire(now);
         let origin = match self.origins.get(&origin) {
@@ -108,9 +116,11 @@
                 origin
             }
         };
-        let before = self.streams.insert(stream, (origin.clone(), now));
+        let before = self.streams.get(&stream).map(|(before, _)| before.clone());
+        let disputed = before.as_ref().is_some_and(|before| before.as_ref() != Some(&origin));
+        self.streams.insert(stream, (Some(origin).filter(|_| !disputed), now));
         self.by_age.push_back((now, stream));
-        before.filter(|(before, _)| *before != origin).map(|(before, _)| (*before).clone())
+        before.flatten().filter(|_| disputed).map(|before| (*before).clone())
     }
 
     /// Takes at most `count` streams that have not been announced, by origin.
@@ -134,7 +144,7 @@
     fn group(&self, streams: impl IntoIterator<Item = StreamId>) -> Vec<Group> {
         let mut groups: BTreeMap<Rc<Origin>, Vec<[u8; 8]>> = BTreeMap::new();
         for stream in streams {
-            if let Some((origin, _)) = self.streams.get(&stream) {
+            if let Some((Some(origin), _)) = self.streams.get(&stream) {
                 groups.entry(origin.clone()).or_default().push(stream.to_be_bytes());
             }
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod handover;
 pub mod history;
+pub mod identity;
 pub mod link_watch;
 pub mod origin;
 pub mod peer_relay;
--- a/crates/gateway/src/send/attempt.rs
+++ b/crates/gateway/src/send/attempt.rs
@@ -24,7 +24,7 @@
     guard::PlacementGuard,
     receive::admit::Admission,
     send::{
-        cause, connection_pool,
+        cause, connection_pool, identity,
         link_watch::{record_answer, record_failure},
     },
     state::State,
@@ -51,6 +51,13 @@
     pub last_event: Option<u64>,
 }
 
+impl Outgoing<'_> {
+    /// Whether the caller has a part of the stream.
+    fn goes_on(&self) -> bool {
+        self.head.resumes.is_some() || self.last_event.is_some_and(|event| event > 0)
+    }
+}
+
 /// The outcome of a send.
 pub enum Outcome {
     /// The head of the response has arrived; its body has not been read.
@@ -80,18 +87,37 @@
     let member = &guard.placement.member;
     let limit = connection_limit(state, outgoing.admission);
     let source = state.settings.borrow().source;
-    let mut connection =
-        match state.connection_pool.acquire(state.now(), member, limit, source).await {
-            Ok(connection) => connection,
-            Err(e) if e.kind() == std::io::ErrorKind::Other => {
-                return Outcome::NotRun("connection limit");
+    let acquire = || state.connection_pool.acquire(state.now(), member, limit, source);
+    let mut connection = match acquire().await {
+        Ok(connection) => connection,
+        Err(e) if e.kind() == std::io::ErrorKind::Other => {
+            return Outcome::NotRun("connection limit");
+        }
+        Err(_) => {
+            record_failure(state, &member.id, Connection::New);
+            return Outcome::NotRun("no connection");
+        }
+    };
+    let kind = outgoing.admission.route.kind;
+    let keeps_to_version = kind.is_stream() && kind.is_repeatable();
+    loop {
+        if keeps_to_version {
+            while let Err(cause) = identity::check(state, member, &mut connection).await {
+                let reused = connection.reused;
+                drop(connection);
+                let again = if reused { acquire().await.ok() } else { None };
+                let Some(again) = again else {
+                    if cause == cause::UNANSWERED {
+                        record_failure(state, &member.id, Connection::New);
+                    }
+                    return Outcome::NotRun(cause);
+                };
+                connection = again;
             }
-            Err(_) => {
-                record_failure(state, &member.id, Connection::New);
-                return Outcome::NotRun("no connection");
+            if outgoing.goes_on() && !identity::is_listed(state, member, connection.opened).await {
+                return Outcome::NotRun("the version of the server is not proven");
             }
-        };
-    loop {
+        }
         // The process may have been suspended while it connected.
         if crate::receive::admit::check_key(state, outgoing.admission).is_err() {
             // This cause is also given if the key was withdrawn.
@@ -137,14 +163,13 @@
                     return Outcome::NotRun("connection closed");
                 }
                 drop(connection);
-                connection =
-                    match state.connection_pool.acquire(state.now(), member, limit, source).await {
-                        Ok(connection) => connection,
-                        Err(_) => {
-                            record_failure(state, &member.id, Connection::New);
-                            return Outcome::NotRun("no connection");
-                        }
-                    };
+                connection = match acquire().await {
+                    Ok(connection) => connection,
+                    Err(_) => {
+                        record_failure(state, &member.id, Connection::New);
+                        return Outcome::NotRun("no connection");
+                    }
+                };
             }
         }
     }
--- a/crates/gateway/src/send/cause.rs
+++ b/crates/gateway/src/send/cause.rs
@@ -6,6 +6,10 @@
 pub const ANSWER_BROKE_OFF: &str = "answer broke off";
 /// The cause of a send whose stream broke off.
 pub const STREAM_BROKE_OFF: &str = "stream broke off";
+/// The cause of a send to a server that does not say which process it is.
+pub const UNANSWERED: &str = "the server does not answer";
+/// The cause of a send to a server that has started again since it was listed.
+pub const STARTED_AGAIN: &str = "the server has started again";
 /// The cause of a send that the server refused without running the request.
 pub const TURNED_AWAY: &str = "turned away";
 /// The causes of sends that the connection to the server ended.
--- a/crates/gateway/src/send/connection_pool.rs
+++ b/crates/gateway/src/send/connection_pool.rs
@@ -28,10 +28,37 @@
 #[derive(Clone, Default)]
 pub struct Pool(Rc<RefCell<HashMap<ServerKey, ServerConnections>>>);
 
+/// How a connection was opened.
+#[derive(Clone, Copy, Debug)]
+pub struct Opened {
+    /// When connecting began.
+    pub at: Instant,
+    /// What the process at its other end has said of itself.
+    pub identity: Identity,
+}
+
+/// Which process is at the other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// It has not been asked.
+    Unasked,
+    /// It does not say when it started.
+    Unstated,
+    /// The one that the list describes.
+    Listed,
+}
+
+/// A connection that is not in use.
+struct Idle {
+    connection: Connection,
+    opened: Opened,
+    /// After this time it must not be used.
+    expires: Instant,
+}
+
 #[derive(Default)]
 struct ServerConnections {
-    /// With the time after which each must not be used.
-    idle: Vec<(Connection, Instant)>,
+    idle: Vec<Idle>,
     /// Idle connections and those in use.
     open: u32,
 }
@@ -41,6 +68,8 @@
     pool: Pool,
     key: ServerKey,
     connection: Option<Connection>,
+    /// How it was opened.
+    pub opened: Opened,
     /// Whether dropping this has to take it off the count of open connections.
     counted: bool,
     /// Whether it has carried a request before.
@@ -60,12 +89,12 @@
         source: Option<IpAddr>,
     ) -> io::Result<PooledConnection> {
         let key = (member.id.clone(), member.born_ms);
-        if let Some(connection) = self.take_idle(now, &key) {
-            let connection = Some(connection);
+        if let Some(Idle { connection, opened, .. }) = self.take_idle(now, &key) {
             return Ok(PooledConnection {
                 pool: self.clone(),
                 key,
-                connection,
+                connection: Some(connection),
+                opened,
                 counted: true,
                 reused: true,
             });
@@ -82,6 +111,7 @@
             pool: self.clone(),
             key,
             connection: None,
+            opened: Opened { at: now, identity: Identity::Unasked },
             counted: true,
             reused: false,
         };
@@ -108,27 +138,27 @@
     fn has_idle(&self, key: &ServerKey) -> bool {
         let servers = self.0.borrow();
         let idle = servers.get(key).map(|server| server.idle.as_slice()).unwrap_or_default();
-        idle.iter().any(|(connection, _)| connection.is_ready())
+        idle.iter().any(|idle| idle.connection.is_ready())
     }
 
-    fn take_idle(&self, now: Instant, key: &ServerKey) -> Option<Connection> {
+    fn take_idle(&self, now: Instant, key: &ServerKey) -> Option<Idle> {
         let mut servers = self.0.borrow_mut();
         let server = servers.get_mut(key)?;
         let idle_before = server.idle.len();
-        server.idle.retain(|(connection, _)| !connection.is_closed());
+        server.idle.retain(|idle| !idle.connection.is_closed());
         server.open -= (idle_before - server.idle.len()) as u32;
-        while let Some((connection, expires)) = server.idle.pop() {
-            if now < expires && connection.is_ready() {
-                return Some(connection);
+        while let Some(idle) = server.idle.pop() {
+            if now < idle.expires && idle.connection.is_ready() {
+                return Some(idle);
             }
             server.open -= 1;
         }
         None
     }
 
-    fn return_idle(&self, key: &ServerKey, connection: Connection, expires: Instant) {
+    fn return_idle(&self, key: &ServerKey, idle: Idle) {
         if let Some(server) = self.0.borrow_mut().get_mut(key) {
-            server.idle.push((connection, expires));
+            server.idle.push(idle);
         }
     }
 
@@ -165,7 +195,8 @@
             let ready = tokio::time::timeout(DEFAULT_KEEP_ALIVE, connection.ready()).await;
             if matches!(ready, Ok(true)) && !keep_alive.is_zero() {
                 self.counted = false;
-                self.pool.return_idle(&self.key, connection, now + keep_alive);
+                let (opened, expires) = (self.opened, now + keep_alive);
+                self.pool.return_idle(&self.key, Idle { connection, opened, expires });
             }
         });
     }
@@ -187,6 +218,7 @@
         let evidence = Evidence::of_connecting(connected.as_ref());
         if let Some(Ok(connection)) = connected {
             self.connection = Some(connection);
+            self.opened = Opened { at: now, identity: Identity::Unasked };
             self.release(now, keep_alive);
         }
         evidence
--- a/crates/gateway/src/send/history.rs
+++ b/crates/gateway/src/send/history.rs
@@ -16,6 +16,8 @@
     pub possible_runs: u32,
     /// Placements so far, also those that were dropped again or not sent.
     pub placements: usize,
+    /// Placements of which nothing was sent.
+    pub unsent: usize,
     /// Servers that failed the request or where it was stuck.
     pub avoid: Vec<ServerId>,
     /// Servers that refused the request. It is not sent to them again: a refusal that is written once more
--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     receive::{request::AdmittedRequest, response},
-    share::{origin_store, peer_fetch},
+    share::{origin_store, peer_fetch, survey},
     state::State,
 };
 
@@ -65,10 +65,11 @@
 
 /// Finds where the stream began that a caller takes up; `None` if it takes up none.
 ///
-/// If nobody remembers it, it has begun at the only version of the service that this host and its peers
-/// have seen lately, or hosts before them by what the store records.
+/// If nobody remembers it, it has begun at the only version of the service that this host, its peers, and the
+/// store as it is now have seen lately.
 ///
-/// Errors: `StreamUnknown` if there are several, or while that has not been read.
+/// Errors: `StreamUnknown` if there are several, if the store does not answer, or if hosts do not agree on
+/// where it began.
 pub async fn find(state: &Rc<State>, inbound: &AdmittedRequest) -> Result<Option<Origin>> {
     if !inbound.continues() || !inbound.admission.route.kind.is_stream() {
         return Ok(None);
@@ -81,16 +82,27 @@
         return Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER));
     }
     let known = known.or_else(|| state.origins.borrow().get(stream?).cloned());
+    if stream.is_some_and(|stream| state.origins.borrow().is_disputed(stream)) {
+        let detail = "hosts do not agree on the version that began the stream";
+        return Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER));
+    }
     let finding = match (known, stream) {
         (Some(origin), _) => Finding { origin: Some(origin), source: "own", ..Finding::default() },
         (None, Some(stream)) => ask_peers(state, stream, service).await,
-        (None, None) => sole_origin(state, service, Finding::default()),
+        (None, None) => Finding::default(),
+    };
+    let finding = match finding.origin {
+        Some(_) => finding,
+        None => conclude(state, inbound, finding).await,
     };
     finding.log(state, inbound);
     match finding.origin {
         Some(origin) => Ok(Some(origin)),
         None => {
-            let detail = "several versions are in service";
+            let detail = match finding.builds.is_empty() {
+                true => "the versions in service are not proven",
+                false => "several versions are in service",
+            };
             Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER))
         }
     }
@@ -122,7 +134,7 @@
         state.merge_origin(stream, origin.clone());
         return Finding { origin: Some(origin), source: "peers", ..finding };
     }
-    sole_origin(state, service, finding)
+    finding
 }
 
 fn peers_to_ask(state: &State) -> Vec<SocketAddr> {
@@ -133,9 +145,14 @@
     near.into_iter().chain(far).map(|(_, peer)| peer.address).take(MAX_ASKED_PEERS).collect()
 }
 
-/// Concludes that a stream which nobody remembers began at the only version of the service that this host
-/// and its peers have seen lately; finds nothing if there are several.
-fn sole_origin(state: &State, service: &PoolId, mut finding: Finding) -> Finding {
+/// Concludes that a stream which nobody remembers began at the only version of the service that has been seen
+/// lately; finds nothing if there are several. The versions must have been read after the caller took the
+/// stream up: what this host knows may be older than the stream.
+async fn conclude(state: &Rc<State>, inbound: &AdmittedRequest, finding: Finding) -> Finding {
+    if !survey::wait_since(state, inbound.arrived).await {
+        return Finding { builds: BTreeSet::new(), ..finding };
+    }
+    let (service, mut finding) = (&inbound.admission.service, finding);
     finding.builds.extend(state.recent_builds(service));
     let sole = finding.builds.first().filter(|_| finding.builds.len() == 1).cloned();
     let origin = sole.map(|build| Origin { service: service.clone(), build });
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -55,7 +55,10 @@
             return Err(unavailable(history.last_cause));
         }
         let hosts = state.live_hosts();
-        if !state.with_repeat_budget(&admission.service, |budget| budget.try_repeat(now, hosts)) {
+        let is_repeat = history.placements > history.unsent || history.possible_runs > 0;
+        if is_repeat
+            && !state.with_repeat_budget(&admission.service, |budget| budget.try_repeat(now, hosts))
+        {
             return Err(unavailable("no budget to repeat"));
         }
     }
--- a/crates/gateway/src/send/relay.rs
+++ b/crates/gateway/src/send/relay.rs
@@ -268,6 +268,7 @@
             None
         }
         Outcome::NotRun(cause) => {
+            history.unsent += 1;
             guard.end = End::Failed;
             record_unrun_send(state, inbound, history, &guard, cause);
             None
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -22,6 +22,7 @@
 use wasabi_core::{
     call::{Content, Framing},
     errors::Code,
+    member::Member,
     units::Tokens,
 };
 use wasabi_policy::{balancer::End, quarantine::SOUND_AFTER, stuck};
@@ -36,11 +37,11 @@
     send::{
         attempt::{self, BackendResponse, Outcome},
         cause, closed_end,
-        connection_pool::PooledConnection,
+        connection_pool::{Identity, Opened, PooledConnection},
         continuation,
         events::Sequence,
         history::SendHistory,
-        link_watch, placement, sending,
+        identity, link_watch, placement, sending,
     },
     state::State,
 };
@@ -89,6 +90,10 @@
     part_began_at: Option<Instant>,
     /// Whether the current server has generated for [`SOUND_AFTER`].
     part_is_sound: bool,
+    /// The connection of the current server's part.
+    part_opened: Option<Opened>,
+    /// The server that began the stream, while its version is not proven.
+    unproven: Option<(Member, Opened)>,
 }
 
 /// How one server's part of a stream ended.
@@ -126,6 +131,8 @@
             received_bytes: 0,
             part_began_at: None,
             part_is_sound: false,
+            part_opened: None,
+            unproven: None,
         };
         (stream, response)
     }
@@ -214,6 +221,7 @@
         let mut body = http.into_body();
         (self.framing, self.received_bytes) = (reply.framing, 0);
         (self.part_began_at, self.part_is_sound) = (None, false);
+        self.part_opened = Some(connection.opened);
         self.events.start_part();
         // Counts from the last event: bytes that complete none are no progress.
         let mut stuck_at = self.state.now().checked_add(guard.time_until_stuck());
@@ -332,7 +340,15 @@
         });
         let origin = Origin { service: admission.service.clone(), build: build.clone() };
         self.history.build = Some(build);
-        self.state.record_origin(begun, origin);
+        let opened = self.part_opened.filter(|opened| opened.identity != Identity::Listed);
+        let Some(opened) = opened else { return self.state.record_origin(begun, origin) };
+        let (state, member) = (self.state.clone(), guard.placement.member.clone());
+        self.unproven = Some((member.clone(), opened));
+        tokio::task::spawn_local(async move {
+            if identity::is_listed(&state, &member, opened).await {
+                state.record_origin(begun, origin);
+            }
+        });
     }
 
     /// Records once that the current server has generated for long enough.
@@ -378,6 +394,11 @@
                 events = self.events.count(); "events without ids cannot go on elsewhere");
             return None;
         }
+        if let Some((member, opened)) = self.unproven.take()
+            && !identity::is_listed(&self.state, &member, opened).await
+        {
+            return None;
+        }
         loop {
             let last_id = self.events.last_id();
             if self.state.is_cut_off() && self.continue_at_peer(last_id).await {
@@ -432,7 +453,10 @@
                     self.history.refused.push(guard.placement.member.id.clone());
                     (cause::TURNED_AWAY, "not run")
                 }
-                Outcome::NotRun(cause) => (cause, "not run"),
+                Outcome::NotRun(cause) => {
+                    self.history.unsent += 1;
+                    (cause, "not run")
+                }
                 Outcome::Unknown(cause) => (cause, "unknown"),
                 Outcome::TimedOut => return None,
             };
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -16,6 +16,7 @@
 pub mod peer_fetch;
 pub mod refresh;
 pub mod restore;
+pub mod survey;
 
 /// Sends and receives announcements until the process ends.
 pub async fn run(state: Rc<State>, socket: UdpSocket) {
--- a/crates/gateway/src/share/origin_store.rs
+++ b/crates/gateway/src/share/origin_store.rs
@@ -110,21 +110,10 @@
 
 /// Reads the versions, and the streams if there may be several.
 async fn read_all(state: &State) -> Result<Versions> {
-    let read = state.objects.read(VERSIONS_KIND, VERSIONS_NAME);
-    let record = with_timeout(read, CALL_TIMEOUT).await?;
-    let (now, now_ms) = (state.now(), now_ms(state));
-    let stored = match record {
-        None => Stored::default(),
-        Some(record) => {
-            Stored { version: Some(record.version), value: decode::<Record>(record.value)? }
-        }
-    };
-    let versions = Versions { stored, ..Versions::default() };
-    for (origin, age) in versions.stored.value.ages(now_ms) {
-        state.origins.borrow_mut().record_listed_before(now, origin, age);
-    }
+    let versions = Versions { stored: read_record(state).await?, ..Versions::default() };
+    apply_versions(state, &versions.stored.value);
     state.record_builds();
-    if !state.origins.borrow().has_several_versions(now) {
+    if !state.origins.borrow().has_several_versions(state.now()) {
         return Ok(versions);
     }
     let records = with_timeout(state.objects.list(STREAMS_KIND), CALL_TIMEOUT).await?;
@@ -145,6 +134,27 @@
     Ok(versions)
 }
 
+/// Reads the record of versions.
+pub async fn read_versions(state: &State) -> Result<Record> {
+    Ok(read_record(state).await?.value)
+}
+
+/// Takes over the versions that a record has.
+pub fn apply_versions(state: &State, record: &Record) {
+    let (now, now_ms) = (state.now(), now_ms(state));
+    for (origin, age) in record.ages(now_ms) {
+        state.origins.borrow_mut().record_listed_before(now, origin, age);
+    }
+}
+
+async fn read_record(state: &State) -> Result<Stored<Record>> {
+    let read = state.objects.read(VERSIONS_KIND, VERSIONS_NAME);
+    match with_timeout(read, CALL_TIMEOUT).await? {
+        None => Ok(Stored::default()),
+        Some(record) => Ok(Stored { version: Some(record.version), value: decode(record.value)? }),
+    }
+}
+
 /// Takes over stored streams; those of this host's earlier process are stored again. Returns their number.
 fn merge(state: &State, groups: Vec<Group>, is_own: bool) -> usize {
     let mut known = 0;
@@ -185,11 +195,7 @@
         }
         let spread = CHANGE_SPREAD_PER_HOST * state.live_hosts() as u32;
         tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
-        let read = state.objects.read(VERSIONS_KIND, VERSIONS_NAME);
-        self.stored = match with_timeout(read, CALL_TIMEOUT).await? {
-            None => Stored::default(),
-            Some(record) => Stored { version: Some(record.version), value: decode(record.value)? },
-        };
+        self.stored = read_record(state).await?;
         if let Some(expected) = self.expected(state) {
             let updated = self.stored.value.updated(&expected, now_ms(state));
             write(state, (VERSIONS_KIND, VERSIONS_NAME), &mut self.stored, updated).await?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,7 +35,9 @@
     stated_limits,
 };
 
-use crate::{receive::buffers, send::connection_pool::Pool, settings::Settings};
+use crate::{
+    receive::buffers, send::connection_pool::Pool, settings::Settings, share::survey::Survey,
+};
 
 /// The greatest age of the configuration's proof at which a host is ready for new connections.
 const MAX_READY_PROOF_AGE: Duration = Duration::from_millis(4_000);
@@ -69,6 +71,8 @@
     pub limits: RefCell<stated_limits::View>,
     /// Whether what earlier hosts have stored of versions and streams has been read.
     pub stored_origins_read: Cell<bool>,
+    /// Reads of the servers and the versions in service that requests wait for.
+    pub survey: Survey,
     /// Whether the versions that this host knew first are recorded for hosts that start later.
     pub versions_recorded: Cell<bool>,
     /// Whether this host's own link to the servers works.
@@ -144,6 +148,7 @@
             limits: RefCell::default(),
             stored_origins_read: Cell::new(false),
             versions_recorded: Cell::new(false),
+            survey: Survey::default(),
             link: RefCell::default(),
             origins: RefCell::default(),
             quarantine: RefCell::new(quarantine::View::new(rand::random())),
@@ -305,6 +310,13 @@
         self.refresh_balancers();
     }
 
+    /// Applies that the process of a server has ended and another one answers at its address.
+    pub fn mark_ended(&self, instance: members::Instance) {
+        if self.servers.borrow_mut().mark_ended(self.now(), instance) {
+            self.refresh_balancers();
+        }
+    }
+
     /// Logs that a server has sent a header whose value was not understood, once for each.
     pub fn log_malformed_header(&self, server: &ServerId, header: &str) {
         let mut known = self.malformed_headers.borrow_mut();
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -60,8 +60,11 @@
     lines.map(|(_, version)| version.to_string()).collect()
 }
 
+/// A caller; it returns the versions of the events that it got, and whether it got all.
+type Caller = JoinHandle<anyhow::Result<(BTreeSet<String>, bool)>>;
+
 /// Opens all streams at once, at the hosts by turns. Each caller takes its stream up until it is whole.
-fn open_streams(hosts: &[Gateway]) -> Vec<JoinHandle<anyhow::Result<(BTreeSet<String>, bool)>>> {
+fn open_streams(hosts: &[Gateway]) -> Vec<Caller> {
     let addresses: Vec<SocketAddr> = hosts.iter().map(|host| host.addresses.callers).collect();
     let follow = move |number: usize, addresses: Vec<SocketAddr>| {
         let (id, path) = (format!("s{number}"), format!("/chat/{number}"));
@@ -89,8 +92,8 @@
 }
 
 /// Returns how many streams hold events of several versions, and how many are whole.
-fn count(calls: Vec<JoinHandle<anyhow::Result<(BTreeSet<String>, bool)>>>) -> (usize, usize) {
-    let streams = calls.into_iter().filter_map(|call| call.join().expect("no panic").ok());
+fn count(callers: Vec<Caller>) -> (usize, usize) {
+    let streams = callers.into_iter().filter_map(|call| call.join().expect("no panic").ok());
     streams.fold((0, 0), |(joined, whole), (versions, is_whole)| {
         (joined + usize::from(versions.len() > 1), whole + usize::from(is_whole))
     })
