platform: an entry that cannot be decoded takes no other along

One entry of another writer (nested too deeply, a number too large, half of a surrogate pair, bytes that are no text) failed the whole list: hosts followed it no more, and after a kill of all nobody was served. A list was decoded as one document.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -129,6 +129,8 @@
     StoreBusy = 3003, 429;
     /// The store did not answer; a write may have taken effect.
     StoreUnavailable = 3004, 503;
+    /// A stored object could not be read; the others hold.
+    ObjectUnreadable = 3005, 502;
     /// Another process holds the lease.
     LeaseHeld = 3101, 409;
     /// The lease has ended, so its holder may not act.
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -1,7 +1,7 @@
 //! In-memory test double of the platform's object store, with faults.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -42,6 +42,8 @@
     revision: u64,
     /// Objects by kind and name, each with the revision of its last write.
     objects: BTreeMap<(String, String), (u64, Value)>,
+    /// What another writer has stored, whatever it is; by kind and name.
+    foreign: BTreeMap<(String, String), Vec<u8>>,
     /// Kind, name and value of every write over HTTP, oldest first.
     writes: Vec<(String, String, Value)>,
     calls: u64,
@@ -82,6 +84,11 @@
         inner.objects.insert((kind.to_string(), name.to_string()), (revision, spec));
     }
 
+    /// Stores an object of another writer; its value is sent as it is.
+    pub fn put_foreign(&self, kind: &str, name: &str, spec: &[u8]) {
+        self.inner.lock().foreign.insert((kind.to_string(), name.to_string()), spec.to_vec());
+    }
+
     /// Removes an object if it exists; faults do not apply.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut inner = self.inner.lock();
@@ -182,15 +189,29 @@
     }
 
     fn list(&self, kind: &str) -> BoxResponse {
-        let names = self.objects.keys().filter(|(k, _)| k == kind).map(|(_, name)| name);
-        let items: Vec<Value> = names.filter_map(|name| self.object(kind, name)).collect();
-        let list = json!({"items": items, "has_more": false, "current_rev": self.revision});
-        net::full_response(200, list.to_string())
+        let names: BTreeSet<&String> = (self.objects.keys().chain(self.foreign.keys()))
+            .filter(|(k, _)| k == kind)
+            .map(|(_, name)| name)
+            .collect();
+        let items: Vec<Vec<u8>> = names.iter().filter_map(|name| self.text(kind, name)).collect();
+        let rest = format!(r#"],"has_more":false,"current_rev":{}}}"#, self.revision);
+        let list = [br#"{"items":["#.to_vec(), items.join(&b','), rest.into_bytes()].concat();
+        net::full_response(200, list)
+    }
+
+    /// Returns an object as it is sent.
+    fn text(&self, kind: &str, name: &str) -> Option<Vec<u8>> {
+        let Some(foreign) = self.foreign.get(&(kind.to_string(), name.to_string())) else {
+            return self.object(kind, name).map(|object| object.to_string().into_bytes());
+        };
+        let metadata = json!({"name": name, "revision": self.revision, "created": 1});
+        let begin = format!(r#"{{"metadata":{metadata},"spec":"#);
+        Some([begin.as_bytes(), foreign, br#","status":null}"#].concat())
     }
 
     fn read(&self, kind: &str, name: &str) -> BoxResponse {
-        match self.object(kind, name) {
-            Some(object) => net::full_response(200, object.to_string()),
+        match self.text(kind, name) {
+            Some(object) => net::full_response(200, object),
             None => net::full_response(404, ""),
         }
     }
