gateway: requests late in a stop are refused, and none ends without an answer

In a planned stop, writes and reads that came over open connections late in the grace were passed on, and cut at its end with no answer: only streams were asked whether they may outlast the host. Now a request that comes when no new connections do is passed on only if all of its time ends before the host does, and is refused as not run otherwise. What has no answer when the time to stop is over gets 502.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -139,7 +139,8 @@
     // The five polls cover `STOP_CHECK_PERIOD`, after which connections notice the stop.
     while elapsed(stop_began) < listener::ACCEPT_WHILE_STOPPING + DRAIN_POLL * 5 || busy() {
         if state.now() >= end {
-            // They still run until the process ends, after the last announcement.
+            // Streams go on until the process ends, after the last announcement.
+            state.stop_over.notify_waiters();
             warn!(cut = state.running_requests.get(); "the time to stop is over; requests are cut");
             break;
         }
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -1,6 +1,9 @@
 //! Chooses the backend server for the first or next send of a request, or refuses it.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use log::info;
 use rand::Rng as _;
@@ -21,6 +24,9 @@
     state::State,
 };
 
+/// How long after the beginning of a stop requests are expected, until the load balancer and callers have turned
+/// to other hosts.
+const EXPECTED_WHILE_STOPPING: Duration = Duration::from_millis(2_800);
 /// Placements allowed beyond the route's `max_attempts`, for sends that servers did not run.
 const MAX_EXTRA_PLACEMENTS: usize = 2;
 
@@ -173,11 +179,22 @@
     other
 }
 
-/// Returns whether this host is stopping and a stream may last longer than the time that is left.
+/// Returns whether this host is stopping and a request may last longer than the time that is left.
 ///
-/// A stopping host still gets requests for some seconds; a caller that is refused at once can try
-/// another host, while one that is served might be cut off.
+/// A stopping host still gets requests, over open connections until its end; a caller that is refused at
+/// once can try another host, while one that is served might be cut off. How long a stream takes follows from its
+/// prompt. Other requests may take all of their time, but few do: only those are refused for that which come
+/// when no new connections do.
 fn may_outlast_host(state: &State, inbound: &AdmittedRequest, now: Instant) -> bool {
-    let (Some(end), Some(prompt)) = (state.drain_end(), &inbound.head.prompt) else { return false };
-    inbound.admission.route.kind.is_stream() && now + wait_limit::max_stream_duration(prompt) > end
+    let (Some(since), Some(end)) = (state.stopping_since.get(), state.drain_end()) else {
+        return false;
+    };
+    let prompt = inbound.head.prompt.as_ref();
+    match prompt.filter(|_| inbound.admission.route.kind.is_stream()) {
+        Some(prompt) => now + wait_limit::max_stream_duration(prompt) > end,
+        None => {
+            now.saturating_duration_since(since) >= EXPECTED_WHILE_STOPPING
+                && inbound.deadline > end
+        }
+    }
 }
--- a/crates/gateway/src/send/relay.rs
+++ b/crates/gateway/src/send/relay.rs
@@ -44,13 +44,20 @@
     let arrived = state.now();
     let (parts, body) = request.into_parts();
     let head = head::decode(&parts.headers);
+    let id = head.id.clone();
     let _running = CountGuard::request(&state);
     if let Some(handover) = &handover {
         peer_relay::log_taken_over(&head.id, handover);
     }
     let may_have_run = handover.as_ref().is_some_and(|handover| handover.possible_runs > 0);
     let response = match receive(&state, arrived, parts, head, body).await {
-        Ok(inbound) => find_origin_and_send(&state, AdmittedRequest { handover, ..inbound }).await,
+        Ok(inbound) => {
+            let inbound = AdmittedRequest { handover, ..inbound };
+            tokio::select! {
+                response = find_origin_and_send(&state, inbound) => response,
+                () = state.stop_over.notified() => Err(cut_by_stop(&state, &id, arrived)),
+            }
+        }
         Err((id, error)) => {
             log_gateway_error(&state, &id, None, arrived, &error);
             Err(error)
@@ -63,6 +70,13 @@
     })
 }
 
+/// Gives up a request that has no answer at the end of this host's stop. A server may have run it.
+fn cut_by_stop(state: &State, id: &str, arrived: Instant) -> Error {
+    let error = Error::new(Code::AnswerBroken, "the host stops").ran(Ran::Unknown);
+    log_gateway_error(state, id, None, arrived, &error);
+    error
+}
+
 /// Admits a request and reads its body.
 async fn receive(
     state: &Rc<State>,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -120,6 +120,8 @@
     pub open_connections: Cell<usize>,
     /// When the process was told to stop by SIGTERM or SIGINT.
     pub stopping_since: Cell<Option<Instant>>,
+    /// Notified when the time to stop is over: requests that have no answer then get an error.
+    pub stop_over: Notify,
 }
 
 impl State {
@@ -171,6 +173,7 @@
             running_requests: Cell::new(0),
             open_connections: Cell::new(0),
             stopping_since: Cell::new(None),
+            stop_over: Notify::new(),
             settings: RefCell::new(settings),
             clock,
             objects,
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -69,13 +69,33 @@
 
     /// Starts a server and writes it to the store as ready.
     pub fn add_server(&mut self, id: &str, service: &str, streams: bool) -> anyhow::Result<()> {
+        self.add_paced_server(id, service, streams, EVENT_INTERVAL)
+    }
+
+    /// Starts a plain server that works on each request for `work`, and writes it to the store as ready.
+    pub fn add_slow_server(
+        &mut self,
+        id: &str,
+        service: &str,
+        work: Duration,
+    ) -> anyhow::Result<()> {
+        self.add_paced_server(id, service, false, work)
+    }
+
+    fn add_paced_server(
+        &mut self,
+        id: &str,
+        service: &str,
+        streams: bool,
+        interval: Duration,
+    ) -> anyhow::Result<()> {
         let (server, address) = Server::start(
             self.runtime.handle(),
             id,
             service,
             streams,
             EVENTS_PER_STREAM,
-            EVENT_INTERVAL,
+            interval,
         )?;
         self.store.put("servers", id, server.store_object(address, "ready"));
         self.servers.push((server, address));
