gateway: streams of ended hosts go on at the only version that was recorded when their successors started

After a kill of all hosts while a release began, every stream that callers took up was refused with 1206: two versions are in service and nobody remembers the streams. Now each host keeps what the record of versions had when it started. A stream that none of the present hosts knows, when all of them have answered, began at a host that had ended before; if one version was recorded then, it began there. For that a version is recorded before streams begin at it that may be taken up; it is used before only if there is no other one. A stream at a server whose version is not proven is known as such, also to peers that ask.

--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -49,12 +49,21 @@
     }
 }
 
+/// What is known of where a stream began.
+#[derive(Clone, Debug, PartialEq)]
+enum Begun {
+    At(Rc<Origin>),
+    /// At a server whose version is not proven.
+    Unproven,
+    /// Hosts do not agree.
+    Disputed,
+}
+
 /// The streams whose origin this host knows, and the versions that it has seen in service.
 #[derive(Debug, Default)]
 pub struct View {
-    /// The streams with their origins, and when each was recorded; without an origin if hosts do not agree
-    /// on it.
-    streams: HashMap<StreamId, (Option<Rc<Origin>>, Instant)>,
+    /// The streams with what is known of their origins, and when each was recorded.
+    streams: HashMap<StreamId, (Begun, Instant)>,
     /// The streams by the time of an entry, oldest first. A stream that was recorded again is here
     /// more than once; only its latest entry counts.
     by_age: VecDeque<(Instant, StreamId)>,
@@ -78,12 +87,22 @@
 impl View {
     /// Where a stream began, if that is known.
     pub fn get(&self, stream: StreamId) -> Option<&Origin> {
-        self.streams.get(&stream)?.0.as_deref()
+        match &self.streams.get(&stream)?.0 {
+            Begun::At(origin) => Some(origin),
+            Begun::Unproven | Begun::Disputed => None,
+        }
     }
 
-    /// Whether hosts do not agree on where a stream began.
-    pub fn is_disputed(&self, stream: StreamId) -> bool {
-        self.streams.get(&stream).is_some_and(|(origin, _)| origin.is_none())
+    /// Whether a stream is known and its origin is not: it is not proven, or hosts do not agree.
+    pub fn is_uncertain(&self, stream: StreamId) -> bool {
+        self.streams.get(&stream).is_some_and(|(begun, _)| !matches!(begun, Begun::At(_)))
+    }
+
+    /// Records that a stream of this host began at a server whose version is not proven.
+    pub fn record_unproven(&mut self, now: Instant, stream: StreamId) {
+        self.expire(now);
+        self.streams.entry(stream).or_insert((Begun::Unproven, now));
+        self.by_age.push_back((now, stream));
     }
 
     /// The number of streams whose origin is known.
@@ -116,11 +135,17 @@
                 origin
             }
         };
-        let before = self.streams.get(&stream).map(|(before, _)| before.clone());
-        let disputed = before.as_ref().is_some_and(|before| before.as_ref() != Some(&origin));
-        self.streams.insert(stream, (Some(origin).filter(|_| !disputed), now));
+        let before = self.streams.get(&stream).map(|(begun, _)| begun.clone());
+        let (begun, other) = match before {
+            Some(Begun::At(before)) if before != origin => {
+                (Begun::Disputed, Some((*before).clone()))
+            }
+            Some(Begun::Disputed) => (Begun::Disputed, None),
+            _ => (Begun::At(origin), None),
+        };
+        self.streams.insert(stream, (begun, now));
         self.by_age.push_back((now, stream));
-        before.flatten().filter(|_| disputed).map(|before| (*before).clone())
+        other
     }
 
     /// Takes at most `count` streams that have not been announced, by origin.
@@ -144,7 +169,7 @@
     fn group(&self, streams: impl IntoIterator<Item = StreamId>) -> Vec<Group> {
         let mut groups: BTreeMap<Rc<Origin>, Vec<[u8; 8]>> = BTreeMap::new();
         for stream in streams {
-            if let Some((Some(origin), _)) = self.streams.get(&stream) {
+            if let Some((Begun::At(origin), _)) = self.streams.get(&stream) {
                 groups.entry(origin.clone()).or_default().push(stream.to_be_bytes());
             }
         }
--- a/crates/core/src/format.rs
+++ b/crates/core/src/format.rs
@@ -23,7 +23,7 @@
 /// What it says of a request that it hands to a peer.
 pub const HANDOVER: Format = Format(1);
 /// What a peer may fetch from it.
-pub const PAGE: Format = Format(1);
+pub const PAGE: Format = Format(2);
 /// The objects of the router's own kinds in the store.
 pub const STORED: Format = Format(1);
 /// From this number on, a format that this build does not know cannot be read.
--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -32,6 +32,13 @@
     origin: Option<Origin>,
     /// The versions of the service that the host has seen lately.
     builds: BTreeSet<Build>,
+    /// The versions of the service that had been recorded when the host started; hosts of older builds do not
+    /// say.
+    #[serde(default)]
+    inherited: Option<BTreeSet<Build>>,
+    /// Whether the host knows the stream, but not where it began.
+    #[serde(default)]
+    uncertain: bool,
 }
 
 /// What a host finds out of where a stream began.
@@ -43,6 +50,10 @@
     source: &'static str,
     /// The versions seen lately, here and by the peers that answered, if nobody remembers the stream.
     builds: BTreeSet<Build>,
+    /// The versions that had been recorded when the peers that answered started, if all of them say so.
+    inherited: Option<BTreeSet<Build>>,
+    /// Whether a host knows the stream, but not where it began.
+    uncertain: bool,
     /// The peers that were asked.
     asked: usize,
     /// Those that answered in time.
@@ -60,7 +71,10 @@
     let stream = StreamId::from_str_radix(stream, 16).ok()?;
     let service: PoolId = service.parse().ok()?;
     let builds = state.recent_builds(&service);
-    Some(Page { origin: state.origins.borrow().get(stream).cloned(), builds })
+    let inherited = inherited_builds(state, &service);
+    let origins = state.origins.borrow();
+    let (origin, uncertain) = (origins.get(stream).cloned(), origins.is_uncertain(stream));
+    Some(Page { origin, builds, inherited, uncertain })
 }
 
 /// Finds where the stream began that a caller takes up; `None` if it takes up none.
@@ -82,16 +96,15 @@
         return Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER));
     }
     let known = known.or_else(|| state.origins.borrow().get(stream?).cloned());
-    if stream.is_some_and(|stream| state.origins.borrow().is_disputed(stream)) {
-        let detail = "hosts do not agree on the version that began the stream";
-        return Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER));
-    }
+    let uncertain = stream.is_some_and(|stream| state.origins.borrow().is_uncertain(stream));
     let finding = match (known, stream) {
+        _ if uncertain => Finding { uncertain, ..Finding::default() },
         (Some(origin), _) => Finding { origin: Some(origin), source: "own", ..Finding::default() },
         (None, Some(stream)) => ask_peers(state, stream, service).await,
         (None, None) => Finding::default(),
     };
     let finding = match finding.origin {
+        None if finding.uncertain => finding,
         Some(_) => finding,
         None => conclude(state, inbound, finding).await,
     };
@@ -99,9 +112,10 @@
     match finding.origin {
         Some(origin) => Ok(Some(origin)),
         None => {
-            let detail = match finding.builds.is_empty() {
-                true => "the versions in service are not proven",
-                false => "several versions are in service",
+            let detail = match (finding.uncertain, finding.builds.is_empty()) {
+                (true, _) => "the version that began the stream is not certain",
+                (false, true) => "the versions in service are not proven",
+                (false, false) => "several versions are in service",
             };
             Err(response::retry_later(Code::StreamUnknown, detail, RETRY_AFTER))
         }
@@ -115,7 +129,8 @@
         let path = path.clone();
         asked.spawn_local(async move { peer_fetch::fetch::<Page>(peer, &path).await });
     }
-    let mut finding = Finding { asked: asked.len(), ..Finding::default() };
+    let inherited = inherited_builds(state, service);
+    let mut finding = Finding { asked: asked.len(), inherited, ..Finding::default() };
     let found = tokio::time::timeout(ASK_TIMEOUT, async {
         while let Some(page) = asked.join_next().await {
             let Ok(Ok(page)) = page else {
@@ -126,7 +141,10 @@
             if let Some(origin) = page.origin {
                 return Some(origin);
             }
+            finding.uncertain |= page.uncertain;
             finding.builds.extend(page.builds);
+            let known = finding.inherited.take().zip(page.inherited);
+            finding.inherited = known.map(|(ours, theirs)| &ours | &theirs);
         }
         None
     });
@@ -145,9 +163,10 @@
     near.into_iter().chain(far).map(|(_, peer)| peer.address).take(MAX_ASKED_PEERS).collect()
 }
 
-/// Concludes that a stream which nobody remembers began at the only version of the service that has been seen
-/// lately; finds nothing if there are several. The versions must have been read after the caller took the
-/// stream up: what this host knows may be older than the stream.
+/// Concludes where a stream began that nobody remembers: at the only version of the service that has been seen
+/// lately, or at the only one that had been recorded when the present hosts started, if all of them have
+/// answered. The versions must have been read after the caller took the stream up: what this host knows may be
+/// older than the stream.
 async fn conclude(state: &Rc<State>, inbound: &AdmittedRequest, finding: Finding) -> Finding {
     if !survey::wait_since(state, inbound.arrived).await {
         return Finding { builds: BTreeSet::new(), ..finding };
@@ -155,11 +174,31 @@
     let (service, mut finding) = (&inbound.admission.service, finding);
     finding.builds.extend(state.recent_builds(service));
     let sole = finding.builds.first().filter(|_| finding.builds.len() == 1).cloned();
-    let origin = sole.map(|build| Origin { service: service.clone(), build });
-    Finding { origin, source: "sole version", ..finding }
+    let (build, source) = match sole {
+        Some(build) => (Some(build), "sole version"),
+        None => (finding.build_of_ended_hosts(state), "ended hosts"),
+    };
+    let origin = build.map(|build| Origin { service: service.clone(), build });
+    Finding { origin, source, ..finding }
+}
+
+/// Returns the versions of a service that had been recorded when this host started.
+fn inherited_builds(state: &State, service: &PoolId) -> Option<BTreeSet<Build>> {
+    let inherited = state.inherited_versions.borrow();
+    let of_service = inherited.as_ref()?.iter().filter(|origin| origin.service == *service);
+    Some(of_service.map(|origin| origin.build.clone()).collect())
 }
 
 impl Finding {
+    /// Returns the version at which all hosts began their streams that have ended. A version is recorded before
+    /// streams begin there, so one that no present host found recorded had none of them.
+    fn build_of_ended_hosts(&self, state: &State) -> Option<Build> {
+        let peers = state.peers.borrow().all().count();
+        let all_know = state.host_records_read.get() && self.answered == peers;
+        let inherited = self.inherited.as_ref().filter(|_| all_know)?;
+        inherited.first().filter(|_| inherited.len() == 1).cloned()
+    }
+
     fn log(&self, state: &State, inbound: &AdmittedRequest) {
         let source = if self.origin.is_some() { self.source } else { "unknown" };
         metrics::counter!("wasabi_gateway_taken_up_streams_total", "origin" => source).increment(1);
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -10,7 +10,7 @@
 use wasabi_belief::members;
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
-    units::RequestRate,
+    units::{Build, RequestRate},
 };
 use wasabi_policy::{
     balancer::{PlacementRequest, Refusal},
@@ -82,11 +82,13 @@
         0 => inbound.max_wait,
         _ => remaining,
     };
+    let excluded = versions_to_spare(state, inbound, history);
     let placement_request = PlacementRequest {
         prompt: inbound.head.prompt.as_ref(),
         max_wait,
         urgency: admission.urgency,
         build: history.build.as_ref(),
+        excluded: &excluded,
         avoid: &history.avoid,
         refused: &history.refused,
     };
@@ -94,7 +96,13 @@
     let Some(balancer) = balancers.get_mut(&admission.service) else {
         return Err(unavailable("no servers are known"));
     };
-    match balancer.place(now, &placement_request) {
+    let placed = match balancer.place(now, &placement_request) {
+        Err(Refusal::NoServer) if !excluded.is_empty() => {
+            balancer.place(now, &PlacementRequest { excluded: &[], ..placement_request })
+        }
+        placed => placed,
+    };
+    match placed {
         Ok(placement) => {
             drop(balancers);
             history.placements += 1;
@@ -160,6 +168,22 @@
     }
 }
 
+/// Returns the versions at which no stream should begin that may be taken up later: they are not recorded yet,
+/// so hosts that start do not know of them. They are used if there are no others.
+fn versions_to_spare(
+    state: &State,
+    inbound: &AdmittedRequest,
+    history: &SendHistory,
+) -> Vec<Build> {
+    let kind = inbound.admission.route.kind;
+    if history.build.is_some() || !kind.is_stream() || !kind.is_repeatable() {
+        return Vec::new();
+    }
+    let unrecorded = state.unrecorded_versions.borrow();
+    let of_service = unrecorded.iter().filter(|o| o.service == inbound.admission.service);
+    of_service.map(|origin| origin.build.clone()).collect()
+}
+
 /// Returns a placement on another server for a request that is stuck; `None` if it has to stay.
 pub fn place_elsewhere(
     state: &Rc<State>,
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -344,6 +344,7 @@
         let Some(opened) = opened else { return self.state.record_origin(begun, origin) };
         let (state, member) = (self.state.clone(), guard.placement.member.clone());
         self.unproven = Some((member.clone(), opened));
+        self.state.origins.borrow_mut().record_unproven(self.state.now(), begun);
         tokio::task::spawn_local(async move {
             if identity::is_listed(&state, &member, opened).await {
                 state.record_origin(begun, origin);
--- a/crates/gateway/src/share/origin_store.rs
+++ b/crates/gateway/src/share/origin_store.rs
@@ -112,6 +112,8 @@
 async fn read_all(state: &State) -> Result<Versions> {
     let versions = Versions { stored: read_record(state).await?, ..Versions::default() };
     apply_versions(state, &versions.stored.value);
+    let inherited = versions.stored.value.ages(now_ms(state)).map(|(origin, _)| origin);
+    state.inherited_versions.replace(Some(inherited.collect()));
     state.record_builds();
     if !state.origins.borrow().has_several_versions(state.now()) {
         return Ok(versions);
@@ -145,6 +147,7 @@
     for (origin, age) in record.ages(now_ms) {
         state.origins.borrow_mut().record_listed_before(now, origin, age);
     }
+    state.set_recorded_versions(record.present());
 }
 
 async fn read_record(state: &State) -> Result<Stored<Record>> {
@@ -200,18 +203,19 @@
             let updated = self.stored.value.updated(&expected, now_ms(state));
             write(state, (VERSIONS_KIND, VERSIONS_NAME), &mut self.stored, updated).await?;
         }
+        state.set_recorded_versions(self.stored.value.present());
         Ok(())
     }
 
     /// Returns whether all versions that this host knows are recorded as listed.
     fn include_listed(&self, state: &State) -> bool {
-        let listed = listed(state);
+        let listed = state.listed_versions();
         !listed.is_empty() && listed.is_subset(&self.stored.value.present())
     }
 
     /// Returns what should be recorded as listed, if that is not what is.
     fn expected(&mut self, state: &State) -> Option<BTreeSet<Origin>> {
-        let (recorded, listed) = (self.stored.value.present(), listed(state));
+        let (recorded, listed) = (self.stored.value.present(), state.listed_versions());
         // An empty list: nothing is known of the servers yet.
         if recorded.is_subset(&listed) || listed.is_empty() {
             self.missing_since = None;
@@ -227,13 +231,6 @@
     }
 }
 
-/// Returns the services and versions of the listed servers.
-fn listed(state: &State) -> BTreeSet<Origin> {
-    let members = state.servers.borrow().get();
-    let origins = members.into_iter().map(|m| Origin { service: m.service, build: m.build });
-    origins.collect()
-}
-
 /// Writes the streams of this host if they have changed.
 async fn record_streams(state: &State, stored: &mut Stored<Vec<Group>>) -> Result<()> {
     let streams = state.origins.borrow_mut().own_streams(state.now());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,6 +71,13 @@
     pub limits: RefCell<stated_limits::View>,
     /// Whether what earlier hosts have stored of versions and streams has been read.
     pub stored_origins_read: Cell<bool>,
+    /// The versions that the record had when this host first read it, before it added any: all streams of hosts
+    /// that had ended by then began there. `None` until it is read.
+    pub inherited_versions: RefCell<Option<BTreeSet<Origin>>>,
+    /// The versions that the record has as listed, as this host last read or wrote it.
+    pub recorded_versions: RefCell<BTreeSet<Origin>>,
+    /// The versions that are listed and not recorded yet.
+    pub unrecorded_versions: RefCell<BTreeSet<Origin>>,
     /// Reads of the servers and the versions in service that requests wait for.
     pub survey: Survey,
     /// Whether the versions that this host knew first are recorded for hosts that start later.
@@ -150,6 +157,9 @@
             limits: RefCell::default(),
             stored_origins_read: Cell::new(false),
             versions_recorded: Cell::new(false),
+            inherited_versions: RefCell::default(),
+            recorded_versions: RefCell::default(),
+            unrecorded_versions: RefCell::default(),
             survey: Survey::default(),
             link: RefCell::default(),
             origins: RefCell::default(),
@@ -267,9 +277,29 @@
             let age = now.saturating_duration_since(proof);
             self.log_servers(source, age);
             self.refresh_balancers();
+            self.update_unrecorded_versions();
         }
     }
 
+    /// Returns the services and versions of the listed servers.
+    pub fn listed_versions(&self) -> BTreeSet<Origin> {
+        let members = self.servers.borrow().get();
+        let origins = members.into_iter().map(|m| Origin { service: m.service, build: m.build });
+        origins.collect()
+    }
+
+    /// Records which versions the record has as listed.
+    pub fn set_recorded_versions(&self, recorded: BTreeSet<Origin>) {
+        *self.recorded_versions.borrow_mut() = recorded;
+        self.update_unrecorded_versions();
+    }
+
+    fn update_unrecorded_versions(&self) {
+        let listed = self.listed_versions();
+        let unrecorded = listed.difference(&self.recorded_versions.borrow()).cloned().collect();
+        *self.unrecorded_versions.borrow_mut() = unrecorded;
+    }
+
     /// Returns the versions of a service's software at which a stream that goes on may have begun.
     pub fn recent_builds(&self, service: &PoolId) -> BTreeSet<Build> {
         self.record_builds();
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -19,6 +19,8 @@
     pub urgency: u8,
     /// The only software version that may run it, if it goes on with what a server generated.
     pub build: Option<&'a Build>,
+    /// Software versions that may not run it.
+    pub excluded: &'a [Build],
     /// Servers that have failed this request; used only if no other one is ready.
     pub avoid: &'a [ServerId],
     /// Servers that have refused this request; never used.
@@ -29,6 +31,7 @@
     /// Returns whether the software version of a server may run the request.
     pub fn accepts(&self, server: &Member) -> bool {
         self.build.is_none_or(|build| server.build == *build)
+            && !self.excluded.contains(&server.build)
     }
 }
 
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -57,6 +57,7 @@
         max_wait: Duration::from_millis(max_wait_ms),
         urgency,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     }
@@ -201,6 +202,7 @@
         max_wait: SECOND,
         urgency: 8,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     };
@@ -225,6 +227,7 @@
         max_wait: SECOND,
         urgency: 8,
         build: None,
+        excluded: &[],
         avoid: &avoid,
         refused: &[],
     };
@@ -241,6 +244,7 @@
         max_wait: SECOND,
         urgency: 8,
         build: None,
+        excluded: &[],
         avoid: refused,
         refused,
     };
@@ -260,6 +264,7 @@
         max_wait: SECOND,
         urgency: 8,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     };
@@ -350,6 +355,7 @@
         max_wait: SECOND,
         urgency: 3,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     };
@@ -376,6 +382,7 @@
         max_wait: SECOND,
         urgency: 3,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     };
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -79,6 +79,7 @@
             max_wait: SECOND,
             urgency: 5,
             build: None,
+            excluded: &[],
             avoid: &[],
             refused: &[],
         };
@@ -172,6 +173,7 @@
         max_wait: SECOND,
         urgency: 5,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     };
@@ -198,6 +200,7 @@
             max_wait: SECOND,
             urgency: 5,
             build: None,
+            excluded: &[],
             avoid: &[],
             refused: &[],
         };
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -37,6 +37,7 @@
         max_wait: SECOND,
         urgency: 5,
         build: None,
+        excluded: &[],
         avoid: &[],
         refused: &[],
     };
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -123,6 +123,7 @@
         max_wait: SECOND,
         urgency: 5,
         build: Some(build),
+        excluded: &[],
         avoid: &avoid,
         refused: &[],
     };
@@ -132,4 +133,9 @@
         balancer.end(now, &placement, End::Failed);
     }
     assert_eq!(balancer.place(now, &request(&v3)), Err(Refusal::NoServer));
+    let excluded = [build("v1"), build("v2")];
+    let any = |excluded| PlacementRequest { build: None, avoid: &[], excluded, ..request(&v1) };
+    let placement = balancer.place(now, &any(&excluded[..1])).expect("a server of v2");
+    assert_eq!(placement.member.build, build("v2"));
+    assert_eq!(balancer.place(now, &any(&excluded)), Err(Refusal::NoServer));
 }
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -336,6 +336,7 @@
             max_wait: limit,
             urgency: wait_limit::urgency(None, class.rank),
             build: None,
+            excluded: &[],
             avoid: &[],
             refused: &[],
         };
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -174,3 +174,39 @@
     assert!(whole >= STREAMS / 2, "only {whole} of {STREAMS} are whole");
     Ok(())
 }
+
+#[test]
+fn streams_go_on_after_all_hosts_were_killed_and_a_release_began_meanwhile() -> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    let mut hosts = vec![rig.start_gateway("g1")?, rig.start_gateway("g2")?];
+    let engines = || rig.servers.iter().filter(|(server, _)| server.streams);
+    engines().for_each(|(server, _)| server.set_behavior(Some(Behavior::BreakAfter(3))));
+    for number in 0..STREAMS {
+        let (id, path) = (format!("s{number}"), format!("/chat/{number}"));
+        let to = hosts[number % 2].addresses.callers;
+        let response = Request::new("POST", &path, &id).send(to)?;
+        anyhow::ensure!(!response.event_ids().is_empty(), "{id}: {response:?}");
+    }
+    engines().for_each(|(server, _)| server.set_behavior(None));
+    hosts.iter_mut().for_each(Gateway::kill);
+    rig.add_engines(&[("f1", "v2")])?;
+    let places = hosts.iter().map(|host| host.addresses).collect::<Vec<_>>();
+    hosts.clear();
+    for (name, at) in ["g1", "g2"].into_iter().zip(places) {
+        hosts.push(rig.launch(name, rig.store_address, at)?);
+    }
+    hosts.iter().try_for_each(Gateway::wait_ready)?;
+    let known = |host: &Gateway| !host.log_lines("peer heard").is_empty();
+    wait_for("the hosts to hear of each other", || hosts.iter().all(known))?;
+    let mut went_on = 0;
+    for number in 0..STREAMS {
+        let (begun, path) = (format!("s{number}"), format!("/chat/{number}"));
+        let again = format!("{begun}-again");
+        let request = Request::resume(&path, &again, &begun, 3);
+        let response = request.send(hosts[(number + 1) % 2].addresses.callers)?;
+        went_on += usize::from(response.status == 200 && response.complete);
+        assert!(rig.versions_of(&[&begun, &again]).len() <= 1, "{begun} holds two versions");
+    }
+    assert!(went_on >= STREAMS / 2, "only {went_on} of {STREAMS} streams went on");
+    Ok(())
+}
