answer: a status counts only if no other answer's beginning stands in its head

A late second answer that was broken off within its first line was read with the true answer behind it as one head: its status, and the true answer's id.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod events;
 pub mod evidence;
 pub mod head_limit;
+pub mod joined;
 pub mod whole;
--- a/crates/gateway/src/send/attempt.rs
+++ b/crates/gateway/src/send/attempt.rs
@@ -142,7 +142,7 @@
             Err(_) => return Outcome::TimedOut,
             Ok(Ok(http)) => {
                 record_answer(state, kind_of(&connection));
-                let reply = reply::decode(&outgoing.parts.method, http.status(), http.headers());
+                let reply = reply::read(&outgoing.parts.method, &http);
                 for header in &reply.malformed {
                     state.log_malformed_header(&member.id, header);
                 }
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -223,6 +223,41 @@
     Ok(())
 }
 
+/// An answer that is broken off within its first line, at each byte, and the true answer behind it.
+#[test]
+fn an_answer_that_breaks_off_in_its_first_line_lends_its_status_to_no_other() -> anyhow::Result<()>
+{
+    const LINES: [&str; 8] = [
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 204 No Content\r\n",
+        "HTTP/1.1 408 Request Timeout\r\n",
+        "HTTP/1.1 421 Misdirected Request\r\n",
+        "HTTP/1.1 429 Too Many Requests\r\n",
+        "HTTP/1.1 500 Internal Server Error\r\n",
+        "HTTP/1.1 503 Service Unavailable\r\n",
+        "HTTP/1.1 504 Gateway Timeout\r\n",
+    ];
+    let play = Play::start(&[("x1", "app"), ("x2", "llm")], |stream, exchange| {
+        let mut words = exchange.id.split('-').filter_map(|word| word.parse::<usize>().ok());
+        let (Some(line), Some(length)) = (words.next(), words.next()) else { return Ok(()) };
+        let torn = LINES[line][..length].to_string();
+        stream.write_all((torn + &exchange.answer()).as_bytes())
+    })?;
+    for (number, line) in LINES.iter().enumerate() {
+        for length in 1..line.len() {
+            for path in ["write", "long"] {
+                let id = format!("{path}-{number}-{length}");
+                let response = play.send(&format!("/{path}/{id}"), &id)?;
+                let label = format!("{:?}: {response:?}", &line[..length]);
+                assert_eq!(response.status, 502, "{label}");
+                assert!(!response.headers.contains_key("response-signature"), "{label}");
+                assert_eq!(play.arrivals(&id).len(), 1, "{label}");
+            }
+        }
+    }
+    Ok(())
+}
+
 /// A server that refuses a request and, if it gets it again, writes that refusal once more and runs it.
 fn refuse_and_repeat(stream: &mut TcpStream, exchange: &Exchange) -> std::io::Result<()> {
     stream.write_all(exchange.refusal().as_bytes())?;
