gateway: the end of a connection is believed only after an answer of the same process

Now it must answer afterwards, over a connection that was open before, or over a new one as the process that the list describes.

The test the_last_stream_of_a_server_that_leaves_is_complete asserted the fault: a server that ends after its last event can't be told from one that is killed before. It is replaced by one that asks for both: such a stream is not complete, that of a server that leaves and still answers is. Two tests more, with real processes.

--- a/crates/answer/src/evidence.rs
+++ b/crates/answer/src/evidence.rs
@@ -15,12 +15,10 @@
 /// What is known of a server some time after it has ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
-    /// Another connection to it is still open.
+    /// It has answered over another connection that was open before.
     Open,
-    /// It has accepted a new connection; it resets those above the number that it serves.
+    /// It has answered over a new connection, or reset one: it resets those above the number that it serves.
     Accepted,
-    /// It has said before that it leaves, so it may end after its last answer.
-    Leaving,
     /// It refuses connections: its process has ended.
     Refused,
     /// Another process has its id or its address, so it has ended.
@@ -49,7 +47,7 @@
     /// Errors: `ServerGone`, or `EndUnconfirmed` if nothing is known.
     pub fn check(self) -> Result<(), Broken> {
         match self {
-            Self::Open | Self::Accepted | Self::Leaving => Ok(()),
+            Self::Open | Self::Accepted => Ok(()),
             Self::Refused | Self::Replaced => Err(Broken::ServerGone),
             Self::Unanswered => Err(Broken::EndUnconfirmed),
         }
@@ -60,7 +58,6 @@
         match self {
             Self::Open => "open",
             Self::Accepted => "accepted",
-            Self::Leaving => "leaving",
             Self::Refused => "refused",
             Self::Replaced => "replaced",
             Self::Unanswered => "unanswered",
--- a/crates/answer/tests/evidence.rs
+++ b/crates/answer/tests/evidence.rs
@@ -9,8 +9,8 @@
 use wasabi_core::call::{Content, Framing};
 
 #[test]
-fn an_end_is_believed_only_of_a_server_that_lives_or_has_said_that_it_leaves() {
-    for evidence in [Evidence::Open, Evidence::Accepted, Evidence::Leaving] {
+fn an_end_is_believed_only_of_a_server_that_lives() {
+    for evidence in [Evidence::Open, Evidence::Accepted] {
         assert_eq!(evidence.check(), Ok(()), "{evidence:?}");
     }
     for evidence in [Evidence::Refused, Evidence::Replaced] {
--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -45,8 +45,6 @@
     grace_until: Option<Instant>,
     /// Instances that said that they leave, and when this host learned it.
     leaving: BTreeMap<Instance, Instant>,
-    /// Instances that were listed as draining, and when this host last saw it.
-    drained: BTreeMap<Instance, Instant>,
     /// Instances whose process has ended, as the one that followed it says, and when this host learned it.
     ended: BTreeMap<Instance, Instant>,
 }
@@ -120,13 +118,6 @@
             && !self.ended.contains_key(&instance)
     }
 
-    /// Whether an instance has said that it leaves, in an answer or its entry, also if it is not listed any
-    /// more. One that is only missing from the list may have lost its way to the store.
-    pub fn has_announced_leave(&self, member: &Member) -> bool {
-        let instance = instance(member);
-        self.leaving.contains_key(&instance) || self.drained.contains_key(&instance)
-    }
-
     /// Whether another instance has the id or the address of this one, so it has ended.
     pub fn is_replaced(&self, member: &Member) -> bool {
         if self.ended.contains_key(&instance(member)) {
@@ -165,9 +156,6 @@
         self.lapsed.retain(|id, (_, until)| !fresh.contains_key(id) && now < *until);
         // An address belongs to one server at a time: a listed server supersedes a lapsed one.
         self.lapsed.retain(|_, (m, _)| fresh.values().all(|other| other.address != m.address));
-        for draining in fresh.values().filter(|member| member.phase == Phase::Draining) {
-            remember(&mut self.drained, now, instance(draining));
-        }
         self.digest = digest(&fresh);
         self.listed = fresh;
         self.confirmed_at = Some(confirmed_at);
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -135,22 +135,22 @@
 }
 
 #[test]
-fn an_instance_that_is_not_listed_has_not_said_that_it_leaves() {
+fn an_instance_has_ended_once_another_one_has_its_id_or_has_answered_for_it() {
     let start = Instant::now();
     let mut view = members::View::default();
     let (first, other) = (member("a", 1), member("b", 2));
     view.offer(start, vec![first.clone(), other.clone()], start);
     view.offer(start + SECOND, vec![other], start + SECOND);
     assert!(!view.takes_work(&first));
-    assert!(!view.has_announced_leave(&first) && !view.is_replaced(&first));
-    let drained = Member { phase: Phase::Draining, ..first.clone() };
-    view.offer(start + SECOND * 2, vec![drained], start + SECOND * 2);
-    view.offer(start + SECOND * 3, Vec::new(), start + SECOND * 3);
-    assert!(view.has_announced_leave(&first), "it was listed as draining");
+    assert!(!view.is_replaced(&first), "it may have lost its way to the store");
     let again = Member { born_ms: first.born_ms + 1, ..first.clone() };
-    view.offer(start + SECOND * 4, vec![again.clone()], start + SECOND * 4);
+    view.offer(start + SECOND * 2, vec![again.clone()], start + SECOND * 2);
     assert!(view.is_replaced(&first) && !view.is_replaced(&again));
-    assert!(!view.has_announced_leave(&again));
+    assert!(view.takes_work(&again) && view.lists(&members::instance(&again)));
+    assert!(view.mark_ended(start + SECOND * 3, members::instance(&again)));
+    assert!(!view.mark_ended(start + SECOND * 3, members::instance(&again)));
+    assert!(view.is_replaced(&again) && !view.takes_work(&again));
+    assert_eq!(view.get().iter().map(|m| m.phase).collect::<Vec<_>>(), [Phase::Draining]);
 }
 
 fn host(name: &str) -> HostId {
--- a/crates/gateway/src/send/closed_end.rs
+++ b/crates/gateway/src/send/closed_end.rs
@@ -43,9 +43,6 @@
     keep_alive: Option<Duration>,
 ) -> Evidence {
     let member = &guard.placement.member;
-    if state.servers.borrow().has_announced_leave(member) {
-        return Evidence::Leaving;
-    }
     tokio::time::sleep(SETTLING_TIME).await;
     let is_replaced = || state.servers.borrow().is_replaced(member);
     if is_replaced() {
@@ -55,6 +52,6 @@
     // A server that gets no more requests needs no idle connection.
     let takes_work = state.servers.borrow().takes_work(member);
     let keep_alive = if takes_work { keep_alive } else { Some(Duration::ZERO) };
-    let evidence = connection.replace(state.now(), member, keep_alive, source).await;
+    let evidence = connection.find_evidence(state.now(), member, keep_alive, source).await;
     if is_replaced() { Evidence::Replaced } else { evidence }
 }
--- a/crates/gateway/src/send/connection_pool.rs
+++ b/crates/gateway/src/send/connection_pool.rs
@@ -10,11 +10,16 @@
 };
 
 use wasabi_answer::evidence::Evidence;
-use wasabi_core::{member::Member, units::ServerId};
-use wasabi_platform::http::{self, Connection};
+use wasabi_core::{errors::Result, member::Member, units::ServerId};
+use wasabi_platform::{
+    http::{self, Connection},
+    report,
+};
 
 /// Timeout of connecting; a live server accepts within milliseconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a server may take for the answer that shows that it lives, also on lossy links.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// An idle connection is no longer used this long before the server would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 /// The keep-alive time assumed of a server that states none. Also the timeout for a released
@@ -134,13 +139,6 @@
         self.0.borrow_mut().retain(|_, server| server.open > 0);
     }
 
-    /// Returns whether an idle connection is open.
-    fn has_idle(&self, key: &ServerKey) -> bool {
-        let servers = self.0.borrow();
-        let idle = servers.get(key).map(|server| server.idle.as_slice()).unwrap_or_default();
-        idle.iter().any(|idle| idle.connection.is_ready())
-    }
-
     fn take_idle(&self, now: Instant, key: &ServerKey) -> Option<Idle> {
         let mut servers = self.0.borrow_mut();
         let server = servers.get_mut(key)?;
@@ -201,30 +199,50 @@
         });
     }
 
-    /// Looks for evidence that the server lives, which has ended this connection. Connections in use
-    /// are none: one whose caller reads slowly does not show its end. If no idle one is open, a new one
-    /// takes the place of this one in the pool.
-    pub async fn replace(
+    /// Looks for evidence that the server lives, which has ended this connection: an answer that it gives
+    /// afterwards. That a connection looks open is none, since on lossy links its end may not have arrived. If no
+    /// idle one is open, a new one takes the place of this one in the pool.
+    pub async fn find_evidence(
         mut self,
         now: Instant,
         member: &Member,
         keep_alive: Option<Duration>,
         source: Option<IpAddr>,
     ) -> Evidence {
-        if self.pool.has_idle(&self.key) {
-            return Evidence::Open;
+        while let Some(mut idle) = self.pool.take_idle(now, &self.key) {
+            // It belongs to the same process, whatever that says of itself.
+            if ask(&mut idle.connection, member).await.is_some_and(|answer| answer.is_ok()) {
+                self.pool.return_idle(&self.key, idle);
+                return Evidence::Open;
+            }
+            self.pool.record_closed(&self.key);
         }
         let connected = connect(member, source).await;
         let evidence = Evidence::of_connecting(connected.as_ref());
-        if let Some(Ok(connection)) = connected {
-            self.connection = Some(connection);
-            self.opened = Opened { at: now, identity: Identity::Unasked };
-            self.release(now, keep_alive);
+        let Some(Ok(mut connection)) = connected else { return evidence };
+        match ask(&mut connection, member).await {
+            None => Evidence::Unanswered,
+            // A server resets connections above the number that it serves.
+            Some(Err(_)) => evidence,
+            Some(Ok(Some(born_ms))) if member.born_ms > 0 && born_ms != member.born_ms => {
+                Evidence::Replaced
+            }
+            Some(Ok(_)) => {
+                self.connection = Some(connection);
+                self.opened = Opened { at: now, identity: Identity::Unasked };
+                self.release(now, keep_alive);
+                evidence
+            }
         }
-        evidence
     }
 }
 
+/// Asks a server for its report, for the sake of an answer; `None` if it takes too long.
+async fn ask(connection: &mut Connection, member: &Member) -> Option<Result<Option<u64>>> {
+    let asking = report::born_ms(connection, member.address);
+    tokio::time::timeout(EVIDENCE_TIMEOUT, asking).await.ok()
+}
+
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         if self.counted {
--- a/crates/gateway/tests/connection_pool.rs
+++ b/crates/gateway/tests/connection_pool.rs
@@ -40,7 +40,7 @@
             idle.release(now, None);
             tokio::task::yield_now().await;
             drop((accepted, listener));
-            assert_eq!(ended.replace(now, &member, None, None).await, Evidence::Refused);
+            assert_eq!(ended.find_evidence(now, &member, None, None).await, Evidence::Refused);
             Ok(())
         })
         .await
--- a/tests/killed_servers.rs
+++ b/tests/killed_servers.rs
@@ -116,15 +116,57 @@
     Ok(())
 }
 
+/// Whether it has ended after its last event or was taken away before, nobody can tell.
 #[test]
-fn the_last_stream_of_a_server_that_leaves_is_complete() -> anyhow::Result<()> {
+fn the_last_stream_of_a_server_that_leaves_is_complete_only_if_it_still_answers()
+-> anyhow::Result<()> {
+    for (path, lives) in [("/long/leave", false), ("/long/leave-later", true)] {
+        let rig = Rig::start(PROGRAM)?;
+        let engine = Process::start(ENTRY)?;
+        rig.replace_servers("llm", engine.address);
+        let gateway = rig.start_gateway("g1")?;
+        let response = Request::new("POST", path, "l1").send(gateway.addresses.callers)?;
+        assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>(), "{path}");
+        assert_eq!(response.complete, lives, "{path}");
+    }
+    Ok(())
+}
+
+#[test]
+fn streams_of_a_server_that_is_taken_away_after_its_notice_never_look_complete()
+-> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
-    let engine = Process::start(ENTRY)?;
+    let mut engine = Process::start(ENTRY)?;
     rig.replace_servers("llm", engine.address);
     let gateway = rig.start_gateway("g1")?;
-    let response = Request::new("POST", "/long/leave", "l1").send(gateway.addresses.callers)?;
-    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>());
-    assert!(response.complete);
+    let calls = send_all(gateway.addresses.callers, "/long/leave-later", STREAMS);
+    wait_for("the streams", || engine.requests() == STREAMS)?;
+    let notice = server::store_object("llm", engine.address, "draining");
+    rig.store.put("servers", "x1", notice);
+    thread::sleep(FIRST_EVENTS);
+    engine.kill();
+    let responses = join_all(calls)?;
+    let short = short_as_complete(&responses);
+    assert!(short.is_empty(), "{} of {STREAMS} look complete: {short:?}", short.len());
+    Ok(())
+}
+
+#[test]
+fn plain_answers_of_a_server_that_is_taken_away_after_its_notice_are_not_passed_on()
+-> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    let mut server = Process::start(ENTRY)?;
+    rig.replace_servers("app", server.address);
+    let gateway = rig.start_gateway("g1")?;
+    let calls = send_all(gateway.addresses.callers, "/write/x", STREAMS);
+    wait_for("the requests", || server.requests() == STREAMS)?;
+    let notice = server::store_object("app", server.address, "draining");
+    rig.store.put("servers", "x1", notice);
+    wait_for("the notice", || gateway.log_lines("backend servers changed").len() > 1)?;
+    server.kill();
+    let responses = join_all(calls)?;
+    let statuses: Vec<u16> = responses.iter().map(|response| response.status).collect();
+    assert_eq!(statuses, [502; STREAMS]);
     Ok(())
 }
 
--- a/tests/stand/src/process.rs
+++ b/tests/stand/src/process.rs
@@ -101,7 +101,7 @@
 /// Serves until the process is killed, if [`Process::start`] has started it; returns at once otherwise.
 ///
 /// Answers have neither a length nor chunks. Paths that begin with `/chat/` or `/long/` are answered with
-/// [`EVENTS`] events, from the one after `last-event-id` on; below `/long/leave` the server says that it leaves and exits after the last one, below
+/// [`EVENTS`] events, from the one after `last-event-id` on; below `/long/leave` the server says that it leaves, and exits after the last one if that is the whole path, below
 /// `/long/large` it sends [`LARGE_EVENTS`] as fast as they are taken.
 pub fn serve() -> anyhow::Result<()> {
     let Ok(arguments) = env::var(VARIABLE) else { return Ok(()) };
@@ -152,7 +152,7 @@
         thread::sleep(EVENT_INTERVAL);
         stream.write_all(format!("id: {id}\ndata: event {id} of {version}\n\n").as_bytes())?;
     }
-    if leaves {
+    if path == "/long/leave" {
         std::process::exit(0);
     }
     Ok(())
