gateway: bodies of requests and samples of metrics keep to the memory of the host

24 bodies of 4 MB at a time, all within the limits, took the process past the 110 MB of its machine: each was read whole, copied once more, and nothing bounded them together. memory_mb, fed from the platform's limits, now does: bodies draw on three tenths of it, in the order in which they come, and one without room is left unread (backpressure) and after a while refused as not run. A body is copied once. Buffered answers get a fifth. Samples of histograms were kept until somebody fetched the metrics; they are moved into their buckets every 5 s. The streams of a host are pruned as they are recorded.

--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -120,6 +120,7 @@
     pub fn record(&mut self, now: Instant, stream: StreamId, origin: Origin) -> Option<Origin> {
         self.unannounced.push(stream);
         self.own.push_back((now, stream));
+        self.expire_own(now);
         self.merge(now, stream, origin)
     }
 
@@ -157,13 +158,17 @@
 
     /// Returns the streams that began or went on at this host lately, by origin.
     pub fn own_streams(&mut self, now: Instant) -> Vec<Group> {
+        self.expire_own(now);
+        let streams: BTreeSet<StreamId> = self.own.iter().map(|(_, stream)| *stream).collect();
+        self.group(streams)
+    }
+
+    fn expire_own(&mut self, now: Instant) {
         while let Some((at, _)) = self.own.front()
-            && now.saturating_duration_since(*at) >= STORED_FOR
+            && (now.saturating_duration_since(*at) >= STORED_FOR || self.own.len() > MAX_STREAMS)
         {
             self.own.pop_front();
         }
-        let streams: BTreeSet<StreamId> = self.own.iter().map(|(_, stream)| *stream).collect();
-        self.group(streams)
     }
 
     fn group(&self, streams: impl IntoIterator<Item = StreamId>) -> Vec<Group> {
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -5,5 +5,6 @@
 pub mod listener;
 pub mod peer_body;
 pub mod request;
+pub mod request_body;
 pub mod request_log;
 pub mod response;
--- a/crates/gateway/src/receive/buffers.rs
+++ b/crates/gateway/src/receive/buffers.rs
@@ -8,8 +8,6 @@
 
 use crate::send::cause;
 
-/// The most that all buffered responses take, beside [`FREE_BYTES`] each.
-const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// A response up to this size is always accepted: large ones must not crowd out the others.
 const FREE_BYTES: usize = 64 * 1024;
 /// The largest response that is buffered.
@@ -19,8 +17,12 @@
 pub const RESPONSE_GRACE: Duration = Duration::from_millis(40);
 
 /// Counts the bytes of all buffered responses beyond [`FREE_BYTES`] each.
-#[derive(Clone, Debug, Default)]
-pub struct Memory(Rc<Cell<usize>>);
+#[derive(Clone, Debug)]
+pub struct Memory {
+    used: Rc<Cell<usize>>,
+    /// The most that they take.
+    max_bytes: usize,
+}
 
 /// A part of the memory; dropping it frees it.
 #[derive(Debug)]
@@ -30,6 +32,11 @@
 }
 
 impl Memory {
+    /// Creates the memory for responses of `max_bytes` in all, beside [`FREE_BYTES`] each.
+    pub fn new(max_bytes: usize) -> Self {
+        Self { used: Rc::default(), max_bytes }
+    }
+
     /// Returns an empty reservation.
     pub fn reserve(&self) -> Reservation {
         Reservation { memory: self.clone(), bytes: 0 }
@@ -40,11 +47,11 @@
     /// Extends the reservation to a response of `length` bytes; returns whether there is room.
     fn extend_to(&mut self, length: usize) -> bool {
         let more = length.saturating_sub(FREE_BYTES).saturating_sub(self.bytes);
-        let used = self.memory.0.get() + more;
-        if length > MAX_RESPONSE_BYTES || (more > 0 && used > MAX_BYTES) {
+        let used = self.memory.used.get() + more;
+        if length > MAX_RESPONSE_BYTES || (more > 0 && used > self.memory.max_bytes) {
             return false;
         }
-        self.memory.0.set(used);
+        self.memory.used.set(used);
         self.bytes += more;
         true
     }
@@ -52,7 +59,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.memory.0.update(|used| used - self.bytes);
+        self.memory.used.update(|used| used - self.bytes);
     }
 }
 
--- a/crates/gateway/src/receive/request.rs
+++ b/crates/gateway/src/receive/request.rs
@@ -8,7 +8,7 @@
 use wasabi_policy::quarantine::Feature;
 
 use crate::{
-    receive::admit::Admission,
+    receive::{admit::Admission, request_body::Reservation},
     send::{attempt::Outgoing, handover::Handover},
 };
 
@@ -20,6 +20,8 @@
     pub head: RequestHead,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub _body_memory: Reservation,
     /// When the HTTP head had been received.
     pub arrived: Instant,
     /// The result of admission.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Context as _;
 use log::{info, warn};
-use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use tokio::{
     net::UdpSocket,
     signal::unix::{Signal, SignalKind, signal},
@@ -73,6 +73,7 @@
     spawn_local(share::run(state.clone(), socket));
     spawn_local(refresh::run(state.clone()));
     spawn_local(sample_clock(state.clone()));
+    spawn_local(drain_samples(metrics.clone()));
     spawn_local(lateness::run(state.clone()));
     spawn_local(link_watch::run(state.clone()));
     spawn_local(origin_store::run(state.clone()));
@@ -111,6 +112,16 @@
     }
 }
 
+/// Periodically moves the samples of histograms into their buckets, which is done otherwise only when somebody
+/// fetches the metrics.
+async fn drain_samples(metrics: PrometheusHandle) {
+    const PERIOD: Duration = Duration::from_secs(5);
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Binds the UDP port for announcements, retrying until it succeeds.
 async fn bind_udp(settings: &Settings) -> UdpSocket {
     const PAUSE: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/send/relay.rs
+++ b/crates/gateway/src/send/relay.rs
@@ -5,7 +5,6 @@
 
 use std::{rc::Rc, time::Instant};
 
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST, http::request::Parts};
 use wasabi_answer::{broken::Broken, evidence, whole};
 use wasabi_core::{
@@ -22,6 +21,7 @@
         admit::{self},
         buffers,
         request::AdmittedRequest,
+        request_body,
         request_log::{Received, log_completed, log_failed_send, log_gateway_error},
         response::{self, ResponseBody},
     },
@@ -94,15 +94,8 @@
     let time_limit = head.caller_timeout.map_or(timeout, |limit| limit.min(timeout));
     let deadline = arrived + time_limit;
     let max_body = admission.catalog.limits.max_body.0 as usize;
-    let body = tokio::time::timeout(time_limit, Limited::new(body, max_body).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            return Err((id, Error::new(Code::BodyTooLarge, "")));
-        }
-        Ok(Err(e)) => return Err((id, Error::new(Code::HeadInvalid, format!("body: {e}")))),
-        Err(_) => return Err((id, Error::new(Code::ReceiveTimeout, ""))),
-    };
+    let read = request_body::read(&state.body_memory, body, max_body, time_limit).await;
+    let (body, body_memory) = read.map_err(|e| (id, e))?;
     // A stream that goes on may wait as long as a request that comes back after a refusal.
     let is_retry = head.resumes.is_some()
         || head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
@@ -112,6 +105,7 @@
         parts,
         head,
         body,
+        _body_memory: body_memory,
         arrived,
         admission,
         deadline,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,10 +35,44 @@
     /// The address from which the host connects to backend servers, for hosts with several; the system
     /// chooses one if it is not set.
     pub source: Option<IpAddr>,
+    /// The memory that the process may take.
+    pub memory: Memory,
     /// The limits that the host has to keep.
     pub bounds: Bounds,
 }
 
+/// The memory that the process may take, in megabytes of 1,000,000 bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(transparent)]
+pub struct Memory(pub u64);
+
+/// The least memory with which a host works.
+const MIN_MEMORY_MB: u64 = 64;
+
+/// The smallest that a platform has stated.
+impl Default for Memory {
+    fn default() -> Self {
+        Self(110)
+    }
+}
+
+impl Memory {
+    /// The part for the bodies of requests, in bytes.
+    pub fn bodies(self) -> usize {
+        self.bytes() * 3 / 10
+    }
+
+    /// The part for buffered responses, in bytes.
+    pub fn responses(self) -> usize {
+        const MOST: usize = 32 * 1024 * 1024;
+        (self.bytes() / 5).min(MOST)
+    }
+
+    fn bytes(self) -> usize {
+        self.0 as usize * 1_000_000
+    }
+}
+
 /// The limits that a host has to keep, with their windows, as the platform states them.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -110,6 +144,7 @@
         keep("operators", self.operators != old.operators);
         keep("objects", self.objects != old.objects);
         keep("duties", self.duties != old.duties);
+        keep("memory_mb", self.memory != old.memory);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
         let bounds = Bounds { lease_ms: old.bounds.lease_ms, ..self.bounds };
         // Of the fields, only the domain, the source and the other bounds are new.
@@ -134,6 +169,11 @@
     let objects = required(&mut fields, "objects", &mut problems);
     let duties = optional(&mut fields, "duties", &mut problems);
     let source = optional(&mut fields, "source", &mut problems);
+    let memory = optional::<Memory>(&mut fields, "memory_mb", &mut problems).unwrap_or_default();
+    if !(MIN_MEMORY_MB..=u64::from(u32::MAX)).contains(&memory.0) {
+        let text = format!("must be at least {MIN_MEMORY_MB} and no more than {}", u32::MAX);
+        problems.push(problem("memory_mb", &text));
+    }
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
     problems.extend(fields.keys().map(|name| problem(name, "is not a setting")));
     if let Some(bounds) = &bounds {
@@ -150,6 +190,7 @@
             objects: objects?,
             duties,
             source,
+            memory,
             bounds: bounds?,
         })
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,7 +36,10 @@
 };
 
 use crate::{
-    receive::buffers, send::connection_pool::Pool, settings::Settings, share::survey::Survey,
+    receive::{buffers, request_body},
+    send::connection_pool::Pool,
+    settings::Settings,
+    share::survey::Survey,
 };
 
 /// The greatest age of the configuration's proof at which a host is ready for new connections.
@@ -115,6 +118,8 @@
     pub store_restored: Notify,
     /// The lease that lets one host at a time report usage and order servers.
     pub lease: RefCell<Lease>,
+    /// The memory of the bodies of requests.
+    pub body_memory: request_body::Memory,
     /// The memory of responses that are buffered before they are passed on.
     pub response_memory: buffers::Memory,
     /// Connections to backend servers.
@@ -177,7 +182,8 @@
             era: RefCell::default(),
             store_restored: Notify::new(),
             lease: RefCell::new(Lease::new(host, incarnation, times, now)),
-            response_memory: buffers::Memory::default(),
+            body_memory: request_body::Memory::new(settings.memory.bodies()),
+            response_memory: buffers::Memory::new(settings.memory.responses()),
             connection_pool: Pool::default(),
             proof_renewed: Notify::new(),
             running_requests: Cell::new(0),
