--- a/crates/gateway/src/send/identity.rs
+++ b/crates/gateway/src/send/identity.rs
@@ -19,8 +19,9 @@
     state::State,
 };
 
-/// Timeout of asking a server when it started; a live one answers within milliseconds.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of asking a server when it started; a live one answers within milliseconds, or after one packet was sent
+/// again.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Finds out whether the process at the other end of a connection is the one that the list describes, and
 /// records it in the connection; a server may not say.
