--- a/crates/gateway/tests/connection_pool.rs
+++ b/crates/gateway/tests/connection_pool.rs
@@ -45,3 +45,26 @@
         })
         .await
 }
+
+/// As behind a link that has lost its end.
+#[tokio::test]
+async fn an_idle_connection_that_looks_open_and_does_not_answer_is_no_evidence()
+-> std::io::Result<()> {
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let member = member(listener.local_addr()?);
+    let pool = Pool::default();
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let now = Instant::now();
+            let idle = pool.acquire(now, &member, 2, None).await?;
+            let ended = pool.acquire(now, &member, 2, None).await?;
+            let _accepted = (listener.accept()?, listener.accept()?);
+            idle.release(now, None);
+            tokio::task::yield_now().await;
+            drop(listener);
+            assert_eq!(ended.find_evidence(now, &member, None, None).await, Evidence::Refused);
+            Ok(())
+        })
+        .await
+}
