--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -67,8 +67,8 @@
     let wall = time::unix_ms(System.wall());
     state.record_clock_reading(&settings.host, wall);
     info!(version = env!("CARGO_PKG_VERSION"), incarnation = state.incarnation.as_str(),
-        domain = settings.domain.as_str(), callers = settings.callers.to_string().as_str();
-        "started");
+        domain = settings.domain.as_str(), callers = settings.callers.to_string().as_str(),
+        memory_mb = settings.memory.unwrap_or_default().0; "started");
     let socket = bind_udp(&settings).await;
     spawn_local(share::run(state.clone(), socket));
     spawn_local(refresh::run(state.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
+    str::FromStr,
     time::Duration,
 };
 
@@ -35,8 +36,8 @@
     /// The address from which the host connects to backend servers, for hosts with several; the system
     /// chooses one if it is not set.
     pub source: Option<IpAddr>,
-    /// The memory that the process may take.
-    pub memory: Memory,
+    /// The memory that the process may take, if it is set.
+    pub memory: Option<Memory>,
     /// The limits that the host has to keep.
     pub bounds: Bounds,
 }
@@ -57,6 +58,17 @@
 }
 
 impl Memory {
+    /// Returns the memory if a host works with it.
+    ///
+    /// Errors: `SettingsInvalid`.
+    pub fn check(self) -> Result<Self, Error> {
+        if !(MIN_MEMORY_MB..=u64::from(u32::MAX)).contains(&self.0) {
+            let text = format!("must be at least {MIN_MEMORY_MB} and no more than {}", u32::MAX);
+            return Err(problem("memory_mb", &text));
+        }
+        Ok(self)
+    }
+
     /// The part for the bodies of requests, in bytes.
     pub fn bodies(self) -> usize {
         self.bytes() * 3 / 10
@@ -144,7 +156,7 @@
         keep("operators", self.operators != old.operators);
         keep("objects", self.objects != old.objects);
         keep("duties", self.duties != old.duties);
-        keep("memory_mb", self.memory != old.memory);
+        keep("memory_mb", self.memory.is_some() && self.memory != old.memory);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
         let bounds = Bounds { lease_ms: old.bounds.lease_ms, ..self.bounds };
         // Of the fields, only the domain, the source and the other bounds are new.
@@ -169,10 +181,9 @@
     let objects = required(&mut fields, "objects", &mut problems);
     let duties = optional(&mut fields, "duties", &mut problems);
     let source = optional(&mut fields, "source", &mut problems);
-    let memory = optional::<Memory>(&mut fields, "memory_mb", &mut problems).unwrap_or_default();
-    if !(MIN_MEMORY_MB..=u64::from(u32::MAX)).contains(&memory.0) {
-        let text = format!("must be at least {MIN_MEMORY_MB} and no more than {}", u32::MAX);
-        problems.push(problem("memory_mb", &text));
+    let memory: Option<Memory> = optional(&mut fields, "memory_mb", &mut problems);
+    if let Some(Err(problem)) = memory.map(Memory::check) {
+        problems.push(problem);
     }
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
     problems.extend(fields.keys().map(|name| problem(name, "is not a setting")));
@@ -259,3 +270,13 @@
 fn decode<T: DeserializeOwned>(value: Value, name: &str, problems: &mut Vec<Error>) -> Option<T> {
     serde_json::from_value(value).map_err(|e| problems.push(problem(name, &e.to_string()))).ok()
 }
+
+impl FromStr for Memory {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let megabytes: f64 =
+            text.trim().parse().map_err(|_| problem("memory_mb", "is not a number"))?;
+        Self(megabytes as u64).check()
+    }
+}
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -8,7 +8,11 @@
     call::Framing,
     errors::{Code, Error, Ran},
 };
-use wasabi_gateway::{receive::response, send::events::Sequence, settings};
+use wasabi_gateway::{
+    receive::response,
+    send::events::Sequence,
+    settings::{self, Memory},
+};
 
 fn event(id: u64) -> String {
     format!("id: {id}\r\ndata: text {id}\n\n")
@@ -125,6 +129,18 @@
 }
 
 /// A required setting that is null must be reported by name, like one that is missing.
+#[test]
+fn the_memory_of_a_host_is_checked_wherever_it_is_stated() {
+    for text in ["110", " 260 ", "260.0"] {
+        let memory: Memory = text.parse().expect("a memory");
+        assert!(memory.bodies() + memory.responses() < 200_000_000, "{text}");
+    }
+    for text in ["", "12", "1e99", "-5", "much"] {
+        let error = text.parse::<Memory>().expect_err(text);
+        assert_eq!(error.code.number(), 2201, "{text}");
+    }
+}
+
 #[test]
 fn a_setting_that_is_null_is_named() {
     let problems = settings::parse(r#"{"host": null, "domain": null}"#).expect_err("not valid");
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -11,6 +11,7 @@
 };
 
 use flags::{Gateway, Wasabirouter, WasabirouterCmd};
+use wasabi_gateway::settings as gateway_settings;
 use wasabi_logs::{self as logs, Queue};
 use wasabi_node::{
     host,
@@ -46,8 +47,13 @@
         Ok(text) => text,
         Err(code) => return code,
     };
-    let settings = match wasabi_gateway::settings::parse(&text) {
-        Ok(settings) => settings,
+    let stated_memory = env::var(names::MEMORY_VARIABLE).ok().filter(|text| !text.is_empty());
+    let memory = stated_memory.map(|text| text.parse()).transpose().map_err(|e| vec![e]);
+    let parsed = gateway_settings::parse(&text);
+    let settings = match parsed.and_then(|settings| Ok((settings, memory?))) {
+        Ok((settings, memory)) => {
+            gateway_settings::Settings { memory: settings.memory.or(memory), ..settings }
+        }
         Err(problems) => {
             problems.iter().for_each(|problem| eprintln!("{problem}"));
             return ExitCode::from(EXIT_SETTINGS);
