--- a/tests/killed_together.rs
+++ b/tests/killed_together.rs
@@ -14,12 +14,15 @@
     process::{self, EVENTS, Process},
     rig::Rig,
     server,
+    store::Fault,
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
 const ENTRY: &str = "server_process";
 /// Streams that are open when a server or all hosts are killed.
 const STREAMS: usize = 24;
+/// How long a slow store takes for a call.
+const SLOW_CALL: Duration = Duration::from_millis(220);
 /// Until a stream has its first events.
 const FIRST_EVENTS: Duration = Duration::from_millis(150);
 /// Until all streams have an event, once all have been sent.
@@ -152,8 +155,9 @@
     Ok(())
 }
 
-/// Starts streams, and kills all hosts and the servers of one version.
-fn kill_hosts_and_a_version(mut site: Site) -> anyhow::Result<()> {
+/// Starts streams, kills all hosts and the servers of one version, and starts the hosts with a store that has
+/// this fault.
+fn kill_hosts_and_a_version(mut site: Site, fault: Fault) -> anyhow::Result<()> {
     let calls = site.open_streams(Duration::from_secs(2));
     let begun = || site.engines.iter().map(|(_, _, engine)| engine.requests()).sum::<usize>();
     wait_for("the streams", || begun() >= STREAMS)?;
@@ -165,6 +169,7 @@
         engine.kill();
         site.rig.store.remove("servers", id);
     }
+    site.rig.store.set_fault(fault);
     site.start_hosts()?;
     let (broken, whole) = count(calls)?;
     assert_eq!(broken, Broken::default(), "{whole} of {STREAMS} are whole");
@@ -175,11 +180,17 @@
 fn streams_stay_in_order_when_all_hosts_and_a_version_are_killed() -> anyhow::Result<()> {
     let site = Site::start()?;
     thread::sleep(Duration::from_secs(2));
-    kill_hosts_and_a_version(site)
+    kill_hosts_and_a_version(site, Fault::None)
 }
 
 #[test]
 fn streams_stay_in_order_when_all_hosts_and_a_version_are_killed_soon_after_the_start()
 -> anyhow::Result<()> {
-    kill_hosts_and_a_version(Site::start()?)
+    kill_hosts_and_a_version(Site::start()?, Fault::None)
+}
+
+#[test]
+fn streams_stay_in_order_when_all_hosts_and_a_version_are_killed_and_the_store_is_slow()
+-> anyhow::Result<()> {
+    kill_hosts_and_a_version(Site::start()?, Fault::Slow(SLOW_CALL))
 }
