--- a/crates/gateway/src/receive/request.rs
+++ b/crates/gateway/src/receive/request.rs
@@ -21,7 +21,7 @@
     /// The complete body.
     pub body: Bytes,
     /// The memory that the body takes.
-    pub _body_memory: Reservation,
+    pub body_memory: Reservation,
     /// When the HTTP head had been received.
     pub arrived: Instant,
     /// The result of admission.
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -82,7 +82,7 @@
         0 => inbound.max_wait,
         _ => remaining,
     };
-    let excluded = versions_to_spare(state, inbound, history);
+    let excluded = unrecorded_versions(state, inbound, history);
     let placement_request = PlacementRequest {
         prompt: inbound.head.prompt.as_ref(),
         max_wait,
@@ -170,7 +170,7 @@
 
 /// Returns the versions at which no stream should begin that may be taken up later: they are not recorded yet,
 /// so hosts that start do not know of them. They are used if there are no others.
-fn versions_to_spare(
+fn unrecorded_versions(
     state: &State,
     inbound: &AdmittedRequest,
     history: &SendHistory,
--- a/crates/gateway/src/send/relay.rs
+++ b/crates/gateway/src/send/relay.rs
@@ -105,7 +105,7 @@
         parts,
         head,
         body,
-        _body_memory: body_memory,
+        body_memory,
         arrived,
         admission,
         deadline,
--- a/tests/killed_servers.rs
+++ b/tests/killed_servers.rs
@@ -17,7 +17,7 @@
 use wasabi_core::call::Framing;
 use wasabi_stand::{
     caller::{self, Request, Response},
-    gateway::wait_for,
+    gateway::{Gateway, wait_for},
     process::{self, EVENTS, FIRST_PART, LARGE_EVENTS, Process},
     rig::Rig,
     scripted::{self, Server},
@@ -37,6 +37,15 @@
     process::serve()
 }
 
+/// Starts a rig with a server process as the only server of `service`, and a gateway.
+fn start_process(service: &str) -> anyhow::Result<(Rig, Process, Gateway)> {
+    let rig = Rig::start(PROGRAM)?;
+    let server = Process::start(ENTRY)?;
+    rig.replace_servers(service, server.address);
+    let gateway = rig.start_gateway("g1")?;
+    Ok((rig, server, gateway))
+}
+
 /// Sends `count` requests at once to `path`, each from a thread.
 fn send_all(
     to: SocketAddr,
@@ -60,10 +69,7 @@
 
 #[test]
 fn streams_of_a_killed_server_never_look_complete() -> anyhow::Result<()> {
-    let rig = Rig::start(PROGRAM)?;
-    let mut engine = Process::start(ENTRY)?;
-    rig.replace_servers("llm", engine.address);
-    let gateway = rig.start_gateway("g1")?;
+    let (_rig, mut engine, gateway) = start_process("llm")?;
     let calls = send_all(gateway.addresses.callers, "/long/x", STREAMS);
     wait_for("the streams", || engine.requests() == STREAMS)?;
     thread::sleep(FIRST_EVENTS);
@@ -121,10 +127,7 @@
 fn the_last_stream_of_a_server_that_leaves_is_complete_only_if_it_still_answers()
 -> anyhow::Result<()> {
     for (path, lives) in [("/long/leave", false), ("/long/leave-later", true)] {
-        let rig = Rig::start(PROGRAM)?;
-        let engine = Process::start(ENTRY)?;
-        rig.replace_servers("llm", engine.address);
-        let gateway = rig.start_gateway("g1")?;
+        let (_rig, _engine, gateway) = start_process("llm")?;
         let response = Request::new("POST", path, "l1").send(gateway.addresses.callers)?;
         assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>(), "{path}");
         assert_eq!(response.complete, lives, "{path}");
@@ -135,10 +138,7 @@
 #[test]
 fn streams_of_a_server_that_is_taken_away_after_its_notice_never_look_complete()
 -> anyhow::Result<()> {
-    let rig = Rig::start(PROGRAM)?;
-    let mut engine = Process::start(ENTRY)?;
-    rig.replace_servers("llm", engine.address);
-    let gateway = rig.start_gateway("g1")?;
+    let (rig, mut engine, gateway) = start_process("llm")?;
     let calls = send_all(gateway.addresses.callers, "/long/leave-later", STREAMS);
     wait_for("the streams", || engine.requests() == STREAMS)?;
     let notice = server::store_object("llm", engine.address, "draining");
@@ -154,10 +154,7 @@
 #[test]
 fn plain_answers_of_a_server_that_is_taken_away_after_its_notice_are_not_passed_on()
 -> anyhow::Result<()> {
-    let rig = Rig::start(PROGRAM)?;
-    let mut server = Process::start(ENTRY)?;
-    rig.replace_servers("app", server.address);
-    let gateway = rig.start_gateway("g1")?;
+    let (rig, mut server, gateway) = start_process("app")?;
     let calls = send_all(gateway.addresses.callers, "/write/x", STREAMS);
     wait_for("the requests", || server.requests() == STREAMS)?;
     let notice = server::store_object("app", server.address, "draining");
