gateway: a deadline holds however closely the parts of an answer follow each other

Cause: StreamRelay::forward made its timers anew for each part. A timer of 0 ms fires only when the runtime next turns its timers, and until then the next part, always ready, had replaced it. So a stream past its deadline ended by chance at each turn. Change: stuck::Watch is asked before each wait, and one timer is set for what is due next. The same in entry, where bytes that are ready win against a timer of 0.

--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -139,9 +139,14 @@
 impl Reply {
     /// Waits at most `limit` for the next bytes of the body; `None` at its end.
     pub async fn next(&mut self, limit: Duration) -> Result<Option<Bytes>> {
+        let timed_out = || Error::new(Code::AnswerTimeout, "").ran(Ran::Unknown);
+        // Bytes that are ready win against a timer.
+        if limit.is_zero() {
+            return Err(timed_out());
+        }
         loop {
             let frame = time::timeout(limit, self.body.frame()).await;
-            let frame = frame.map_err(|_| Error::new(Code::AnswerTimeout, "").ran(Ran::Unknown))?;
+            let frame = frame.map_err(|_| timed_out())?;
             let Some(frame) = frame else { return Ok(None) };
             let frame = frame.map_err(|_| Error::from(Broken::ConnectionLost))?;
             if let Ok(data) = frame.into_data() {
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -25,7 +25,11 @@
     member::Member,
     units::Tokens,
 };
-use wasabi_policy::{balancer::End, quarantine::SOUND_AFTER, stuck};
+use wasabi_policy::{
+    balancer::End,
+    quarantine::SOUND_AFTER,
+    stuck::{self, Due},
+};
 
 use crate::{
     guard::{CountGuard, PlacementGuard},
@@ -223,23 +227,23 @@
         (self.part_began_at, self.part_is_sound) = (None, false);
         self.part_opened = Some(connection.opened);
         self.events.start_part();
-        // Counts from the last event: bytes that complete none are no progress.
-        let mut stuck_at = self.state.now().checked_add(guard.time_until_stuck());
+        let (now, deadline) = (self.state.now(), self.inbound.deadline);
+        let mut watch = stuck::Watch::new(now, deadline, guard.time_until_stuck());
         loop {
             let now = self.state.now();
-            let remaining = self.inbound.deadline.saturating_duration_since(now);
-            let until_stuck = stuck_at.map(|at| at.saturating_duration_since(now));
+            match watch.due(now) {
+                Some(Due::Deadline) => return PartEnd::OutOfTime,
+                Some(Due::Stuck) => {
+                    if let Some(next) = self.find_alternative(guard) {
+                        return PartEnd::Stuck(Box::new(next));
+                    }
+                }
+                None => {}
+            }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.producer.caller_gone().cancelled() => return PartEnd::CallerLeft,
-                () = tokio::time::sleep(remaining) => return PartEnd::OutOfTime,
-                () = tokio::time::sleep(until_stuck.unwrap_or_default()), if stuck_at.is_some() => {
-                    stuck_at = None;
-                    match self.find_alternative(guard) {
-                        Some(next) => return PartEnd::Stuck(Box::new(next)),
-                        None => continue,
-                    }
-                }
+                () = tokio::time::sleep(watch.remaining(now)) => continue,
             };
             let bytes = match frame {
                 None => break,
@@ -258,7 +262,7 @@
             if let Some(broken) = self.events.broken() {
                 return PartEnd::Broken(broken.cause());
             }
-            stuck_at = Some(self.state.now() + stuck::EVENT_GAP_TIMEOUT);
+            watch.record_event(self.state.now());
         }
         match self.events.finish(reply.framing) {
             Ok(None) => {}
--- a/crates/policy/src/stuck.rs
+++ b/crates/policy/src/stuck.rs
@@ -5,7 +5,7 @@
 //! busy must not be taken for a stuck one, since moving its requests adds load, so the time-outs
 //! grow with the recently observed delays.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The time-out of a first event as a multiple of its expected delay times the latency ratio
 /// (observed to expected time). The ratio follows the mean, and single delays reach about twice the
@@ -54,6 +54,52 @@
     }
 }
 
+/// When to give up an answer or its server while parts of the answer arrive.
+///
+/// Asked before each wait for a part: a timer that is set anew for each part may never fire while parts keep
+/// arriving.
+#[derive(Clone, Copy, Debug)]
+pub struct Watch {
+    deadline: Instant,
+    /// When the server counts as stuck; `None` once it has, until there is progress.
+    stuck_at: Option<Instant>,
+}
+
+/// What is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The time of the request is up.
+    Deadline,
+    /// The server shows no progress; said once, until there is progress.
+    Stuck,
+}
+
+impl Watch {
+    /// Watches an answer whose server counts as stuck after `until_stuck`.
+    pub fn new(now: Instant, deadline: Instant, until_stuck: Duration) -> Self {
+        Self { deadline, stuck_at: now.checked_add(until_stuck) }
+    }
+
+    /// Records progress: an event, not just bytes.
+    pub fn record_event(&mut self, now: Instant) {
+        self.stuck_at = now.checked_add(EVENT_GAP_TIMEOUT);
+    }
+
+    /// Returns what is due.
+    pub fn due(&mut self, now: Instant) -> Option<Due> {
+        if now >= self.deadline {
+            return Some(Due::Deadline);
+        }
+        self.stuck_at.take_if(|at| now >= *at).map(|_| Due::Stuck)
+    }
+
+    /// Returns the time until something is due.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        let next = self.stuck_at.map_or(self.deadline, |at| at.min(self.deadline));
+        next.saturating_duration_since(now)
+    }
+}
+
 /// Returns the delay after which a first event that was expected after `expected` counts as stuck,
 /// while first events take `latency_ratio` times as long as expected.
 pub fn first_event_timeout(expected: Duration, latency_ratio: f64) -> Duration {
