gateway: a stream without an event leaves a silent server only when two can work on it for 400 ms at most

Callers got whole answers, but a silent engine (it works, sends nothing and does not see its callers leave) worked on for up to 600 ms beside the engine to which a stream without an event had moved; the rule TWICE allows 400 ms. Cause: a first event counts as stuck 0.5 s and three times its expected delay after placement, and the stream left at that moment. A sound server may be silent for 1.2 s. Change: the server counts as stuck as before, so that new requests avoid it, and the stream leaves 0.5 s later (stuck::MOVE_DELAY), in which a silent server mostly goes on. Plain requests that may run twice move as before.

--- a/crates/gateway/src/send/sending.rs
+++ b/crates/gateway/src/send/sending.rs
@@ -4,6 +4,7 @@
 
 use log::info;
 use wasabi_belief::link::Connection;
+use wasabi_policy::stuck::MOVE_DELAY;
 
 use crate::{
     guard::PlacementGuard,
@@ -60,6 +61,11 @@
         return SendProgress::Finished(outcome);
     }
     record_stuck(state, inbound, guard);
+    if inbound.admission.route.kind.is_stream()
+        && let Ok(outcome) = tokio::time::timeout(MOVE_DELAY, sending.as_mut()).await
+    {
+        return SendProgress::Finished(outcome);
+    }
     // The next placement must see that the stuck send may have run.
     history.possible_runs += 1;
     if let Some(other) = placement::place_elsewhere(state, inbound, history, guard, last_event) {
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -231,14 +231,16 @@
         let mut watch = stuck::Watch::new(now, deadline, guard.time_until_stuck());
         loop {
             let now = self.state.now();
-            match watch.due(now) {
-                Some(Due::Deadline) => return PartEnd::OutOfTime,
-                Some(Due::Stuck) => {
-                    if let Some(next) = self.find_alternative(guard) {
-                        return PartEnd::Stuck(Box::new(next));
+            while let Some(due) = watch.due(now) {
+                match due {
+                    Due::Deadline => return PartEnd::OutOfTime,
+                    Due::Stuck => sending::record_stuck(&self.state, &self.inbound, guard),
+                    Due::Leave => {
+                        if let Some(next) = self.find_alternative(guard) {
+                            return PartEnd::Stuck(Box::new(next));
+                        }
                     }
                 }
-                None => {}
             }
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -299,10 +301,8 @@
         }
     }
 
-    /// Records that the stream shows no progress; returns a placement on another server if it may
-    /// be resumed there.
+    /// Returns a placement on another server if the stream may be resumed there.
     fn find_alternative(&mut self, guard: &PlacementGuard) -> Option<PlacementGuard> {
-        sending::record_stuck(&self.state, &self.inbound, guard);
         if !self.events.is_placed() {
             return None;
         }
--- a/crates/policy/src/stuck.rs
+++ b/crates/policy/src/stuck.rs
@@ -17,6 +17,10 @@
 /// A stream that has begun is stuck after this time without an event; the pauses that long prompts
 /// on the same engine cause are shorter.
 pub const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long after it counts as stuck a stream without an event leaves its server. A sound server may be silent for
+/// 1.2 s, goes on meanwhile and does not see its caller leave; for all but 400 ms of that, no other server may work
+/// on the same stream.
+pub const MOVE_DELAY: Duration = Duration::from_millis(500);
 /// The time-out of a whole response as a multiple of the average response time: a plain server
 /// queues three requests for each one that it runs, and those are not stuck.
 const RESPONSE_TIMEOUT_FACTOR: f64 = 6.0;
@@ -63,40 +67,51 @@
     deadline: Instant,
     /// When the server counts as stuck; `None` once it has, until there is progress.
     stuck_at: Option<Instant>,
+    /// When the stream may leave the server, not before `stuck_at`; `None` once it has come, until there is
+    /// progress.
+    leave_at: Option<Instant>,
 }
 
-/// What is due.
+/// What is due; each but the deadline is said once, until there is progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
     /// The time of the request is up.
     Deadline,
-    /// The server shows no progress; said once, until there is progress.
+    /// The server shows no progress.
     Stuck,
+    /// The stream may leave the server.
+    Leave,
 }
 
 impl Watch {
-    /// Watches an answer whose server counts as stuck after `until_stuck`.
+    /// Watches an answer whose server counts as stuck after `until_stuck` without an event.
     pub fn new(now: Instant, deadline: Instant, until_stuck: Duration) -> Self {
-        Self { deadline, stuck_at: now.checked_add(until_stuck) }
+        let stuck_at = now.checked_add(until_stuck);
+        let leave_at = stuck_at.and_then(|at| at.checked_add(MOVE_DELAY));
+        Self { deadline, stuck_at, leave_at }
     }
 
     /// Records progress: an event, not just bytes.
     pub fn record_event(&mut self, now: Instant) {
         self.stuck_at = now.checked_add(EVENT_GAP_TIMEOUT);
+        // Longer than any server is silent.
+        self.leave_at = self.stuck_at;
     }
 
-    /// Returns what is due.
+    /// Returns what is due; call it again until it is `None`.
     pub fn due(&mut self, now: Instant) -> Option<Due> {
+        let is_due = |at: &mut Instant| now >= *at;
         if now >= self.deadline {
             return Some(Due::Deadline);
         }
-        self.stuck_at.take_if(|at| now >= *at).map(|_| Due::Stuck)
+        let stuck = self.stuck_at.take_if(is_due).map(|_| Due::Stuck);
+        stuck.or_else(|| self.leave_at.take_if(is_due).map(|_| Due::Leave))
     }
 
     /// Returns the time until something is due.
     pub fn remaining(&self, now: Instant) -> Duration {
-        let next = self.stuck_at.map_or(self.deadline, |at| at.min(self.deadline));
-        next.saturating_duration_since(now)
+        let next = [self.stuck_at, self.leave_at].into_iter().flatten().min();
+        next.unwrap_or(self.deadline).min(self.deadline).saturating_duration_since(now)
     }
 }
 
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -19,6 +19,11 @@
 const MAX_CANCEL_TIME: Duration = Duration::from_millis(400);
 /// How long the servers are silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// How long a slow engine works on each event.
+const FIRST_EVENT: Duration = Duration::from_millis(200);
+/// Rounds in each of which one engine is silent, and their streams.
+const ROUNDS: usize = 4;
+const STREAMS: usize = 8;
 /// Requests of each kind; each server gets some of them.
 const REQUESTS: usize = 6;
 
@@ -105,3 +110,46 @@
     assert_not_cut(&gateway);
     Ok(())
 }
+
+/// A silent server does not see that its caller is gone, so a stream must not leave it too early.
+#[test]
+fn a_stream_that_leaves_a_silent_server_before_its_first_event_is_worked_on_there_for_400_ms_at_most()
+-> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    ["e1", "e2"].iter().for_each(|id| rig.store.remove("servers", id));
+    rig.add_slow_engine("e3", FIRST_EVENT)?;
+    rig.add_slow_engine("e4", FIRST_EVENT)?;
+    let gateway = rig.start_gateway("g1")?;
+    let to = gateway.addresses.callers;
+    for round in 0..ROUNDS {
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let id = format!("r{round}n{number}");
+                thread::spawn(move || {
+                    Request::new("POST", "/chat/x", &id).send(to).map(|r| (id, r))
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(50));
+        rig.server(["e3", "e4"][round % 2]).silence(SILENCE);
+        for stream in streams {
+            let (id, response) = stream.join().expect("a caller does not panic")?;
+            assert!(response.status == 200 && response.complete, "{id}: {response:?}");
+            let mut runs: Vec<_> = rig
+                .servers
+                .iter()
+                .flat_map(|(server, _)| server.arrivals())
+                .filter(|arrival| arrival.id == id)
+                .collect();
+            runs.sort_by_key(|run| run.at);
+            if let [first, second] = &runs[..] {
+                let noticed = first.client_gone_at.expect("the first run is cancelled");
+                let overlap = noticed.saturating_duration_since(second.at);
+                assert!(overlap <= MAX_CANCEL_TIME, "{id}: both work on it for {overlap:?}");
+            }
+        }
+        // What a round has shown of its servers is over.
+        thread::sleep(SILENCE);
+    }
+    Ok(())
+}
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -82,6 +82,11 @@
         self.add_paced_server(id, service, false, work)
     }
 
+    /// Starts an engine that generates each event for `work`, and writes it to the store as ready.
+    pub fn add_slow_engine(&mut self, id: &str, work: Duration) -> anyhow::Result<()> {
+        self.add_paced_server(id, "llm", true, work)
+    }
+
     fn add_paced_server(
         &mut self,
         id: &str,
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -136,6 +136,8 @@
     fatal: Option<Predicate>,
     /// When it crashed.
     crashed_at: Vec<Instant>,
+    /// Until when it neither sends nor sees what its clients do.
+    silent_until: Option<Instant>,
 }
 
 impl Arrival {
@@ -257,6 +259,21 @@
         Some(Behavior::TurnAway)
     }
 
+    /// Makes it silent for `time` from now on: it works, but neither sends nor sees what its clients do.
+    pub fn silence(&self, time: Duration) {
+        self.inner.lock().silent_until = Some(Instant::now() + time);
+    }
+
+    fn silent_until(&self) -> Option<Instant> {
+        self.inner.lock().silent_until.filter(|until| Instant::now() < *until)
+    }
+
+    async fn wait_out_silence(&self) {
+        while let Some(until) = self.silent_until() {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+
     /// Breaks off all running requests, as when the process ends; it is back at once.
     pub fn crash(&self) {
         self.inner.lock().crashed_at.push(Instant::now());
@@ -378,10 +395,16 @@
         let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, std::io::Error>>(1);
         let mut crashes = self.crashes.subscribe();
         tokio::spawn(async move {
+            let noticed_client_gone = async || {
+                sender.closed().await;
+                self.wait_out_silence().await;
+            };
+            // Events that were generated while the server was silent.
+            let mut unsent = String::new();
             for event in after + 1..=self.events {
                 let running = tokio::select! {
                     running = self.work(&mut crashes, fatal) => running,
-                    () = sender.closed() => return self.record_client_gone(arrival),
+                    () = noticed_client_gone() => return self.record_client_gone(arrival),
                 };
                 if !running {
                     // The client may be gone already.
@@ -393,6 +416,12 @@
                     return self.record_client_gone(arrival);
                 }
                 let text = format!("id: {event}\ndata: event {event} of {}\n\n", self.id);
+                if self.silent_until().is_some() && event < self.events {
+                    unsent.push_str(&text);
+                    continue;
+                }
+                self.wait_out_silence().await;
+                let text = std::mem::take(&mut unsent) + &text;
                 let ends = matches!(behavior, Behavior::EndInside(count) if event > count);
                 let breaks = match behavior {
                     Behavior::BreakAfter(count) => event > count,
@@ -474,6 +503,7 @@
 impl Service for Server {
     fn serve(self: Arc<Self>, request: ReceivedRequest) -> ResponseFuture {
         Box::pin(async move {
+            self.wait_out_silence().await;
             if request.uri().path() == HEALTH_PATH {
                 return Some(self.answer_health_check(&request));
             }
