crashes: the test of a host that learns of crashes sends sound requests too

Cause, in the test: it sent nothing but fatal requests, and without a sound run beside them crashes may have been an outage. The quarantine is then provisional: each host lets one request through 5 to 55 s after the last crash, by its own draw. The test sends until about 6 s after it, so each of three hosts does with some 2 in 100. Change: the test sends sound requests that share the caller and the other part, so that the part alone explains the crashes, and asks beside what it asked that half of the sound ones begin. What it did before is a second test, over 8 s, bounded by the rule: three requests at most are tried, all others refused.

--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -176,14 +176,22 @@
     assert_servers_are_spared_a_part("/chat/x")
 }
 
-#[test]
-fn a_host_that_has_seen_no_crash_learns_of_the_prompt_part_that_caused_them() -> anyhow::Result<()>
-{
+/// Sends requests with the fatal part to the first host for 4 s, beside sound ones if `is_mixed`, and replaces that
+/// host by one that starts.
+fn crash_at_a_host_that_is_replaced(is_mixed: bool) -> anyhow::Result<(Rig, Vec<Gateway>)> {
     let (rig, mut gateways) = rig_with_hosts()?;
     set_fatal_part(&rig);
     let end = Instant::now() + Duration::from_secs(4);
-    send_each(&gateways[..1], Duration::from_millis(250), end, |number| {
-        prompt("/long/x", &format!("first{number}"), &["a1", FATAL_PART])
+    let first = &gateways[..1];
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            send_each(first, Duration::from_millis(250), end, |n| fatal_prompt("first", n))
+        });
+        if is_mixed {
+            scope.spawn(|| {
+                send_each(first, Duration::from_millis(40), end, |n| sound_prompt("sound", n))
+            });
+        }
     });
     assert!(crashes(&rig).len() >= 3, "the servers crash");
     gateways[0].kill();
@@ -191,13 +199,50 @@
     gateways.push(rig.start_repeating_gateway("g4")?);
     // A host that starts learns with the first announcements of its peers.
     thread::sleep(Duration::from_secs(1));
+    Ok((rig, gateways))
+}
+
+fn fatal_prompt(label: &str, number: usize) -> Request {
+    prompt("/long/x", &format!("{label}{number}"), &["a1", FATAL_PART])
+}
+
+fn sound_prompt(label: &str, number: usize) -> Request {
+    prompt("/long/x", &format!("{label}{number}"), &["a1", "a2"])
+}
+
+#[test]
+fn a_host_that_has_seen_no_crash_learns_of_the_prompt_part_that_caused_them() -> anyhow::Result<()>
+{
+    let (rig, gateways) = crash_at_a_host_that_is_replaced(true)?;
     let (before, since) = (crashes(&rig).len(), Instant::now());
     let end = since + Duration::from_secs(2);
-    let sent = send_each(&gateways, Duration::from_millis(100), end, |number| {
-        prompt("/long/x", &format!("second{number}"), &["a1", FATAL_PART])
+    let (fatal, sound) = thread::scope(|scope| {
+        let send = |next: fn(&str, usize) -> Request, label: &'static str, ms| {
+            let gateways = &gateways;
+            let interval = Duration::from_millis(ms);
+            scope.spawn(move || send_each(gateways, interval, end, |n| next(label, n)))
+        };
+        let sent = (send(fatal_prompt, "second", 100), send(sound_prompt, "more", 40));
+        (sent.0.join().expect("no panic"), sent.1.join().expect("no panic"))
     });
     assert_eq!(crashes(&rig).len(), before, "no further server crashes");
-    assert!(sent.since(since).all(|answer| answer.status == 503));
+    assert!(fatal.since(since).all(|answer| answer.status == 503));
+    assert_half_begin(&sound, since);
+    Ok(())
+}
+
+/// Without a sound request, the crashes may have been an outage, and a host lets a request through now and then.
+#[test]
+fn a_host_that_has_seen_no_crash_seldom_tries_a_part_that_may_have_caused_them()
+-> anyhow::Result<()> {
+    let (rig, gateways) = crash_at_a_host_that_is_replaced(false)?;
+    let (before, since) = (crashes(&rig).len(), Instant::now());
+    let end = since + Duration::from_secs(8);
+    let sent = send_each(&gateways, Duration::from_millis(100), end, |n| fatal_prompt("second", n));
+    let tried = crashes(&rig).len() - before;
+    assert!(tried <= MAX_LATE_ARRIVALS, "{tried} requests crashed servers");
+    let refused = sent.since(since).filter(|answer| answer.status == 503).count();
+    assert_eq!(refused + tried, sent.since(since).count());
     Ok(())
 }
 
