origin: what a peer says late of a stream serves the caller's next try

Cause: the questions to peers were dropped with the wait for them, after 150 ms, and each try began anew. Change: they go on for their own time-out (0.7 s), and what they bring is recorded.

--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -5,7 +5,6 @@
 
 use log::info;
 use serde::{Deserialize, Serialize};
-use tokio::task::JoinSet;
 use wasabi_belief::origins::{self, Origin, StreamId};
 use wasabi_core::{
     errors::{Code, Result},
@@ -124,16 +123,26 @@
 
 async fn ask_peers(state: &Rc<State>, stream: StreamId, service: &PoolId) -> Finding {
     let path = path(stream, service);
-    let mut asked = JoinSet::new();
-    for peer in peers_to_ask(state) {
-        let path = path.clone();
-        asked.spawn_local(async move { peer_fetch::fetch::<Page>(peer, &path).await });
-    }
+    let peers = peers_to_ask(state);
     let inherited = inherited_builds(state, service);
-    let mut finding = Finding { asked: asked.len(), inherited, ..Finding::default() };
+    let mut finding = Finding { asked: peers.len(), inherited, ..Finding::default() };
+    let (sender, pages) = flume::unbounded();
+    for peer in peers {
+        let (state, path, sender) = (state.clone(), path.clone(), sender.clone());
+        // Not ended with the wait: what a peer says late serves the caller's next try.
+        tokio::task::spawn_local(async move {
+            let page = peer_fetch::fetch::<Page>(peer, &path).await;
+            if let Some(origin) = page.as_ref().ok().and_then(|page| page.origin.clone()) {
+                state.merge_origin(stream, origin);
+            }
+            // Nobody waits any longer.
+            let _ = sender.send(page);
+        });
+    }
+    drop(sender);
     let found = tokio::time::timeout(ASK_TIMEOUT, async {
-        while let Some(page) = asked.join_next().await {
-            let Ok(Ok(page)) = page else {
+        while let Ok(page) = pages.recv_async().await {
+            let Ok(page) = page else {
                 metrics::counter!("wasabi_peer_failures_total").increment(1);
                 continue;
             };
@@ -149,7 +158,6 @@
         None
     });
     if let Some(origin) = found.await.unwrap_or(None) {
-        state.merge_origin(stream, origin.clone());
         return Finding { origin: Some(origin), source: "peers", ..finding };
     }
     finding
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -4,19 +4,21 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
+    sync::Arc,
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::json;
 use wasabi_stand::{
     caller::{Request, Response},
     gateway::{self, Gateway, wait_for},
+    link::{self, Link},
     process::{self, EVENTS, Process},
     rig::Rig,
     scripted::BORN,
     server::{self, Behavior},
-    store::Fault,
+    store::{Fault, Store},
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
@@ -210,3 +212,146 @@
     assert!(went_on >= STREAMS / 2, "only {went_on} of {STREAMS} streams went on");
     Ok(())
 }
+
+/// Two hosts, each with a store of its own and a link between them.
+struct Pair {
+    rig: Rig,
+    knowing: Gateway,
+    late: Gateway,
+    /// The store of the late host.
+    copy: Arc<Store>,
+    link: Link,
+}
+
+impl Pair {
+    fn start() -> anyhow::Result<Self> {
+        let rig = Rig::start(PROGRAM)?;
+        let (copy, copy_address) = rig.copy_store()?;
+        let knowing = rig.start_gateway("g1")?;
+        let late = rig.launch("g2", copy_address, gateway::pick_ports()?)?;
+        late.wait_ready()?;
+        let link = Link::start(knowing.addresses.peers, late.addresses.peers)?;
+        let known = |store: &Store, name: &str| store.get("gateways", name).is_some();
+        wait_for("their records", || known(&rig.store, "g1") && known(&copy, "g2"))?;
+        for (from, to, name, address) in
+            [(&rig.store, &copy, "g1", link.first), (&copy, &rig.store, "g2", link.second)]
+        {
+            let mut record = from.get("gateways", name).expect("it is there");
+            record["peer"] = json!(address.to_string());
+            to.put("gateways", name, record);
+        }
+        let heard = |host: &Gateway| !host.log_lines("peer heard").is_empty();
+        wait_for("the hosts to hear of each other", || heard(&knowing) && heard(&late))?;
+        Ok(Self { rig, knowing, late, copy, link })
+    }
+
+    /// Cuts the late host off from the store and from the other host, or connects it again.
+    fn set_cut(&self, is_cut: bool) {
+        self.copy.set_fault(if is_cut { Fault::Silent } else { Fault::None });
+        self.link.set_fault(if is_cut { link::Fault::Cut } else { link::Fault::None });
+    }
+
+    /// Adds engines of `v2`, which both stores list.
+    fn release(&mut self) -> anyhow::Result<()> {
+        let engines = [("f1", "v2"), ("f2", "v2")];
+        self.rig.add_engines(&engines)?;
+        for (id, _) in engines {
+            self.copy.put("servers", id, self.rig.store.get("servers", id).expect("it is listed"));
+        }
+        wait_for("the release", || self.knowing.log_lines("backend servers changed").len() > 1)
+    }
+
+    fn set_engines(&self, behavior: Option<Behavior>) {
+        let engines = self.rig.servers.iter().filter(|(server, _)| server.streams);
+        engines.for_each(|(server, _)| server.set_behavior(behavior));
+    }
+
+    /// Begins streams at the knowing host that break off after three events; returns their callers' paths and ids.
+    fn begin_streams(&self) -> anyhow::Result<Vec<(String, String)>> {
+        self.set_engines(Some(Behavior::BreakAfter(3)));
+        let mut streams = Vec::new();
+        for number in 0..STREAMS {
+            let (id, path) = (format!("s{number}"), format!("/chat/{number}"));
+            let response = Request::new("POST", &path, &id).send(self.knowing.addresses.callers)?;
+            anyhow::ensure!(response.event_ids() == [1, 2, 3], "{response:?}");
+            streams.push((path, id));
+        }
+        self.set_engines(None);
+        Ok(streams)
+    }
+
+    /// Takes the streams up at the late host, each again and again as its caller would; returns how many hold
+    /// events of several versions, and how many are whole.
+    fn take_up(&self, streams: &[(String, String)]) -> (usize, usize) {
+        let (to, rig) = (self.late.addresses.callers, &self.rig);
+        let follow = |(path, begun): &(String, String)| -> anyhow::Result<(bool, bool)> {
+            let mut attempts = vec![begun.clone()];
+            let mut is_whole = false;
+            while !is_whole && attempts.len() <= MOST_TRIES {
+                let id = format!("{begun}-{}", attempts.len());
+                let response = Request::resume(path, &id, begun, 3).send(to)?;
+                is_whole = response.status == 200 && response.complete;
+                attempts.push(id);
+                thread::sleep(RETRY_PAUSE);
+            }
+            let attempts: Vec<&str> = attempts.iter().map(String::as_str).collect();
+            Ok((rig.versions_of(&attempts).len() > 1, is_whole))
+        };
+        thread::scope(|scope| {
+            let callers: Vec<_> =
+                streams.iter().map(|stream| scope.spawn(move || follow(stream))).collect();
+            let ends = callers.into_iter().filter_map(|call| call.join().expect("no panic").ok());
+            ends.fold((0, 0), |(joined, whole), (is_joined, is_whole)| {
+                (joined + usize::from(is_joined), whole + usize::from(is_whole))
+            })
+        })
+    }
+}
+
+/// How often, and with which pause, an eager caller takes its stream up.
+const MOST_TRIES: usize = 30;
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Plays a release during which the late host is cut off for `cut`; the streams of the other host are taken up at
+/// the late one from the end of the cut on, after `change` has happened.
+fn assert_not_joined_after_cut(cut: Duration, change: impl Fn(&mut Pair)) -> anyhow::Result<()> {
+    let mut pair = Pair::start()?;
+    let began = Instant::now();
+    pair.set_cut(true);
+    pair.release()?;
+    let streams = pair.begin_streams()?;
+    thread::sleep(cut.saturating_sub(began.elapsed()));
+    pair.set_cut(false);
+    change(&mut pair);
+    let (joined, whole) = pair.take_up(&streams);
+    assert_eq!(joined, 0, "cut off for {cut:?}: {joined} of {STREAMS} hold events of two versions");
+    assert!(whole >= STREAMS / 2, "cut off for {cut:?}: only {whole} of {STREAMS} streams went on");
+    Ok(())
+}
+
+#[test]
+fn a_host_that_was_cut_off_during_a_release_does_not_join_versions_beside_the_host_that_knows()
+-> anyhow::Result<()> {
+    for cut_ms in [300, 1_000, 3_000] {
+        assert_not_joined_after_cut(Duration::from_millis(cut_ms), |_| {})?;
+    }
+    Ok(())
+}
+
+#[test]
+fn a_host_that_was_cut_off_during_a_release_does_not_join_versions_if_its_peer_answers_late()
+-> anyhow::Result<()> {
+    // Once to connect, once in each direction; a peer is waited for for 150 ms.
+    let slow = link::Fault::SlowConnections(Duration::from_millis(100));
+    assert_not_joined_after_cut(Duration::from_secs(1), |pair| pair.link.set_fault(slow))
+}
+
+#[test]
+fn a_host_that_was_cut_off_during_a_release_does_not_join_versions_after_the_first_server_has_failed()
+-> anyhow::Result<()> {
+    assert_not_joined_after_cut(Duration::from_secs(1), |pair| {
+        for _ in 0..STREAMS / 4 {
+            ["f1", "e1"].iter().for_each(|id| pair.rig.server(id).plan_next(Behavior::Fail));
+        }
+    })
+}
--- a/tests/stand/src/lib.rs
+++ b/tests/stand/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod duties;
 pub mod fleet;
 pub mod gateway;
+pub mod link;
 pub mod net;
 pub mod process;
 pub mod proxy;
