quarantine: a run that broke off counts only if its server's process has not gone on

One cause had been mended for a host that is cut alone, whose peers show that it is the link. Cause: a connection that breaks off was taken for the end of its server. Change: before a broken run counts, the host asks the server over a new connection when its process started. If the process is the listed one, it has not crashed. A server that refuses, does not answer or does not say counts as before. The stand-in does not answer for its process for 0.3 s after a crash, as its process is gone then.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,7 +25,7 @@
     lateness,
     operator::{self, Audience},
     receive::listener,
-    send::link_watch,
+    send::{link_watch, quarantine},
     settings::{self, Settings},
     share::{self, origin_store, refresh},
     state::{STOP_MARGIN, State},
@@ -76,6 +76,7 @@
     spawn_local(drain_samples(metrics.clone()));
     spawn_local(lateness::run(state.clone()));
     spawn_local(link_watch::run(state.clone()));
+    spawn_local(quarantine::run(state.clone()));
     spawn_local(origin_store::run(state.clone()));
     let duty_task = spawn_local(crate::duties::run(state.clone()));
     for (address, audience) in [
--- a/crates/gateway/src/send/identity.rs
+++ b/crates/gateway/src/send/identity.rs
@@ -3,12 +3,15 @@
 //! A server may start again under its id with another version of its software, and at first the list still
 //! describes the process before. A connection belongs to one process for as long as it is open.
 
-use std::{rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use log::{info, warn};
 use wasabi_belief::members;
 use wasabi_core::member::Member;
-use wasabi_platform::report;
+use wasabi_platform::{
+    http::{self, ConnectOptions},
+    report,
+};
 
 use crate::{
     send::{
@@ -59,6 +62,38 @@
     }
 }
 
+/// What a server says of its process over a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Process {
+    /// It is the one that the list describes.
+    Listed,
+    /// It is another one, or none listens at the address.
+    Other,
+    /// The server does not answer, or does not say.
+    Unknown,
+}
+
+/// Asks a server over a new connection whether its process is the one that the list describes.
+pub async fn ask_process(state: &State, member: &Member) -> Process {
+    if member.born_ms == 0 {
+        return Process::Unknown;
+    }
+    let options = ConnectOptions { source: state.settings.borrow().source, ..Default::default() };
+    metrics::counter!("wasabi_gateway_identity_checks_total").increment(1);
+    let asking = async {
+        match http::connect(member.address, options).await {
+            Ok(mut connection) => report::born_ms(&mut connection, member.address).await.ok()?,
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Some(0),
+            Err(_) => None,
+        }
+    };
+    match tokio::time::timeout(ASK_TIMEOUT, asking).await.ok().flatten() {
+        None => Process::Unknown,
+        Some(born_ms) if born_ms == member.born_ms => Process::Listed,
+        Some(_) => Process::Other,
+    }
+}
+
 /// Returns whether the process at the other end of a connection is the one that the list describes: it has said
 /// so, or a list that was read after the connection was opened still has it.
 pub async fn is_listed(state: &Rc<State>, member: &Member, opened: Opened) -> bool {
--- a/crates/gateway/src/send/link_watch.rs
+++ b/crates/gateway/src/send/link_watch.rs
@@ -72,8 +72,9 @@
         info!(cut_ms = cut_for.as_millis() as u64; "backend servers reached again");
         forget_failures(state);
     }
-    let undecided = !state.runs_on_suspected_link.borrow().is_empty();
-    if undecided && state.link.borrow().suspected_since(known_servers(state)).is_none() {
+    if state.suspected_runs.await_link()
+        && state.link.borrow().suspected_since(known_servers(state)).is_none()
+    {
         state.judge_runs_on_suspected_link(ended.is_some());
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,7 +37,7 @@
 
 use crate::{
     receive::{buffers, request_body},
-    send::connection_pool::Pool,
+    send::{connection_pool::Pool, quarantine::SuspectedRuns},
     settings::Settings,
     share::survey::Survey,
 };
@@ -93,8 +93,8 @@
     pub quarantine: RefCell<quarantine::View>,
     /// Notified when a server has failed this host.
     pub server_failed: Notify,
-    /// Runs that broke off while this host's link is suspected.
-    pub runs_on_suspected_link: RefCell<Vec<quarantine::BrokenRun>>,
+    /// Runs that broke off, as long as it is not known whether their servers have crashed.
+    pub suspected_runs: SuspectedRuns,
     /// The instance whose statement on its limit was announced last.
     pub last_announced_limit: RefCell<Option<members::Instance>>,
     /// Headers that servers have sent with values that were not understood, which are logged once.
@@ -170,7 +170,7 @@
             origins: RefCell::default(),
             quarantine: RefCell::new(quarantine::View::new(rand::random())),
             server_failed: Notify::new(),
-            runs_on_suspected_link: RefCell::default(),
+            suspected_runs: SuspectedRuns::default(),
             last_announced_limit: RefCell::default(),
             malformed_headers: RefCell::default(),
             balancers: RefCell::default(),
--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -361,6 +361,49 @@
     Ok(())
 }
 
+/// As above, with all hosts cut at the same time, so that no peer shows that it is the link.
+#[test]
+fn a_request_that_cuts_of_all_links_break_off_is_not_taken_for_one_that_crashes_servers()
+-> anyhow::Result<()> {
+    const CUTS: usize = 6;
+    const CUT: Duration = Duration::from_millis(400);
+    let fleet = Fleet::start(2)?;
+    let hosts: Vec<SocketAddr> = fleet.gateways.iter().map(|host| host.addresses.callers).collect();
+    let plain = || fleet.rig.servers.iter().filter(|(server, _)| !server.streams);
+    for cut in 0..CUTS {
+        plain().for_each(|(server, _)| server.set_behavior(Some(Behavior::Hang)));
+        let mut writes = Vec::new();
+        for (number, host) in hosts.iter().enumerate() {
+            let id = format!("w{cut}-{number}");
+            writes.push(Request::new("POST", "/write/x", &id).open(*host)?);
+            wait_for("the write", || fleet.rig.count_runs(&id) == 1)?;
+        }
+        plain().for_each(|(server, _)| server.set_behavior(None));
+        (0..hosts.len()).for_each(|number| fleet.cut(number, NetworkFault::Close));
+        for write in &mut writes {
+            assert_eq!(caller::read(write)?.status, 502);
+        }
+        thread::sleep(CUT);
+        for number in 0..hosts.len() {
+            fleet.proxies.iter().for_each(|proxy| proxy.clear_for(source(number)));
+        }
+        for host in &hosts {
+            wait_for("the end of the cut", || {
+                let read = Request::new("GET", "/read/x", &format!("r{cut}"));
+                read.send(*host).is_ok_and(|response| response.status == 200)
+            })?;
+        }
+    }
+    for host in &hosts {
+        let response = Request::new("POST", "/write/x", "last").send(*host)?;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    for gateway in &fleet.gateways {
+        assert!(gateway.log_lines("requests that crash servers quarantined").is_empty());
+    }
+    Ok(())
+}
+
 #[test]
 fn a_request_that_its_caller_gives_up_ends_at_the_server_behind_a_peer() -> anyhow::Result<()> {
     const LIMIT: Duration = Duration::from_millis(500);
--- a/tests/stand/src/server.rs
+++ b/tests/stand/src/server.rs
@@ -60,6 +60,8 @@
 
 /// The path of health checks, as the rig's configuration names it.
 const HEALTH_PATH: &str = "/health";
+/// A server that has crashed does not answer for its process for so long.
+const RESTART_DURATION: Duration = Duration::from_millis(300);
 /// How long a brittle server is down after it has fallen over.
 const FALL_DURATION: Duration = Duration::from_millis(1_500);
 
@@ -517,6 +519,9 @@
                 return Some(self.answer_health_check(&request));
             }
             if request.uri().path() == REPORT_PATH {
+                if self.crashed_at().last().is_some_and(|at| at.elapsed() < RESTART_DURATION) {
+                    return None;
+                }
                 let born = self.inner.lock().born.unwrap_or(BORN);
                 return Some(net::full_response(200, scripted::report(born)));
             }
