lease: a renewal after one whose answer was lost changes the record

Shown by the review by reading. On the platform a PUT that changes nothing makes no revision. A holder whose renewal took effect without an answer wrote the same renewal number again: the holder counted a lease length from that write, a host that had seen the revision before from the first one. By the difference, two hosts could hold the duties. Cause: the number was one above the last write known to have succeeded, and the conflict that shows the lost write's success did not count as such. Change: what is seen of this incarnation's own record counts as written. Red before: the new test in belief/tests/lease. The stores of that test and of the model check follow the platform's rule now; the model check's interleavings did not show the fault by themselves (green without the change, one run).

--- a/crates/belief/src/lease.rs
+++ b/crates/belief/src/lease.rs
@@ -314,6 +314,10 @@
             _ => now,
         };
         self.note_fence(record.fence);
+        // The next renewal must change the record: a write that changes nothing renews it for nobody else.
+        if record.incarnation == self.incarnation {
+            self.last_renewal = self.last_renewal.max(record.renewal);
+        }
         self.seen = Some((version, record, since));
     }
 
--- a/crates/belief/tests/lease.rs
+++ b/crates/belief/tests/lease.rs
@@ -25,10 +25,16 @@
 }
 
 impl Store {
+    /// A write that changes nothing makes no version.
     fn write(&mut self, expected: Option<Version>, record: &Record) -> Result<Version, ()> {
         if self.record.as_ref().map(|(version, _)| *version) != expected {
             return Err(());
         }
+        if let Some((version, same)) = &self.record
+            && same == record
+        {
+            return Ok(*version);
+        }
         self.count += 1;
         self.record = Some((Version(self.count), record.clone()));
         Ok(Version(self.count))
@@ -310,3 +316,31 @@
     assert_eq!(candidates(Duration::from_secs(1_000_000)), 195);
     assert!(is_candidate(&hosts[0], [].into_iter(), Duration::ZERO));
 }
+
+/// A write that changes nothing is a renewal for nobody but its writer.
+#[test]
+fn a_renewal_after_one_whose_answer_was_lost_changes_the_record() {
+    let start = Instant::now();
+    let mut store = Store::default();
+    let mut holder = lease("h1", start);
+    holder.on_read(start, None);
+    let StoreCall::Create(record) = holder.next_call(start, false) else { panic!("no write") };
+    let version = store.write(None, &record).expect("it is created");
+    holder.on_written(start, start, version, record);
+    let due = start + times().renew_interval;
+    let StoreCall::Replace(version, lost) = holder.next_call(due, false) else {
+        panic!("no write")
+    };
+    store.write(Some(version), &lost).expect("it takes effect");
+    holder.on_unanswered(due);
+    let StoreCall::Replace(version, again) = holder.next_call(due, false) else {
+        panic!("no write")
+    };
+    assert!(store.write(Some(version), &again).is_err());
+    holder.on_conflict(due, store.record.clone());
+    let StoreCall::Replace(version, next) = holder.next_call(due, false) else {
+        panic!("no write")
+    };
+    let renewed = store.write(Some(version), &next).expect("it takes effect");
+    assert!(renewed > version, "{next:?} changes nothing");
+}
--- a/crates/belief/tests/lease_model.rs
+++ b/crates/belief/tests/lease_model.rs
@@ -140,7 +140,8 @@
 }
 
 impl Contents {
-    /// Carries out a write; returns the new version, or the present record if the condition fails.
+    /// Carries out a write; returns the new version, or the present record if the condition fails. A write that
+    /// changes nothing makes no version.
     fn write(
         &mut self,
         expected: Option<Version>,
@@ -149,6 +150,11 @@
         if self.record.as_ref().map(|(version, _)| *version) != expected {
             return Err(self.record.clone());
         }
+        if let Some((version, same)) = &self.record
+            && same == record
+        {
+            return Ok(*version);
+        }
         self.revision += 1;
         let version = Version(self.revision);
         self.record = Some((version, record.clone()));
