usage: windows of another length are told apart from late ones

Shown by the review by reading. After usage_window_s was raised in place, windows have lower numbers than those before. The newest counts and seals were then taken for the oldest and forgotten at once, and a holder that had reported a window waited for one beyond it: no usage was reported any more, until all hosts had been started again at the same time. Change: counts and seals are kept by their distance to the current window, and a reported window far after it is ignored. Red before: usage_is_reported_after_the_length_of_its_windows_was_raised (real process, 30 s without a report of a longer window, one run). Green now (one run, 14 s). A lowered length was served before. The window in which the length changes may be off.

--- a/crates/belief/src/counts.rs
+++ b/crates/belief/src/counts.rs
@@ -18,6 +18,8 @@
     /// The latest window that was current when an incarnation reported its counts. The counts of
     /// that incarnation in windows before it are final.
     complete_before: BTreeMap<Incarnation, Window>,
+    /// The current window, if that is known. Windows far after it are numbered by another length.
+    present: Option<Window>,
 }
 
 impl RequestCounts {
@@ -25,6 +27,12 @@
     pub fn count(&mut self, window: Window, me: &Incarnation, workspace: &WorkspaceId) {
         let counts = self.windows.entry(window).or_default().entry(me.clone()).or_default();
         *counts.entry(workspace.clone()).or_default() += 1;
+        self.set_present(window);
+    }
+
+    /// Takes in which window is current.
+    pub fn set_present(&mut self, present: Window) {
+        self.present = Some(present);
         self.prune();
     }
 
@@ -78,9 +86,10 @@
     }
 
     fn prune(&mut self) {
-        let Some((newest, _)) = self.windows.last_key_value() else { return };
-        let oldest = Window(newest.0.saturating_sub(RETAINED_WINDOWS));
-        self.windows = self.windows.split_off(&oldest);
-        self.complete_before.retain(|_, present| *present >= oldest);
+        let newest = self.windows.last_key_value().map(|(newest, _)| *newest);
+        let Some(newest) = self.present.or(newest) else { return };
+        let kept = |window: Window| window.0.abs_diff(newest.0) <= RETAINED_WINDOWS;
+        self.windows.retain(|window, _| kept(*window));
+        self.complete_before.retain(|_, present| kept(*present));
     }
 }
--- a/crates/belief/src/seals.rs
+++ b/crates/belief/src/seals.rs
@@ -13,8 +13,9 @@
 
 use crate::counts::Counts;
 
-/// Sealed windows that the record keeps: more than those that are still reported.
-const KEPT_WINDOWS: usize = 8;
+/// Sealed windows that the record keeps: more than those that are still reported. Windows further from the present one
+/// are numbered by another length.
+const KEPT_WINDOWS: u64 = 8;
 /// Windows before the newest settled one that are still reported.
 const MAX_LATE_WINDOWS: u64 = 3;
 
@@ -73,7 +74,8 @@
         }
         let Some(newest) = newest else { return Step::Wait };
         let oldest = Window(newest.0.saturating_sub(MAX_LATE_WINDOWS));
-        let window = self.reported.map_or(oldest, |window| Window(window.0 + 1)).max(oldest);
+        let reported = self.reported.filter(|window| window.0 <= newest.0 + KEPT_WINDOWS);
+        let window = reported.map_or(oldest, |window| Window(window.0 + 1)).max(oldest);
         match window {
             _ if window > newest => Step::Wait,
             _ if self.sealed.contains_key(&window) => Step::Report(window),
@@ -92,7 +94,6 @@
         for (window, counts) in known {
             self.sealed.entry(window).or_insert(counts);
         }
-        prune(&mut self.sealed);
         (self.fence, self.reported) = (Some(fence), None);
     }
 
@@ -101,7 +102,7 @@
     pub fn begin_seal(&mut self, window: Window, counts: Counts) -> (Option<Version>, Record) {
         let mut windows = self.sealed.clone();
         windows.insert(window, counts);
-        prune(&mut windows);
+        prune(&mut windows, window);
         self.fence = None;
         (self.version, Record { windows })
     }
@@ -123,9 +124,10 @@
     }
 }
 
-/// Forgets the oldest windows beyond [`KEPT_WINDOWS`].
-fn prune(windows: &mut BTreeMap<Window, Counts>) {
-    while windows.len() > KEPT_WINDOWS {
+/// Forgets the oldest windows beyond [`KEPT_WINDOWS`], and those far from `present`.
+fn prune(windows: &mut BTreeMap<Window, Counts>, present: Window) {
+    windows.retain(|window, _| window.0.abs_diff(present.0) <= KEPT_WINDOWS);
+    while windows.len() as u64 > KEPT_WINDOWS {
         windows.pop_first();
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -429,6 +429,7 @@
     /// Merges the counts of another host's incarnation.
     pub fn merge_usage(&self, from: &Incarnation, report: &CountReport) {
         let mut counts = self.usage_counts.borrow_mut();
+        counts.set_present(self.usage_window());
         for (window, by_workspace) in &report.windows {
             counts.merge(*window, from, by_workspace);
         }
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -124,3 +124,41 @@
     assert!(!gateway.is_ready());
     Ok(())
 }
+
+/// The windows of a longer length have lower numbers.
+#[test]
+fn usage_is_reported_after_the_length_of_its_windows_was_raised() -> anyhow::Result<()> {
+    let rig = Rig::start(PROGRAM)?;
+    rig.configure(2, |config| config["tenants"] = json!([{"name": "w1", "api_keys": ["k1"]}]));
+    let gateway = rig.start_gateway("g1")?;
+    let mut changed = settings(&rig, &gateway);
+    let mut set_window = |seconds: u64| -> anyhow::Result<()> {
+        let known = gateway.log_lines("settings changed").len();
+        changed["bounds"]["usage_window_s"] = json!(seconds);
+        std::fs::write(&gateway.settings_path, changed.to_string())?;
+        gateway.signal("HUP")?;
+        wait_for("the new settings", || gateway.log_lines("settings changed").len() > known)
+    };
+    set_window(1)?;
+    let send = |number: usize| {
+        Request::new("GET", "/read/x", &format!("r{number}")).send(gateway.addresses.callers)
+    };
+    let newest = || rig.duties.reports().last_key_value().map_or(0, |(window, _)| *window);
+    // More windows than are kept.
+    wait_for("reports", || {
+        let _ = send(0);
+        rig.duties.reports().len() > 9
+    })?;
+    let short = newest();
+    set_window(2)?;
+    let requests = (1..=30).map(send).filter(|sent| sent.as_ref().is_ok_and(|r| r.status == 200));
+    let served = requests.count() as u64;
+    let counted = || -> u64 {
+        let reports = rig.duties.reports();
+        let long = reports.range(..short * 3 / 4);
+        long.filter_map(|(_, counts)| counts[0]["w1"].as_u64()).sum()
+    };
+    wait_for("reports of the longer windows", || counted() >= served)?;
+    assert!(rig.duties.reports().values().all(|counts| counts.windows(2).all(|w| w[0] == w[1])));
+    Ok(())
+}
