--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -1,9 +1,11 @@
 //! Seeded soak test: gateway processes under load and injected faults; the guarantees are checked
 //! by what callers and backend servers observed.
 
+pub mod adversary;
 mod builds;
 mod calls;
 mod faults;
+pub mod moves;
 mod promises;
 
 use std::{
@@ -21,7 +23,7 @@
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use serde_json::json;
 
-use self::{builds::Builds, faults::ActiveFault};
+use self::{builds::Builds, calls::SentRequest, faults::ActiveFault};
 use crate::{
     caller::Request,
     gateway::{self, Gateway, ListenAddresses},
@@ -97,32 +99,37 @@
 /// recovery and checks the guarantees.
 pub fn run(programs: Programs<'_>, seed: u64, steps: usize) -> anyhow::Result<Outcome> {
     let mut run = Run::start(programs, seed)?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let sent_requests = Arc::new(Mutex::new(Vec::new()));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|caller| {
-            let (stop, sent_requests) = (stop.clone(), sent_requests.clone());
-            let (to, key) = (run.caller_addresses.clone(), run.key.clone());
-            let rng = StdRng::seed_from_u64(seed * 1_000 + caller as u64);
-            thread::spawn(move || calls::run_caller(caller, rng, &stop, &to, &key, &sent_requests))
-        })
-        .collect();
+    let callers = run.start_callers(seed);
     for _ in 0..steps {
         run.inject_fault()?;
         run.run_for(FAULT_INTERVAL)?;
     }
     run.end_all_faults()?;
     let recovered = run.wait_recovered();
-    stop.store(true, Ordering::SeqCst);
-    callers.into_iter().for_each(|caller| caller.join().expect("a caller does not panic"));
+    let sent_requests = callers.stop();
     if let Err(e) = recovered {
         run.outcome.violations.push(e.to_string());
     }
-    let sent_requests = std::mem::take(&mut *sent_requests.lock());
     run.check_guarantees(&sent_requests);
     Ok(run.outcome)
 }
 
+/// The callers of a run.
+struct Callers {
+    threads: Vec<thread::JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+    sent: Arc<Mutex<Vec<SentRequest>>>,
+}
+
+impl Callers {
+    /// Ends them and returns what they have sent.
+    fn stop(self) -> Vec<SentRequest> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().for_each(|caller| caller.join().expect("a caller does not panic"));
+        std::mem::take(&mut *self.sent.lock())
+    }
+}
+
 /// The address from which a host connects to servers.
 fn source(gateway: usize) -> IpAddr {
     IpAddr::from([127, 0, 0, 2 + gateway as u8])
@@ -176,6 +183,20 @@
         Ok(run)
     }
 
+    /// Starts the callers, which draw from `seed`.
+    fn start_callers(&self, seed: u64) -> Callers {
+        let (stop, sent) = <(Arc<AtomicBool>, Arc<Mutex<Vec<SentRequest>>>)>::default();
+        let threads = (0..CALLERS)
+            .map(|caller| {
+                let (stop, sent) = (stop.clone(), sent.clone());
+                let (to, key) = (self.caller_addresses.clone(), self.key.clone());
+                let rng = StdRng::seed_from_u64(seed * 1_000 + caller as u64);
+                thread::spawn(move || calls::run_caller(caller, rng, &stop, &to, &key, &sent))
+            })
+            .collect();
+        Callers { threads, stop, sent }
+    }
+
     /// Writes a configuration whose only key is the valid one.
     fn configure(&mut self) {
         self.config_version += self.rng.random_range(1..5);
--- a/tests/stand/src/soak/faults.rs
+++ b/tests/stand/src/soak/faults.rs
@@ -109,11 +109,8 @@
                 format!("g{g} killed and started again")
             }
             9 => {
-                self.gateways[g].signal("HUP")?;
-                let before = self.key.fetch_add(1, Ordering::SeqCst) as usize;
-                self.configure();
-                self.withdrawn.insert(before, Instant::now());
-                format!("g{g} reloads; key {before} withdrawn")
+                self.withdraw_key(g)?;
+                format!("g{g} reloads; a key is withdrawn")
             }
             10 => {
                 self.terminate(g)?;
@@ -121,10 +118,7 @@
                 format!("g{g} stopped and started again")
             }
             _ => {
-                let (server, _) = &self.rig.servers[s];
-                let entry = server.store_object(self.server_proxies[s].address, "draining");
-                self.rig.store.put("servers", &server.id, entry);
-                self.active_faults.push((ends_at, ActiveFault::Draining(s)));
+                self.drain(s, ends_at);
                 format!("server {s} drains for {duration:?}")
             }
         };
@@ -132,6 +126,23 @@
         Ok(())
     }
 
+    /// Withdraws the valid key for a new one, and makes a host reload its settings.
+    pub(super) fn withdraw_key(&mut self, g: usize) -> anyhow::Result<()> {
+        self.gateways[g].signal("HUP")?;
+        let before = self.key.fetch_add(1, Ordering::SeqCst) as usize;
+        self.configure();
+        self.withdrawn.insert(before, Instant::now());
+        Ok(())
+    }
+
+    /// Makes a server's entry say that it is about to leave.
+    pub(super) fn drain(&mut self, s: usize, ends_at: Instant) {
+        let (server, _) = &self.rig.servers[s];
+        let entry = server.store_object(self.server_proxies[s].address, "draining");
+        self.rig.store.put("servers", &server.id, entry);
+        self.active_faults.push((ends_at, ActiveFault::Draining(s)));
+    }
+
     /// Stops a host's process, and waits until it has ended.
     pub(super) fn terminate(&mut self, g: usize) -> anyhow::Result<()> {
         self.gateways[g].signal("CONT")?;
