--- a/tests/large_bodies.rs
+++ b/tests/large_bodies.rs
@@ -18,7 +18,8 @@
 
 #[test]
 fn bodies_within_the_limit_do_not_take_more_than_the_memory_of_the_host() -> anyhow::Result<()> {
-    for callers in [24, 60] {
+    // Callers at the same time, and how many of them are served at least.
+    for (callers, served_at_least) in [(24, 8), (60, 20), (300, 20)] {
         let rig = Rig::start(PROGRAM)?;
         rig.configure(2, |config| config["limits"]["max_body_bytes"] = json!(4_194_304));
         let addresses = gateway::pick_ports()?;
@@ -48,7 +49,7 @@
         }
         let peak = gateway.peak_resident_bytes()?;
         assert!(peak < MAX_PEAK_BYTES, "{callers} callers: {peak} bytes, {served} served");
-        assert!(served >= callers / 3, "only {served} of {callers} were served");
+        assert!(served >= served_at_least, "only {served} of {callers} were served");
         assert_eq!(gateway.exit_status()?, None);
     }
     Ok(())
