--- a/tests/stand/src/soak/moves.rs
+++ b/tests/stand/src/soak/moves.rs
@@ -10,7 +10,7 @@
 
 use super::{GATEWAYS, Run, faults::ActiveFault, source};
 use crate::{
-    gateway::Gateway,
+    gateway::{Gateway, wait_for},
     proxy::NetworkFault,
     server::{Behavior, Server},
     store::Fault,
@@ -224,6 +224,8 @@
                 self.restart(g)?;
             }
             Kind::HostStopped(g) => {
+                // A process that has just begun takes no signal yet.
+                wait_for("the start", || !self.gateways[g].log_lines("started").is_empty())?;
                 self.terminate(g)?;
                 self.restart(g)?;
             }
