--- a/tests/stand/src/soak/faults.rs
+++ b/tests/stand/src/soak/faults.rs
@@ -13,6 +13,17 @@
 
 /// The oldest copy from which the store is restored, in faults: about five seconds.
 const MAX_BACKUP_AGE_FAULTS: usize = 7;
+/// How a server misbehaves.
+pub const BEHAVIORS: [Behavior; 8] = [
+    Behavior::TurnAway,
+    Behavior::LoseAnswer,
+    Behavior::Cross,
+    Behavior::Unsigned,
+    Behavior::Fail,
+    Behavior::BreakAfter(4),
+    Behavior::EndInside(4),
+    Behavior::Hang,
+];
 /// The share of the faults of several hosts.
 const FLEET_FAULT_SHARE: f64 = 0.25;
 
@@ -83,17 +94,7 @@
                 format!("store restored from a copy of {age} faults ago")
             }
             5 | 6 => {
-                let planned = [
-                    Behavior::TurnAway,
-                    Behavior::LoseAnswer,
-                    Behavior::Cross,
-                    Behavior::Unsigned,
-                    Behavior::Fail,
-                    Behavior::BreakAfter(4),
-                    Behavior::EndInside(4),
-                    Behavior::Hang,
-                ];
-                let behavior = planned[self.rng.random_range(0..planned.len())];
+                let behavior = BEHAVIORS[self.rng.random_range(0..BEHAVIORS.len())];
                 self.rig.servers[s].0.set_behavior(Some(behavior));
                 self.active_faults.push((ends_at, ActiveFault::Behavior(s)));
                 format!("server {s} does {behavior:?} for {duration:?}")
--- a/tests/stand/src/soak/moves.rs
+++ b/tests/stand/src/soak/moves.rs
@@ -8,7 +8,11 @@
 use rand::{Rng as _, rngs::StdRng};
 use serde_json::json;
 
-use super::{GATEWAYS, Run, faults::ActiveFault, source};
+use super::{
+    GATEWAYS, Run,
+    faults::{ActiveFault, BEHAVIORS},
+    source,
+};
 use crate::{
     gateway::{Gateway, wait_for},
     proxy::NetworkFault,
@@ -30,17 +34,8 @@
 /// The server that comes after an odd entry.
 pub const LATE_SERVER: &str = "late";
 
-const BEHAVIORS: [Behavior; 9] = [
-    Behavior::TurnAway,
-    Behavior::LoseAnswer,
-    Behavior::Cross,
-    Behavior::Unsigned,
-    Behavior::Fail,
-    Behavior::BreakAfter(4),
-    Behavior::EndInside(4),
-    Behavior::Hang,
-    Behavior::StallAfter(3),
-];
+/// Beside [`BEHAVIORS`].
+const STALL: Behavior = Behavior::StallAfter(3);
 const STORE_FAULTS: [Fault; 4] =
     [Fault::Busy, Fault::Silent, Fault::LosesAnswers, Fault::Slow(Duration::from_millis(200))];
 const CUTS: [NetworkFault; 3] =
@@ -151,7 +146,7 @@
             7 => Self::HostStopped(host),
             8 => Self::AllKilled,
             9 => Self::KeyWithdrawn(host),
-            10 => Self::ServerMisbehaves(server, variant % BEHAVIORS.len()),
+            10 => Self::ServerMisbehaves(server, variant % (BEHAVIORS.len() + 1)),
             11 => Self::ServerCrashes(server),
             12 => Self::ServerSilent(server),
             13 => Self::ServerLeaves(server),
@@ -235,7 +230,8 @@
             }
             Kind::KeyWithdrawn(g) => self.withdraw_key(g)?,
             Kind::ServerMisbehaves(s, variant) => {
-                self.rig.servers[s].0.set_behavior(Some(BEHAVIORS[variant]));
+                let behavior = BEHAVIORS.get(variant).copied().unwrap_or(STALL);
+                self.rig.servers[s].0.set_behavior(Some(behavior));
                 until(ActiveFault::Behavior(s));
             }
             Kind::ServerCrashes(s) => self.rig.servers[s].0.crash(),
