Cold servers and evacuations: restrictions come with the list of servers and are shared with it

Cause: nothing read cold_remaining_ms, cold_per_s or the evacuations of the operator, so a server that had just started looked empty and got the requests of all hosts, and servers of an evacuated domain went on being used. Change: a listing of servers has restrictions: which servers are cold and which domains are evacuated. The limit of cold servers is shared out by policy::pace like the limits that servers name; servers of evacuated domains count as draining and nothing is ordered there. Servers that failed a host, or whose evacuation has ended, count as cold until a later list shows them warm.

--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -1,14 +1,14 @@
 //! The backend servers to use, derived from the lists in the store.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
 use wasabi_core::{
     digest::digest,
-    member::{Member, Phase},
-    units::ServerId,
+    member::{Listing, Member, Phase, Restrictions},
+    units::{Domain, ServerId},
 };
 
 /// A longer gap between two complete lists of any host counts as an outage of the store. Entries lapse in the
@@ -23,6 +23,9 @@
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// The most instances that are remembered as leaving; the oldest are forgotten first.
 const MAX_LEAVING: usize = 4_096;
+/// A list that was complete this long after a server may have turned cold shows whether it has: servers write
+/// their entries about every 1.2 s, and an entry is listed up to 0.8 s after it was written.
+const COLD_LISTED_WITHIN: Duration = Duration::from_millis(2_500);
 
 pub use wasabi_policy::stated_limits::Instance;
 
@@ -47,23 +50,75 @@
     leaving: BTreeMap<Instance, Instant>,
     /// Instances whose process has ended, as the one that followed it says, and when this host learned it.
     ended: BTreeMap<Instance, Instant>,
+    /// Until when the store may lack what the operator wrote before it was restored.
+    restored_until: Option<Instant>,
+    /// The restrictions of the last list.
+    restrictions: Restrictions,
+    /// When the evacuations of `restrictions` were last known to be complete.
+    evacuations_confirmed_at: Option<Instant>,
+    /// Instances that may have turned cold at the time given without a list having shown it yet.
+    maybe_cold: BTreeMap<Instance, Instant>,
 }
 
 impl View {
     /// The servers to use: those of the last list, and lapsed ones that are still kept. Instances
-    /// that said that they leave, or have ended, are draining, whatever the list says.
+    /// that said that they leave, or have ended, and those of evacuated domains are draining,
+    /// whatever the list says.
     pub fn get(&self) -> Vec<Member> {
         let lapsed = self.lapsed.values().map(|(member, _)| member);
         let mut members: Vec<Member> = self.listed.values().chain(lapsed).cloned().collect();
         for member in &mut members {
             let instance = instance(member);
-            if self.leaving.contains_key(&instance) || self.ended.contains_key(&instance) {
+            if self.leaving.contains_key(&instance)
+                || self.ended.contains_key(&instance)
+                || self.restrictions.evacuated.contains(&member.domain)
+            {
                 member.phase = Phase::Draining;
             }
         }
         members
     }
 
+    /// The failure domains that the operator evacuates.
+    pub fn evacuated(&self) -> &BTreeSet<Domain> {
+        &self.restrictions.evacuated
+    }
+
+    /// The restrictions of the last list.
+    pub fn restrictions(&self) -> &Restrictions {
+        &self.restrictions
+    }
+
+    /// When the evacuations were last known to be complete; `None` if they have never been read.
+    pub fn evacuations_confirmed_at(&self) -> Option<Instant> {
+        self.evacuations_confirmed_at
+    }
+
+    /// Records that the evacuations of the last list were complete at `at`.
+    pub fn confirm_evacuations(&mut self, at: Instant) {
+        self.evacuations_confirmed_at = self.evacuations_confirmed_at.max(Some(at));
+    }
+
+    /// Whether an instance is cold, or may be without a list having shown it yet.
+    pub fn is_cold(&self, member: &Member) -> bool {
+        let listed_since = |at: &Instant| self.confirmed_at >= at.checked_add(COLD_LISTED_WITHIN);
+        self.restrictions.cold.contains(&member.id)
+            || self.maybe_cold.get(&instance(member)).is_some_and(|at| !listed_since(at))
+    }
+
+    /// The number of listed servers that are cold or may be.
+    pub fn cold_count(&self) -> usize {
+        self.listed.values().filter(|member| self.is_cold(member)).count()
+    }
+
+    /// Records that an instance may have turned cold at `at`: it did not answer, it said so, or the
+    /// evacuation of its domain has ended. Returns whether it did not count as cold before.
+    pub fn mark_maybe_cold(&mut self, at: Instant, member: &Member) -> bool {
+        let was_cold = self.is_cold(member);
+        remember(&mut self.maybe_cold, at, instance(member));
+        !was_cold
+    }
+
     /// The instances of which this host learned since `since` that they leave, the latest first.
     pub fn left_since(&self, since: Instant) -> Vec<Instance> {
         let mut recent: Vec<(&Instance, &Instant)> =
@@ -90,6 +145,11 @@
         true
     }
 
+    /// The server of this id, if it is in use.
+    pub fn find(&self, id: &ServerId) -> Option<&Member> {
+        self.listed.get(id).or_else(|| self.lapsed.get(id).map(|(member, _)| member))
+    }
+
     /// Whether the last list has this instance.
     pub fn lists(&self, instance: &Instance) -> bool {
         self.listed.get(&instance.0).is_some_and(|member| member.born_ms == instance.1)
@@ -114,6 +174,7 @@
         let same = known.filter(|known| instance(known) == instance(member));
         let instance = instance(member);
         same.is_some_and(|known| known.phase == Phase::Ready)
+            && !self.restrictions.evacuated.contains(&member.domain)
             && !self.leaving.contains_key(&instance)
             && !self.ended.contains_key(&instance)
     }
@@ -140,12 +201,22 @@
 
     /// Accepts a list that was complete at `confirmed_at`, unless it is older than the known one;
     /// returns whether the servers to use changed.
-    pub fn offer(&mut self, now: Instant, members: Vec<Member>, confirmed_at: Instant) -> bool {
+    pub fn offer(
+        &mut self,
+        now: Instant,
+        listing: impl Into<Listing>,
+        confirmed_at: Instant,
+    ) -> bool {
         if self.confirmed_at.is_some_and(|known| known > confirmed_at) {
             return self.expire(now);
         }
         self.record_proof(now, confirmed_at);
-        let before = self.get();
+        let before = (self.get(), self.restrictions.clone());
+        let Listing { members, mut restrictions } = listing.into();
+        if self.restored_until.is_some_and(|until| now < until) {
+            // The store may have lost what the operator has requested since its copy was made.
+            restrictions.evacuated.extend(self.restrictions.evacuated.iter().cloned());
+        }
         let fresh: BTreeMap<_, _> = members.into_iter().map(|m| (m.id.clone(), m)).collect();
         let until = self.grace_until.filter(|grace| now < *grace);
         for (id, member) in std::mem::take(&mut self.listed) {
@@ -156,16 +227,28 @@
         self.lapsed.retain(|id, (_, until)| !fresh.contains_key(id) && now < *until);
         // An address belongs to one server at a time: a listed server supersedes a lapsed one.
         self.lapsed.retain(|_, (m, _)| fresh.values().all(|other| other.address != m.address));
-        self.digest = digest(&fresh);
+        // Hosts of builds that know no restrictions agree on the digest while there are none.
+        self.digest = match restrictions.is_empty() {
+            true => digest(&fresh),
+            false => digest(&(&fresh, &restrictions)),
+        };
         self.listed = fresh;
         self.confirmed_at = Some(confirmed_at);
-        before != self.get()
+        let ended = std::mem::replace(&mut self.restrictions, restrictions).evacuated;
+        let ended: Vec<Domain> = ended.difference(&self.restrictions.evacuated).cloned().collect();
+        let returned: Vec<Member> =
+            self.listed.values().filter(|m| ended.contains(&m.domain)).cloned().collect();
+        for member in returned {
+            self.mark_maybe_cold(now, &member);
+        }
+        before != (self.get(), self.restrictions.clone())
     }
 
     /// Handles that the store was restored from an older copy: entries written since are missing until
     /// their servers write them again, as after an outage.
     pub fn on_restored(&mut self, now: Instant) {
         self.grace_until = Some(now + OUTAGE_GRACE);
+        self.restored_until = self.grace_until;
     }
 
     /// Records that some host knows its list to have been complete at `at`, so the store answered then.
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -8,7 +8,7 @@
 };
 use wasabi_core::{
     catalog::Catalog,
-    member::{Member, Phase},
+    member::{Listing, Member, Phase, Restrictions},
     units::{Era, HostId, Incarnation, RequestRate, Revision, Window},
 };
 use wasabi_policy::stated_limits;
@@ -344,3 +344,67 @@
     assert!(view.expire(back + SECOND * 3));
     assert_eq!(ids(&view), ["s1"]);
 }
+
+fn listing(members: &[Member], cold: &[&str], evacuated: &[&str]) -> Listing {
+    let restrictions = Restrictions {
+        cold: cold.iter().map(|id| id.parse().expect("a name")).collect(),
+        evacuated: evacuated.iter().map(|domain| domain.parse().expect("a name")).collect(),
+    };
+    Listing { members: members.to_vec(), restrictions }
+}
+
+/// Guards against requests to servers of a domain that the operator evacuates, and against full load on
+/// them right after, before a list shows whether they are cold.
+#[test]
+fn servers_of_an_evacuated_domain_are_unused_and_count_as_cold_when_it_ends() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut view = members::View::default();
+    let server = member("a", 1);
+    let servers = std::slice::from_ref(&server);
+    view.offer(start, servers.to_vec(), start);
+    let digest = view.digest_age(start).map(|(digest, _)| digest);
+    assert!(view.offer(at(500), listing(servers, &[], &["d"]), at(500)));
+    assert_ne!(view.digest_age(at(500)).map(|(digest, _)| digest), digest, "peers must notice");
+    assert!(!view.takes_work(&server));
+    assert_eq!(view.get()[0].phase, Phase::Draining);
+    assert!(view.offer(at(9_000), servers.to_vec(), at(9_000)));
+    assert!(view.takes_work(&server) && view.is_cold(&server));
+    view.offer(at(10_000), listing(servers, &["a"], &[]), at(10_000));
+    assert!(view.is_cold(&server));
+    view.offer(at(12_000), servers.to_vec(), at(12_000));
+    assert!(!view.is_cold(&server), "a list that was read later shows it warm");
+}
+
+/// Guards against full load on a server that starts again under its id, from hosts that saw it fail and
+/// whose list does not show it yet.
+#[test]
+fn a_server_that_has_failed_counts_as_cold_until_a_later_list_shows_it_warm() {
+    let start = Instant::now();
+    let mut view = members::View::default();
+    let server = member("a", 1);
+    view.offer(start, vec![server.clone()], start);
+    assert!(!view.is_cold(&server));
+    assert!(view.mark_maybe_cold(start + SECOND, &server));
+    assert!(!view.mark_maybe_cold(start + SECOND, &server), "it is known already");
+    // While the store is away nothing shows it warm.
+    assert!(view.is_cold(&server));
+    view.offer(start + SECOND * 2, vec![server.clone()], start + SECOND * 2);
+    assert!(view.is_cold(&server), "the entry may be older than the failure");
+    view.offer(start + SECOND * 4, vec![server.clone()], start + SECOND * 4);
+    assert!(!view.is_cold(&server));
+}
+
+/// Guards against an evacuation that is lost with a restore of the store from an older copy.
+#[test]
+fn an_evacuation_outlives_a_restore_until_the_operator_has_written_it_again() {
+    let start = Instant::now();
+    let mut view = members::View::default();
+    let server = member("a", 1);
+    view.offer(start, listing(std::slice::from_ref(&server), &[], &["d"]), start);
+    view.on_restored(start + SECOND);
+    view.offer(start + SECOND, vec![server.clone()], start + SECOND);
+    assert!(!view.takes_work(&server));
+    view.offer(start + SECOND * 4, vec![server.clone()], start + SECOND * 4);
+    assert!(view.takes_work(&server), "the operator has ended it meanwhile");
+}
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     data,
-    units::{Bytes, Domain, PoolId, Revision, RouteId, Tokens, WorkspaceId},
+    units::{Bytes, Domain, PoolId, RequestRate, Revision, RouteId, Tokens, WorkspaceId},
 };
 
 data! {
@@ -86,6 +86,10 @@
         pub engine: Option<Engine>,
         /// The scaling bounds, for services whose servers are ordered.
         pub scaling: Option<Scaling>,
+        /// The requests a second that a server tolerates from all hosts together while it is cold, if
+        /// that is limited.
+        #[serde(default)]
+        pub cold_rate: Option<RequestRate>,
     }
 
     /// The capacity of one language-model engine.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,6 +1,6 @@
 //! Backend servers as they announce themselves in the store.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use crate::{
     data,
@@ -34,6 +34,24 @@
         pub reclaimable: bool,
     }
 
+    /// The announced servers, and which of them are restricted.
+    #[derive(Default)]
+    pub struct Listing {
+        /// The servers.
+        pub members: Vec<Member>,
+        /// The restrictions on them.
+        pub restrictions: Restrictions,
+    }
+
+    /// Restrictions on servers that are in service otherwise.
+    #[derive(Default, Eq, Hash)]
+    pub struct Restrictions {
+        /// Servers that have started a moment ago and tolerate only a low request rate.
+        pub cold: BTreeSet<ServerId>,
+        /// Failure domains whose servers get no requests because the operator evacuates them.
+        pub evacuated: BTreeSet<Domain>,
+    }
+
     /// Whether a server takes new requests.
     #[derive(Copy, Eq, Hash)]
     pub enum Phase {
@@ -43,3 +61,16 @@
         Draining,
     }
 }
+
+impl From<Vec<Member>> for Listing {
+    fn from(members: Vec<Member>) -> Self {
+        Self { members, restrictions: Restrictions::default() }
+    }
+}
+
+impl Restrictions {
+    /// Returns whether nothing is restricted.
+    pub fn is_empty(&self) -> bool {
+        self.cold.is_empty() && self.evacuated.is_empty()
+    }
+}
--- a/crates/core/src/objects.rs
+++ b/crates/core/src/objects.rs
@@ -1,7 +1,12 @@
 //! The asynchronous interface to the platform for `wasabirouter gateway`: stored objects, usage
 //! reports and scaling orders. `wasabirouter run` uses the blocking one in [`io`](crate::io).
 
-use std::{collections::BTreeMap, future::Future, pin::Pin, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    future::Future,
+    pin::Pin,
+    time::Instant,
+};
 
 use serde_json::Value;
 
@@ -9,7 +14,7 @@
     catalog::Catalog,
     data,
     errors::Result,
-    member::Member,
+    member::Listing,
     units::{Domain, Epoch, Era, HostId, PoolId, Version, Window, WorkspaceId},
 };
 
@@ -85,8 +90,16 @@
     /// Reads the latest configuration; `None` if none has been stored yet.
     fn catalog(&self) -> CallFuture<'_, Option<Catalog>>;
 
-    /// Lists the announced backend servers; entries that cannot be decoded are skipped.
-    fn members(&self) -> CallFuture<'_, Vec<Member>>;
+    /// Lists the announced backend servers and those of them that are cold; entries that cannot be
+    /// decoded are skipped. It does not say which failure domains are evacuated.
+    fn members(&self) -> CallFuture<'_, Listing>;
+
+    /// Lists the failure domains that the operator evacuates.
+    fn evacuations(&self) -> CallFuture<'_, BTreeSet<Domain>>;
+
+    /// Requests or, if `active` is false, ends the evacuation of a failure domain. To request one that
+    /// is requested already, or to end one that is not, changes nothing.
+    fn set_evacuation<'a>(&'a self, domain: &'a Domain, active: bool) -> CallFuture<'a, ()>;
 
     /// Lists the objects of one of the router's own kinds; those that cannot be decoded are
     /// skipped.
--- a/crates/gateway/src/duties/orders.rs
+++ b/crates/gateway/src/duties/orders.rs
@@ -72,6 +72,7 @@
 ) -> Vec<(PoolId, Vec<ScalingOrder>)> {
     let Some((catalog, _)) = state.config() else { return Vec::new() };
     let members = state.servers.borrow().get();
+    let evacuated = state.servers.borrow().evacuated().clone();
     let now = state.now();
     let mut plans = Vec::new();
     for (name, service) in &catalog.services {
@@ -79,6 +80,7 @@
         let Ok(name) = name.parse::<PoolId>() else { continue };
         let servers: Vec<_> = members.iter().filter(|m| m.service == name).cloned().collect();
         let planner = planners.entry(name.clone()).or_default();
+        planner.set_evacuated(evacuated.clone());
         let busy =
             state.balancers.borrow().get(&name).map_or(0.0, |balancer| balancer.prefill_share(now));
         let demands = planner.plan(now, &name, scaling, &servers, busy);
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -134,6 +134,9 @@
     metrics::gauge!("wasabi_peers_of_other_builds").set(of_other_builds as f64);
     metrics::gauge!("wasabi_known_streams").set(state.origins.borrow().len() as f64);
     metrics::gauge!("wasabi_limited_servers").set(state.limits.borrow().limited().count() as f64);
+    metrics::gauge!("wasabi_cold_servers").set(state.servers.borrow().cold_count() as f64);
+    metrics::gauge!("wasabi_evacuated_domains")
+        .set(state.servers.borrow().evacuated().len() as f64);
     let quarantined = state.quarantine.borrow().quarantined().count();
     metrics::gauge!("wasabi_quarantined_features").set(quarantined as f64);
     let held = state.lease.borrow().fence(now).is_some();
@@ -210,6 +213,8 @@
         "duties": state.lease.borrow().fence(now),
         "services": services,
         "limits": limits,
+        "cold_servers": state.servers.borrow().cold_count(),
+        "evacuated": state.servers.borrow().evacuated(),
         "quarantine": quarantine,
         "peers": peers,
     })
--- a/crates/gateway/src/send/link_watch.rs
+++ b/crates/gateway/src/send/link_watch.rs
@@ -14,7 +14,10 @@
     member::{Member, Phase},
     units::ServerId,
 };
-use wasabi_platform::http::{self, ConnectOptions};
+use wasabi_platform::{
+    http::{self, ConnectOptions},
+    reply,
+};
 
 use crate::{send::connection_pool::CONNECT_TIMEOUT, state::State};
 
@@ -50,6 +53,11 @@
 pub fn record_failure(state: &State, server: &ServerId, connection: Connection) {
     state.link.borrow_mut().record_failure(state.now(), server, connection);
     state.server_failed.notify_one();
+    // It may be starting again, which a list shows only later.
+    let member = state.servers.borrow().find(server).cloned();
+    if let Some(member) = member {
+        state.mark_maybe_cold(&member, "failure");
+    }
 }
 
 /// Records that no probed server has answered.
@@ -130,5 +138,9 @@
     let source = state.settings.borrow().source;
     let options = ConnectOptions { source, ..ConnectOptions::default() };
     let mut connection = http::connect(member.address, options).await.ok()?;
-    connection.send(request).await.ok().map(|_| ())
+    let response = connection.send(request).await.ok()?;
+    if reply::says_cold(response.headers()) {
+        state.mark_maybe_cold(member, "health check");
+    }
+    Some(())
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,8 +10,9 @@
 use serde_json::{Map, Value};
 use wasabi_core::{
     errors::{Code, Error},
-    units::{Domain, HostId},
+    units::{Domain, HostId, RequestRate},
 };
+use wasabi_policy::pace;
 
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,10 +39,60 @@
     pub source: Option<IpAddr>,
     /// The memory that the process may take, if it is set.
     pub memory: Option<Memory>,
+    /// Within what time after its request an evacuation must have taken effect, if the platform has
+    /// evacuations.
+    pub evacuate_within: Option<Duration>,
+    /// How far the rate of a cold server may be exceeded, if the platform says.
+    pub cold_bound: Option<ColdBound>,
     /// The limits that the host has to keep.
     pub bounds: Bounds,
 }
 
+/// The most requests that a cold server may get in any second: a multiple of its rate, and some besides.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBound {
+    /// The multiple of the rate.
+    pub overage: f64,
+    /// The requests besides.
+    pub slack: f64,
+}
+
+/// Without a statement of the platform, the rate itself is the bound.
+impl Default for ColdBound {
+    fn default() -> Self {
+        Self { overage: 1.0, slack: 0.0 }
+    }
+}
+
+impl ColdBound {
+    /// Returns the rate to share out among the hosts, for servers that tolerate `tolerated` while cold.
+    pub fn rate(self, tolerated: RequestRate) -> RequestRate {
+        let most = tolerated.per_second() * self.overage + self.slack;
+        pace::rate_within(tolerated, most)
+    }
+}
+
+impl FromStr for ColdBound {
+    type Err = Error;
+
+    /// Parses `OVERAGE,SLACK`; empty parts stand for the defaults.
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let invalid = || problem("cold_bound", "is not OVERAGE,SLACK");
+        let (overage, slack) = text.split_once(',').ok_or_else(invalid)?;
+        let number = |text: &str, default: f64| match text.trim() {
+            "" => Ok(default),
+            text => {
+                text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0).ok_or_else(invalid)
+            }
+        };
+        let default = Self::default();
+        Ok(Self {
+            overage: number(overage, default.overage)?,
+            slack: number(slack, default.slack)?,
+        })
+    }
+}
+
 /// The memory that the process may take, in megabytes of 1,000,000 bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(transparent)]
@@ -157,6 +208,11 @@
         keep("objects", self.objects != old.objects);
         keep("duties", self.duties != old.duties);
         keep("memory_mb", self.memory.is_some() && self.memory != old.memory);
+        keep(
+            "evacuate_ms",
+            self.evacuate_within.is_some() && self.evacuate_within != old.evacuate_within,
+        );
+        keep("cold_bound", self.cold_bound.is_some() && self.cold_bound != old.cold_bound);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
         let bounds = Bounds { lease_ms: old.bounds.lease_ms, ..self.bounds };
         // Of the fields, only the domain, the source and the other bounds are new.
@@ -185,6 +241,10 @@
     if let Some(Err(problem)) = memory.map(Memory::check) {
         problems.push(problem);
     }
+    let evacuate_within = text_of(&mut fields, "evacuate_ms").map(|text| milliseconds(&text));
+    let evacuate_within = valid(evacuate_within, &mut problems);
+    let cold_bound = text_of(&mut fields, "cold_bound").map(|text| text.parse());
+    let cold_bound = valid(cold_bound, &mut problems);
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
     problems.extend(fields.keys().map(|name| problem(name, "is not a setting")));
     if let Some(bounds) = &bounds {
@@ -202,6 +262,8 @@
             duties,
             source,
             memory,
+            evacuate_within,
+            cold_bound,
             bounds: bounds?,
         })
     };
@@ -211,6 +273,35 @@
     }
 }
 
+/// Takes a field as text; a number may stand in its place.
+fn text_of(fields: &mut Map<String, Value>, name: &str) -> Option<String> {
+    match fields.remove(name)? {
+        Value::Null => None,
+        Value::String(text) => Some(text),
+        other => Some(other.to_string()),
+    }
+}
+
+/// Returns a value that is valid, or records the problem.
+fn valid<T>(parsed: Option<Result<T, Error>>, problems: &mut Vec<Error>) -> Option<T> {
+    match parsed? {
+        Ok(value) => Some(value),
+        Err(problem) => {
+            problems.push(problem);
+            None
+        }
+    }
+}
+
+/// Parses a positive number of milliseconds.
+///
+/// Errors: `SettingsInvalid`.
+pub fn milliseconds(text: &str) -> Result<Duration, Error> {
+    let number = text.trim().parse().ok().filter(|ms: &f64| ms.is_finite() && *ms > 0.0);
+    let seconds = number.map(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+    seconds.flatten().ok_or_else(|| problem("evacuate_ms", "is not a positive number"))
+}
+
 fn check_bounds(bounds: &Bounds, problems: &mut Vec<Error>) {
     let positive = [
         ("stop_s", bounds.stop_s),
--- a/crates/gateway/src/share/limits.rs
+++ b/crates/gateway/src/share/limits.rs
@@ -1,10 +1,13 @@
 //! The limits of requests that servers name: recorded from answers and peers, and shared out.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use log::info;
 use wasabi_belief::members;
-use wasabi_core::units::RequestRate;
+use wasabi_core::{member::Member, units::RequestRate};
 use wasabi_policy::{pace::Fleet, stated_limits};
 
 use crate::state::State;
@@ -41,17 +44,51 @@
         }
     }
 
-    /// Updates this host's parts of the limits of all servers.
-    pub fn share_limits(&self) {
-        if self.limits.borrow().is_empty() {
+    /// Records that a server may have turned cold: it did not answer, or says so. Does nothing for servers of
+    /// services whose cold servers are not limited.
+    pub fn mark_maybe_cold(&self, member: &Member, cause: &str) {
+        let Some((catalog, _)) = self.config() else { return };
+        let service = catalog.services.get(member.service.as_str());
+        if service.and_then(|service| service.cold_rate).is_none() {
             return;
         }
+        if self.servers.borrow_mut().mark_maybe_cold(self.now(), member) {
+            info!(server = member.id.as_str(), born_ms = member.born_ms, cause = cause;
+                "backend server may be cold");
+            self.share_limits();
+        }
+    }
+
+    /// Updates this host's parts of the limits of all servers: those that they name, and those of cold
+    /// servers.
+    pub fn share_limits(&self) {
         let now = self.now();
+        let Some((catalog, _)) = self.config() else { return };
+        let cold_bound = self.settings.borrow().cold_bound.unwrap_or_default();
+        let cold_rates: BTreeMap<&str, RequestRate> = catalog
+            .services
+            .iter()
+            .filter_map(|(name, service)| {
+                Some((name.as_str(), cold_bound.rate(service.cold_rate?)))
+            })
+            .collect();
+        if self.limits.borrow().is_empty() && cold_rates.is_empty() {
+            return;
+        }
         let others = self.peers.borrow().may_send(now).cloned().collect();
         let fleet = Fleet::new(self.settings.borrow().host.clone(), others);
-        let limits = self.limits.borrow();
+        let (limits, servers) = (self.limits.borrow(), self.servers.borrow());
+        let limit_of = |member: &Member| {
+            let cold = cold_rates.get(member.service.as_str()).copied();
+            let cold = cold.filter(|_| servers.is_cold(member));
+            let stated = limits.limit(&members::instance(member));
+            match (stated, cold) {
+                (Some(stated), Some(cold)) if stated.per_second() > cold.per_second() => Some(cold),
+                (stated, cold) => stated.or(cold),
+            }
+        };
         for balancer in self.balancers.borrow_mut().values_mut() {
-            balancer.share_limits(now, &fleet, |member| limits.limit(&members::instance(member)));
+            balancer.share_limits(now, &fleet, limit_of);
         }
     }
 }
--- a/crates/gateway/src/share/peer_fetch.rs
+++ b/crates/gateway/src/share/peer_fetch.rs
@@ -20,7 +20,7 @@
     catalog::Catalog,
     errors::{self, Result},
     format::{self, Format},
-    member::Member,
+    member::{Listing, Member, Restrictions},
     units::{Incarnation, Revision},
 };
 use wasabi_platform::http::Client;
@@ -59,6 +59,9 @@
 struct StateSnapshot {
     catalog: Option<Dataset<Catalog>>,
     members: Option<Dataset<Vec<Member>>>,
+    /// Belongs to `members`. Builds that do not know it leave it unread.
+    #[serde(default)]
+    restrictions: Restrictions,
     /// Evidence on requests that crash servers, for hosts without a configuration: they have just
     /// started.
     evidence: Evidence,
@@ -97,6 +100,7 @@
                 content: (!is_known).then(|| members.listed()),
             }
         }),
+        restrictions: members.restrictions().clone(),
         evidence: match known_catalog {
             NOTHING_KNOWN => state.quarantine.borrow().all_evidence(now, usize::MAX),
             _ => Evidence::default(),
@@ -162,7 +166,10 @@
     }
     if let Some(Dataset { version, age_ms, content }) = snapshot.members {
         match content {
-            Some(members) => state.offer_servers(members, ago(age_ms), "peer"),
+            Some(members) => {
+                let listing = Listing { members, restrictions: snapshot.restrictions };
+                state.offer_servers(listing, ago(age_ms), "peer");
+            }
             None => {
                 let mut servers = state.servers.borrow_mut();
                 servers.record_proof(state.now(), ago(age_ms));
--- a/crates/gateway/src/share/refresh.rs
+++ b/crates/gateway/src/share/refresh.rs
@@ -17,6 +17,7 @@
 };
 use wasabi_core::{
     errors::{self, Result},
+    member::Listing,
     objects::CallFuture,
 };
 
@@ -46,6 +47,9 @@
 const RESTORE_SPREAD_PER_HOST: Duration = Duration::from_millis(10);
 /// The widest range of that delay.
 const MAX_RESTORE_SPREAD: Duration = Duration::from_millis(1_500);
+/// A reader of the servers reads the evacuations this often within the time in which they take effect. What is
+/// left is for hosts that learn of them from peers.
+const EVACUATION_READS: u32 = 5;
 /// The object kind of the host records.
 const HOSTS_KIND: &str = "gateways";
 
@@ -164,7 +168,7 @@
                 }
             }
             Self::Members => {
-                let members = with_timeout(state.objects.members(), READ_TIMEOUT).await?;
+                let members = read_servers(state, READ_TIMEOUT).await?;
                 // A list of a new era may lack entries; it must not count as an ordinary one.
                 state.check_era();
                 state.offer_servers(members, sent, "store");
@@ -177,6 +181,30 @@
     }
 }
 
+/// Reads the servers and, where the platform has evacuations and they were last read a while ago, those too.
+/// A list without current evacuations proves nothing, so if one of the reads fails, both do.
+pub async fn read_servers(state: &State, limit: Duration) -> Result<Listing> {
+    let within = state.settings.borrow().evacuate_within;
+    let due = within.filter(|within| {
+        let confirmed_at = state.servers.borrow().evacuations_confirmed_at();
+        let age = confirmed_at.map(|at| state.now().saturating_duration_since(at));
+        age.is_none_or(|age| age >= *within / EVACUATION_READS)
+    });
+    let members = with_timeout(state.objects.members(), limit);
+    if due.is_none() {
+        let mut listing = members.await?;
+        listing.restrictions.evacuated = state.servers.borrow().evacuated().clone();
+        return Ok(listing);
+    }
+    let sent = state.now();
+    let evacuations = with_timeout(state.objects.evacuations(), limit);
+    let (listing, evacuated) = tokio::join!(members, evacuations);
+    let (mut listing, evacuated) = (listing?, evacuated?);
+    listing.restrictions.evacuated = evacuated;
+    state.servers.borrow_mut().confirm_evacuations(sent);
+    Ok(listing)
+}
+
 /// Awaits a call; fails with `StoreUnavailable` after `limit`.
 pub async fn with_timeout<T>(call: CallFuture<'_, T>, limit: Duration) -> Result<T> {
     tokio::time::timeout(limit, call).await.map_err(|_| errors::unavailable("timed out"))?
--- a/crates/gateway/src/share/survey.rs
+++ b/crates/gateway/src/share/survey.rs
@@ -14,7 +14,7 @@
 use wasabi_core::errors::{self, Result};
 
 use crate::{
-    share::{origin_store, refresh::with_timeout},
+    share::{origin_store, refresh::read_servers},
     state::State,
 };
 
@@ -70,7 +70,7 @@
 }
 
 async fn read(state: &State, sent: Instant) -> Result<()> {
-    let members = with_timeout(state.objects.members(), READ_TIMEOUT);
+    let members = read_servers(state, READ_TIMEOUT);
     let versions = origin_store::read_versions(state);
     let (members, versions) = tokio::join!(members, versions);
     let (members, versions) = (members?, versions?);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,10 +23,10 @@
 };
 use wasabi_core::{
     catalog::Catalog,
-    member::Member,
+    member::{Listing, Member},
     objects::{DutyInterface, MetadataStore},
     time::Clock,
-    units::{Build, HostId, Incarnation, PoolId, ServerId, Window, WorkspaceId},
+    units::{Build, Domain, HostId, Incarnation, PoolId, ServerId, Window, WorkspaceId},
 };
 use wasabi_policy::{
     balancer::Balancer,
@@ -276,12 +276,14 @@
 
     /// Applies a server list that was complete at `proof`, unless a later one is known; `source` is
     /// for the log.
-    pub fn offer_servers(&self, listed: Vec<Member>, proof: Instant, source: &str) {
+    pub fn offer_servers(&self, listing: Listing, proof: Instant, source: &str) {
         let now = self.now();
         self.record_builds();
-        if self.servers.borrow_mut().offer(now, listed, proof) {
+        let evacuated = self.servers.borrow().evacuated().clone();
+        if self.servers.borrow_mut().offer(now, listing, proof) {
             let age = now.saturating_duration_since(proof);
             self.log_servers(source, age);
+            self.log_evacuations(&evacuated, source, age);
             self.refresh_balancers();
             self.update_unrecorded_versions();
         }
@@ -526,9 +528,21 @@
         let members = self.servers.borrow().get();
         let draining =
             members.iter().filter(|m| m.phase == wasabi_core::member::Phase::Draining).count();
-        info!(servers = members.len(), draining = draining, source = source,
+        let cold = self.servers.borrow().cold_count();
+        info!(servers = members.len(), draining = draining, cold = cold, source = source,
             age_ms = age.as_millis() as u64; "backend servers changed");
     }
+
+    /// Logs which failure domains are evacuated, and which are not any more, compared to `before`.
+    fn log_evacuations(&self, before: &BTreeSet<Domain>, source: &str, age: Duration) {
+        let servers = self.servers.borrow();
+        let changed = servers.evacuated().symmetric_difference(before);
+        for domain in changed {
+            let active = servers.evacuated().contains(domain);
+            info!(domain = domain.as_str(), active = active, source = source,
+                age_ms = age.as_millis() as u64; "evacuation changed");
+        }
+    }
 }
 
 /// Logs and counts that a stream was known to have begun elsewhere `before`.
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -53,6 +53,8 @@
     refused: BTreeMap<OrderKey, Instant>,
     /// Domains where reclaimable servers were refused and are still below the baseline.
     short_domains: BTreeSet<Domain>,
+    /// Domains that the operator evacuates.
+    evacuated: BTreeSet<Domain>,
 }
 
 impl Planner {
@@ -62,6 +64,12 @@
         self.domains.extend(members.iter().map(|member| member.domain.clone()));
     }
 
+    /// Sets the domains that the operator evacuates: nothing is ordered there, and the others get up to their
+    /// maximum meanwhile.
+    pub fn set_evacuated(&mut self, evacuated: BTreeSet<Domain>) {
+        self.evacuated = evacuated;
+    }
+
     /// Forgets all orders when this host becomes responsible for them, since those that another
     /// host gave meanwhile are not known. The domains that were seen are kept.
     pub fn forget_orders(&mut self) {
@@ -94,8 +102,10 @@
             .prices
             .keys()
             .filter(|domain| self.domains.contains(*domain))
+            .filter(|domain| !self.evacuated.contains(*domain))
             .cloned()
             .collect();
+        let is_any_evacuated = self.evacuated.iter().any(|domain| self.domains.contains(domain));
         self.short_domains.retain(|domain| {
             ready(domain, true) < baseline(scaling, least_priced.as_ref() == Some(domain)).0
         });
@@ -104,7 +114,7 @@
                 ready: (ready(domain, true), ready(domain, false)),
                 is_least_priced: least_priced.as_ref() == Some(domain),
                 is_short: self.short_domains.contains(domain),
-                is_any_short: !self.short_domains.is_empty(),
+                is_any_short: !self.short_domains.is_empty() || is_any_evacuated,
                 is_busy: busy >= BUSY_PREFILL_SHARE,
                 on_demand_ordered: self
                     .ordered
@@ -164,7 +174,7 @@
     is_least_priced: bool,
     /// Whether reclaimable servers were refused here and are still below the baseline.
     is_short: bool,
-    /// Whether that is so in any domain.
+    /// Whether that is so in any domain, or one is evacuated.
     is_any_short: bool,
     is_busy: bool,
     /// How many on-demand servers this host ordered last.
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -17,6 +17,16 @@
 /// that the limit has been lifted.
 const MIN_RATE: f64 = 0.1;
 
+/// Returns the rate to share out for a server that takes `rate`, but no more than `most` requests in any
+/// second, from all hosts together.
+///
+/// In a second the senders of a server send no more than what they have saved up, a second's worth and
+/// [`SPARE_REQUESTS`], and what the rate allows meanwhile.
+pub fn rate_within(rate: RequestRate, most: f64) -> RequestRate {
+    let shared = ((most - SPARE_REQUESTS) / 2.0).clamp(0.0, rate.per_second());
+    RequestRate::new(shared).unwrap_or(rate)
+}
+
 /// The hosts that share the limits of servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fleet {
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -321,3 +321,23 @@
         }
     }
 }
+
+/// Guards against orders for servers that may get nothing, and against a service that is short of
+/// servers elsewhere meanwhile.
+#[test]
+fn nothing_is_ordered_in_a_domain_that_is_evacuated() {
+    let start = Instant::now();
+    let mut planner = Planner::default();
+    let scaling = scaling(Some(0.15));
+    plan(&mut planner, start, &scaling, &members(0, 4));
+    let now = start + SECOND * 3;
+    planner.set_evacuated(["d2".parse().expect("a name")].into());
+    let mut all = members(0, 4);
+    all.iter_mut().filter(|m| m.domain.as_str() == "d2").for_each(|m| m.phase = Phase::Draining);
+    let orders = plan(&mut planner, now, &scaling, &all);
+    assert!(orders.keys().all(|(domain, _)| domain != "d2"), "{orders:?}");
+    assert!(orders.get(&("d3".to_string(), true)).is_some_and(|count| *count > 4), "{orders:?}");
+    planner.set_evacuated(Default::default());
+    let orders = plan(&mut planner, now + SECOND * 9, &scaling, &members(0, 4));
+    assert!(orders.keys().any(|(domain, _)| domain == "d2"), "{orders:?}");
+}
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -11,7 +11,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, PlacementRequest, Refusal},
-    pace::Fleet,
+    pace::{self, Fleet},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -99,8 +99,12 @@
     }
 
     fn most_in_a_span(&self) -> usize {
+        self.most_within(SPAN)
+    }
+
+    fn most_within(&self, span: Duration) -> usize {
         let in_span = |start: Instant| {
-            self.sent.iter().filter(|at| (start..start + SPAN).contains(*at)).count()
+            self.sent.iter().filter(|at| (start..start + span).contains(*at)).count()
         };
         self.sent.iter().map(|start| in_span(*start)).max().unwrap_or(0)
     }
@@ -223,3 +227,33 @@
         assert!(most <= allowed(3.5), "{count} hosts: {most}, allowed {}", allowed(3.5));
     }
 }
+
+/// Guards against a cold server that falls over because hosts together exceed in one second what it
+/// tolerates, also when it turns cold under full load and when hosts come and go.
+#[test]
+fn a_cold_server_gets_no_more_in_any_second_than_it_tolerates() {
+    let start = Instant::now();
+    for count in [1, 2, 7, 30, 61, 360] {
+        for (tolerated, overage, slack) in [(9.8, 1.5, 5.0), (2.0, 1.5, 5.0), (30.0, 1.2, 0.0)] {
+            let most = tolerated * overage + slack;
+            let rate = RequestRate::new(tolerated).expect("a rate");
+            let shared = pace::rate_within(rate, most);
+            let mut play = Play::new(start, count);
+            play.set_limit(start, Some(shared));
+            play.run(start, SECOND * 6);
+            // A third of the hosts restart, so they know nothing of what they have sent.
+            let again = start + SECOND * 6;
+            for balancer in play.balancers.iter_mut().take(count / 3) {
+                *balancer = Balancer::new("d1".parse().expect("a name"));
+                balancer.set_servers(again, None, &[member("s1")]);
+            }
+            play.set_limit(again, Some(shared));
+            play.run(again, SECOND * 6);
+            let seen = play.most_within(SECOND);
+            assert!(seen as f64 <= most, "{count} hosts, {tolerated}/s: {seen}, allowed {most}");
+            let least = shared.per_second() * 12.0 * 0.8;
+            let all = play.sent.len();
+            assert!(all as f64 >= least, "{count} hosts, {tolerated}/s: {all} in 12 s");
+        }
+    }
+}
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -49,11 +49,21 @@
     };
     let stated_memory = env::var(names::MEMORY_VARIABLE).ok().filter(|text| !text.is_empty());
     let memory = stated_memory.map(|text| text.parse()).transpose().map_err(|e| vec![e]);
-    let parsed = gateway_settings::parse(&text);
-    let settings = match parsed.and_then(|settings| Ok((settings, memory?))) {
-        Ok((settings, memory)) => {
-            gateway_settings::Settings { memory: settings.memory.or(memory), ..settings }
-        }
+    let cold_bound = env::var(names::COLD_BOUND_VARIABLE).ok().map(|text| text.parse());
+    let cold_bound = cold_bound.transpose().map_err(|e| vec![e]);
+    let evacuate_ms = env::var(names::EVACUATE_VARIABLE).ok().filter(|text| !text.is_empty());
+    let evacuate_within = evacuate_ms.map(|text| gateway_settings::milliseconds(&text));
+    let evacuate_within = evacuate_within.transpose().map_err(|e| vec![e]);
+    let parsed = gateway_settings::parse(&text).and_then(|settings| {
+        Ok(gateway_settings::Settings {
+            memory: settings.memory.or(memory?),
+            evacuate_within: settings.evacuate_within.or(evacuate_within?),
+            cold_bound: settings.cold_bound.or(cold_bound?),
+            ..settings
+        })
+    });
+    let settings = match parsed {
+        Ok(settings) => settings,
         Err(problems) => {
             problems.iter().for_each(|problem| eprintln!("{problem}"));
             return ExitCode::from(EXIT_SETTINGS);
