--- a/src/bin/wasabictl/commands.rs
+++ b/src/bin/wasabictl/commands.rs
@@ -23,7 +23,7 @@
 use wasabi_usage::window::{self, SealedWindow};
 
 use crate::{
-    explain,
+    evacuation, explain,
     flags::{KeyCmd, NoteCmd, Wasabictl, WasabictlCmd},
     gateways,
     output::{self, Failure},
@@ -49,6 +49,9 @@
         },
         WasabictlCmd::Dump(dump) => show_dump(&*store(flags)?, &dump.host),
         WasabictlCmd::Gateways(gateways) => gateways::run(&gateways.address, json),
+        WasabictlCmd::Evacuate(evacuate) => {
+            evacuation::run(evacuate.objects, &evacuate.domain, !evacuate.end, json)
+        }
         WasabictlCmd::Explain(explain) => explain::run(&explain.id, &explain.file, json),
         WasabictlCmd::Usage(usage) => show_usage(&*store(flags)?, Window(usage.window), json),
     }
--- a/src/bin/wasabictl/flags.rs
+++ b/src/bin/wasabictl/flags.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
     /// Operates a wasabirouter deployment.
@@ -53,11 +53,21 @@
             /// The host's name.
             required host: String
         }
-        /// Shows of gateways the era of the store, the configuration in force and who has the duties.
+        /// Shows of gateways the era of the store, the configuration in force, who has the duties, and which
+        /// servers are restricted.
         cmd gateways {
             /// Their addresses for operators.
             repeated address: String
         }
+        /// Sends no more requests to the servers of a failure domain, or ends that.
+        cmd evacuate {
+            /// The address of the platform's store.
+            required --objects address: SocketAddr
+            /// Ends the evacuation.
+            optional --end
+            /// The failure domain.
+            required domain: String
+        }
         /// Prints what all hosts logged about one request, oldest first.
         cmd explain {
             /// The request's id.
--- a/src/bin/wasabictl/gateways.rs
+++ b/src/bin/wasabictl/gateways.rs
@@ -21,7 +21,9 @@
         println!("{}", json!({"gateways": gateways}));
     } else {
         let rows: Vec<Vec<String>> = answered.map(row).collect();
-        output::table(&["HOST", "STATE", "ERA", "SINCE_S", "STORE", "CONFIG", "DUTIES"], &rows);
+        let columns =
+            ["HOST", "STATE", "ERA", "SINCE_S", "STORE", "CONFIG", "DUTIES", "COLD", "EVACUATED"];
+        output::table(&columns, &rows);
     }
     let silent: Vec<String> = dumps
         .iter()
@@ -34,7 +36,17 @@
 }
 
 fn selection(dump: &Value) -> Value {
-    let names = ["host", "incarnation", "ready", "stopping", "store", "config", "duties"];
+    let names = [
+        "host",
+        "incarnation",
+        "ready",
+        "stopping",
+        "store",
+        "config",
+        "duties",
+        "cold_servers",
+        "evacuated",
+    ];
     names.iter().map(|name| (name.to_string(), dump[*name].clone())).collect()
 }
 
@@ -60,9 +72,19 @@
         contents.to_string(),
         number(&dump["config"]["version"]),
         number(&dump["duties"]),
+        number(&dump["cold_servers"]),
+        names(&dump["evacuated"]),
     ]
 }
 
 fn number(value: &Value) -> String {
     value.as_u64().map_or("-".to_string(), |number| number.to_string())
 }
+
+fn names(value: &Value) -> String {
+    let names = value.as_array().map(|names| names.iter().filter_map(Value::as_str).collect());
+    match names {
+        Some(names) if !Vec::is_empty(&names) => names.join(","),
+        _ => "-".to_string(),
+    }
+}
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -164,6 +164,14 @@
                 let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
                 inner.write(kind, name, &body, false)
             }
+            (&Method::DELETE, name) => {
+                inner.revision += 1;
+                let key = (kind.to_string(), name.to_string());
+                match inner.objects.remove(&key) {
+                    Some(_) => net::full_response(200, "{}"),
+                    None => net::full_response(404, ""),
+                }
+            }
             _ => net::full_response(405, ""),
         }
     }
