Requests keep to the regions of their route and workspace

Cause: allowed_regions of routes and workspaces was not read. Change: the adapter reads it into Route::homes and KeyOwner::homes; servers of other regions never get such a request, and it is handed over only to peers of an allowed region or of the host's own one. The regions of the failure domains come from the settings.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,11 +1,14 @@
 //! The configuration by which `wasabirouter gateway` handles requests, read from the platform's
 //! store. `wasabirouter run` has the one in [`note`](crate::note) instead.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     data,
-    units::{Bytes, Domain, PoolId, RequestRate, Revision, RouteId, Tokens, WorkspaceId},
+    units::{Bytes, Domain, PoolId, Region, RequestRate, Revision, RouteId, Tokens, WorkspaceId},
 };
 
 data! {
@@ -33,6 +36,9 @@
         pub workspace: WorkspaceId,
         /// The workspace's priority, which overrides that of the route; 0 is the highest.
         pub rank: Option<u8>,
+        /// The regions whose servers may run its requests; empty if all may.
+        #[serde(default)]
+        pub homes: BTreeSet<Region>,
     }
 
     /// A route: which services serve which requests, and under which limits.
@@ -60,6 +66,9 @@
         pub max_attempts: u32,
         /// Whether requests need no key.
         pub open: bool,
+        /// The regions whose servers may run requests; empty if all may.
+        #[serde(default)]
+        pub homes: BTreeSet<Region>,
     }
 
     /// Whether responses are streams, and whether a request may be executed more than once.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -18,6 +18,10 @@
     /// The name of a failure domain.
     Domain
 );
+id!(
+    /// The name of a region, which has failure domains.
+    Region
+);
 id!(
     /// The name of a workspace: the customer to whom requests and usage are attributed.
     WorkspaceId
--- a/crates/gateway/src/receive/admit.rs
+++ b/crates/gateway/src/receive/admit.rs
@@ -1,14 +1,14 @@
 //! Admission: finds a request's route, checks its key, and checks that the configuration was proven
 //! current recently enough.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use rand::Rng as _;
 use wasabi_core::{
     call::RequestHead,
     catalog::{Catalog, Route},
     errors::{Code, Error, Result},
-    units::{PoolId, WorkspaceId},
+    units::{PoolId, Region, WorkspaceId},
 };
 use wasabi_policy::wait_limit;
 
@@ -35,6 +35,8 @@
     pub rank: u8,
     /// The priority that placement and engines use; 0 is the most urgent.
     pub urgency: u8,
+    /// The regions whose servers may run the request, by its route and its workspace; `None` if all may.
+    pub homes: Option<BTreeSet<Region>>,
     /// The caller's key if the route needs one; checked again before each send.
     key: Option<String>,
 }
@@ -62,7 +64,9 @@
     };
     let random = rand::rng().random();
     let rank = key_owner.as_ref().and_then(|key_owner| key_owner.rank);
+    let homes = homes(&route.homes, key_owner.as_ref().map(|owner| &owner.homes));
     let admission = Admission {
+        homes,
         service: route.pick(random).clone(),
         rank: rank.unwrap_or(route.rank),
         urgency: wait_limit::urgency(rank, route.rank),
@@ -75,6 +79,20 @@
     Ok(admission)
 }
 
+/// Returns the regions that both a route and a workspace allow; a set that is empty allows all.
+fn homes(
+    route: &BTreeSet<Region>,
+    workspace: Option<&BTreeSet<Region>>,
+) -> Option<BTreeSet<Region>> {
+    let workspace = workspace.filter(|homes| !homes.is_empty());
+    match (route.is_empty(), workspace) {
+        (true, None) => None,
+        (true, Some(homes)) => Some(homes.clone()),
+        (false, None) => Some(route.clone()),
+        (false, Some(homes)) => Some(route.intersection(homes).cloned().collect()),
+    }
+}
+
 /// Chooses the service at which a stream began, instead of the one that was drawn.
 ///
 /// Errors: `ServerUnavailable` if the route does not lead there any more.
--- a/crates/gateway/src/send/peer_relay.rs
+++ b/crates/gateway/src/send/peer_relay.rs
@@ -3,7 +3,7 @@
 //! The peer handles a request like one of its own callers: it checks the key, places and counts it. A
 //! request is handed over once; the peer does not hand it on.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,7 +16,7 @@
     call::ResponseHead,
     errors::{Code, Error, Ran, Result},
     format,
-    units::HostId,
+    units::{HostId, Region},
 };
 use wasabi_platform::{
     head,
@@ -80,7 +80,7 @@
         if !repeatable {
             return None;
         }
-        let (host, address) = choose_peer(state, &tried)?;
+        let (host, address) = choose_peer(state, inbound.admission.homes.as_ref(), &tried)?;
         tried.push(address);
         let connecting = http::connect(address, ConnectOptions::default());
         let connection = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
@@ -118,7 +118,7 @@
     loop {
         let failing = state.link.borrow_mut().await_verdict();
         let waited = state.now().saturating_duration_since(since);
-        if !failing || waited >= MAX_VERDICT_WAIT || choose_peer(state, &[]).is_some() {
+        if !failing || waited >= MAX_VERDICT_WAIT || choose_peer(state, None, &[]).is_some() {
             return;
         }
         tokio::time::sleep(VERDICT_POLL).await;
@@ -173,13 +173,28 @@
 ///
 /// Until this host is known to be cut off, only a peer will do that has been answered since servers began
 /// to fail here.
-fn choose_peer(state: &State, tried: &[SocketAddr]) -> Option<(HostId, SocketAddr)> {
+///
+/// A request that keeps to `homes` is handed only to peers there, or in this host's own region.
+fn choose_peer(
+    state: &State,
+    homes: Option<&BTreeSet<Region>>,
+    tried: &[SocketAddr],
+) -> Option<(HostId, SocketAddr)> {
     let servers = link_watch::known_servers(state);
     let domain = state.settings.borrow().domain.clone();
+    let settings = state.settings.borrow();
+    let own_region = settings.regions.get(&domain);
+    let may_have = |peer: &Peer| {
+        let region = peer.domain.as_ref().and_then(|domain| settings.regions.get(domain));
+        homes.is_none_or(|homes| {
+            region.is_some_and(|region| homes.contains(region) || Some(region) == own_region)
+        })
+    };
     let (link, peers) = (state.link.borrow(), state.peers.borrow());
     let outdoes = |peer: &Peer| peer.answered_at.is_some_and(|at| link.is_outdone_by(at, servers));
     let candidates = peers.serving(state.now()).filter(|(_, peer)| {
         !tried.contains(&peer.address)
+            && may_have(peer)
             && peer.answered_at.is_some()
             && (link.is_cut() || outdoes(peer))
     });
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -10,7 +10,7 @@
 use wasabi_belief::members;
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
-    units::{Build, RequestRate},
+    units::{Build, Domain, RequestRate, ServerId},
 };
 use wasabi_policy::{
     balancer::{PlacementRequest, Refusal},
@@ -19,7 +19,11 @@
 
 use crate::{
     guard::PlacementGuard,
-    receive::{admit, request::AdmittedRequest, response},
+    receive::{
+        admit::{self, Admission},
+        request::AdmittedRequest,
+        response,
+    },
     send::{attempt, cause, history::SendHistory},
     state::State,
 };
@@ -83,6 +87,8 @@
         _ => remaining,
     };
     let excluded = unrecorded_versions(state, inbound, history);
+    let mut barred = servers_outside(state, admission);
+    barred.extend_from_slice(&history.refused);
     let placement_request = PlacementRequest {
         prompt: inbound.head.prompt.as_ref(),
         max_wait,
@@ -90,7 +96,7 @@
         build: history.build.as_ref(),
         excluded: &excluded,
         avoid: &history.avoid,
-        refused: &history.refused,
+        refused: &barred,
     };
     let mut balancers = state.balancers.borrow_mut();
     let Some(balancer) = balancers.get_mut(&admission.service) else {
@@ -168,6 +174,17 @@
     }
 }
 
+/// Returns the servers that may not run a request because its route or its workspace keeps to other regions. The
+/// region of each server must be known to be an allowed one.
+fn servers_outside(state: &State, admission: &Admission) -> Vec<ServerId> {
+    let Some(homes) = &admission.homes else { return Vec::new() };
+    let settings = state.settings.borrow();
+    let is_home =
+        |domain: &Domain| settings.regions.get(domain).is_some_and(|region| homes.contains(region));
+    let members = state.servers.borrow().get().into_iter();
+    members.filter(|member| !is_home(&member.domain)).map(|member| member.id).collect()
+}
+
 /// Returns the versions at which no stream should begin that may be taken up later: they are not recorded yet,
 /// so hosts that start do not know of them. They are used if there are no others.
 fn unrecorded_versions(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a gateway, parsed from JSON; all problems are reported at once.
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     str::FromStr,
     time::Duration,
@@ -10,7 +11,7 @@
 use serde_json::{Map, Value};
 use wasabi_core::{
     errors::{Code, Error},
-    units::{Domain, HostId, RequestRate},
+    units::{Domain, HostId, Region, RequestRate},
 };
 use wasabi_policy::pace;
 
@@ -42,6 +43,8 @@
     /// Within what time after its request an evacuation must have taken effect, if the platform has
     /// evacuations.
     pub evacuate_within: Option<Duration>,
+    /// The region of each failure domain, for requests that only servers of some regions may run.
+    pub regions: BTreeMap<Domain, Region>,
     /// How far the rate of a cold server may be exceeded, if the platform says.
     pub cold_bound: Option<ColdBound>,
     /// The limits that the host has to keep.
@@ -212,6 +215,7 @@
             "evacuate_ms",
             self.evacuate_within.is_some() && self.evacuate_within != old.evacuate_within,
         );
+        keep("regions", !self.regions.is_empty() && self.regions != old.regions);
         keep("cold_bound", self.cold_bound.is_some() && self.cold_bound != old.cold_bound);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
         let bounds = Bounds { lease_ms: old.bounds.lease_ms, ..self.bounds };
@@ -243,6 +247,7 @@
     }
     let evacuate_within = text_of(&mut fields, "evacuate_ms").map(|text| milliseconds(&text));
     let evacuate_within = valid(evacuate_within, &mut problems);
+    let regions = optional(&mut fields, "regions", &mut problems);
     let cold_bound = text_of(&mut fields, "cold_bound").map(|text| text.parse());
     let cold_bound = valid(cold_bound, &mut problems);
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
@@ -263,6 +268,7 @@
             source,
             memory,
             evacuate_within,
+            regions: regions.unwrap_or_default(),
             cold_bound,
             bounds: bounds?,
         })
@@ -293,6 +299,13 @@
     }
 }
 
+/// Parses the regions of failure domains from a JSON object.
+///
+/// Errors: `SettingsInvalid`.
+pub fn regions(text: &str) -> Result<BTreeMap<Domain, Region>, Error> {
+    serde_json::from_str(text).map_err(|e| problem("regions", &e.to_string()))
+}
+
 /// Parses a positive number of milliseconds.
 ///
 /// Errors: `SettingsInvalid`.
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -30,6 +30,7 @@
         backends: vec![("s".parse().expect("a name"), 1)],
         max_attempts: 1,
         open: false,
+        homes: Default::default(),
     }
 }
 
--- a/crates/policy/tests/patience.rs
+++ b/crates/policy/tests/patience.rs
@@ -18,6 +18,7 @@
         backends: vec![(service.parse().expect("a name"), 1)],
         max_attempts: 2,
         open: false,
+        homes: Default::default(),
     }
 }
 
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -54,10 +54,17 @@
     let evacuate_ms = env::var(names::EVACUATE_VARIABLE).ok().filter(|text| !text.is_empty());
     let evacuate_within = evacuate_ms.map(|text| gateway_settings::milliseconds(&text));
     let evacuate_within = evacuate_within.transpose().map_err(|e| vec![e]);
+    let regions = env::var(names::REGIONS_VARIABLE).ok().filter(|text| !text.is_empty());
+    let regions = regions.map(|text| gateway_settings::regions(&text));
+    let regions = regions.transpose().map_err(|e| vec![e]);
     let parsed = gateway_settings::parse(&text).and_then(|settings| {
         Ok(gateway_settings::Settings {
             memory: settings.memory.or(memory?),
             evacuate_within: settings.evacuate_within.or(evacuate_within?),
+            regions: match settings.regions.is_empty() {
+                true => regions?.unwrap_or_default(),
+                false => settings.regions,
+            },
             cold_bound: settings.cold_bound.or(cold_bound?),
             ..settings
         })
