Responses whose status is not that of a final response are no responses

Cause: hyper reads any number from 100 to 999 as a status, and takes 101 for a final response. 600 to 999 were passed on as complete responses. Change: response_head::check, in place of joined::is_joined, is called by every client of the router: requests of both entry points, requests handed to peers, calls of the store and between hosts, servers' reports. A status outside 200 to 599 counts as a broken response: 502 to the caller, or sent again where the route allows it.

--- a/crates/answer/src/broken.rs
+++ b/crates/answer/src/broken.rs
@@ -14,6 +14,10 @@
     EventTooLarge,
     /// The stream ended before the blank line of its last event.
     InsideEvent,
+    /// The status of the answer is not one of HTTP, or that of an interim response.
+    StatusInvalid,
+    /// A part of another answer stands in the head.
+    HeadJoined,
     /// The head of another answer stands in place of an event.
     OtherAnswer,
     /// The stream ended with its connection, before its first event.
@@ -42,6 +46,8 @@
         match self {
             Self::EventTooLarge => "an event is too large",
             Self::InsideEvent => "stream ended inside an event",
+            Self::StatusInvalid => "answer without a valid status",
+            Self::HeadJoined => "a part of another answer stands in the head",
             Self::OtherAnswer => "another answer inside a stream",
             Self::NoEvent => "stream ended without an event",
             Self::EventsMissing => "events are missing",
--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -1,4 +1,5 @@
-//! The bodies of answers: where their events end, whether they are whole, and how they are passed on.
+//! Answers: whether their heads are valid, where their events end, whether they are whole, and how
+//! they are passed on.
 #![forbid(unsafe_code)]
 
 pub mod body;
@@ -7,5 +8,5 @@
 pub mod events;
 pub mod evidence;
 pub mod head_limit;
-pub mod joined;
+pub mod response_head;
 pub mod whole;
--- a/crates/entry/src/backend_call.rs
+++ b/crates/entry/src/backend_call.rs
@@ -15,8 +15,7 @@
     broken::Broken,
     evidence::{self, Evidence, SETTLING_TIME},
     head_limit::Limited,
-    joined::is_joined,
-    whole,
+    response_head, whole,
 };
 use wasabi_core::{
     call::{Content, Framing},
@@ -106,9 +105,10 @@
     let response = answering.await.map_err(|_| failed(Code::AnswerTimeout))?;
     let response =
         response.map_err(|_| Failure { sent: true, error: Broken::ConnectionLost.into() })?;
-    if is_joined(&response) {
-        return Err(failed(Code::AnswerCrossed));
-    }
+    response_head::check(&response).map_err(|broken| match broken {
+        Broken::HeadJoined => failed(Code::AnswerCrossed),
+        broken => Failure { sent: true, error: broken.into() },
+    })?;
     let text = |name: &str| head::single_value(response.headers(), name).ok().flatten();
     let has = |name| response.headers().contains_key(name);
     let (has_chunks, has_length) = (has(header::TRANSFER_ENCODING), has(header::CONTENT_LENGTH));
--- a/crates/gateway/src/send/attempt.rs
+++ b/crates/gateway/src/send/attempt.rs
@@ -12,6 +12,7 @@
 };
 use log::info;
 use rand::Rng as _;
+use wasabi_answer::response_head;
 use wasabi_belief::{link::Connection, members};
 use wasabi_core::{
     call::{ForwardedHead, RequestHead, ResponseHead},
@@ -285,6 +286,9 @@
     connection: connection_pool::PooledConnection,
 ) -> Outcome {
     let status = http.status();
+    if let Err(broken) = response_head::check(&http) {
+        return Outcome::Unknown(broken.cause());
+    }
     if !is_own(outgoing, &reply) {
         return Outcome::Unknown(match reply.id {
             Some(_) => "answer to another request",
@@ -298,8 +302,7 @@
         // An intermediary answered, or changed the body.
         return Outcome::Unknown("answer is not the server's own");
     }
-    if status.is_informational() || (!status.is_success() && !reply.signed) {
-        // This cause is also given for every 1xx response, even a signed one.
+    if !status.is_success() && !reply.signed {
         return Outcome::Unknown("answer without a signature");
     }
     Outcome::Responded(Box::new(BackendResponse { http, reply, connection }))
--- a/crates/gateway/src/send/peer_relay.rs
+++ b/crates/gateway/src/send/peer_relay.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, header::HeaderValue};
 use log::{info, warn};
 use rand::Rng as _;
-use wasabi_answer::joined::is_joined;
+use wasabi_answer::response_head;
 use wasabi_belief::{origins::Origin, peers::Peer};
 use wasabi_core::{
     call::ResponseHead,
@@ -153,9 +153,12 @@
         },
         Ok(Ok(answer)) => {
             let head = reply::read(&inbound.parts.method, &answer);
-            let is_joined = is_joined(&answer);
+            if let Err(broken) = response_head::check(&answer) {
+                log_broken(&inbound.head.id, broken.cause());
+                return Sent::Broken;
+            }
             let (parts, body) = answer.into_parts();
-            let is_others = is_joined || head.id.as_ref().is_some_and(|id| *id != inbound.head.id);
+            let is_others = head.id.as_ref().is_some_and(|id| *id != inbound.head.id);
             if is_others || (parts.status.is_success() && !head.signed) {
                 log_broken(&inbound.head.id, "the answer is not to this request");
                 return Sent::Broken;
--- a/crates/remote/src/http.rs
+++ b/crates/remote/src/http.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use tokio::{net::TcpStream, runtime, time};
-use wasabi_answer::{head_limit::Limited, joined::is_joined, whole};
+use wasabi_answer::{head_limit::Limited, response_head, whole};
 use wasabi_core::{
     call::{Content, Framing},
     errors::{self, Code, Error, Result},
@@ -116,9 +116,7 @@
     *request.method_mut() = method.clone();
     head_limit.begin_request();
     let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
-    if is_joined(&response) {
-        return Err("a part of another answer stands in the head".to_string());
-    }
+    response_head::check(&response).map_err(|broken| broken.cause().to_string())?;
     let has = |name| response.headers().contains_key(name);
     let (has_chunks, has_length) = (has(header::TRANSFER_ENCODING), has(header::CONTENT_LENGTH));
     let status = response.status();
