--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod scheduler;
 mod server_state;
 pub mod servers;
+mod slot_wait;
 pub mod stated_limits;
 pub mod stuck;
 pub mod ticket;
