overload: workspaces over their share are refused first, and returning callers do not queue for seconds

Cause: a workspace that sent 7.5 times its usual load was served like all others, so all were refused and late alike. Callers that returned after a refusal were accepted behind queues of up to 0.4 of their time left, which made most of them and of the first attempts after them late.

Change: policy::fair_share counts the work of each workspace (milliseconds of an engine's time) and its usual rate; policy::overload turns an excess over twice the usual rate and the max-min share into a shorter accepted queue (Balancer::place_within), by urgency level, so rank comes first. Nothing is limited while no request is refused or about to be. During a shortage, returning callers accept 0.8 of a first attempt's wait as queue.

--- a/crates/gateway/src/receive/request.rs
+++ b/crates/gateway/src/receive/request.rs
@@ -31,6 +31,10 @@
     /// The first placement is refused if a longer wait is expected, for the first event of a stream
     /// or for a plain response.
     pub max_wait: Duration,
+    /// The longest acceptable wait of a first attempt of its kind.
+    pub first_wait: Duration,
+    /// Whether the caller seems to return after a refusal, or takes up a stream.
+    pub is_return: bool,
     /// What the request has in common with others; known once the service is.
     pub features: Vec<Feature>,
     /// The same for requests of one caller with the same method, path and body.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,6 +11,7 @@
 pub mod identity;
 pub mod link_watch;
 pub mod origin;
+pub mod overload;
 pub mod peer_relay;
 pub mod placement;
 pub mod quarantine;
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -20,7 +20,7 @@
 use crate::{
     guard::PlacementGuard,
     receive::{admit, request::AdmittedRequest, response},
-    send::{attempt, cause, history::SendHistory},
+    send::{attempt, cause, history::SendHistory, overload},
     state::State,
 };
 
@@ -92,18 +92,21 @@
         avoid: &history.avoid,
         refused: &history.refused,
     };
+    let queue_limit = overload::limit(state, now, inbound, history);
     let mut balancers = state.balancers.borrow_mut();
     let Some(balancer) = balancers.get_mut(&admission.service) else {
         return Err(unavailable("no servers are known"));
     };
-    let placed = match balancer.place(now, &placement_request) {
+    let placed = match balancer.place_within(now, &placement_request, queue_limit.max_queue) {
         Err(Refusal::NoServer) if !excluded.is_empty() => {
-            balancer.place(now, &PlacementRequest { excluded: &[], ..placement_request })
+            let placement_request = PlacementRequest { excluded: &[], ..placement_request };
+            balancer.place_within(now, &placement_request, queue_limit.max_queue)
         }
         placed => placed,
     };
     match placed {
         Ok(placement) => {
+            overload::record_placed(state, now, inbound, history, &placement, balancer);
             drop(balancers);
             history.placements += 1;
             state.quarantine.borrow_mut().record_sent(now, &inbound.features);
@@ -131,6 +134,7 @@
                 work_ms = placement.prefill_ms as u64,
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
+                max_queue_ms = overload::max_queue_ms(&queue_limit), excess = queue_limit.excess,
                 version = admission.catalog.version.0, limit = limit,
                 build = placement.member.build.as_str(), born_ms = placement.member.born_ms,
                 list_age_ms = state.list_age_ms(),
@@ -153,6 +157,7 @@
             .ran(ran))
         }
         Err(Refusal::NoServerInTime(wait)) => {
+            overload::record_refused(state, now, inbound, history, &queue_limit, wait);
             let pause = wait_limit::late_retry_delay(
                 wait,
                 inbound.max_wait,
@@ -160,6 +165,9 @@
                 rand::rng().random(),
             );
             let detail = match history.refused.is_empty() {
+                true if queue_limit.is_over_share() => {
+                    "its workspace is over its share".to_string()
+                }
                 true => format!("expected {} ms", wait.as_millis()),
                 false => cause::TURNED_AWAY.to_string(),
             };
--- a/crates/gateway/src/send/relay.rs
+++ b/crates/gateway/src/send/relay.rs
@@ -97,9 +97,11 @@
     let read = request_body::read(&state.body_memory, body, max_body, time_limit).await;
     let (body, body_memory) = read.map_err(|e| (id, e))?;
     // A stream that goes on may wait as long as a request that comes back after a refusal.
-    let is_retry = head.resumes.is_some()
+    let is_return = head.resumes.is_some()
         || head.caller_timeout.is_some_and(|limit| wait_limit::looks_like_retry(limit, timeout));
-    let max_wait = wait_limit::max_wait(&admission.catalog, &admission.route, time_limit, is_retry);
+    let [first_wait, max_wait] = [false, is_return].map(|is_return| {
+        wait_limit::max_wait(&admission.catalog, &admission.route, time_limit, is_return)
+    });
     let content = quarantine::content(&admission, &parts, &body);
     Ok(AdmittedRequest {
         parts,
@@ -110,6 +112,8 @@
         admission,
         deadline,
         max_wait,
+        first_wait,
+        is_return,
         features: Vec::new(),
         content,
         handover: None,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,7 +30,7 @@
 };
 use wasabi_policy::{
     balancer::Balancer,
-    quarantine,
+    overload, quarantine,
     repeat_budget::{self, Budget},
     stated_limits,
 };
@@ -101,6 +101,8 @@
     malformed_headers: RefCell<BTreeSet<(ServerId, String)>>,
     /// Placement state by service.
     pub balancers: RefCell<BTreeMap<PoolId, Balancer>>,
+    /// Sharing of capacity among workspaces by service, for streams.
+    pub overload: RefCell<BTreeMap<PoolId, overload::Control>>,
     /// This host's part of the repeat budget by service.
     pub repeat_budgets: RefCell<BTreeMap<PoolId, Budget>>,
     /// The other hosts, as announced by themselves and recorded in the store.
@@ -174,6 +176,7 @@
             last_announced_limit: RefCell::default(),
             malformed_headers: RefCell::default(),
             balancers: RefCell::default(),
+            overload: RefCell::default(),
             repeat_budgets: RefCell::default(),
             peers: RefCell::new(Peers::new(host.clone())),
             host_records_read: Cell::new(false),
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -201,7 +201,20 @@
     /// while announcements are stale, the expected wait is multiplied by the latency ratio for this
     /// check.
     pub fn place(&mut self, now: Instant, ask: &PlacementRequest) -> Result<Placement, Refusal> {
+        self.place_within(now, ask, Duration::MAX)
+    }
+
+    /// Places the request as [`Self::place`] does, but only where the queued work of its urgency and
+    /// more urgent levels takes at most `max_queue`; its own prefill and less urgent work do not
+    /// count. Plain servers have no modelled queue.
+    pub fn place_within(
+        &mut self,
+        now: Instant,
+        ask: &PlacementRequest,
+        max_queue: Duration,
+    ) -> Result<Placement, Refusal> {
         self.expire_peers(now);
+        let max_queue_ms = max_queue.as_secs_f64() * 1e3;
         let mut best: Option<(f64, CostEstimate, &ServerId)> = None;
         let mut least_ms = f64::INFINITY;
         let has_alternative = self
@@ -253,7 +266,8 @@
                 + reservation_penalty_ms;
             let fits = estimate.has_room
                 && !ask.refused.contains(id)
-                && estimate.first_ms * latency_ratio <= ask.max_wait.as_secs_f64() * 1e3;
+                && estimate.first_ms * latency_ratio <= ask.max_wait.as_secs_f64() * 1e3
+                && server.queue_ms(now, usize::from(ask.urgency)) * latency_ratio <= max_queue_ms;
             if fits && best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, estimate, id));
             }
@@ -273,6 +287,15 @@
         Ok(server.assign(now, ask, estimate))
     }
 
+    /// Returns the shortest queue that a request of this urgency would find, by the queued work that
+    /// goes before it.
+    pub fn least_queue(&self, now: Instant, urgency: u8) -> Duration {
+        let ready = self.servers.values().filter(|server| server.takes_work(now));
+        let least = ready.map(|server| server.queue_ms(now, usize::from(urgency)));
+        let ratio = if self.stale_announcements { self.latency_ratio(now) } else { 1.0 };
+        Duration::from_secs_f64(least.reduce(f64::min).unwrap_or(0.0) * ratio / 1e3)
+    }
+
     /// Returns the running requests and the slots, summed over the servers that take new work.
     pub fn occupancy(&self) -> (u32, u32) {
         let ready = self.servers.values().filter(|server| server.is_ready());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
 //! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
+//! [`overload`] decides who is refused first when a service is short of capacity, by [`fair_share`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
 //! repeated sends; [`quarantine`] finds requests that crash servers.
 #![forbid(unsafe_code)]
@@ -13,9 +14,11 @@
 pub mod capacity;
 pub mod facts;
 pub mod failures;
+pub mod fair_share;
 pub mod limits;
 pub mod load_report;
 pub mod moving_average;
+pub mod overload;
 pub mod pace;
 pub mod pause;
 pub mod placement;
--- /dev/null
+++ b/crates/policy/tests/overload/main.rs
@@ -0,0 +1,135 @@
+//! What callers get while a service is short of capacity.
+
+mod play;
+
+use std::time::Duration;
+
+use play::{Caller, Play, Setup, Source, play};
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+const SMALL: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// When a surge or a burst begins; by then, usual rates are known.
+const BEGIN: f64 = 15.0;
+
+/// Workspaces with 98 requests a second together; 8 engines serve about 127.
+fn sources(surge: fn(f64) -> f64, others: fn(f64) -> f64) -> Vec<Source> {
+    let source = |name, usual, factor| Source { name, usual, factor, urgency: 3, waits: true };
+    let mut sources = vec![source("surge", 10.0, surge), source("large", 40.0, others)];
+    sources.extend(SMALL.map(|name| source(name, 8.0, others)));
+    sources
+}
+
+fn steady(_: f64) -> f64 {
+    1.0
+}
+
+/// 7.5 times the usual load for 12 s.
+fn surge(second: f64) -> f64 {
+    if (BEGIN..BEGIN + 12.0).contains(&second) { 7.5 } else { 1.0 }
+}
+
+/// 2.5 times the capacity for 6 s.
+fn burst(second: f64) -> f64 {
+    if (BEGIN..BEGIN + 6.0).contains(&second) { 3.2 } else { 1.0 }
+}
+
+fn setup(sources: Vec<Source>, controlled: bool) -> Setup {
+    Setup { sources, hosts: 12, engines: 8, seconds: 30, seed: 1, controlled }
+}
+
+/// Checks that each workspace is served at least a quarter as often as all, and the largest tenth of
+/// the requests at least half as often.
+fn check_nobody_starves(play: &Play, sources: usize) -> Result<(), String> {
+    let all = play.served(|_| true);
+    for source in 0..sources {
+        let served = play.served(|c| c.source == source && c.second >= BEGIN);
+        if served < all / 4.0 {
+            return Err(format!("workspace {source} is served {served:.3}, all {all:.3}"));
+        }
+    }
+    let large = play.served(|c| c.large && c.second >= BEGIN);
+    if large < all / 2.0 {
+        return Err(format!("the largest are served {large:.3}, all {all:.3}"));
+    }
+    Ok(())
+}
+
+/// A workspace that sends 7.5 times its usual load must not take capacity from the others, whatever
+/// hosts its requests come to.
+#[test]
+fn a_surge_of_one_workspace_does_not_hurt_the_others() -> Result<(), String> {
+    for hosts in [1, 12] {
+        let [before, now] = [false, true]
+            .map(|controlled| play(Setup { hosts, ..setup(sources(surge, steady), controlled) }));
+        let surging = |c: &Caller| surge(c.second) > 1.0;
+        let others = |play: &Play| play.on_target(|c| c.source > 0 && surging(c));
+        let (before, after) = (others(&before), others(&now));
+        assert!(after > 0.9 && after > before + 0.2, "{hosts} hosts: {after:.3}, was {before:.3}");
+        for source in 1..8 {
+            let one = now.on_target(|c| c.source == source && surging(c));
+            assert!(one > 0.8, "{hosts} hosts, workspace {source}: {one:.3}");
+        }
+        check_nobody_starves(&now, 8)?;
+    }
+    Ok(())
+}
+
+/// While there is room, sharing must change nothing.
+#[test]
+fn without_overload_all_is_as_before() {
+    let [before, now] = [false, true].map(|controlled| {
+        let play = play(Setup { engines: 16, ..setup(sources(steady, steady), controlled) });
+        let outcomes = play.callers.iter().map(|c| (c.refusals, c.first_event));
+        outcomes.collect::<Vec<(u32, Option<Duration>)>>()
+    });
+    assert!(before == now);
+}
+
+/// All workspaces send 2.5 times what can be served: none of them is over its share, and none is
+/// starved, nor the largest requests.
+#[test]
+fn a_burst_of_all_starves_nobody() -> Result<(), String> {
+    let [before, now] =
+        [false, true].map(|controlled| play(setup(sources(burst, burst), controlled)));
+    let bursting = |c: &Caller| burst(c.second) > 1.0;
+    let on_target =
+        |play: &Play, of: &dyn Fn(&Caller) -> bool| play.on_target(|c| bursting(c) && of(c));
+    let (old, all) = (on_target(&before, &|_| true), on_target(&now, &|_| true));
+    assert!(all > old + 0.2, "{all:.3}, was {old:.3}");
+    let large = on_target(&now, &|c| c.source == 1);
+    assert!(large > all * 0.8, "the largest workspace gets {large:.3}, all {all:.3}");
+    let longest = now.longest_wait();
+    assert!(
+        longest < Duration::from_millis(1_500),
+        "one waited {longest:?} after its last attempt"
+    );
+    check_nobody_starves(&now, 8)
+}
+
+/// Whatever the workspaces send and whatever their ranks: more urgent requests are served and on
+/// target at least as often as less urgent ones, and no workspace or size starves within its rank.
+#[test]
+fn ranks_hold_under_any_load() {
+    fn holds(seed: u64, urgent: u8, surging: u8) -> TestResult {
+        let mut sources = sources(burst, burst);
+        for (index, source) in sources.iter_mut().enumerate() {
+            source.urgency = if urgent >> index & 1 == 1 { 3 } else { 6 };
+            source.factor = if surging >> index & 1 == 1 { surge } else { steady };
+        }
+        let play = play(Setup { hosts: 6, seed, seconds: 24, ..setup(sources, true) });
+        let rank = |urgency: u8| move |c: &Caller| c.urgency == urgency && c.second >= BEGIN;
+        if !play.callers.iter().any(rank(3)) || !play.callers.iter().any(rank(6)) {
+            return TestResult::discard();
+        }
+        let (high, low) = (play.on_target(rank(3)), play.on_target(rank(6)));
+        if high + 0.05 < low {
+            return TestResult::error(format!("urgent {high:.3} on target, others {low:.3}"));
+        }
+        TestResult::passed()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 7))
+        .tests(12)
+        .quickcheck(holds as fn(u64, u8, u8) -> TestResult);
+}
