overload: Retry-After names a time for which capacity is kept, and callers that return then are preferred

Cause: every refused caller was asked to return after 0.3 to 0.6 s plus the excess wait, whatever capacity there would be. Returning requests competed with first attempts, and callers that returned sooner had more chances.

Change: policy::return_times fills the capacity that a host expects with the returns that it asks for; the time lies within a third of the caller's remaining time and late enough that any host recognizes the return. First attempts yield to what was promised for the next moments, and so do returns that are known to be without a promise. A request that returns before its time, known by a digest of workspace and prompt, is served by idle engines only.

--- a/crates/gateway/src/send/overload.rs
+++ b/crates/gateway/src/send/overload.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use log::info;
+use rand::Rng as _;
 use wasabi_policy::{
     balancer::{Balancer, Placement},
     overload::{Control, Limit, Request},
@@ -38,29 +39,40 @@
     });
 }
 
-/// Records and logs that no server takes a request in time; `expected` is the least expected wait.
-pub fn record_refused(
+/// Records and logs that no server takes a request in time, and returns when its caller should return;
+/// `None` if it is not subject to sharing. `expected` is the least expected wait, `time_left` the
+/// caller's remaining time.
+pub fn refuse(
     state: &State,
     now: Instant,
     inbound: &AdmittedRequest,
     history: &SendHistory,
     limit: &Limit,
-    expected: Duration,
-) {
-    let Some(request) = request(inbound, history) else { return };
-    with_control(state, now, inbound, |control| {
-        control.record_refused(now, &request, limit, expected);
+    (expected, time_left): (Duration, Duration),
+) -> Option<Duration> {
+    let request = request(inbound, history)?;
+    let admission = &inbound.admission;
+    let times = (time_left, admission.route.timeout);
+    let offer = with_control(state, now, inbound, |control| {
+        control.refuse(now, &request, limit, expected, times, rand::rng().random())
     });
-    let service = inbound.admission.service.as_str();
-    if limit.is_over_share() {
-        metrics::counter!("wasabi_gateway_over_share_refusals_total",
-            "service" => service.to_string())
-        .increment(1);
-    }
+    let service = admission.service.as_str();
+    let reason = match limit {
+        limit if limit.due.is_some() => "early",
+        limit if limit.is_over_share() => "share",
+        _ => "time",
+    };
+    metrics::counter!("wasabi_gateway_return_times_total", "service" => service.to_string(),
+        "reason" => reason, "promised" => offer.promised.to_string())
+    .increment(1);
+    let early_ms = limit.due.map(|due| due.saturating_duration_since(now).as_millis() as u64);
     info!(target: wasabi_logs::REQUEST_TARGET, request = inbound.head.id.as_str(),
-        service = service, urgency = request.urgency, returns = request.is_return,
+        service = service, reason = reason, urgency = request.urgency, returns = request.is_return,
         expected_ms = expected.as_millis() as u64, patience_ms = request.max_wait.as_millis() as u64,
-        max_queue_ms = max_queue_ms(limit), excess = limit.excess; "no room in time");
+        max_queue_ms = max_queue_ms(limit), excess = limit.excess, yields = limit.promised,
+        early_ms = early_ms, left_ms = time_left.as_millis() as u64,
+        return_ms = offer.wait.as_millis() as u64, promised = offer.promised; "no room in time");
+    Some(offer.wait)
 }
 
 /// Returns the longest queue for logs, in milliseconds; `None` if there is no limit.
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -135,6 +135,7 @@
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
                 max_queue_ms = overload::max_queue_ms(&queue_limit), excess = queue_limit.excess,
+                yields = queue_limit.promised, returns = inbound.is_return,
                 version = admission.catalog.version.0, limit = limit,
                 build = placement.member.build.as_str(), born_ms = placement.member.born_ms,
                 list_age_ms = state.list_age_ms(),
@@ -157,14 +158,14 @@
             .ran(ran))
         }
         Err(Refusal::NoServerInTime(wait)) => {
-            overload::record_refused(state, now, inbound, history, &queue_limit, wait);
-            let pause = wait_limit::late_retry_delay(
-                wait,
-                inbound.max_wait,
-                remaining,
-                rand::rng().random(),
-            );
+            let times = (wait, remaining);
+            let offer = overload::refuse(state, now, inbound, history, &queue_limit, times);
+            let pause = offer.unwrap_or_else(|| {
+                let draw = rand::rng().random();
+                wait_limit::late_retry_delay(wait, inbound.max_wait, remaining, draw)
+            });
             let detail = match history.refused.is_empty() {
+                true if queue_limit.due.is_some() => "it returned before its time".to_string(),
                 true if queue_limit.is_over_share() => {
                     "its workspace is over its share".to_string()
                 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,8 @@
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
 //! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
-//! [`overload`] decides who is refused first when a service is short of capacity, by [`fair_share`].
+//! [`overload`] decides who is refused first when a service is short of capacity, by [`fair_share`], and when
+//! callers return, by [`return_times`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
 //! repeated sends; [`quarantine`] finds requests that crash servers.
 #![forbid(unsafe_code)]
@@ -28,6 +29,7 @@
 pub mod repeat_budget;
 pub mod reservation;
 pub mod retry_budget;
+pub mod return_times;
 pub mod scheduler;
 mod server_state;
 pub mod servers;
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -1,20 +1,24 @@
-//! What a request is held to while a service is short of capacity: by its workspace's share, and by
-//! refusals of more urgent requests.
+//! What a request is held to while a service is short of capacity: by its workspace's share, by
+//! what returning callers were promised, and by refusals of more urgent requests.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
 use wasabi_core::{
     call::Prompt,
+    data,
+    digest::digest,
     units::{HostId, WorkspaceId},
 };
 
 use crate::{
     balancer::Balancer,
-    fair_share::{self, Report},
+    fair_share,
     placement::Placement,
+    return_times::{Book, Offer},
+    wait_limit,
 };
 
 /// The service counts as short of capacity if the shortest queue takes this part of a request's longest
@@ -24,10 +28,37 @@
 /// wait of a first attempt. Without a limit, they were accepted behind queues of seconds, and most of
 /// them and of the first attempts after them were late.
 const RETURN_QUEUE_SHARE: f64 = 0.8;
+/// First attempts yield up to this part of their longest queue to callers that were asked to
+/// return.
+const MAX_YIELD: f64 = 0.8;
+/// A caller that returns by this much before the time that it was given still counts as waiting.
+const EARLY_TOLERANCE: Duration = Duration::from_millis(100);
+/// The most return times that are remembered; beyond, those that are over are forgotten, then all.
+const MAX_RETURN_TIMES: usize = 20_000;
+/// The most return times in one announcement, the latest ones.
+pub const MAX_ANNOUNCED_RETURNS: usize = 32;
+/// Return times travel in units of this length.
+const ANNOUNCED_UNIT: Duration = Duration::from_millis(10);
+/// Later return times that a peer announces count as this many units: 30 s.
+const MAX_ANNOUNCED_UNITS: u32 = 3_000;
 /// For this long after a refusal, less urgent requests accept no longer queue than the refused one
 /// did.
 const RANK_MEMORY: Duration = Duration::from_millis(500);
 
+data! {
+    /// What one host announces of one service.
+    ///
+    /// It travels in a positional encoding: the order of the fields is part of the format.
+    #[derive(Default)]
+    pub struct Report {
+        /// The work of workspaces; `None` if there is nothing new.
+        pub shares: Option<fair_share::Report>,
+        /// Refused requests by digest; from now the time at which they should return, in units of
+        /// 10 ms; and whether capacity is kept for them.
+        pub returns: Vec<(u32, u32, bool)>,
+    }
+}
+
 /// What the decisions on one request depend on.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -54,19 +85,41 @@
     /// Its workspace's recent work as a multiple of its share; 0 while the service is not short of
     /// capacity.
     pub excess: f64,
+    /// The part of the expected capacity that was promised to callers that return next; 0 for
+    /// callers that do.
+    pub promised: f64,
+    /// When the caller was asked to return, if that is still to come: it has not waited.
+    pub due: Option<Instant>,
 }
 
 /// Sharing and promises at one service.
 #[derive(Debug)]
 pub struct Control {
     shares: fair_share::View,
+    book: Book,
     /// By urgency: when a request was last refused, and the longest queue that it accepted.
     refused: BTreeMap<u8, (Instant, Duration)>,
+    /// By digest of the request: when its caller was asked to return, by this host or a peer, and
+    /// whether capacity is kept for it.
+    return_times: HashMap<u32, (Instant, bool)>,
+    /// Those that were given here since the last announcement.
+    unannounced: Vec<(u32, Instant, bool)>,
+}
+
+impl Request<'_> {
+    /// Identifies the request when its caller returns: the same workspace sends the same prompt.
+    fn digest(&self) -> u32 {
+        let prompt = self.prompt.map(|prompt| {
+            let parts = prompt.parts.iter().map(|part| (part.id, part.tokens));
+            (prompt.tokens, prompt.output, parts.collect::<Vec<(u64, u32)>>())
+        });
+        digest(&(self.workspace, prompt)) as u32
+    }
 }
 
 impl Limit {
     /// The limit of a request that is held to its longest wait only.
-    pub const NONE: Self = Self { max_queue: Duration::MAX, excess: 0.0 };
+    pub const NONE: Self = Self { max_queue: Duration::MAX, excess: 0.0, promised: 0.0, due: None };
 
     /// Returns whether the request's workspace is over its share.
     pub fn is_over_share(&self) -> bool {
@@ -77,23 +130,46 @@
 impl Control {
     /// Creates a control that knows of no requests.
     pub fn new(now: Instant) -> Self {
-        Self { shares: fair_share::View::new(now), refused: BTreeMap::new() }
+        Self {
+            shares: fair_share::View::new(now),
+            book: Book::new(now),
+            refused: BTreeMap::new(),
+            return_times: HashMap::new(),
+            unannounced: Vec::new(),
+        }
     }
 
     /// Returns the longest queue that a request accepts.
     pub fn limit(&mut self, now: Instant, request: &Request) -> Limit {
-        let mut limit = Limit::NONE;
+        let given = self.return_times.get(&request.digest()).copied();
+        let due = given.map(|(due, _)| due).filter(|due| *due > now + EARLY_TOLERANCE);
+        let mut limit = Limit { due, ..Limit::NONE };
         if self.shares.is_short(now, request.urgency) {
             let standing = self.shares.standing(now, request.workspace, request.prompt);
             limit.excess = standing.excess;
             if standing.queue_share < 1.0 {
                 limit.max_queue = request.first_wait.mul_f64(standing.queue_share);
             }
+            if limit.due.is_some() {
+                // It is served where it takes nothing from callers that wait.
+                limit.max_queue = Duration::ZERO;
+            }
             if request.is_return {
                 let queue = request.first_wait.mul_f64(RETURN_QUEUE_SHARE);
                 limit.max_queue = limit.max_queue.min(queue);
             }
         }
+        // A return counts as promised unless it is known that it is not.
+        if !request.is_return || given.is_some_and(|(_, promised)| !promised) {
+            let ahead = request.first_wait;
+            let due = self.book.due_ms(now, request.urgency, ahead);
+            let expected = self.shares.own_rate(now) * ahead.as_secs_f64();
+            if due > 0.0 && expected > 0.0 {
+                limit.promised = (due / expected).min(1.0);
+                let queue = ahead.mul_f64(1.0 - MAX_YIELD * limit.promised);
+                limit.max_queue = limit.max_queue.min(queue);
+            }
+        }
         let more_urgent = self.refused.range(..request.urgency).map(|(_, refused)| refused);
         let recent = more_urgent.filter(|(at, _)| now.saturating_duration_since(*at) < RANK_MEMORY);
         recent.fold(limit, |limit, (_, queue)| Limit {
@@ -111,6 +187,8 @@
         balancer: &Balancer,
     ) {
         let Request { workspace, prompt, urgency, is_return, .. } = *request;
+        // A caller that returned early has asked already.
+        let is_return = self.return_times.remove(&request.digest()).is_some() || is_return;
         self.shares.record_accepted(now, workspace, prompt, placement.prefill_ms, is_return);
         let long = request.first_wait.mul_f64(IMMINENT_QUEUE_SHARE);
         // A single engine may have a long queue while others are idle.
@@ -119,16 +197,22 @@
         }
     }
 
-    /// Records that no server takes a request in time; `expected` is the least expected wait.
-    pub fn record_refused(
+    /// Records that no server takes a request in time, and returns when its caller should return.
+    ///
+    /// `expected` is the least expected wait, `time_left` what the caller still has of the route's
+    /// `timeout`. `draw` is uniform in 0 to 1.
+    pub fn refuse(
         &mut self,
         now: Instant,
         request: &Request,
         limit: &Limit,
         expected: Duration,
-    ) {
+        (time_left, timeout): (Duration, Duration),
+        draw: f64,
+    ) -> Offer {
         let Request { workspace, prompt, urgency, is_return, .. } = *request;
         let work_ms = self.shares.work_ms(prompt, None);
+        let is_return = is_return || self.return_times.contains_key(&request.digest());
         self.shares.record_refused(now, workspace, prompt, is_return);
         // A long prompt may be refused by an idle engine, which is no lack of capacity.
         let own_wait = Duration::from_secs_f64(if prompt.is_some() { work_ms / 1e3 } else { 0.0 });
@@ -138,15 +222,58 @@
             self.shares.mark_short(now, urgency);
         }
         self.refused.insert(urgency, (now, limit.max_queue.min(request.first_wait)));
+        if let Some(due) = limit.due {
+            let latest = wait_limit::return_range(Duration::ZERO, time_left, None).1;
+            let wait = due.saturating_duration_since(now).min(latest);
+            return Offer { wait, promised: false };
+        }
+        let excess_wait = expected.saturating_sub(request.max_wait);
+        let recognized = self.shares.is_short(now, urgency).then_some(timeout);
+        let range = wait_limit::return_range(excess_wait, time_left, recognized);
+        let offer = if limit.is_over_share() {
+            // The promised capacity is for workspaces within their share.
+            Offer::unpromised(range, draw)
+        } else {
+            let rate = self.shares.own_rate(now);
+            self.book.offer(now, urgency, work_ms, rate, range, draw)
+        };
+        let (digest, due) = (request.digest(), now + offer.wait);
+        self.remember(now, digest, due, offer.promised);
+        self.unannounced.push((digest, due, offer.promised));
+        offer
     }
 
     /// Returns what this host announces now; `None` if there is nothing to tell.
     pub fn report(&mut self, now: Instant) -> Option<Report> {
-        self.shares.report(now)
+        let shares = self.shares.report(now);
+        let first = self.unannounced.len().saturating_sub(MAX_ANNOUNCED_RETURNS);
+        let units = |due: Instant| {
+            due.saturating_duration_since(now).as_millis() / ANNOUNCED_UNIT.as_millis()
+        };
+        let latest = self.unannounced.drain(..).skip(first);
+        let returns: Vec<(u32, u32, bool)> =
+            latest.map(|(digest, due, promised)| (digest, units(due) as u32, promised)).collect();
+        (shares.is_some() || !returns.is_empty()).then_some(Report { shares, returns })
     }
 
     /// Applies a peer's announcement.
     pub fn apply(&mut self, now: Instant, peer: &HostId, report: Report) {
-        self.shares.apply(now, peer, report);
+        if let Some(shares) = report.shares {
+            self.shares.apply(now, peer, shares);
+        }
+        for (digest, units, promised) in report.returns.into_iter().take(MAX_ANNOUNCED_RETURNS) {
+            let wait = ANNOUNCED_UNIT * units.min(MAX_ANNOUNCED_UNITS);
+            self.remember(now, digest, now + wait, promised);
+        }
+    }
+
+    fn remember(&mut self, now: Instant, digest: u32, due: Instant, promised: bool) {
+        if self.return_times.len() >= MAX_RETURN_TIMES {
+            self.return_times.retain(|_, (due, _)| *due > now);
+        }
+        if self.return_times.len() >= MAX_RETURN_TIMES {
+            self.return_times.clear();
+        }
+        self.return_times.insert(digest, (due, promised));
     }
 }
--- a/crates/policy/src/wait_limit.rs
+++ b/crates/policy/src/wait_limit.rs
@@ -27,6 +27,8 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Retries after a pause are spread over this part of it.
 const PAUSE_RETRY_SPREAD: f64 = 0.25;
+/// Added to the earliest return, for callers that round the delay.
+const RECOGNITION_MARGIN: Duration = Duration::from_millis(10);
 /// Callers wait for the retry delay only up to this share of the time that they have left.
 const MAX_RETRY_DELAY_SHARE: f64 = 0.33;
 /// The time of one answer token on a slow engine with many streams, in milliseconds: a step of 5 to
@@ -101,6 +103,25 @@
     wait.min(time_left.mul_f64(MAX_RETRY_DELAY_SHARE))
 }
 
+/// Returns the earliest and the latest delay after which the caller of a refused request should
+/// return.
+///
+/// `excess_wait` is the expected wait beyond the acceptable one. If the request is to be preferred on
+/// its return, `recognized` is the route's timeout: the earliest delay is then such that any host
+/// can tell the request from a first attempt by [`looks_like_retry`].
+pub fn return_range(
+    excess_wait: Duration,
+    time_left: Duration,
+    recognized: Option<Duration>,
+) -> (Duration, Duration) {
+    let latest = time_left.mul_f64(MAX_RETRY_DELAY_SHARE);
+    let first_attempt = recognized.map_or(Duration::ZERO, |timeout| {
+        time_left.saturating_sub(timeout.mul_f64(FIRST_ATTEMPT_MIN_TIME_SHARE))
+    });
+    let earliest = (MIN_RETRY_DELAY + excess_wait).max(first_attempt + RECOGNITION_MARGIN);
+    (earliest.min(latest), latest)
+}
+
 /// Returns the retry delay of a request that no server could take; `draw` and `time_left` are as
 /// for [`late_retry_delay`].
 pub fn unplaced_retry_delay(draw: f64, time_left: Duration) -> Duration {
--- a/crates/policy/tests/overload/main.rs
+++ b/crates/policy/tests/overload/main.rs
@@ -2,10 +2,11 @@
 
 mod play;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use play::{Caller, Play, Setup, Source, play};
 use quickcheck::{Gen, QuickCheck, TestResult};
+use wasabi_policy::return_times::Book;
 
 const SMALL: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
@@ -107,6 +108,57 @@
     check_nobody_starves(&now, 8)
 }
 
+/// A time that was given with a promise is one at which the caller is served, also while everything is
+/// asked for 2.5 times; refusals again and again would make it give up.
+#[test]
+fn promises_are_kept() {
+    for (sources, least) in [(sources(surge, steady), 0.9), (sources(burst, burst), 0.8)] {
+        let play = play(setup(sources, true));
+        let promises: u32 = play.callers.iter().map(|c| c.promises).sum();
+        let kept = play.kept();
+        assert!(promises > 200 && kept > least, "{kept:.3} of {promises}");
+    }
+}
+
+/// Half of the workspaces return 100 ms after each refusal, whatever they are asked. With the same
+/// preference for every return, they were on target three times as often as those that wait.
+#[test]
+fn callers_that_do_not_wait_gain_nothing() {
+    let mut sources = sources(burst, burst);
+    sources.iter_mut().skip(2).step_by(2).for_each(|source| source.waits = false);
+    let play = play(setup(sources, true));
+    let share = |waits: bool| {
+        play.on_target(|c| c.source > 1 && (c.source % 2 == 1) == waits && burst(c.second) > 1.0)
+    };
+    let (waiting, hasty) = (share(true), share(false));
+    assert!(hasty < waiting + 0.05, "hasty callers {hasty:.3}, others {waiting:.3}");
+}
+
+/// Capacity must not be promised twice, whatever the order of the requests, and every time must lie
+/// within the caller's range.
+#[test]
+fn capacity_is_promised_once() {
+    fn holds(requests: Vec<(u8, u8, u16)>) -> bool {
+        let mut now = Instant::now();
+        let mut book = Book::new(now);
+        let rate_ms = 500.0;
+        requests.into_iter().all(|(step, work_ms, earliest)| {
+            now += Duration::from_millis(u64::from(step));
+            let earliest = Duration::from_millis(u64::from(earliest % 2_000));
+            let range = (earliest, Duration::from_secs(3));
+            let offer = book.offer(now, 3, f64::from(work_ms), rate_ms, range, 0.5);
+            let within = (1..=30)
+                .map(|tenths| Duration::from_millis(100 * tenths))
+                .all(|ahead| book.due_ms(now, 3, ahead) <= rate_ms * (ahead.as_secs_f64() + 0.05));
+            within && (range.0..=range.1).contains(&offer.wait)
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, 3))
+        .tests(200)
+        .quickcheck(holds as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
 /// Whatever the workspaces send and whatever their ranks: more urgent requests are served and on
 /// target at least as often as less urgent ones, and no workspace or size starves within its rank.
 #[test]
--- a/crates/policy/tests/overload/play.rs
+++ b/crates/policy/tests/overload/play.rs
@@ -54,6 +54,10 @@
     pub large: bool,
     /// How often it was refused.
     pub refusals: u32,
+    /// Promised times at which it returned, and how many of these promises were kept.
+    pub promises: u32,
+    pub kept: u32,
+    is_promised: bool,
     /// The time from its last attempt to its first event, once it has one.
     pub first_event: Option<Duration>,
     prompt: Prompt,
@@ -176,6 +180,12 @@
         self.share(matches, Caller::on_target)
     }
 
+    /// Returns the share of promises that were kept.
+    pub fn kept(&self) -> f64 {
+        let of = |count: fn(&Caller) -> u32| self.callers.iter().map(count).sum::<u32>();
+        f64::from(of(|c| c.kept)) / f64::from(of(|c| c.promises).max(1))
+    }
+
     /// Returns the longest time from a caller's last attempt to its first event.
     pub fn longest_wait(&self) -> Duration {
         self.callers.iter().filter_map(|caller| caller.first_event).max().unwrap_or_default()
@@ -209,6 +219,9 @@
                 second: self.second(),
                 large,
                 refusals: 0,
+                promises: 0,
+                kept: 0,
+                is_promised: false,
                 first_event: None,
                 prompt: Prompt { tokens, output: 60, parts },
                 deadline: self.now + time_left,
@@ -249,8 +262,11 @@
             true => control.limit(now, &request),
             false => Limit::NONE,
         };
+        let is_promised = std::mem::replace(&mut caller.is_promised, false);
+        caller.promises += u32::from(is_promised);
         match balancer.place_within(now, &ask, limit.max_queue) {
             Ok(placement) => {
+                caller.kept += u32::from(is_promised);
                 control.record_placed(now, &request, &placement, balancer);
                 let running = self.running.iter().filter(|run| run.1.member == placement.member);
                 let step_ms = 3.09 + 0.102 * running.count() as f64;
@@ -262,10 +278,14 @@
             }
             Err(Refusal::NoServerInTime(expected)) => {
                 caller.refusals += 1;
-                if self.setup.controlled {
-                    control.record_refused(now, &request, &limit, expected);
-                }
-                let wait = wait_limit::late_retry_delay(expected, max_wait, time_left, draw);
+                let wait = if self.setup.controlled {
+                    let times = (time_left, TIMEOUT);
+                    let offer = control.refuse(now, &request, &limit, expected, times, draw);
+                    caller.is_promised = offer.promised && source.waits;
+                    offer.wait
+                } else {
+                    wait_limit::late_retry_delay(expected, max_wait, time_left, draw)
+                };
                 assert!(wait <= time_left.mul_f64(0.34), "{wait:?} of {time_left:?}");
                 let wait = if source.waits { wait } else { Duration::from_millis(100) };
                 if time_left > wait + MIN_TIME_LEFT {
