What a host holds for callers that do not read is bounded

Cause: what was held for one caller was bounded in parts, not in bytes (4 parts of up to 1 MB), and for the host not at all; the kernel buffered megabytes more. A stream whose caller did not read kept its engine for up to 15 s beyond its deadline, and one that its server cut for that was held against the server. Change: events of streams count in Memory::responses and are queued in parts of 16 KB; connections that wait for their callers are numbered, and the longest waiting are ended when there are too many (Memory::slow_callers), when others lack memory, or after the idle time (policy::slow_callers); the send buffer to callers is 128 KB; an unread stream leaves its server at its deadline; a break after a wait of 1 s has the cause 'the caller did not read' and blames nobody.

--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -8,3 +8,4 @@
 pub mod request_body;
 pub mod request_log;
 pub mod response;
+pub mod slow_callers;
--- a/crates/gateway/src/receive/buffers.rs
+++ b/crates/gateway/src/receive/buffers.rs
@@ -37,6 +37,12 @@
         Self { used: Rc::default(), max_bytes }
     }
 
+    /// Returns whether there is little room left: less than two of the largest responses, or a quarter.
+    pub fn is_short(&self) -> bool {
+        let reserve = (2 * MAX_RESPONSE_BYTES).min(self.max_bytes / 4);
+        self.used.get() + reserve > self.max_bytes
+    }
+
     /// Returns an empty reservation.
     pub fn reserve(&self) -> Reservation {
         Reservation { memory: self.clone(), bytes: 0 }
@@ -44,15 +50,15 @@
 }
 
 impl Reservation {
-    /// Extends the reservation to a response of `length` bytes; returns whether there is room.
-    fn extend_to(&mut self, length: usize) -> bool {
-        let more = length.saturating_sub(FREE_BYTES).saturating_sub(self.bytes);
-        let used = self.memory.used.get() + more;
-        if length > MAX_RESPONSE_BYTES || (more > 0 && used > self.memory.max_bytes) {
+    /// Changes the reservation to what a response of `length` bytes takes; returns whether there is room.
+    pub fn resize(&mut self, length: usize) -> bool {
+        let bytes = length.saturating_sub(FREE_BYTES);
+        let used = self.memory.used.get() - self.bytes + bytes;
+        if length > MAX_RESPONSE_BYTES || (bytes > self.bytes && used > self.memory.max_bytes) {
             return false;
         }
         self.memory.used.set(used);
-        self.bytes += more;
+        self.bytes = bytes;
         true
     }
 }
@@ -73,8 +79,8 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| cause::ANSWER_BROKE_OFF)?;
         let Ok(data) = frame.into_data() else { continue };
-        if !reservation.extend_to(buffer.len() + data.len()) {
-            return Err("answer too large to buffer");
+        if !reservation.resize(buffer.len() + data.len()) {
+            return Err(cause::TOO_LARGE);
         }
         buffer.extend_from_slice(&data);
     }
--- a/crates/gateway/src/receive/listener.rs
+++ b/crates/gateway/src/receive/listener.rs
@@ -15,7 +15,7 @@
 use wasabi_answer::connection::Connection;
 use wasabi_platform::http;
 
-use crate::{guard::CountGuard, send::relay, state::State};
+use crate::{guard::CountGuard, receive::slow_callers::Watched, send::relay, state::State};
 
 /// Pause between attempts to bind a port that the previous process may still hold.
 const BIND_PAUSE: Duration = Duration::from_millis(100);
@@ -107,7 +107,9 @@
         // The caller has already closed the connection.
         return;
     }
+    http::limit_send_buffer(&stream);
     let (connection, resetter) = Connection::new(stream);
+    let (connection, end) = Watched::new(&state, connection);
     let service = {
         let state = state.clone();
         service_fn(move |request: Request<Incoming>| {
@@ -134,9 +136,14 @@
     let mut connection = pin!(connection);
     tokio::select! {
         ended = connection.as_mut() => return count_broken(ended),
+        // Closes the connection, so that its response is incomplete.
+        () = end.cancelled() => return,
         () = stopping_for(&state, CLOSE_IDLE_AFTER) => connection.as_mut().graceful_shutdown(),
     }
-    count_broken(connection.await);
+    tokio::select! {
+        ended = connection => count_broken(ended),
+        () = end.cancelled() => {}
+    }
 }
 
 fn count_broken(ended: hyper::Result<()>) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,7 +24,7 @@
 use crate::{
     lateness,
     operator::{self, Audience},
-    receive::listener,
+    receive::{listener, slow_callers},
     send::{link_watch, quarantine},
     settings::{self, Settings},
     share::{self, origin_store, refresh},
@@ -75,6 +75,7 @@
     spawn_local(sample_clock(state.clone()));
     spawn_local(drain_samples(metrics.clone()));
     spawn_local(lateness::run(state.clone()));
+    spawn_local(slow_callers::run(state.clone()));
     spawn_local(link_watch::run(state.clone()));
     spawn_local(quarantine::run(state.clone()));
     spawn_local(origin_store::run(state.clone()));
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -23,7 +23,6 @@
     call::{Content, Framing},
     errors::Code,
     member::Member,
-    units::Tokens,
 };
 use wasabi_policy::{
     balancer::End,
@@ -34,6 +33,7 @@
 use crate::{
     guard::{CountGuard, PlacementGuard},
     receive::{
+        buffers::Reservation,
         request::AdmittedRequest,
         request_log::{self, Received},
         response::ResponseBody,
@@ -51,6 +51,7 @@
 };
 
 mod from_peer;
+mod queue;
 
 pub use from_peer::start_at_peer;
 
@@ -86,6 +87,12 @@
     first_event_seen: bool,
     /// When the last events were received.
     last_event_at: Option<Instant>,
+    /// The memory of events that are received or queued and not taken by the caller.
+    reservation: Reservation,
+    /// The size of the events that were queued last.
+    queued_bytes: usize,
+    /// Whether the caller did not read for [`queue::UNREAD_TIME`] during the current server's part.
+    part_is_unread: bool,
     /// How the end of the current server's part is marked.
     framing: Framing,
     /// Bytes received of the current server's part.
@@ -124,6 +131,9 @@
         *response.headers_mut() = attempt::stream_headers(first.headers());
         let events = Sequence::after(inbound.head.last_event);
         let stream = Self {
+            reservation: state.response_memory.reserve(),
+            queued_bytes: 0,
+            part_is_unread: false,
             state: state.clone(),
             inbound,
             history,
@@ -181,6 +191,10 @@
     ) -> Option<(PlacementGuard, BackendResponse)> {
         let (cause, next) = match ended {
             PartEnd::Stuck(next) => (cause::STUCK, Some(*next)),
+            PartEnd::Broken(cause::STREAM_BROKE_OFF) if self.part_is_unread => {
+                self.history.last_cause = cause::UNREAD;
+                (cause::UNREAD, None)
+            }
             PartEnd::Broken(cause) => {
                 guard.end = End::Failed;
                 self.history.avoid.push(guard.placement.member.id.clone());
@@ -224,7 +238,7 @@
         let BackendResponse { http, reply, connection } = backend_response;
         let mut body = http.into_body();
         (self.framing, self.received_bytes) = (reply.framing, 0);
-        (self.part_began_at, self.part_is_sound) = (None, false);
+        (self.part_began_at, self.part_is_sound, self.part_is_unread) = (None, false, false);
         self.part_opened = Some(connection.opened);
         self.events.start_part();
         let (now, deadline) = (self.state.now(), self.inbound.deadline);
@@ -253,13 +267,19 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             self.received_bytes += bytes.len() as u64;
-            let events = match self.events.push(&bytes) {
+            let events = self.events.push(&bytes);
+            if !self
+                .reserve(events.as_ref().map_or(0, |events| events.as_ref().map_or(0, Bytes::len)))
+            {
+                return PartEnd::Broken(cause::TOO_LARGE);
+            }
+            let events = match events {
                 Ok(Some(events)) => events,
                 Ok(None) => continue,
                 Err(broken) => return PartEnd::Broken(broken.cause()),
             };
-            if !self.pass_on(guard, events).await {
-                return PartEnd::CallerLeft;
+            if let Some(ended) = self.pass_on(guard, events).await {
+                return ended;
             }
             if let Some(broken) = self.events.broken() {
                 return PartEnd::Broken(broken.cause());
@@ -269,8 +289,8 @@
         match self.events.finish(reply.framing) {
             Ok(None) => {}
             Ok(Some(last_event)) => {
-                if !self.pass_on(guard, last_event).await {
-                    return PartEnd::CallerLeft;
+                if let Some(ended) = self.pass_on(guard, last_event).await {
+                    return ended;
                 }
             }
             Err(broken) => return PartEnd::Broken(broken.cause()),
@@ -366,25 +386,6 @@
         }
     }
 
-    /// Records the time between the events just received and those before.
-    fn record_event_gap(&mut self) {
-        let now = self.state.now();
-        if let Some(last) = self.last_event_at.replace(now) {
-            let gap = now.saturating_duration_since(last);
-            let rank = self.inbound.admission.rank.to_string();
-            metrics::histogram!("wasabi_gateway_event_gap_seconds", "rank" => rank)
-                .record(gap.as_secs_f64());
-        }
-    }
-
-    /// Passes events on to the caller; returns whether it is still connected.
-    async fn pass_on(&mut self, guard: &PlacementGuard, events: Bytes) -> bool {
-        self.record_first_event(guard);
-        self.record_event_gap();
-        self.record_sound_part();
-        self.producer.send(events, Tokens(0)).await
-    }
-
     /// Resumes the stream at another server after the last event that was forwarded, first at
     /// `reserved` if that is given.
     async fn resume(
--- a/crates/gateway/src/send/stream/from_peer.rs
+++ b/crates/gateway/src/send/stream/from_peer.rs
@@ -5,7 +5,6 @@
 use http_body_util::BodyExt as _;
 use hyper::Response;
 use wasabi_answer::broken::Broken;
-use wasabi_core::units::Tokens;
 
 use super::StreamRelay;
 use crate::{
@@ -71,9 +70,7 @@
                 Some(Err(_)) => break Err(Broken::ConnectionLost),
             };
             match received {
-                Ok(Some(events)) if !self.producer.send(events.clone(), Tokens(0)).await => {
-                    return;
-                }
+                Ok(Some(events)) if self.queue(events.clone()).await.is_some() => return,
                 Ok(_) => {}
                 Err(broken) => break Err(broken),
             }
@@ -82,7 +79,7 @@
             }
         };
         match ended {
-            Ok(Some(rest)) if !self.producer.send(rest.clone(), Tokens(0)).await => {}
+            Ok(Some(rest)) if self.queue(rest.clone()).await.is_some() => {}
             Ok(_) => self.producer.finish(),
             Err(broken) => peer_relay::log_broken(&self.inbound.head.id, broken.cause()),
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -80,6 +80,12 @@
         (self.bytes() / 5).min(MOST)
     }
 
+    /// The part for what connections hold whose callers do not read, in bytes. With the other parts it leaves a
+    /// third for all else.
+    pub fn slow_callers(self) -> usize {
+        self.bytes() / 6
+    }
+
     fn bytes(self) -> usize {
         self.0 as usize * 1_000_000
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,7 +36,7 @@
 };
 
 use crate::{
-    receive::{buffers, request_body},
+    receive::{buffers, request_body, slow_callers},
     send::{connection_pool::Pool, quarantine::SuspectedRuns},
     settings::Settings,
     share::survey::Survey,
@@ -122,6 +122,8 @@
     pub body_memory: request_body::Memory,
     /// The memory of responses that are buffered before they are passed on.
     pub response_memory: buffers::Memory,
+    /// The connections of callers that do not read.
+    pub slow_callers: RefCell<slow_callers::View>,
     /// Connections to backend servers.
     pub connection_pool: Pool,
     /// Notified after each successful read of configuration or servers from the store.
@@ -184,6 +186,7 @@
             lease: RefCell::new(Lease::new(host, incarnation, times, now)),
             body_memory: request_body::Memory::new(settings.memory.unwrap_or_default().bodies()),
             response_memory: buffers::Memory::new(settings.memory.unwrap_or_default().responses()),
+            slow_callers: RefCell::default(),
             connection_pool: Pool::default(),
             proof_renewed: Notify::new(),
             running_requests: Cell::new(0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
 //! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
-//! repeated sends; [`quarantine`] finds requests that crash servers.
+//! repeated sends; [`quarantine`] finds requests that crash servers; [`slow_callers`] ends connections whose callers
+//! do not read.
 #![forbid(unsafe_code)]
 
 pub mod balancer;
@@ -28,6 +29,7 @@
 pub mod scheduler;
 mod server_state;
 pub mod servers;
+pub mod slow_callers;
 pub mod stated_limits;
 pub mod stuck;
 pub mod ticket;
