wasabictl config check: a configuration is checked before it is sent

Cause: a configuration that hosts can read may still hold routes that never match, services that are not there, limits that contradict each other and values that decoding replaces or drops (attempts of 0, keys that stand twice); this was seen only once it was in force. Change: core::catalog_check finds what a decoded configuration shows, without I/O; platform::catalog::decode_with_findings what decoding loses; and core::catalog_diff the differences between two, without keys. wasabictl prints them as a table or JSON and ends with 3 if there is an error. Gateways serve their configuration without keys at /config of the port for operators. Errors 2301 to 2306.

--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -121,6 +121,18 @@
     NoteReused = 2103, 409;
     /// The settings are not valid.
     SettingsInvalid = 2201, 400;
+    /// An entry of the configuration can never take effect.
+    ConfigUnused = 2301, 400;
+    /// An entry of the configuration names something that is not there.
+    ConfigReferenceMissing = 2302, 400;
+    /// Limits of the configuration contradict each other, or let nothing through.
+    ConfigConflict = 2303, 400;
+    /// Two entries of the configuration have the same name or key.
+    ConfigDuplicate = 2304, 400;
+    /// A value of the configuration is out of its range, and another is used instead.
+    ConfigValueReplaced = 2305, 400;
+    /// The version of the configuration is not greater than the one in force.
+    ConfigVersionOld = 2306, 409;
     /// The object is not there.
     ObjectMissing = 3001, 404;
     /// The object has changed, so the conditional write took no effect.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod call;
 pub mod catalog;
+pub mod catalog_check;
+pub mod catalog_diff;
 pub mod digest;
 pub mod errors;
 pub mod format;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -12,7 +12,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
-use wasabi_core::format;
+use wasabi_core::{catalog_diff, format};
 use wasabi_platform::{http, names};
 
 use crate::{
@@ -92,11 +92,13 @@
             (StatusCode::OK, Bytes::from(metrics.render()))
         }
         "/dump" => (StatusCode::OK, Bytes::from(dump(state).to_string())),
+        "/config" => (StatusCode::OK, Bytes::from(config_summary(state).to_string())),
         _ => match peer_page(state, path).filter(|_| audience == Audience::Peers) {
             Some(page) => (StatusCode::OK, page),
-            None => {
-                (StatusCode::NOT_FOUND, Bytes::from_static(b"try /health, /metrics or /dump\n"))
-            }
+            None => (
+                StatusCode::NOT_FOUND,
+                Bytes::from_static(b"try /health, /metrics, /dump or /config\n"),
+            ),
         },
     };
     let mut response = Response::new(ResponseBody::Own(body));
@@ -148,6 +150,11 @@
     }
 }
 
+/// Returns the configuration in force without its keys for `/config`; `null` if there is none.
+fn config_summary(state: &State) -> Value {
+    state.config().map(|(catalog, _)| catalog_diff::summary(&catalog)).unwrap_or_default()
+}
+
 /// Returns the state of the process for `/dump`; it must contain no key and no prompt.
 fn dump(state: &State) -> Value {
     let now = state.now();
--- a/src/bin/wasabictl/commands.rs
+++ b/src/bin/wasabictl/commands.rs
@@ -23,8 +23,8 @@
 use wasabi_usage::window::{self, SealedWindow};
 
 use crate::{
-    explain,
-    flags::{KeyCmd, NoteCmd, Wasabictl, WasabictlCmd},
+    config, explain,
+    flags::{ConfigCmd, KeyCmd, NoteCmd, Wasabictl, WasabictlCmd},
     gateways,
     output::{self, Failure},
 };
@@ -42,6 +42,9 @@
             NoteCmd::Apply(apply) => apply_note(&*store(flags)?, &apply.file, json),
             NoteCmd::Log(_) => show_log(&*store(flags)?, json),
         },
+        WasabictlCmd::Config(config) => match &config.subcommand {
+            ConfigCmd::CheckConfig(check) => config::check(check, json),
+        },
         WasabictlCmd::Status(_) => show_status(&*store(flags)?, json),
         WasabictlCmd::Get(get) => show_objects(&*store(flags)?, &get.kind, get.name.as_deref()),
         WasabictlCmd::Key(key) => match &key.subcommand {
@@ -233,8 +236,13 @@
 
 /// Fetches the state of the process whose operators' port is at `address`.
 pub fn fetch_dump(address: &str) -> Result<Value> {
+    fetch_page(address, "dump")
+}
+
+/// Fetches a page of JSON from the operators' port at `address`.
+pub fn fetch_page(address: &str, page: &str) -> Result<Value> {
     let unavailable = |e: minreq::Error| Error::new(Code::PeerUnavailable, e.to_string());
-    let url = format!("http://{address}/dump");
+    let url = format!("http://{address}/{page}");
     let answer = minreq::get(url).with_timeout(DUMP_TIMEOUT_SECONDS).send().map_err(unavailable)?;
     serde_json::from_str(answer.as_str().map_err(unavailable)?)
         .map_err(|e| Error::new(Code::PeerUnavailable, e.to_string()))
--- a/src/bin/wasabictl/flags.rs
+++ b/src/bin/wasabictl/flags.rs
@@ -1,11 +1,14 @@
 //! The command line.
+//!
+//! `xflags` names types after the last command, so two commands cannot both have the first name `check`.
 
 use std::path::PathBuf;
 
 xflags::xflags! {
     /// Operates a wasabirouter deployment.
     ///
-    /// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 the note is not valid, 4 the note
+    /// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 the note or the configuration is not
+    /// valid, 4 the note
     /// conflicts with an accepted one, 5 the platform or the host did not answer, 6 there is no
     /// such object.
     ///
@@ -31,6 +34,20 @@
             /// Lists the notes in the log.
             cmd log {}
         }
+        /// Handles configurations of gateways.
+        cmd config {
+            /// Checks a configuration before it is sent: errors, entries without effect, limits that contradict
+            /// each other, and the differences from the configuration in force. Ends with 3 if it should not be
+            /// sent. `check` is its short name.
+            cmd check-config check {
+                /// The configuration, a JSON file in the format of the platform.
+                required file: PathBuf
+                /// The configuration in force, a file of the same format.
+                optional --against file: PathBuf
+                /// The address for operators of a gateway that has the configuration in force.
+                optional --gateway address: String
+            }
+        }
         /// Shows which hosts have which revision, and who holds which lease.
         cmd status {}
         /// Shows objects of a kind: classes, workspaces, keys, pools or routes.
--- a/src/bin/wasabictl/main.rs
+++ b/src/bin/wasabictl/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod commands;
+mod config;
 mod explain;
 mod flags;
 mod gateways;
--- a/src/bin/wasabictl/output.rs
+++ b/src/bin/wasabictl/output.rs
@@ -11,6 +11,8 @@
     Arguments(String),
     /// The note is not valid or conflicts with an accepted one.
     Problems(Vec<Problem>),
+    /// A checked file is not valid; what is wrong with it has been printed.
+    Reported,
     /// Any other failure.
     Error(Error),
 }
@@ -25,6 +27,7 @@
                     |p: &Problem| matches!(p.code, Code::NoteConflict | Code::NoteReused);
                 if problems.iter().all(conflict) { 4 } else { 3 }
             }
+            Self::Reported => 3,
             Self::Error(e) => match e.code {
                 Code::StoreUnavailable | Code::StoreBusy | Code::PeerUnavailable => 5,
                 Code::ObjectMissing => 6,
@@ -52,10 +55,13 @@
 /// Prints a failure: to standard error as text, or to standard output as JSON.
 pub fn failure(failure: &Failure, as_json: bool) {
     if as_json {
-        println!("{}", failure_json(failure));
+        if !matches!(failure, Failure::Reported) {
+            println!("{}", failure_json(failure));
+        }
         return;
     }
     match failure {
+        Failure::Reported => {}
         Failure::Arguments(text) => eprintln!("{text}"),
         Failure::Problems(problems) => problems.iter().for_each(|p| eprintln!("{p}")),
         Failure::Error(e) => eprintln!("{e}"),
@@ -65,6 +71,7 @@
 fn failure_json(failure: &Failure) -> Value {
     let problem = |p: &Problem| json!({"code": p.code.number(), "path": p.path, "text": p.text});
     match failure {
+        Failure::Reported => json!({"problems": []}),
         Failure::Arguments(text) => json!({"problems": [{"text": text}]}),
         Failure::Problems(problems) => {
             json!({"problems": problems.iter().map(problem).collect::<Vec<_>>()})
