--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`overload`] decides who is refused first when a service is short of capacity, by [`fair_share`], and when
 //! callers return, by [`return_times`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
-//! repeated sends; [`quarantine`] finds requests that crash servers.
+//! repeated sends; [`quarantine`] finds requests that crash servers; [`slow_callers`] ends connections whose callers
+//! do not read.
 #![forbid(unsafe_code)]
 
 pub mod balancer;
@@ -34,6 +35,7 @@
 mod server_state;
 pub mod servers;
 mod slot_wait;
+pub mod slow_callers;
 pub mod stated_limits;
 pub mod stuck;
 pub mod ticket;
--- a/src/bin/wasabictl/main.rs
+++ b/src/bin/wasabictl/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod commands;
+mod config;
 mod evacuation;
 mod explain;
 mod flags;
