--- a/crates/core/tests/catalog_check.rs
+++ b/crates/core/tests/catalog_check.rs
@@ -23,6 +23,7 @@
         backends: vec![(service.parse().expect("a name"), 1)],
         max_attempts: 2,
         open: false,
+        homes: Default::default(),
     }
 }
 
@@ -40,8 +41,13 @@
         health_path: "/health".to_string(),
         engine: Some(engine),
         scaling: Some(scaling),
+        cold_rate: None,
+    };
+    let owner = |name: &str| KeyOwner {
+        workspace: name.parse().expect("a name"),
+        rank: Some(1),
+        homes: Default::default(),
     };
-    let owner = |name: &str| KeyOwner { workspace: name.parse().expect("a name"), rank: Some(1) };
     Catalog {
         version: Revision(7),
         routes: vec![route("a", "/a/", "llm"), route("b", "/a/b/", "llm")],
