slot_wait is taken out again

Cause: it was meant for engines with few slots, which fill while announcements are on their way. Change: removed; the expected first event is as before.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -27,7 +27,6 @@
     pace::Fleet,
     reservation,
     server_state::{CostEstimate, Counts, ServerState, URGENCY_LEVELS, is_light},
-    slot_wait::Residence,
     stuck::{self, AverageResponseTime},
 };
 
@@ -82,8 +81,6 @@
     latency_ratio: (f64, Option<Instant>),
     /// The average response time of plain servers.
     response_time: AverageResponseTime,
-    /// How long requests occupy the slots of engines.
-    residence: Residence,
     servers: BTreeMap<ServerId, ServerState>,
     /// Whether the servers fall over if they turn away too many requests.
     brittleness: Brittleness,
@@ -111,7 +108,6 @@
             stale_announcements: false,
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
-            residence: Residence::default(),
             servers: BTreeMap::new(),
             brittleness: Brittleness::default(),
             hosts: 1,
@@ -247,8 +243,7 @@
                 Some(engine) => {
                     let slots = self.brittleness.room(engine.slots, engine.slots);
                     let engine = Engine { slots, ..engine };
-                    let assume_cached = stale && affinity.as_ref() == Some(id);
-                    server.engine_cost(now, ask, &engine, self.residence, assume_cached)
+                    server.engine_cost(now, ask, &engine, stale && affinity.as_ref() == Some(id))
                 }
                 None => server.plain_server_cost(self.brittleness, self.hosts),
             };
@@ -370,9 +365,6 @@
     /// Releases a slot and records how the request ended.
     pub fn end(&mut self, now: Instant, place: &Placement, end: End) {
         let rest = self.brittleness.rest(self.hosts);
-        if end == End::Served && self.engine.is_some() {
-            self.residence.observe(place.light, now.saturating_duration_since(place.since));
-        }
         let Some(server) = self.server_of(place) else { return };
         server.own.running = server.own.running.saturating_sub(1);
         server.own.light = server.own.light.saturating_sub(u32::from(place.light));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,7 +34,6 @@
 pub mod scheduler;
 mod server_state;
 pub mod servers;
-mod slot_wait;
 pub mod slow_callers;
 pub mod stated_limits;
 pub mod stuck;
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -17,7 +17,6 @@
     placement::{Placement, PlacementRequest},
     prefix_cache::Cache,
     reservation,
-    slot_wait::Residence,
 };
 
 /// Prompt tokens that an engine reads in a millisecond at slowness 1; from the engine's data sheet.
@@ -146,7 +145,6 @@
         now: Instant,
         ask: &PlacementRequest,
         engine: &Engine,
-        residence: Residence,
         assume_cached: bool,
     ) -> CostEstimate {
         let all = self.total_counts();
@@ -170,9 +168,8 @@
         let light = is_light(prompt_tokens);
         let tokens = all.tokens + prompt_tokens as u64 + output;
         let memory = engine.memory.0 as f64 * USABLE_MEMORY_SHARE;
-        let slot_wait_ms = residence.wait_ms(all.running, all.light, engine.slots);
         CostEstimate {
-            first_ms: wait_ms + slot_wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
+            first_ms: wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
             extra_cost: prefill_ms * PREFILL_COST_WEIGHT,
             prefill_ms,
             has_room: all.running < engine.slots && tokens as f64 <= memory,
