tests: the memory of large unread events is read once the server can send no more

Cause: the test read it after a fixed pause. Change: it waits until the server has sent something and can send no more.

--- a/tests/slow_callers.rs
+++ b/tests/slow_callers.rs
@@ -2,6 +2,7 @@
 //! bounded, and others are served meanwhile.
 
 use std::{
+    cell::Cell,
     io::{Read as _, Write as _},
     net::TcpStream,
     sync::{
@@ -172,7 +173,7 @@
 #[test]
 fn large_events_of_unread_streams_do_not_fill_the_memory() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
-    let (server, _) = serve_stream(Duration::from_secs(20), LARGE_EVENT_BYTES)?;
+    let (server, sent) = serve_stream(Duration::from_secs(20), LARGE_EVENT_BYTES)?;
     rig.replace_servers("llm", server.address);
     rig.configure(2, |config| config["services"][0]["engine"]["slots"] = json!(400));
     let gateway = start_small(&rig)?;
@@ -180,9 +181,16 @@
     let open = |number| Request::new("POST", "/long/x", &format!("e{number}")).open(to);
     let _unread = (0..STREAMS).map(open).collect::<anyhow::Result<Vec<_>>>()?;
     wait_for("the streams to be open", || server.connections() >= STREAMS / 2)?;
-    thread::sleep(Duration::from_millis(1_500));
+    let before = Cell::new(0);
+    wait_for("the server to be able to send no more", || {
+        thread::sleep(Duration::from_millis(500));
+        let now = sent.bytes.load(Ordering::SeqCst);
+        now > 0 && before.replace(now) == now
+    })?;
+    let before = before.get();
     let peak = gateway.peak_resident_bytes()?;
-    assert!(peak < MAX_PEAK_BYTES, "{peak} bytes for {} streams", server.connections());
+    let streams = server.connections();
+    assert!(peak < MAX_PEAK_BYTES, "{peak} bytes for {streams} streams, {before} sent");
     Ok(())
 }
 
