overload: refusals of early returns hold back only the caller itself

Cause: a caller that returned before its time was refused with an accepted queue of zero, which less urgent requests then had to accept too for 0.5 s; it also kept the service marked as short of capacity. Return times were remembered without end, so that a later request with the same prompt counted as a return.

Change: such refusals are no sign of a shortage and do not enter the refusals by rank; a return time counts until 2 s after it. The new test fails on the code before (the less urgent request had to accept a queue of zero).

--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -33,6 +33,9 @@
 const MAX_YIELD: f64 = 0.8;
 /// A caller that returns by this much before the time that it was given still counts as waiting.
 const EARLY_TOLERANCE: Duration = Duration::from_millis(100);
+/// For this long after the time that it was given, a request with the same workspace and prompt counts
+/// as the return: callers wait for the time and come at once.
+const RETURN_GRACE: Duration = Duration::from_secs(2);
 /// The most return times that are remembered; beyond, those that are over are forgotten, then all.
 const MAX_RETURN_TIMES: usize = 20_000;
 /// The most return times in one announcement, the latest ones.
@@ -163,7 +166,7 @@
 
     /// Returns the longest queue that a request accepts.
     pub fn limit(&mut self, now: Instant, request: &Request) -> Limit {
-        let given = self.return_times.get(&request.digest()).copied();
+        let given = self.return_time(now, request);
         let due = given.map(|(due, _)| due).filter(|due| *due > now + EARLY_TOLERANCE);
         let mut limit = Limit { due, ..Limit::NONE };
         if self.shares.is_short(now, request.urgency) {
@@ -210,7 +213,8 @@
     ) {
         let Request { workspace, prompt, urgency, is_return, .. } = *request;
         // A caller that returned early has asked already.
-        let is_return = self.return_times.remove(&request.digest()).is_some() || is_return;
+        let is_return = self.return_time(now, request).is_some() || is_return;
+        self.return_times.remove(&request.digest());
         self.shares.record_accepted(now, workspace, prompt, placement.prefill_ms, is_return);
         let long = request.first_wait.mul_f64(IMMINENT_QUEUE_SHARE);
         // A single engine may have a long queue while others are idle.
@@ -234,8 +238,14 @@
     ) -> Offer {
         let Request { workspace, prompt, urgency, is_return, .. } = *request;
         let work_ms = self.shares.work_ms(prompt, None);
-        let is_return = is_return || self.return_times.contains_key(&request.digest());
+        let is_return = is_return || self.return_time(now, request).is_some();
         self.shares.record_refused(now, workspace, prompt, is_return);
+        if let Some(due) = limit.due {
+            // It says nothing of the capacity, and must not hold back less urgent requests.
+            let latest = wait_limit::return_range(Duration::ZERO, time_left, None).1;
+            let wait = due.saturating_duration_since(now).min(latest);
+            return Offer { wait, promised: false };
+        }
         // A long prompt may be refused by an idle engine, which is no lack of capacity.
         let own_wait = Duration::from_secs_f64(if prompt.is_some() { work_ms / 1e3 } else { 0.0 });
         let queue = expected.saturating_sub(own_wait);
@@ -244,11 +254,6 @@
             self.shares.mark_short(now, urgency);
         }
         self.refused.insert(urgency, (now, limit.max_queue.min(request.first_wait)));
-        if let Some(due) = limit.due {
-            let latest = wait_limit::return_range(Duration::ZERO, time_left, None).1;
-            let wait = due.saturating_duration_since(now).min(latest);
-            return Offer { wait, promised: false };
-        }
         let excess_wait = expected.saturating_sub(request.max_wait);
         let recognized = self.shares.is_short(now, urgency).then_some(timeout);
         let range = wait_limit::return_range(excess_wait, time_left, recognized);
@@ -291,9 +296,16 @@
         }
     }
 
+    /// Returns when the caller was asked to return and whether capacity is kept for it. Long after that
+    /// time, a request with the same prompt is a new one.
+    fn return_time(&self, now: Instant, request: &Request) -> Option<(Instant, bool)> {
+        let given = self.return_times.get(&request.digest()).copied();
+        given.filter(|(due, _)| now.saturating_duration_since(*due) < RETURN_GRACE)
+    }
+
     fn remember(&mut self, now: Instant, digest: u32, due: Instant, promised: bool) {
         if self.return_times.len() >= MAX_RETURN_TIMES {
-            self.return_times.retain(|_, (due, _)| *due > now);
+            self.return_times.retain(|_, (due, _)| *due + RETURN_GRACE > now);
         }
         if self.return_times.len() >= MAX_RETURN_TIMES {
             self.return_times.clear();
--- a/crates/policy/tests/overload/main.rs
+++ b/crates/policy/tests/overload/main.rs
@@ -7,7 +7,11 @@
 use play::{Caller, Play, Setup, Source, play};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use wasabi_core::call::Prompt;
-use wasabi_policy::{fair_share::View, return_times::Book};
+use wasabi_policy::{
+    fair_share::View,
+    overload::{Control, Request},
+    return_times::Book,
+};
 
 const SMALL: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
@@ -167,6 +171,34 @@
     }
 }
 
+/// Callers of a more urgent workspace that return again and again before their time must not keep less
+/// urgent requests from being served.
+#[test]
+fn early_returns_hold_back_only_themselves() {
+    let now = Instant::now();
+    let mut control = Control::new(now);
+    let prompt = Prompt { tokens: 2_500, output: 60, parts: Vec::new() };
+    let wait = Duration::from_millis(425);
+    let [urgent, other] = ["urgent", "other"].map(|name| name.parse().expect("a name"));
+    let request = |workspace, urgency| Request {
+        workspace: Some(workspace),
+        prompt: Some(&prompt),
+        urgency,
+        is_return: false,
+        first_wait: wait,
+        max_wait: wait,
+    };
+    let mut refuse = |now: Instant| {
+        let limit = control.limit(now, &request(&urgent, 3));
+        let times = (Duration::from_secs(9), Duration::from_secs(10));
+        control.refuse(now, &request(&urgent, 3), &limit, wait * 2, times, 0.5);
+        (limit.max_queue, control.limit(now, &request(&other, 6)).max_queue)
+    };
+    assert_eq!(refuse(now).0, Duration::MAX);
+    let early = now + Duration::from_millis(100);
+    assert_eq!(refuse(early), (Duration::ZERO, wait));
+}
+
 /// Half of the workspaces return 100 ms after each refusal, whatever they are asked. With the same
 /// preference for every return, they were on target three times as often as those that wait.
 #[test]
