slot_wait: requests that other hosts place unseen count in large fleets

Cause: in a burst at a large fleet engines run up to 30 requests more than a host knows of. Change: while announcements are old, the growth since is estimated from this host's own rate of placements, the number of hosts and the time that requests occupy a slot.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -27,7 +27,7 @@
     pace::Fleet,
     reservation,
     server_state::{CostEstimate, Counts, ServerState, URGENCY_LEVELS, is_light},
-    slot_wait::Residence,
+    slot_wait::{ByKind, Flow, Residence},
     stuck::{self, AverageResponseTime},
 };
 
@@ -84,6 +84,8 @@
     response_time: AverageResponseTime,
     /// How long requests occupy the slots of engines.
     residence: Residence,
+    /// The placements of this host on engines.
+    flow: Flow,
     servers: BTreeMap<ServerId, ServerState>,
     /// Whether the servers fall over if they turn away too many requests.
     brittleness: Brittleness,
@@ -112,6 +114,7 @@
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
             residence: Residence::default(),
+            flow: Flow::default(),
             servers: BTreeMap::new(),
             brittleness: Brittleness::default(),
             hosts: 1,
@@ -231,6 +234,7 @@
             None => BTreeSet::new(),
         };
         let affinity = self.affinity_server(now, ask, &reserved);
+        let unseen = self.unseen_requests(now, reserved.len());
         let stale = self.stale_announcements;
         let latency_ratio = if self.stale_announcements { self.latency_ratio(now) } else { 1.0 };
         let distance_ms = if self.stale_announcements {
@@ -248,7 +252,11 @@
                     let slots = self.brittleness.room(engine.slots, engine.slots);
                     let engine = Engine { slots, ..engine };
                     let assume_cached = stale && affinity.as_ref() == Some(id);
-                    server.engine_cost(now, ask, &engine, self.residence, assume_cached)
+                    let unseen = match reserved.contains(id) {
+                        true => ByKind { heavy: 0.0, ..unseen },
+                        false => ByKind { light: 0.0, ..unseen },
+                    };
+                    server.engine_cost(now, ask, &engine, &self.residence, unseen, assume_cached)
                 }
                 None => server.plain_server_cost(self.brittleness, self.hosts),
             };
@@ -288,6 +296,9 @@
             let first_back = ready.map(|server| server.wait(now)).min();
             return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
+        if self.engine.is_some() {
+            self.flow.record(now, estimate.light);
+        }
         let server = self.servers.get_mut(&id).expect("the server was just found");
         Ok(server.assign(now, ask, estimate))
     }
@@ -524,6 +535,23 @@
         }
     }
 
+    /// Returns how many requests more than are known run on each engine: light ones on the `reserved`
+    /// engines, others on the rest. While announcements are young it is none.
+    fn unseen_requests(&self, now: Instant, reserved: usize) -> ByKind {
+        if !self.stale_announcements || self.engine.is_none() {
+            return ByKind::default();
+        }
+        let ready = self.servers.values().filter(|server| server.is_ready());
+        let (running, engines) = ready.fold((ByKind::default(), 0), |(mut sum, n), server| {
+            let all = server.total_counts();
+            sum.light += f64::from(all.light);
+            sum.heavy += f64::from(all.running.saturating_sub(all.light));
+            (sum, n + 1)
+        });
+        let engines = ByKind { light: reserved as f64, heavy: engines as f64 - reserved as f64 };
+        self.flow.unseen(now, self.hosts, &self.residence, running, engines)
+    }
+
     /// Returns the engines that are reserved for light requests.
     fn reserved(&self, slots: u32) -> BTreeSet<&ServerId> {
         let ready = self.servers.iter().filter(|(_, server)| server.is_ready());
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -17,7 +17,7 @@
     placement::{Placement, PlacementRequest},
     prefix_cache::Cache,
     reservation,
-    slot_wait::Residence,
+    slot_wait::{ByKind, Residence},
 };
 
 /// Prompt tokens that an engine reads in a millisecond at slowness 1; from the engine's data sheet.
@@ -140,13 +140,14 @@
     }
 
     /// Estimates the cost on an engine; `assume_cached` takes the shared parts of the prompt to be
-    /// in its cache, whatever `cache` holds.
+    /// in its cache, whatever `cache` holds. `unseen` are requests that run there beside the known ones.
     pub(crate) fn engine_cost(
         &self,
         now: Instant,
         ask: &PlacementRequest,
         engine: &Engine,
-        residence: Residence,
+        residence: &Residence,
+        unseen: ByKind,
         assume_cached: bool,
     ) -> CostEstimate {
         let all = self.total_counts();
@@ -170,7 +171,11 @@
         let light = is_light(prompt_tokens);
         let tokens = all.tokens + prompt_tokens as u64 + output;
         let memory = engine.memory.0 as f64 * USABLE_MEMORY_SHARE;
-        let slot_wait_ms = residence.wait_ms(all.running, all.light, engine.slots);
+        let running = ByKind {
+            light: f64::from(all.light) + unseen.light,
+            heavy: f64::from(all.running.saturating_sub(all.light)) + unseen.heavy,
+        };
+        let slot_wait_ms = residence.wait_ms(running, engine.slots);
         CostEstimate {
             first_ms: wait_ms + slot_wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
             extra_cost: prefill_ms * PREFILL_COST_WEIGHT,
