policy: engines' step and prefill time are learned, each by itself

Cause: the balancer held the figures of one kind of engine and one factor that conflated queueing with speed, while known engines differ by more than a factor of two.

Change: policy::engine_speed learns a step time line for the service and a factor on step time and on prefill for each engine, from gaps between stream events and from first events, as quantiles of a window that is forgotten after 15 s; all bounded by a factor of 4. Starting values are the former constants. The fourth value of Server-Load scales a server's expectations for 500 ms. The gateway hands over gaps in batches of four; `placed`, /dump and two gauges show the factors. What the balancer learns from responses moved to balancer/observations.rs.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -132,6 +132,9 @@
         pub waiting: u32,
         /// How many requests the server runs concurrently.
         pub slots: u32,
+        /// How long work takes on the machine at present, in percent of the usual time, if stated.
+        #[serde(default)]
+        pub work_percent: Option<u32>,
     }
 }
 
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -12,8 +12,9 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
-use wasabi_core::format;
+use wasabi_core::{format, units::ServerId};
 use wasabi_platform::{http, names};
+use wasabi_policy::engine_speed::Speed;
 
 use crate::{
     receive::{
@@ -25,6 +26,8 @@
     state::State,
 };
 
+/// A server's id and what `Balancer::view` says of it.
+type ViewRow = (ServerId, u32, u64, f64, f64);
 type HttpResponse = Response<ResponseBody>;
 
 /// Who may reach a port, which decides what it serves.
@@ -143,8 +146,15 @@
         let service = service.to_string();
         metrics::gauge!("wasabi_places_taken", "service" => service.clone()).set(f64::from(taken));
         metrics::gauge!("wasabi_places", "service" => service.clone()).set(f64::from(all));
-        metrics::gauge!("wasabi_prefill_duty", "service" => service)
+        metrics::gauge!("wasabi_prefill_duty", "service" => service.clone())
             .set(balancer.prefill_share(now));
+        let speeds = balancer.speeds(now);
+        if let Some(slowest) = speeds.iter().map(|(_, speed)| speed.step).reduce(f64::max) {
+            let idle_step_s = balancer.step_time().ms(0.0) / 1e3;
+            metrics::gauge!("wasabi_idle_step_seconds", "service" => service.clone())
+                .set(idle_step_s);
+            metrics::gauge!("wasabi_slowest_engine_factor", "service" => service).set(slowest);
+        }
     }
 }
 
@@ -155,13 +165,16 @@
         json!({"version": catalog.version, "proof_age_ms": age.as_millis() as u64,
             "routes": catalog.routes.len(), "keys": catalog.keys.len()})
     });
-    let server = |(id, running, tokens, queue_ms, trouble): (_, u32, u64, f64, f64)| {
+    let server = |(row, (_, speed)): (ViewRow, (ServerId, Speed))| {
+        let (id, running, tokens, queue_ms, trouble) = row;
         json!({"server": id, "running": running, "tokens": tokens, "queue_ms": queue_ms,
-            "trouble": trouble})
+            "trouble": trouble, "step_factor": speed.step, "prefill_factor": speed.prefill})
     };
     let balancers = state.balancers.borrow();
     let services = balancers.iter().map(|(name, balancer)| {
-        let servers: Vec<Value> = balancer.view(now).into_iter().map(server).collect();
+        // Both are in the order of the servers' ids.
+        let servers = balancer.view(now).into_iter().zip(balancer.speeds(now));
+        let servers: Vec<Value> = servers.map(server).collect();
         (name.to_string(), json!(servers))
     });
     let services: serde_json::Map<String, Value> = services.collect();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,6 +5,7 @@
 pub mod closed_end;
 pub mod connection_pool;
 pub mod continuation;
+pub mod event_gaps;
 pub mod events;
 pub mod handover;
 pub mod history;
--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -129,6 +129,7 @@
                 sent = history.placements,
                 expected_ms = placement.expected_wait.as_millis() as u64,
                 work_ms = placement.prefill_ms as u64,
+                step_factor = placement.speed.step, prefill_factor = placement.speed.prefill,
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
                 version = admission.catalog.version.0, limit = limit,
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -43,6 +43,7 @@
         cause, closed_end,
         connection_pool::{Identity, Opened, PooledConnection},
         continuation,
+        event_gaps::EventGaps,
         events::Sequence,
         history::SendHistory,
         identity, link_watch, placement, sending,
@@ -84,8 +85,7 @@
     events: Sequence,
     /// Whether any event has been received.
     first_event_seen: bool,
-    /// When the last events were received.
-    last_event_at: Option<Instant>,
+    gaps: EventGaps,
     /// How the end of the current server's part is marked.
     framing: Framing,
     /// Bytes received of the current server's part.
@@ -130,7 +130,7 @@
             producer,
             events,
             first_event_seen: false,
-            last_event_at: None,
+            gaps: EventGaps::default(),
             framing: Framing::default(),
             received_bytes: 0,
             part_began_at: None,
@@ -227,6 +227,7 @@
         (self.part_began_at, self.part_is_sound) = (None, false);
         self.part_opened = Some(connection.opened);
         self.events.start_part();
+        self.gaps.start_part();
         let (now, deadline) = (self.state.now(), self.inbound.deadline);
         let mut watch = stuck::Watch::new(now, deadline, guard.time_until_stuck());
         loop {
@@ -366,23 +367,14 @@
         }
     }
 
-    /// Records the time between the events just received and those before.
-    fn record_event_gap(&mut self) {
-        let now = self.state.now();
-        if let Some(last) = self.last_event_at.replace(now) {
-            let gap = now.saturating_duration_since(last);
-            let rank = self.inbound.admission.rank.to_string();
-            metrics::histogram!("wasabi_gateway_event_gap_seconds", "rank" => rank)
-                .record(gap.as_secs_f64());
-        }
-    }
-
     /// Passes events on to the caller; returns whether it is still connected.
     async fn pass_on(&mut self, guard: &PlacementGuard, events: Bytes) -> bool {
         self.record_first_event(guard);
-        self.record_event_gap();
+        self.gaps.record(self.state.now(), self.events.count(), &self.inbound, guard);
         self.record_sound_part();
-        self.producer.send(events, Tokens(0)).await
+        let is_connected = self.producer.send(events, Tokens(0)).await;
+        self.gaps.record_sent(self.state.now());
+        is_connected
     }
 
     /// Resumes the stream at another server after the last event that was forwarded, first at
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -12,7 +12,6 @@
 };
 
 use wasabi_core::{
-    call::Load,
     catalog::Engine,
     digest::digest,
     member::Member,
@@ -22,6 +21,7 @@
 pub use crate::placement::{End, Placement, PlacementRequest, Refusal};
 use crate::{
     brittle::Brittleness,
+    engine_speed::{ServiceSpeed, Speed, StepTime},
     failures::FailureHistory,
     load_report::LoadReport,
     pace::Fleet,
@@ -30,14 +30,8 @@
     stuck::{self, AverageResponseTime},
 };
 
-/// The learned slowness of a server stays between this factor and its inverse.
-const MAX_SLOWNESS: f64 = 4.0;
-/// Weight of a new observation in the learned slowness.
-const SLOWNESS_GAIN: f64 = 0.1;
-/// The part of a first event's lateness that is added to the modelled prefill queue.
-const DELAY_CORRECTION_SHARE: f64 = 0.5;
-/// The most that one late first event adds to the modelled prefill queue, in milliseconds.
-const MAX_DELAY_CORRECTION_MS: f64 = 200.0;
+mod observations;
+
 /// Cost in milliseconds of a server with an avoidance of 1 (see `FailureHistory::avoidance`);
 /// smaller values cost in proportion.
 const MAX_FAILURE_PENALTY_MS: f64 = 2_000.0;
@@ -55,15 +49,6 @@
 const STALE_ANNOUNCEMENTS_MIN_HOSTS: usize = 30;
 /// Replaces `CROSS_DOMAIN_PENALTY_MS` while announcements are that old.
 const STALE_CROSS_DOMAIN_PENALTY_MS: f64 = 40.0;
-/// Weight of one first event in the latency ratio.
-const LATENCY_RATIO_GAIN: f64 = 0.12;
-/// Without first events, the excess of the latency ratio over 1 halves in this time. The ratio
-/// scales the time-outs of stuck requests and, while announcements are stale, the expected waits at
-/// placement. A service that refuses everything because of a high ratio thus accepts requests
-/// again.
-const LATENCY_RATIO_HALF_LIFE: Duration = Duration::from_millis(1_500);
-/// The upper bound of the latency ratio.
-const MAX_LATENCY_RATIO: f64 = 8.0;
 /// The counts that a peer announced are dropped after this time without an announcement from it.
 const PEER_COUNTS_TTL: Duration = Duration::from_millis(2_500);
 
@@ -81,6 +66,8 @@
     latency_ratio: (f64, Option<Instant>),
     /// The average response time of plain servers.
     response_time: AverageResponseTime,
+    /// What the engines have shown in common.
+    engine_speed: ServiceSpeed,
     servers: BTreeMap<ServerId, ServerState>,
     /// Whether the servers fall over if they turn away too many requests.
     brittleness: Brittleness,
@@ -108,6 +95,7 @@
             stale_announcements: false,
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
+            engine_speed: ServiceSpeed::default(),
             servers: BTreeMap::new(),
             brittleness: Brittleness::default(),
             hosts: 1,
@@ -130,7 +118,7 @@
                 Some(server) => server.member = member.clone(),
                 None => {
                     let memory = engine.map_or(0, |engine| engine.memory.0);
-                    let server = ServerState::new(now, member.clone(), memory);
+                    let server = ServerState::new(now, member.clone(), memory, &self.engine_speed);
                     self.servers.insert(member.id.clone(), server);
                     fresh.insert(&member.id);
                 }
@@ -202,6 +190,7 @@
     /// check.
     pub fn place(&mut self, now: Instant, ask: &PlacementRequest) -> Result<Placement, Refusal> {
         self.expire_peers(now);
+        self.refresh_speeds(now);
         let mut best: Option<(f64, CostEstimate, &ServerId)> = None;
         let mut least_ms = f64::INFINITY;
         let has_alternative = self
@@ -230,7 +219,8 @@
                 Some(engine) => {
                     let slots = self.brittleness.room(engine.slots, engine.slots);
                     let engine = Engine { slots, ..engine };
-                    server.engine_cost(now, ask, &engine, stale && affinity.as_ref() == Some(id))
+                    let assume_cached = stale && affinity.as_ref() == Some(id);
+                    server.engine_cost(now, ask, &engine, &self.engine_speed, assume_cached)
                 }
                 None => server.plain_server_cost(self.brittleness, self.hosts),
             };
@@ -294,51 +284,6 @@
         self.servers.values_mut().for_each(|server| server.failures = FailureHistory::default());
     }
 
-    /// Records that a request is stuck, which counts as a failure of its server.
-    pub fn record_stuck(&mut self, now: Instant, place: &Placement) {
-        if let Some(server) = self.server_of(place) {
-            server.failures.record_failure(now);
-        }
-    }
-
-    /// Records the arrival of the first event, or of the whole response of a plain server, as a
-    /// success of the server.
-    ///
-    /// The ratio of observed to expected time enters the latency ratio, also for plain servers,
-    /// whose expected time is zero. For engines, the difference also corrects the modelled prefill
-    /// queue and the slowness; for plain servers, the time taken enters the average response time.
-    pub fn record_first_output(&mut self, now: Instant, place: &Placement) {
-        let plain = self.engine.is_none();
-        let took = now.saturating_duration_since(place.since);
-        if plain {
-            self.response_time.observe(took);
-        }
-        let took = took.as_secs_f64();
-        let observed_ratio =
-            (took / place.expected_wait.as_secs_f64().max(1e-3)).clamp(1.0, MAX_LATENCY_RATIO);
-        let latency_ratio = self.latency_ratio(now);
-        self.latency_ratio =
-            (latency_ratio + LATENCY_RATIO_GAIN * (observed_ratio - latency_ratio), Some(now));
-        let Some(server) = self.server_of(place) else { return };
-        server.failures.record_success();
-        if plain {
-            return;
-        }
-        let observed = now.saturating_duration_since(place.since).as_secs_f64() * 1e3;
-        let expected = place.expected_wait.as_secs_f64() * 1e3;
-        let late_ms = observed - expected;
-        if late_ms > 0.0 {
-            server.extend_queue(
-                now,
-                place.urgency,
-                (late_ms * DELAY_CORRECTION_SHARE).min(MAX_DELAY_CORRECTION_MS),
-            );
-        }
-        let slowdown = (observed / expected.max(1.0)).clamp(0.5, 2.0);
-        server.slowness = (server.slowness * (1.0 + SLOWNESS_GAIN * (slowdown - 1.0)))
-            .clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
-    }
-
     /// Releases a slot and records how the request ended.
     pub fn end(&mut self, now: Instant, place: &Placement, end: End) {
         let rest = self.brittleness.rest(self.hosts);
@@ -359,22 +304,6 @@
         }
     }
 
-    /// Takes in the load that the placement's server reported: if requests wait there, the modelled
-    /// prefill queue is lengthened.
-    pub fn observe(&mut self, now: Instant, place: &Placement, load: Load) {
-        let rest = self.brittleness.rest_at(load);
-        let Some(server) = self.server_of(place) else { return };
-        // Waiting requests mean that the modelled queue is too short: it is made at least as long
-        // as the prefill of this request.
-        let known = server.queue_ms(now, URGENCY_LEVELS - 1);
-        if let Some(rest) = rest {
-            server.pause.begin(now, rest, 0.0);
-        }
-        if load.waiting > 0 && known < place.prefill_ms {
-            server.extend_queue(now, place.urgency, place.prefill_ms - known);
-        }
-    }
-
     /// Returns this host's announcement to its peers. The placements that it lists are those since
     /// the last call.
     pub fn announce(&mut self) -> Vec<(ServerId, LoadReport)> {
@@ -432,6 +361,16 @@
         self.servers.iter().map(view_row).collect()
     }
 
+    /// Returns for each engine the factors on the typical times that hold now.
+    pub fn speeds(&self, now: Instant) -> Vec<(ServerId, Speed)> {
+        self.servers.iter().map(|(id, server)| (id.clone(), server.speed.speed(now))).collect()
+    }
+
+    /// Returns the learned step time of the service's engines.
+    pub fn step_time(&self) -> StepTime {
+        self.engine_speed.step
+    }
+
     /// Returns the mean share of time that engines spend on prefill; above 1 if work piles up.
     pub fn prefill_share(&self, now: Instant) -> f64 {
         let ready = self.servers.values().filter(|server| server.is_ready());
@@ -439,15 +378,6 @@
         if count == 0 { 0.0 } else { sum / f64::from(count) }
     }
 
-    /// Returns the ratio of observed to expected time of first events, at least 1; it decays
-    /// towards 1 without first events.
-    fn latency_ratio(&self, now: Instant) -> f64 {
-        let (latency_ratio, at) = self.latency_ratio;
-        let age = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        1.0 + (latency_ratio - 1.0)
-            * 0.5_f64.powf(age.as_secs_f64() / LATENCY_RATIO_HALF_LIFE.as_secs_f64())
-    }
-
     /// Returns the affinity server of the request's session, which is the last shared part of its
     /// prompt: the server that should hold the prefix up to there, by rendezvous hashing.
     ///
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,7 @@
 //! Two independent parts choose servers: [`scheduler`] queues the tickets of pools and grants them
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
-//! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
+//! [`engine_speed`], [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
 //! repeated sends; [`quarantine`] finds requests that crash servers.
 #![forbid(unsafe_code)]
@@ -11,6 +11,7 @@
 pub mod balancer;
 mod brittle;
 pub mod capacity;
+pub mod engine_speed;
 pub mod facts;
 pub mod failures;
 pub mod limits;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -8,6 +8,8 @@
     units::{Build, ServerId},
 };
 
+use crate::engine_speed::Speed;
+
 /// A request to be placed.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest<'a> {
@@ -46,6 +48,8 @@
     pub expected_wait: Duration,
     /// The expected prefill time in milliseconds.
     pub prefill_ms: f64,
+    /// The factors of the engine that the expectations are based on.
+    pub speed: Speed,
     /// The priority for the engine: 0 is the most urgent, 9 the least.
     pub urgency: u8,
     /// Whether its prompt is short, see `server_state::MAX_LIGHT_PREFILL_MS`.
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -10,6 +10,9 @@
 
 use crate::{
     brittle::Brittleness,
+    engine_speed::{
+        self, EngineSpeed, PREFILL_CHUNK_TOKENS, PREFILL_TOKENS_PER_MS, ServiceSpeed, Speed,
+    },
     failures::FailureHistory,
     load_report::LoadReport,
     pace::Pace,
@@ -19,19 +22,9 @@
     reservation,
 };
 
-/// Prompt tokens that an engine reads in a millisecond at slowness 1; from the engine's data sheet.
-const PREFILL_TOKENS_PER_MS: f64 = 56.9;
-/// Prompt tokens that an engine reads in one step (a prefill chunk); from the engine's data sheet.
-const PREFILL_CHUNK_TOKENS: f64 = 2048.0;
-/// The time of a step without running requests, in milliseconds; from the engine's data sheet.
-const STEP_MS: f64 = 3.09;
-/// What each running request adds to a step, in milliseconds; from the engine's data sheet.
-const STEP_MS_PER_RUNNING: f64 = 0.102;
-/// Attention time in milliseconds per million pairs of tokens; from the engine's data sheet.
-const ATTENTION_MS_PER_MILLION_PAIRS: f64 = 0.165;
 /// The time from sending a request to its first event on an idle engine, without prefill, in
 /// milliseconds: 13 ms in the engine, the rest for the network both ways.
-const FIRST_EVENT_OVERHEAD_MS: f64 = 18.0;
+pub(crate) const FIRST_EVENT_OVERHEAD_MS: f64 = 18.0;
 /// Time constant of the moving average of the share of time that an engine spends on prefill.
 const PREFILL_SHARE_WINDOW: Duration = Duration::from_millis(1_000);
 /// A request is light if its whole prompt, cached parts included, takes less than this at
@@ -63,8 +56,7 @@
     /// Its sort key among the engines that may be reserved for light requests, see
     /// `reservation::reservation_order`.
     pub(crate) reservation_order: u64,
-    /// How many times longer than by the data sheet it takes to read prompts.
-    pub(crate) slowness: f64,
+    pub(crate) speed: EngineSpeed,
     /// By urgency: when the modelled prefill queue has no work left that goes before such a
     /// request. Never later for a more urgent level than for a less urgent one.
     prefill_done_at: [Instant; URGENCY_LEVELS],
@@ -100,16 +92,18 @@
     pub(crate) extra_cost: f64,
     /// Prefill time; 0 for plain servers.
     pub(crate) prefill_ms: f64,
+    /// The factors that the estimate is based on.
+    pub(crate) speed: Speed,
     pub(crate) has_room: bool,
     pub(crate) light: bool,
 }
 
 impl ServerState {
-    pub(crate) fn new(now: Instant, member: Member, memory: u64) -> Self {
+    pub(crate) fn new(now: Instant, member: Member, memory: u64, service: &ServiceSpeed) -> Self {
         Self {
             reservation_order: reservation::reservation_order(&member.id),
             member,
-            slowness: 1.0,
+            speed: EngineSpeed::new(service),
             prefill_done_at: [now; URGENCY_LEVELS],
             recent_prefill_ms: 0.0,
             prefill_updated_at: now,
@@ -145,8 +139,10 @@
         now: Instant,
         ask: &PlacementRequest,
         engine: &Engine,
+        service: &ServiceSpeed,
         assume_cached: bool,
     ) -> CostEstimate {
+        let speed = self.speed.speed(now);
         let all = self.total_counts();
         let (prompt_tokens, output) =
             ask.prompt.map_or((0.0, 0), |p| (f64::from(p.tokens), u64::from(p.output)));
@@ -156,12 +152,9 @@
                 _ => self.cache.cached_tokens(prompt),
             });
         let uncached = (prompt_tokens - f64::from(cached)).max(1.0);
-        let pairs = uncached * (f64::from(cached) + uncached / 2.0) / 1e6;
-        let step_ms = STEP_MS + STEP_MS_PER_RUNNING * f64::from(all.running);
-        let prefill_ms = (uncached / PREFILL_TOKENS_PER_MS
-            + (uncached / PREFILL_CHUNK_TOKENS).ceil() * step_ms
-            + pairs * ATTENTION_MS_PER_MILLION_PAIRS)
-            * self.slowness;
+        let step_ms = service.step.ms(f64::from(all.running)) * speed.step;
+        let prefill_ms = engine_speed::reading_ms(f64::from(cached), uncached) * speed.prefill
+            + (uncached / PREFILL_CHUNK_TOKENS).ceil() * step_ms;
         let queued_ms = self.queue_ms(now, usize::from(ask.urgency));
         let wait_ms =
             queued_ms.max(self.queue_ms(now, URGENCY_LEVELS - 1).min(MAX_PREFILL_IN_PROGRESS_MS));
@@ -172,6 +165,7 @@
             first_ms: wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
             extra_cost: prefill_ms * PREFILL_COST_WEIGHT,
             prefill_ms,
+            speed,
             has_room: all.running < engine.slots && tokens as f64 <= memory,
             light,
         }
@@ -187,6 +181,7 @@
             first_ms: 0.0,
             extra_cost: f64::from(running) / f64::from(slots) * 100.0,
             prefill_ms: 0.0,
+            speed: Speed::TYPICAL,
             has_room: running < brittleness.room(slots, slots * (1 + WAITING_PER_SLOT))
                 && brittleness.own_room(slots, hosts).is_none_or(|own| self.own.running < own),
             light: false,
@@ -220,6 +215,7 @@
             since: now,
             expected_wait: Duration::from_secs_f64(estimate.first_ms / 1e3),
             prefill_ms: estimate.prefill_ms,
+            speed: estimate.speed,
             urgency: ask.urgency,
             light: estimate.light,
             tokens,
@@ -248,6 +244,11 @@
         done_at.saturating_duration_since(now).as_secs_f64() * 1e3
     }
 
+    /// Returns whether the modelled prefill queue had been read by `at`, and nothing was placed since.
+    pub(crate) fn had_empty_queue(&self, at: Instant) -> bool {
+        self.prefill_done_at[URGENCY_LEVELS - 1] <= at
+    }
+
     /// Returns the recent share of time spent on prefill; above 1 if work piles up.
     pub(crate) fn prefill_share(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.prefill_updated_at).as_secs_f64();
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -283,7 +283,7 @@
     balancer.set_servers(now, Some(ENGINE), &[Member { born_ms: 2, ..member("s0") }]);
     assert_eq!(balancer.occupancy().0, 0);
     balancer.end(now, &place, End::Failed);
-    balancer.observe(now, &place, Load { running: 9, waiting: 9, slots: 6 });
+    balancer.observe(now, &place, Load { running: 9, waiting: 9, slots: 6, work_percent: None });
     assert_eq!(balancer.occupancy().0, 0);
     let cold = balancer.place(now, &request(&long(7, 2), 500, 3)).expect("a place");
     assert!(cold.prefill_ms > 150.0, "its cache is empty: {}", cold.prefill_ms);
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -13,6 +13,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement, PlacementRequest, Refusal},
+    engine_speed::EventGap,
     load_report::{LoadReport, PendingReport},
     reservation, wait_limit,
 };
@@ -42,6 +43,9 @@
     ) -> Verdict;
     /// Called when the first event of a request has reached its caller.
     fn first_event(&mut self, now: f64, number: usize, request: &Request);
+    /// Called with the time between two events of a request once another one has followed, so that the
+    /// last event, which may have fewer tokens, is left out; so is the first one.
+    fn event_gap(&mut self, now: f64, number: usize, request: &Request, gap_ms: f64);
     /// Called when a request has ended; `whole` tells whether its answer was complete.
     fn ended(&mut self, now: f64, number: usize, request: &Request, whole: bool);
     /// Called at a fixed interval; hosts may exchange announcements.
@@ -104,6 +108,8 @@
 
     fn first_event(&mut self, _: f64, _: usize, _: &Request) {}
 
+    fn event_gap(&mut self, _: f64, _: usize, _: &Request, _: f64) {}
+
     fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
         self.running.end(number);
     }
@@ -193,6 +199,8 @@
 
     fn first_event(&mut self, _: f64, _: usize, _: &Request) {}
 
+    fn event_gap(&mut self, _: f64, _: usize, _: &Request, _: f64) {}
+
     fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
         self.short_streams.end(number);
     }
@@ -365,6 +373,13 @@
         }
     }
 
+    fn event_gap(&mut self, now: f64, number: usize, request: &Request, gap_ms: f64) {
+        let (from, to) = (self.instant_at(now - gap_ms), self.instant_at(now));
+        if let Some((place, _)) = &self.placements[number] {
+            self.balancers[request.host].record_gaps(to, place, &[EventGap { from, to }]);
+        }
+    }
+
     fn ended(&mut self, now: f64, number: usize, request: &Request, whole: bool) {
         let instant = self.instant_at(now);
         if let Some((place, _)) = self.placements[number].take() {
--- a/examples/load/decide/scenario.rs
+++ b/examples/load/decide/scenario.rs
@@ -175,10 +175,38 @@
             ..large
         }),
         "stylists" => Some(stylists(large)),
+        "sixteen-slots" => Some(sixteen_slots(large)),
+        "uneven" => Some(Scenario {
+            name: "uneven",
+            engine_parameters: Parameters {
+                slots: 32,
+                tokens_per_ms: 36.1,
+                step_ms: 3.79,
+                step_ms_per_running: 0.16,
+                ..ENGINE_PARAMETERS
+            },
+            slowness: &[0.55, 0.9, 1.0, 1.2, 0.7],
+            ..sixteen_slots(large)
+        }),
         _ => None,
     }
 }
 
+/// Engines of 16 slots, and streams that tolerate a gap of 250 ms at 7 tokens an event.
+fn sixteen_slots(base: Scenario) -> Scenario {
+    let short = Class { max_gap_ms: 250.0, distinct_parts: [40, 190], ..SHORT_PROMPTS };
+    let long =
+        Class { target_ms: 500.0, max_gap_ms: 400.0, distinct_parts: [4, 625], ..LONG_PROMPTS };
+    Scenario {
+        name: "sixteen-slots",
+        hosts: 14,
+        engines_per_domain: 12,
+        engine_parameters: Parameters { slots: 16, ..ENGINE_PARAMETERS },
+        classes: vec![Class { rate: 95.0, ..long }, Class { rate: 80.0, ..short }],
+        ..base
+    }
+}
+
 /// Briefs whose first part alone is shared, by callers of all domains, beside reviews and chat.
 fn stylists(base: Scenario) -> Scenario {
     Scenario {
--- a/examples/load/decide/simulation.rs
+++ b/examples/load/decide/simulation.rs
@@ -30,6 +30,10 @@
     pub refusals: u8,
     /// When the last event reached the caller, since the start of the simulation.
     last_ms: f64,
+    /// How many events have reached the caller.
+    events: u32,
+    /// The time between the last two events.
+    last_gap_ms: f64,
     /// Whether the answer is complete, the caller has given up, or the request was refused finally.
     ended: bool,
 }
@@ -200,9 +204,17 @@
                 outcome.first_event_ms = Some(now - request.at_ms);
                 policy.first_event(now, number, request);
             }
-            Some(_) => outcome.longest_gap_ms = outcome.longest_gap_ms.max(now - outcome.last_ms),
+            Some(_) => {
+                let gap_ms = now - outcome.last_ms;
+                outcome.longest_gap_ms = outcome.longest_gap_ms.max(gap_ms);
+                if outcome.events >= 3 {
+                    policy.event_gap(outcome.last_ms, number, request, outcome.last_gap_ms);
+                }
+                outcome.last_gap_ms = gap_ms;
+            }
         }
         outcome.last_ms = now;
+        outcome.events += 1;
     }
 
     fn end(&mut self, now: f64, number: usize, complete: bool, policy: &mut dyn Policy) {
