--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -138,6 +138,7 @@
                 sent = history.placements,
                 expected_ms = placement.expected_wait.as_millis() as u64,
                 work_ms = placement.prefill_ms as u64,
+                step_factor = placement.speed.step, prefill_factor = placement.speed.prefill,
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
                 max_queue_ms = overload::max_queue_ms(&queue_limit), excess = queue_limit.excess,
--- a/crates/gateway/src/send/stream.rs
+++ b/crates/gateway/src/send/stream.rs
@@ -43,6 +43,7 @@
         cause, closed_end,
         connection_pool::{Identity, Opened, PooledConnection},
         continuation,
+        event_gaps::EventGaps,
         events::Sequence,
         history::SendHistory,
         identity, link_watch, placement, sending,
@@ -85,14 +86,13 @@
     events: Sequence,
     /// Whether any event has been received.
     first_event_seen: bool,
-    /// When the last events were received.
-    last_event_at: Option<Instant>,
     /// The memory of events that are received or queued and not taken by the caller.
     reservation: Reservation,
     /// The size of the events that were queued last.
     queued_bytes: usize,
     /// Whether the caller did not read for [`queue::UNREAD_TIME`] during the current server's part.
     part_is_unread: bool,
+    gaps: EventGaps,
     /// How the end of the current server's part is marked.
     framing: Framing,
     /// Bytes received of the current server's part.
@@ -140,7 +140,7 @@
             producer,
             events,
             first_event_seen: false,
-            last_event_at: None,
+            gaps: EventGaps::default(),
             framing: Framing::default(),
             received_bytes: 0,
             part_began_at: None,
@@ -241,6 +241,7 @@
         (self.part_began_at, self.part_is_sound, self.part_is_unread) = (None, false, false);
         self.part_opened = Some(connection.opened);
         self.events.start_part();
+        self.gaps.start_part();
         let (now, deadline) = (self.state.now(), self.inbound.deadline);
         let mut watch = stuck::Watch::new(now, deadline, guard.time_until_stuck());
         loop {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,8 @@
 //! Two independent parts choose servers: [`scheduler`] queues the tickets of pools and grants them
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
-//! [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
+//! [`engine_speed`], `slot_wait`, [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`],
+//! [`stuck`] and [`wait_limit`].
 //! [`overload`] decides who is refused first when a service is short of capacity, by [`fair_share`], and when
 //! callers return, by [`return_times`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
@@ -14,6 +15,7 @@
 pub mod balancer;
 mod brittle;
 pub mod capacity;
+pub mod engine_speed;
 pub mod facts;
 pub mod failures;
 pub mod fair_share;
