policy: placement looks at the gaps between events, and reserves by step time

Cause: a request was placed by its expected first event alone, so streams were late by their gaps, above all on engines of 16 slots, of which 0.3 were filled with light streams before another engine was reserved.

Change: the cost estimate has the expected gap (steps, and the prompts read between them). A server whose gap would exceed the route's target_gap costs up to 1,000 ms, and a long prompt up to 100 ms for each light stream that it would make late there. `placed` has the expected gap.

--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -86,6 +86,7 @@
     let placement_request = PlacementRequest {
         prompt: inbound.head.prompt.as_ref(),
         max_wait,
+        target_gap: admission.route.target_gap,
         urgency: admission.urgency,
         build: history.build.as_ref(),
         excluded: &excluded,
@@ -129,6 +130,7 @@
                 sent = history.placements,
                 expected_ms = placement.expected_wait.as_millis() as u64,
                 work_ms = placement.prefill_ms as u64,
+                expected_gap_ms = placement.expected_gap.as_millis() as u64,
                 step_factor = placement.speed.step, prefill_factor = placement.speed.prefill,
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -183,7 +183,7 @@
     }
 
     /// Places the request on the server with the least cost: the expected wait, the estimate's
-    /// `extra_cost`, and the penalties for failures, distance, affinity and reservation.
+    /// `extra_cost` and `gap_cost`, and the penalties for failures, distance, affinity and reservation.
     ///
     /// Only servers with room that have not refused it and are expected to serve it within its max wait are considered;
     /// while announcements are stale, the expected wait is multiplied by the latency ratio for this
@@ -237,6 +237,7 @@
                 if estimate.light != reserved.contains(id) { RESERVATION_PENALTY_MS } else { 0.0 };
             let cost = estimate.first_ms
                 + estimate.extra_cost
+                + estimate.gap_cost
                 + failure_penalty_ms
                 + distance_penalty_ms
                 + affinity_penalty_ms
@@ -260,6 +261,9 @@
             return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
         let server = self.servers.get_mut(&id).expect("the server was just found");
+        if let (true, Some(target)) = (estimate.light, ask.target_gap) {
+            self.engine_speed.record_stream(now, target);
+        }
         Ok(server.assign(now, ask, estimate))
     }
 
@@ -432,7 +436,7 @@
             order: server.reservation_order,
             light: server.total_counts().light,
         });
-        reservation::reserved_engines(engines, slots)
+        reservation::reserved_engines(engines, slots, self.engine_speed.step)
     }
 
     fn server_of(&mut self, place: &Placement) -> Option<&mut ServerState> {
--- a/crates/policy/src/engine_speed.rs
+++ b/crates/policy/src/engine_speed.rs
@@ -98,6 +98,8 @@
     /// The medians of the factors of the engines with observations, from which the others start.
     median: Factors,
     refreshed_at: Option<Instant>,
+    /// The shortest gap that recent light streams tolerate, and when one with it was placed.
+    stream_gap: Option<(Duration, Instant)>,
 }
 
 /// The observed speed of one engine.
@@ -133,6 +135,11 @@
     /// The step time of a typical engine, with which every service starts.
     pub const TYPICAL: Self = Self { base_ms: STEP_MS, per_running_ms: STEP_MS_PER_RUNNING };
 
+    /// A step takes `base_ms`, and `per_running_ms` more for each running request.
+    pub fn new(base_ms: f64, per_running_ms: f64) -> Self {
+        Self { base_ms, per_running_ms }
+    }
+
     /// Returns the time of a step with so many running requests, in milliseconds.
     pub fn ms(self, running: f64) -> f64 {
         self.base_ms + self.per_running_ms * running
@@ -157,11 +164,29 @@
 
 impl Default for ServiceSpeed {
     fn default() -> Self {
-        Self { step: StepTime::TYPICAL, median: Factors::default(), refreshed_at: None }
+        Self {
+            step: StepTime::TYPICAL,
+            median: Factors::default(),
+            refreshed_at: None,
+            stream_gap: None,
+        }
     }
 }
 
 impl ServiceSpeed {
+    /// Records that a light stream that tolerates gaps up to `target` is placed.
+    pub(crate) fn record_stream(&mut self, now: Instant, target: Duration) {
+        if self.stream_gap(now).is_none_or(|shortest| target <= shortest) {
+            self.stream_gap = Some((target, now));
+        }
+    }
+
+    /// Returns the shortest gap that light streams tolerate, as far as some were placed lately.
+    pub(crate) fn stream_gap(&self, now: Instant) -> Option<Duration> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= MAX_AGE;
+        self.stream_gap.filter(|(_, at)| is_recent(*at)).map(|(target, _)| target)
+    }
+
     /// Returns whether the learned values are to be computed anew.
     pub(crate) fn is_due(&self, now: Instant) -> bool {
         let since = |at: Instant| now.saturating_duration_since(at);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -17,6 +17,8 @@
     pub prompt: Option<&'a Prompt>,
     /// The longest acceptable wait for the first event or the response.
     pub max_wait: Duration,
+    /// The longest time between events that its caller tolerates, if it is a stream that has such a target.
+    pub target_gap: Option<Duration>,
     /// The priority for engines: 0 is the most urgent, 9 the least.
     pub urgency: u8,
     /// The only software version that may run it, if it goes on with what a server generated.
@@ -46,6 +48,8 @@
     pub since: Instant,
     /// The expected time until the first event; zero on plain servers.
     pub expected_wait: Duration,
+    /// The expected time between events; zero on plain servers.
+    pub expected_gap: Duration,
     /// The expected prefill time in milliseconds.
     pub prefill_ms: f64,
     /// The factors of the engine that the expectations are based on.
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -33,6 +33,20 @@
 /// The expected wait already contains the prefill time; the cost counts it once more with this
 /// weight, since work saved by a cached prefix leaves room for other requests.
 const PREFILL_COST_WEIGHT: f64 = 1.0;
+/// Cost in milliseconds of a server at which the gaps of the request's stream would exceed its target:
+/// more than any other penalty but that for failures, so that it is chosen only if no other one is left.
+const LATE_GAP_PENALTY_MS: f64 = 1_000.0;
+/// Cost in milliseconds, for a request that is not light, of each light stream at an engine whose gaps
+/// its prompt would make too long.
+const LATE_STREAM_PENALTY_MS: f64 = 100.0;
+/// The most that this costs: as much as the target of a first event, from where on the request itself
+/// would be late.
+const MAX_LATE_STREAMS_PENALTY_MS: f64 = 400.0;
+/// An expected gap up to this share of its target costs nothing; the rest covers errors of the
+/// expectation. From there the penalty rises steadily, so that small errors have small effects.
+const CERTAIN_GAP_SHARE: f64 = 0.85;
+/// A higher share of time spent on prefill counts as this in the expected gap.
+const MAX_PREFILL_SHARE: f64 = 0.95;
 /// The share of its memory that an engine fills before it has to preempt requests.
 const USABLE_MEMORY_SHARE: f64 = 0.92;
 /// How many requests may wait at a plain server for each of its slots.
@@ -92,6 +106,11 @@
     pub(crate) extra_cost: f64,
     /// Prefill time; 0 for plain servers.
     pub(crate) prefill_ms: f64,
+    /// The time between the events of its stream; zero for plain servers.
+    pub(crate) gap_ms: f64,
+    /// Added to the wait in the choice of a server only: the penalties for a stream, of the request or
+    /// running there, whose gaps would exceed what it tolerates.
+    pub(crate) gap_cost: f64,
     /// The factors that the estimate is based on.
     pub(crate) speed: Speed,
     pub(crate) has_room: bool,
@@ -161,16 +180,46 @@
         let light = is_light(prompt_tokens);
         let tokens = all.tokens + prompt_tokens as u64 + output;
         let memory = engine.memory.0 as f64 * USABLE_MEMORY_SHARE;
+        let gaps = self.gaps(now, ask, engine, step_ms, prefill_ms, speed);
+        let gap_cost = gaps.penalty(ask, light, all.light, service.stream_gap(now));
         CostEstimate {
             first_ms: wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
             extra_cost: prefill_ms * PREFILL_COST_WEIGHT,
             prefill_ms,
+            gap_ms: gaps.own_ms,
+            gap_cost,
             speed,
             has_room: all.running < engine.slots && tokens as f64 <= memory,
             light,
         }
     }
 
+    /// Estimates the gaps between events at an engine once it runs the request, whose prompt takes
+    /// `prefill_ms`; a step takes `step_ms`.
+    fn gaps(
+        &self,
+        now: Instant,
+        ask: &PlacementRequest,
+        engine: &Engine,
+        step_ms: f64,
+        prefill_ms: f64,
+        speed: Speed,
+    ) -> Gaps {
+        let steps = f64::from(engine.event_tokens.max(1));
+        let decode_ms = steps * step_ms;
+        // Each step reads a chunk at most.
+        let most_read_ms = steps * PREFILL_CHUNK_TOKENS / PREFILL_TOKENS_PER_MS * speed.prefill;
+        let queued_ms = self.queue_ms(now, URGENCY_LEVELS - 1);
+        // What is queued behind the request is read between its events, and so are the prompts to come.
+        let behind_ms = queued_ms - self.queue_ms(now, usize::from(ask.urgency));
+        let share = self.prefill_share(now).min(MAX_PREFILL_SHARE);
+        let to_come_ms = decode_ms * share / (1.0 - share);
+        Gaps {
+            own_ms: decode_ms + behind_ms.max(to_come_ms).min(most_read_ms),
+            others_ms: decode_ms + (queued_ms + prefill_ms).min(most_read_ms),
+        }
+    }
+
     /// Estimates the cost on a plain server, which is no engine and sends whole responses: the wait
     /// is not estimated, and the least loaded server costs least.
     /// A brittle server is shared out among `hosts`.
@@ -181,6 +230,8 @@
             first_ms: 0.0,
             extra_cost: f64::from(running) / f64::from(slots) * 100.0,
             prefill_ms: 0.0,
+            gap_ms: 0.0,
+            gap_cost: 0.0,
             speed: Speed::TYPICAL,
             has_room: running < brittleness.room(slots, slots * (1 + WAITING_PER_SLOT))
                 && brittleness.own_room(slots, hosts).is_none_or(|own| self.own.running < own),
@@ -214,6 +265,7 @@
             member: self.member.clone(),
             since: now,
             expected_wait: Duration::from_secs_f64(estimate.first_ms / 1e3),
+            expected_gap: Duration::from_secs_f64(estimate.gap_ms / 1e3),
             prefill_ms: estimate.prefill_ms,
             speed: estimate.speed,
             urgency: ask.urgency,
@@ -268,6 +320,41 @@
     }
 }
 
+/// The expected time between events at an engine that runs a new request.
+#[derive(Clone, Copy, Debug)]
+struct Gaps {
+    /// Of the request's own stream.
+    own_ms: f64,
+    /// Of the streams that run there, while its prompt is read.
+    others_ms: f64,
+}
+
+impl Gaps {
+    /// Returns the penalty in milliseconds for gaps that are too long: the request's own, and, unless it is
+    /// light, those of the light streams there, which tolerate a gap of `stream_gap`.
+    fn penalty(
+        self,
+        ask: &PlacementRequest,
+        light: bool,
+        streams: u32,
+        stream_gap: Option<Duration>,
+    ) -> f64 {
+        let own = ask.target_gap.map_or(0.0, |target| excess(self.own_ms, target));
+        let others = match stream_gap {
+            Some(target) if !light => excess(self.others_ms, target),
+            _ => 0.0,
+        };
+        let late_streams_ms = f64::from(streams) * LATE_STREAM_PENALTY_MS;
+        own * LATE_GAP_PENALTY_MS + others * late_streams_ms.min(MAX_LATE_STREAMS_PENALTY_MS)
+    }
+}
+
+/// Returns 0 for an expected gap that is certainly within the target, 1 for one beyond it.
+fn excess(gap_ms: f64, target: Duration) -> f64 {
+    let share = gap_ms / (target.as_secs_f64() * 1e3).max(1.0);
+    ((share - CERTAIN_GAP_SHARE) / (1.0 - CERTAIN_GAP_SHARE)).clamp(0.0, 1.0)
+}
+
 impl Counts {
     pub(crate) fn add(&mut self, other: Self) {
         self.running += other.running;
--- a/crates/policy/tests/board.rs
+++ b/crates/policy/tests/board.rs
@@ -55,6 +55,7 @@
     PlacementRequest {
         prompt: Some(prompt),
         max_wait: Duration::from_millis(max_wait_ms),
+        target_gap: None,
         urgency,
         build: None,
         excluded: &[],
@@ -200,6 +201,7 @@
     let plain = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 8,
         build: None,
         excluded: &[],
@@ -225,6 +227,7 @@
     let plain = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 8,
         build: None,
         excluded: &[],
@@ -242,6 +245,7 @@
     let plain = |refused| PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 8,
         build: None,
         excluded: &[],
@@ -262,6 +266,7 @@
     let plain = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 8,
         build: None,
         excluded: &[],
@@ -353,6 +358,7 @@
     let plain = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 3,
         build: None,
         excluded: &[],
@@ -380,6 +386,7 @@
     let plain = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 3,
         build: None,
         excluded: &[],
--- a/crates/policy/tests/engine_speed.rs
+++ b/crates/policy/tests/engine_speed.rs
@@ -110,6 +110,7 @@
         let ask = PlacementRequest {
             prompt: Some(&prompt),
             max_wait: ms(TARGET_MS),
+            target_gap: None,
             urgency: 3,
             build: None,
             excluded: &[],
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -77,6 +77,7 @@
         let request = PlacementRequest {
             prompt: None,
             max_wait: SECOND,
+            target_gap: None,
             urgency: 5,
             build: None,
             excluded: &[],
@@ -171,6 +172,7 @@
     let request = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 5,
         build: None,
         excluded: &[],
@@ -198,6 +200,7 @@
         let request = PlacementRequest {
             prompt: None,
             max_wait: SECOND,
+            target_gap: None,
             urgency: 5,
             build: None,
             excluded: &[],
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -35,6 +35,7 @@
     let request = PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 5,
         build: None,
         excluded: &[],
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -121,6 +121,7 @@
     let request = |build| PlacementRequest {
         prompt: None,
         max_wait: SECOND,
+        target_gap: None,
         urgency: 5,
         build: Some(build),
         excluded: &[],
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -13,7 +13,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement, PlacementRequest, Refusal},
-    engine_speed::EventGap,
+    engine_speed::{EventGap, StepTime},
     load_report::{LoadReport, PendingReport},
     reservation, wait_limit,
 };
@@ -159,8 +159,8 @@
             order: reservation::reservation_order(id),
             light: *light,
         });
-        let reserved =
-            reservation::reserved_engines(engines, self.scenario.engine_parameters.slots as u32);
+        let slots = self.scenario.engine_parameters.slots as u32;
+        let reserved = reservation::reserved_engines(engines, slots, StepTime::TYPICAL);
         reserved.into_iter().cloned().collect()
     }
 }
@@ -342,6 +342,7 @@
         let ask = PlacementRequest {
             prompt: Some(&request.prompt),
             max_wait: limit,
+            target_gap: Some(Duration::from_secs_f64(class.max_gap_ms / 1e3)),
             urgency: wait_limit::urgency(None, class.rank),
             build: None,
             excluded: &[],
