policy: response times of plain servers are learned, and where they bend

Cause: plain servers were compared by running requests per slot alone, so a slow server got as many concurrent requests as the others, and a server whose responses grow before it is full was filled to its slots.

Change: policy::server_speed fits, for each server, the response time by running requests (level up to a bend, in proportion beyond it) and compares servers by the shortest expected delay. The fourth value of Server-Load scales a plain server's response time too; /dump and a gauge show the factors.

--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -150,10 +150,12 @@
             .set(balancer.prefill_share(now));
         let speeds = balancer.speeds(now);
         if let Some(slowest) = speeds.iter().map(|(_, speed)| speed.step).reduce(f64::max) {
-            let idle_step_s = balancer.step_time().ms(0.0) / 1e3;
-            metrics::gauge!("wasabi_idle_step_seconds", "service" => service.clone())
-                .set(idle_step_s);
-            metrics::gauge!("wasabi_slowest_engine_factor", "service" => service).set(slowest);
+            metrics::gauge!("wasabi_slowest_server_factor", "service" => service.clone())
+                .set(slowest);
+        }
+        if let Some(step) = balancer.step_time() {
+            metrics::gauge!("wasabi_idle_step_seconds", "service" => service)
+                .set(step.ms(0.0) / 1e3);
         }
     }
 }
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -222,7 +222,7 @@
                     let assume_cached = stale && affinity.as_ref() == Some(id);
                     server.engine_cost(now, ask, &engine, &self.engine_speed, assume_cached)
                 }
-                None => server.plain_server_cost(self.brittleness, self.hosts),
+                None => server.plain_server_cost(now, self.brittleness, self.hosts),
             };
             let failure_penalty_ms = server.failures.avoidance(now) * MAX_FAILURE_PENALTY_MS;
             least_ms = least_ms.min(estimate.first_ms * latency_ratio + failure_penalty_ms);
@@ -291,12 +291,20 @@
     /// Releases a slot and records how the request ended.
     pub fn end(&mut self, now: Instant, place: &Placement, end: End) {
         let rest = self.brittleness.rest(self.hosts);
+        let plain = self.engine.is_none();
         let Some(server) = self.server_of(place) else { return };
         server.own.running = server.own.running.saturating_sub(1);
         server.own.light = server.own.light.saturating_sub(u32::from(place.light));
         server.own.tokens = server.own.tokens.saturating_sub(place.tokens);
         match end {
-            End::Served => server.failures.record_success(),
+            End::Served => {
+                server.failures.record_success();
+                if plain {
+                    let took = now.saturating_duration_since(place.since);
+                    let slots = server.member.slots;
+                    server.response_speed.record(now, place.running, took, slots);
+                }
+            }
             End::Rejected => {
                 server.failures.record_rejection(now);
                 if let Some(rest) = rest {
@@ -365,14 +373,18 @@
         self.servers.iter().map(view_row).collect()
     }
 
-    /// Returns for each engine the factors on the typical times that hold now.
+    /// Returns for each server the factors on the usual times that hold now.
     pub fn speeds(&self, now: Instant) -> Vec<(ServerId, Speed)> {
-        self.servers.iter().map(|(id, server)| (id.clone(), server.speed.speed(now))).collect()
+        let speed = |server: &ServerState| match self.engine {
+            Some(_) => server.speed.speed(now),
+            None => server.plain_speed(now),
+        };
+        self.servers.iter().map(|(id, server)| (id.clone(), speed(server))).collect()
     }
 
-    /// Returns the learned step time of the service's engines.
-    pub fn step_time(&self) -> StepTime {
-        self.engine_speed.step
+    /// Returns the learned step time of the service's engines; `None` for plain servers.
+    pub fn step_time(&self) -> Option<StepTime> {
+        self.engine.map(|_| self.engine_speed.step)
     }
 
     /// Returns the mean share of time that engines spend on prefill; above 1 if work piles up.
--- a/crates/policy/src/balancer/observations.rs
+++ b/crates/policy/src/balancer/observations.rs
@@ -8,6 +8,7 @@
 use crate::{
     engine_speed::EventGap,
     placement::Placement,
+    server_speed,
     server_state::{FIRST_EVENT_OVERHEAD_MS, URGENCY_LEVELS},
 };
 
@@ -114,9 +115,16 @@
 
     /// Computes the learned speeds anew if they are due.
     pub(super) fn refresh_speeds(&mut self, now: Instant) {
-        if self.engine.is_some() && self.engine_speed.is_due(now) {
-            let engines = self.servers.values_mut().map(|server| &mut server.speed);
-            self.engine_speed.refresh(now, engines);
+        if !self.engine_speed.is_due(now) {
+            return;
+        }
+        let servers = self.servers.values_mut();
+        match self.engine {
+            Some(_) => self.engine_speed.refresh(now, servers.map(|server| &mut server.speed)),
+            None => {
+                self.engine_speed.refresh(now, std::iter::empty());
+                server_speed::refresh(now, servers.map(|server| &mut server.response_speed));
+            }
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Two independent parts choose servers: [`scheduler`] queues the tickets of pools and grants them
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
-//! [`balancer`] places the requests of a service at once or refuses them, with `server_state`,
+//! [`balancer`] places the requests of a service at once or refuses them, with `server_state`, `server_speed`,
 //! [`engine_speed`], [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`], [`stuck`] and [`wait_limit`].
 //! [`capacity`] plans how many servers to order; [`repeat_budget`] and [`retry_budget`] bound
 //! repeated sends; [`quarantine`] finds requests that crash servers.
@@ -27,6 +27,7 @@
 pub mod reservation;
 pub mod retry_budget;
 pub mod scheduler;
+mod server_speed;
 mod server_state;
 pub mod servers;
 pub mod stated_limits;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -50,6 +50,8 @@
     pub expected_wait: Duration,
     /// The expected time between events; zero on plain servers.
     pub expected_gap: Duration,
+    /// Requests that were known to run there, itself included.
+    pub running: u32,
     /// The expected prefill time in milliseconds.
     pub prefill_ms: f64,
     /// The factors of the engine that the expectations are based on.
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -20,6 +20,7 @@
     placement::{Placement, PlacementRequest},
     prefix_cache::Cache,
     reservation,
+    server_speed::ServerSpeed,
 };
 
 /// The time from sending a request to its first event on an idle engine, without prefill, in
@@ -71,6 +72,8 @@
     /// `reservation::reservation_order`.
     pub(crate) reservation_order: u64,
     pub(crate) speed: EngineSpeed,
+    /// For plain servers.
+    pub(crate) response_speed: ServerSpeed,
     /// By urgency: when the modelled prefill queue has no work left that goes before such a
     /// request. Never later for a more urgent level than for a less urgent one.
     prefill_done_at: [Instant; URGENCY_LEVELS],
@@ -123,6 +126,7 @@
             reservation_order: reservation::reservation_order(&member.id),
             member,
             speed: EngineSpeed::new(service),
+            response_speed: ServerSpeed::default(),
             prefill_done_at: [now; URGENCY_LEVELS],
             recent_prefill_ms: 0.0,
             prefill_updated_at: now,
@@ -221,24 +225,41 @@
     }
 
     /// Estimates the cost on a plain server, which is no engine and sends whole responses: the wait
-    /// is not estimated, and the least loaded server costs least.
+    /// is not estimated, and the server with the shortest expected delay costs least, which is the
+    /// least loaded one if servers are alike. See `server_speed`. What was learned only orders the servers:
+    /// a request is not refused for it, since requests of one service may differ in length.
     /// A brittle server is shared out among `hosts`.
-    pub(crate) fn plain_server_cost(&self, brittleness: Brittleness, hosts: usize) -> CostEstimate {
+    pub(crate) fn plain_server_cost(
+        &self,
+        now: Instant,
+        brittleness: Brittleness,
+        hosts: usize,
+    ) -> CostEstimate {
         let running = self.total_counts().running;
         let slots = self.member.slots.max(1);
+        let speed = self.plain_speed(now);
+        let concurrency = self.response_speed.concurrency(slots);
+        let delay = f64::from(running + 1) * speed.step / concurrency - 1.0 / f64::from(slots);
         CostEstimate {
             first_ms: 0.0,
-            extra_cost: f64::from(running) / f64::from(slots) * 100.0,
+            extra_cost: delay * 100.0,
             prefill_ms: 0.0,
             gap_ms: 0.0,
             gap_cost: 0.0,
-            speed: Speed::TYPICAL,
+            speed,
             has_room: running < brittleness.room(slots, slots * (1 + WAITING_PER_SLOT))
                 && brittleness.own_room(slots, hosts).is_none_or(|own| self.own.running < own),
             light: false,
         }
     }
 
+    /// Returns the factors on the response time of a plain server.
+    pub(crate) fn plain_speed(&self, now: Instant) -> Speed {
+        let work = self.speed.speed(now).work;
+        let factor = self.response_speed.factor() * work;
+        Speed { step: factor, prefill: factor, work }
+    }
+
     pub(crate) fn assign(
         &mut self,
         now: Instant,
@@ -266,6 +287,7 @@
             since: now,
             expected_wait: Duration::from_secs_f64(estimate.first_ms / 1e3),
             expected_gap: Duration::from_secs_f64(estimate.gap_ms / 1e3),
+            running: self.total_counts().running,
             prefill_ms: estimate.prefill_ms,
             speed: estimate.speed,
             urgency: ask.urgency,
--- a/crates/policy/tests/engine_speed.rs
+++ b/crates/policy/tests/engine_speed.rs
@@ -174,7 +174,7 @@
 
     /// Returns the expected time of a step, by the service's curve and the engine's factor.
     fn step_ms(&self, index: usize, running: f64) -> f64 {
-        self.balancer.step_time().ms(running) * self.speed(index).step
+        self.balancer.step_time().expect("engines").ms(running) * self.speed(index).step
     }
 
     fn take_outcomes(&mut self) -> (u32, u32, u32) {
@@ -217,7 +217,7 @@
             assert!((0.88..1.12).contains(&step), "second {second}, engine {index}: step {step}");
             assert!((0.85..1.15).contains(&prefill), "second {second}, engine {index}: {prefill}");
         }
-        let step = site.balancer.step_time().ms(8.0);
+        let step = site.balancer.step_time().expect("engines").ms(8.0);
         assert!((3.5..4.4).contains(&step), "second {second}: {step}");
     }
 }
@@ -273,7 +273,7 @@
     site.run(10, ms(100.0), 4_000);
     let speed = site.speed(0);
     assert!(speed.step <= 4.0 && speed.prefill <= 4.0, "{speed:?}");
-    assert!(site.balancer.step_time().ms(0.0) <= 3.09 * 4.0);
+    assert!(site.balancer.step_time().expect("engines").ms(0.0) <= 3.09 * 4.0);
     site.events.clear();
     site.slowness = vec![1.0; 2];
     for _ in 0..60 {
@@ -283,7 +283,7 @@
     }
     let Speed { step, prefill, .. } = site.speed(0);
     assert!((step - 1.0).abs() < 0.01 && (prefill - 1.0).abs() < 0.01, "{step} {prefill}");
-    let base = site.balancer.step_time().ms(0.0);
+    let base = site.balancer.step_time().expect("engines").ms(0.0);
     assert!((base - 3.09).abs() < 0.1, "{base}");
 }
 
