--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -190,7 +190,7 @@
     }
 
     /// Places the request on the server with the least cost: the expected wait, the estimate's
-    /// `extra_cost`, and the penalties for failures, distance, affinity and reservation.
+    /// `extra_cost` and `gap_cost`, and the penalties for failures, distance, affinity and reservation.
     ///
     /// Only servers with room that have not refused it and are expected to serve it within its max wait are considered;
     /// while announcements are stale, the expected wait is multiplied by the latency ratio for this
@@ -252,7 +252,7 @@
                     };
                     server.engine_cost(now, ask, &model, assume_cached)
                 }
-                None => server.plain_server_cost(self.brittleness, self.hosts),
+                None => server.plain_server_cost(now, self.brittleness, self.hosts),
             };
             let failure_penalty_ms = server.failures.avoidance(now) * MAX_FAILURE_PENALTY_MS;
             least_ms = least_ms.min(estimate.first_ms * latency_ratio + failure_penalty_ms);
@@ -267,6 +267,7 @@
                 if estimate.light != reserved.contains(id) { RESERVATION_PENALTY_MS } else { 0.0 };
             let cost = estimate.first_ms
                 + estimate.extra_cost
+                + estimate.gap_cost
                 + failure_penalty_ms
                 + distance_penalty_ms
                 + affinity_penalty_ms
@@ -294,6 +295,9 @@
             self.flow.record(now, estimate.light);
         }
         let server = self.servers.get_mut(&id).expect("the server was just found");
+        if let (true, Some(target)) = (estimate.light, ask.target_gap) {
+            self.engine_speed.record_stream(now, target);
+        }
         Ok(server.assign(now, ask, estimate))
     }
 
@@ -333,12 +337,20 @@
         if end == End::Served && self.engine.is_some() {
             self.residence.observe(place.light, now.saturating_duration_since(place.since));
         }
+        let plain = self.engine.is_none();
         let Some(server) = self.server_of(place) else { return };
         server.own.running = server.own.running.saturating_sub(1);
         server.own.light = server.own.light.saturating_sub(u32::from(place.light));
         server.own.tokens = server.own.tokens.saturating_sub(place.tokens);
         match end {
-            End::Served => server.failures.record_success(),
+            End::Served => {
+                server.failures.record_success();
+                if plain {
+                    let took = now.saturating_duration_since(place.since);
+                    let slots = server.member.slots;
+                    server.response_speed.record(now, place.running, took, slots);
+                }
+            }
             End::Rejected => {
                 server.failures.record_rejection(now);
                 if let Some(rest) = rest {
@@ -407,14 +419,18 @@
         self.servers.iter().map(view_row).collect()
     }
 
-    /// Returns for each engine the factors on the typical times that hold now.
+    /// Returns for each server the factors on the usual times that hold now.
     pub fn speeds(&self, now: Instant) -> Vec<(ServerId, Speed)> {
-        self.servers.iter().map(|(id, server)| (id.clone(), server.speed.speed(now))).collect()
+        let speed = |server: &ServerState| match self.engine {
+            Some(_) => server.speed.speed(now),
+            None => server.plain_speed(now),
+        };
+        self.servers.iter().map(|(id, server)| (id.clone(), speed(server))).collect()
     }
 
-    /// Returns the learned step time of the service's engines.
-    pub fn step_time(&self) -> StepTime {
-        self.engine_speed.step
+    /// Returns the learned step time of the service's engines; `None` for plain servers.
+    pub fn step_time(&self) -> Option<StepTime> {
+        self.engine.map(|_| self.engine_speed.step)
     }
 
     /// Returns the mean share of time that engines spend on prefill; above 1 if work piles up.
@@ -495,7 +511,7 @@
             order: server.reservation_order,
             light: server.total_counts().light,
         });
-        reservation::reserved_engines(engines, slots)
+        reservation::reserved_engines(engines, slots, self.engine_speed.step)
     }
 
     fn server_of(&mut self, place: &Placement) -> Option<&mut ServerState> {
--- a/crates/policy/tests/overload/play.rs
+++ b/crates/policy/tests/overload/play.rs
@@ -249,6 +249,7 @@
             max_wait,
         };
         let ask = PlacementRequest {
+            target_gap: None,
             prompt: Some(&caller.prompt),
             max_wait,
             urgency: caller.urgency,
