slot_wait: known requests only

Cause: the growth that was estimated from this host's own rate misjudges hosts whose placements come together, and broke the test of sessions that keep to one engine. Change: taken out again.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -27,7 +27,7 @@
     pace::Fleet,
     reservation,
     server_state::{CostEstimate, Counts, EngineModel, ServerState, URGENCY_LEVELS, is_light},
-    slot_wait::{ByKind, Flow, Residence},
+    slot_wait::Residence,
     stuck::{self, AverageResponseTime},
 };
 
@@ -69,8 +69,6 @@
     response_time: AverageResponseTime,
     /// How long requests occupy the slots of engines.
     residence: Residence,
-    /// The placements of this host on engines.
-    flow: Flow,
     /// What the engines have shown in common.
     engine_speed: ServiceSpeed,
     servers: BTreeMap<ServerId, ServerState>,
@@ -101,7 +99,6 @@
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
             residence: Residence::default(),
-            flow: Flow::default(),
             engine_speed: ServiceSpeed::default(),
             servers: BTreeMap::new(),
             brittleness: Brittleness::default(),
@@ -223,7 +220,6 @@
             None => BTreeSet::new(),
         };
         let affinity = self.affinity_server(now, ask, &reserved);
-        let unseen = self.unseen_requests(now, reserved.len());
         let stale = self.stale_announcements;
         let latency_ratio = if self.stale_announcements { self.latency_ratio(now) } else { 1.0 };
         let distance_ms = if self.stale_announcements {
@@ -245,10 +241,6 @@
                         engine,
                         speed: &self.engine_speed,
                         residence: &self.residence,
-                        unseen: match reserved.contains(id) {
-                            true => ByKind { heavy: 0.0, ..unseen },
-                            false => ByKind { light: 0.0, ..unseen },
-                        },
                     };
                     server.engine_cost(now, ask, &model, assume_cached)
                 }
@@ -291,9 +283,6 @@
             let first_back = ready.map(|server| server.wait(now)).min();
             return Err(first_back.map_or(Refusal::NoServer, Refusal::Paused));
         };
-        if self.engine.is_some() {
-            self.flow.record(now, estimate.light);
-        }
         let server = self.servers.get_mut(&id).expect("the server was just found");
         if let (true, Some(target)) = (estimate.light, ask.target_gap) {
             self.engine_speed.record_stream(now, target);
@@ -485,23 +474,6 @@
         }
     }
 
-    /// Returns how many requests more than are known run on each engine: light ones on the `reserved`
-    /// engines, others on the rest. While announcements are young it is none.
-    fn unseen_requests(&self, now: Instant, reserved: usize) -> ByKind {
-        if !self.stale_announcements || self.engine.is_none() {
-            return ByKind::default();
-        }
-        let ready = self.servers.values().filter(|server| server.is_ready());
-        let (running, engines) = ready.fold((ByKind::default(), 0), |(mut sum, n), server| {
-            let all = server.total_counts();
-            sum.light += f64::from(all.light);
-            sum.heavy += f64::from(all.running.saturating_sub(all.light));
-            (sum, n + 1)
-        });
-        let engines = ByKind { light: reserved as f64, heavy: engines as f64 - reserved as f64 };
-        self.flow.unseen(now, self.hosts, &self.residence, running, engines)
-    }
-
     /// Returns the engines that are reserved for light requests.
     fn reserved(&self, slots: u32) -> BTreeSet<&ServerId> {
         let ready = self.servers.iter().filter(|(_, server)| server.is_ready());
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -106,8 +106,6 @@
     pub(crate) engine: Engine,
     pub(crate) speed: &'a ServiceSpeed,
     pub(crate) residence: &'a Residence,
-    /// Requests that run on the engine beside the known ones.
-    pub(crate) unseen: ByKind,
 }
 
 /// What a request is expected to cost on a server.
@@ -175,7 +173,7 @@
         model: &EngineModel<'_>,
         assume_cached: bool,
     ) -> CostEstimate {
-        let EngineModel { engine, speed: service, residence, unseen } = model;
+        let EngineModel { engine, speed: service, residence } = model;
         let speed = self.speed.speed(now);
         let all = self.total_counts();
         let (prompt_tokens, output) =
@@ -196,8 +194,8 @@
         let tokens = all.tokens + prompt_tokens as u64 + output;
         let memory = engine.memory.0 as f64 * USABLE_MEMORY_SHARE;
         let running = ByKind {
-            light: f64::from(all.light) + unseen.light,
-            heavy: f64::from(all.running.saturating_sub(all.light)) + unseen.heavy,
+            light: f64::from(all.light),
+            heavy: f64::from(all.running.saturating_sub(all.light)),
         };
         let slot_wait_ms = residence.wait_ms(running, engine.slots);
         let gaps = self.gaps(now, ask, engine, step_ms, prefill_ms, speed);
--- a/crates/policy/src/slot_wait.rs
+++ b/crates/policy/src/slot_wait.rs
@@ -4,38 +4,13 @@
 //! more requests there than it has. So the wait is estimated before the known requests fill the engine, from
 //! the spread of what may run there unseen.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::moving_average::Average;
 
 /// How long a request occupies a slot before any has ended, in milliseconds: some 60 events of five tokens.
 const INITIAL_RESIDENCE_MS: f64 = 1_500.0;
 
-/// Time constant of the observed rate of placements.
-const RATE_WINDOW: Duration = Duration::from_millis(1_000);
-/// The mean age of what a host knows of the requests of the others in a large fleet: announcements from its own
-/// failure domain are a quarter of a second old, those from others about a second.
-const STALE_AGE_S: f64 = 0.8;
-
-/// The rate at which this host places requests of one kind.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_second: f64,
-    updated_at: Option<Instant>,
-}
-
-impl Rate {
-    fn at(&self, now: Instant) -> f64 {
-        let age = self.updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.per_second * (-age.as_secs_f64() / RATE_WINDOW.as_secs_f64()).exp()
-    }
-
-    fn record(&mut self, now: Instant) {
-        self.per_second = self.at(now) + 1.0 / RATE_WINDOW.as_secs_f64();
-        self.updated_at = Some(now);
-    }
-}
-
 /// Requests of both kinds.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ByKind {
@@ -43,53 +18,6 @@
     pub(crate) heavy: f64,
 }
 
-/// The placements of this host, from which the growth is estimated that it does not see yet.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Flow {
-    light: Rate,
-    heavy: Rate,
-}
-
-impl Flow {
-    /// Records a placement.
-    pub(crate) fn record(&mut self, now: Instant, light: bool) {
-        if light { &mut self.light } else { &mut self.heavy }.record(now);
-    }
-
-    /// Returns how many more requests run on each engine than is known, in a large fleet of `hosts`.
-    ///
-    /// All hosts are taken to place as many as this one. `running` are the known requests of the service,
-    /// `engines` the engines for each kind.
-    pub(crate) fn unseen(
-        &self,
-        now: Instant,
-        hosts: usize,
-        residence: &Residence,
-        running: ByKind,
-        engines: ByKind,
-    ) -> ByKind {
-        let growth = |rate: Rate, residence_ms: f64, running: f64, engines: f64| {
-            let arriving = rate.at(now) * hosts as f64;
-            let leaving = running / (residence_ms / 1e3).max(1e-3);
-            (arriving - leaving).max(0.0) * STALE_AGE_S / engines.max(1.0)
-        };
-        ByKind {
-            light: growth(
-                self.light,
-                residence.light.or(INITIAL_RESIDENCE_MS),
-                running.light,
-                engines.light,
-            ),
-            heavy: growth(
-                self.heavy,
-                residence.heavy.or(INITIAL_RESIDENCE_MS),
-                running.heavy,
-                engines.heavy,
-            ),
-        }
-    }
-}
-
 /// How long requests occupy a slot on the engines of one service, from placement to end.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Residence {
@@ -117,7 +45,7 @@
 
     /// Returns the expected wait of one more request at an engine with `slots`, in milliseconds.
     ///
-    /// What really runs there is taken to be spread around the expected number like arrivals at random, by its
+    /// What really runs there is taken to be spread around the known number like arrivals at random, by its
     /// square root. Each request in excess of the slots waits for one of them to become free.
     pub(crate) fn wait_ms(&self, running: ByKind, slots: u32) -> f64 {
         let all = running.light + running.heavy;
