Reservation by step time and the estimate of the wait for slots are taken out again

Cause: both were meant for engines with few slots. Change: reservation fills three tenths of the slots as before; slot_wait is removed.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -27,7 +27,6 @@
     pace::Fleet,
     reservation,
     server_state::{CostEstimate, Counts, EngineModel, ServerState, URGENCY_LEVELS, is_light},
-    slot_wait::Residence,
     stuck::{self, AverageResponseTime},
 };
 
@@ -67,8 +66,6 @@
     latency_ratio: (f64, Option<Instant>),
     /// The average response time of plain servers.
     response_time: AverageResponseTime,
-    /// How long requests occupy the slots of engines.
-    residence: Residence,
     /// What the engines have shown in common.
     engine_speed: ServiceSpeed,
     servers: BTreeMap<ServerId, ServerState>,
@@ -98,7 +95,6 @@
             stale_announcements: false,
             latency_ratio: (1.0, None),
             response_time: AverageResponseTime::default(),
-            residence: Residence::default(),
             engine_speed: ServiceSpeed::default(),
             servers: BTreeMap::new(),
             brittleness: Brittleness::default(),
@@ -237,11 +233,7 @@
                     let slots = self.brittleness.room(engine.slots, engine.slots);
                     let engine = Engine { slots, ..engine };
                     let assume_cached = stale && affinity.as_ref() == Some(id);
-                    let model = EngineModel {
-                        engine,
-                        speed: &self.engine_speed,
-                        residence: &self.residence,
-                    };
+                    let model = EngineModel { engine, speed: &self.engine_speed };
                     server.engine_cost(now, ask, &model, assume_cached)
                 }
                 None => server.plain_server_cost(now, self.brittleness, self.hosts),
@@ -323,9 +315,6 @@
     /// Releases a slot and records how the request ended.
     pub fn end(&mut self, now: Instant, place: &Placement, end: End) {
         let rest = self.brittleness.rest(self.hosts);
-        if end == End::Served && self.engine.is_some() {
-            self.residence.observe(place.light, now.saturating_duration_since(place.since));
-        }
         let plain = self.engine.is_none();
         let Some(server) = self.server_of(place) else { return };
         server.own.running = server.own.running.saturating_sub(1);
@@ -483,7 +472,7 @@
             order: server.reservation_order,
             light: server.total_counts().light,
         });
-        reservation::reserved_engines(engines, slots, self.engine_speed.step)
+        reservation::reserved_engines(engines, slots)
     }
 
     fn server_of(&mut self, place: &Placement) -> Option<&mut ServerState> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,7 +3,7 @@
 //! Two independent parts choose servers: [`scheduler`] queues the tickets of pools and grants them
 //! slots by class and workspace, with [`ticket`], [`queue`], [`servers`] and [`limits`];
 //! [`balancer`] places the requests of a service at once or refuses them, with `server_state`, `server_speed`,
-//! [`engine_speed`], `slot_wait`, [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`],
+//! [`engine_speed`], [`load_report`], [`reservation`], [`prefix_cache`], [`failures`], [`pause`],
 //! [`stuck`] and [`wait_limit`].
 //! [`overload`] decides who is refused first when a service is short of capacity, by [`fair_share`], and when
 //! callers return, by [`return_times`].
@@ -37,7 +37,6 @@
 mod server_speed;
 mod server_state;
 pub mod servers;
-mod slot_wait;
 pub mod slow_callers;
 pub mod stated_limits;
 pub mod stuck;
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -14,17 +14,10 @@
     units::{Domain, ServerId},
 };
 
-use crate::engine_speed::StepTime;
-
-/// Light requests fill an engine until its step takes this time, in milliseconds, before another engine
-/// is reserved for them: even the longest streams, of about 1,000 tokens, then end within the time that
-/// a host has to stop.
-const LIGHT_STEP_MS: f64 = 5.0;
-/// The least and the greatest share of an engine's slots that they fill before that. With fewer on an
-/// engine of slow steps, few engines would be left for long prompts; the rest of the slots takes what
-/// hosts place at the same time.
-const MIN_LIGHT_SLOT_SHARE: f64 = 0.3;
-const MAX_LIGHT_SLOT_SHARE: f64 = 0.85;
+/// The share of an engine's slots that light requests fill before another engine is reserved for
+/// them. A step of an engine with so many running requests takes about 5 ms, which lets even the
+/// longest streams end within the time that a host has to stop.
+const LIGHT_SLOT_SHARE: f64 = 0.3;
 /// The greatest share of a domain's engines that is reserved; long prompts are most of the work.
 const MAX_RESERVED_SHARE: f64 = 0.5;
 
@@ -41,18 +34,16 @@
     pub light: u32,
 }
 
-/// Returns the ids of the engines to reserve for light requests; each engine has `slots` slots, and a
-/// step takes it the time `step`.
+/// Returns the ids of the engines to reserve for light requests; each engine has `slots` slots.
 pub fn reserved_engines<'a>(
     engines: impl Iterator<Item = Candidate<'a>>,
     slots: u32,
-    step: StepTime,
 ) -> BTreeSet<&'a ServerId> {
     let mut domains: BTreeMap<&Domain, Vec<Candidate<'_>>> = BTreeMap::new();
     for engine in engines {
         domains.entry(engine.domain).or_default().push(engine);
     }
-    let light_per_engine = light_per_engine(slots, step);
+    let light_per_engine = (f64::from(slots) * LIGHT_SLOT_SHARE).max(1.0);
     let mut reserved = BTreeSet::new();
     for mut engines in domains.into_values() {
         engines.sort_by_key(|engine| (engine.order, engine.id));
@@ -64,13 +55,6 @@
     reserved
 }
 
-/// Returns how many light requests run on an engine before another one is reserved for them.
-pub fn light_per_engine(slots: u32, step: StepTime) -> f64 {
-    let slots = f64::from(slots);
-    let (least, most) = (slots * MIN_LIGHT_SLOT_SHARE, slots * MAX_LIGHT_SLOT_SHARE);
-    step.running_at(LIGHT_STEP_MS).clamp(least, most).max(1.0)
-}
-
 /// Returns a server's sort key: a hash of its id, so that the order is the same on all hosts and
 /// does not follow the way in which servers are named.
 pub fn reservation_order(id: &ServerId) -> u64 {
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -21,7 +21,6 @@
     prefix_cache::Cache,
     reservation,
     server_speed::ServerSpeed,
-    slot_wait::{ByKind, Residence},
 };
 
 /// The time from sending a request to its first event on an idle engine, without prefill, in
@@ -105,7 +104,6 @@
 pub(crate) struct EngineModel<'a> {
     pub(crate) engine: Engine,
     pub(crate) speed: &'a ServiceSpeed,
-    pub(crate) residence: &'a Residence,
 }
 
 /// What a request is expected to cost on a server.
@@ -173,7 +171,7 @@
         model: &EngineModel<'_>,
         assume_cached: bool,
     ) -> CostEstimate {
-        let EngineModel { engine, speed: service, residence } = model;
+        let EngineModel { engine, speed: service } = model;
         let speed = self.speed.speed(now);
         let all = self.total_counts();
         let (prompt_tokens, output) =
@@ -193,15 +191,10 @@
         let light = is_light(prompt_tokens);
         let tokens = all.tokens + prompt_tokens as u64 + output;
         let memory = engine.memory.0 as f64 * USABLE_MEMORY_SHARE;
-        let running = ByKind {
-            light: f64::from(all.light),
-            heavy: f64::from(all.running.saturating_sub(all.light)),
-        };
-        let slot_wait_ms = residence.wait_ms(running, engine.slots);
         let gaps = self.gaps(now, ask, engine, step_ms, prefill_ms, speed);
         let gap_cost = gaps.penalty(ask, light, all.light, service.stream_gap(now));
         CostEstimate {
-            first_ms: wait_ms + slot_wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
+            first_ms: wait_ms + prefill_ms + FIRST_EVENT_OVERHEAD_MS,
             extra_cost: prefill_ms * PREFILL_COST_WEIGHT,
             prefill_ms,
             gap_ms: gaps.own_ms,
--- a/crates/policy/tests/gaps.rs
+++ b/crates/policy/tests/gaps.rs
@@ -13,9 +13,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, PlacementRequest},
-    engine_speed::StepTime,
     load_report::LoadReport,
-    reservation::light_per_engine,
 };
 
 const ENGINE: Engine = Engine { slots: 16, memory: Tokens(600_000), event_tokens: 7 };
@@ -109,15 +107,3 @@
     let now = now + Duration::from_secs(2);
     assert_eq!(place(&mut balancer, now, 5_000, None), "near", "read within a gap");
 }
-
-/// Engines of 64 slots are reserved as before for typical steps; engines of 16 slots, whose step stays
-/// below 5 ms, run 13 light streams before another one is reserved, and engines of slow steps no fewer
-/// than three tenths of their slots.
-#[test]
-fn the_reservation_follows_the_step_time() {
-    assert!((light_per_engine(64, StepTime::TYPICAL) - 19.2).abs() < 0.01);
-    assert!((light_per_engine(16, StepTime::TYPICAL) - 13.6).abs() < 0.01);
-    assert!((light_per_engine(32, StepTime::TYPICAL) - 18.7).abs() < 0.1);
-    let slow = StepTime::new(6.45, 0.097);
-    assert!((light_per_engine(32, slow) - 9.6).abs() < 0.01);
-}
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -160,7 +160,7 @@
             light: *light,
         });
         let slots = self.scenario.engine_parameters.slots as u32;
-        let reserved = reservation::reserved_engines(engines, slots, StepTime::TYPICAL);
+        let reserved = reservation::reserved_engines(engines, slots);
         reserved.into_iter().cloned().collect()
     }
 }
