--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -13,7 +13,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement, PlacementRequest, Refusal},
-    engine_speed::{EventGap, StepTime},
+    engine_speed::EventGap,
     load_report::{LoadReport, PendingReport},
     reservation, wait_limit,
 };
