--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -92,6 +92,7 @@
     let placement_request = PlacementRequest {
         prompt: inbound.head.prompt.as_ref(),
         max_wait,
+        target_gap: admission.route.target_gap,
         urgency: admission.urgency,
         build: history.build.as_ref(),
         excluded: &excluded,
@@ -138,6 +139,9 @@
                 sent = history.placements,
                 expected_ms = placement.expected_wait.as_millis() as u64,
                 work_ms = placement.prefill_ms as u64,
+                expected_gap_ms = placement.expected_gap.as_millis() as u64,
+                step_percent = (placement.speed.step * 100.0) as u64,
+                prefill_percent = (placement.speed.prefill * 100.0) as u64,
                 patience_ms = max_wait.as_millis() as u64,
                 rank = admission.rank, urgency = admission.urgency,
                 max_queue_ms = overload::max_queue_ms(&queue_limit), excess = queue_limit.excess,
--- a/crates/gateway/src/send/stream/queue.rs
+++ b/crates/gateway/src/send/stream/queue.rs
@@ -22,9 +22,11 @@
         events: Bytes,
     ) -> Option<PartEnd> {
         self.record_first_event(guard);
-        self.record_event_gap();
+        self.gaps.record(self.state.now(), self.events.count(), &self.inbound, guard);
         self.record_sound_part();
-        self.queue(events).await
+        let end = self.queue(events).await;
+        self.gaps.record_sent(self.state.now());
+        end
     }
 
     /// Counts the memory of events of `length` bytes that have been received, beside those that may still be
@@ -33,17 +35,6 @@
         self.reservation.resize(self.queued_bytes + length + self.events.partial_bytes())
     }
 
-    /// Records the time between the events just received and those before.
-    fn record_event_gap(&mut self) {
-        let now = self.state.now();
-        if let Some(last) = self.last_event_at.replace(now) {
-            let gap = now.saturating_duration_since(last);
-            let rank = self.inbound.admission.rank.to_string();
-            metrics::histogram!("wasabi_gateway_event_gap_seconds", "rank" => rank)
-                .record(gap.as_secs_f64());
-        }
-    }
-
     /// Queues events, and waits while the caller does not take those before. The server's stream is not read
     /// meanwhile. Returns the end of the part if the caller has left or the time of the request is up.
     pub(super) async fn queue(&mut self, mut events: Bytes) -> Option<PartEnd> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -43,6 +43,8 @@
     /// Within what time after its request an evacuation must have taken effect, if the platform has
     /// evacuations.
     pub evacuate_within: Option<Duration>,
+    /// Whether the speed of each backend server is learned.
+    pub learn_speed: bool,
     /// The region of each failure domain, for requests that only servers of some regions may run.
     pub regions: BTreeMap<Domain, Region>,
     /// How far the rate of a cold server may be exceeded, if the platform says.
@@ -221,6 +223,7 @@
             "evacuate_ms",
             self.evacuate_within.is_some() && self.evacuate_within != old.evacuate_within,
         );
+        keep("learn_speed", self.learn_speed && !old.learn_speed);
         keep("regions", !self.regions.is_empty() && self.regions != old.regions);
         keep("cold_bound", self.cold_bound.is_some() && self.cold_bound != old.cold_bound);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
@@ -254,6 +257,7 @@
     let evacuate_within = text_of(&mut fields, "evacuate_ms").map(|text| milliseconds(&text));
     let evacuate_within = valid(evacuate_within, &mut problems);
     let regions = optional(&mut fields, "regions", &mut problems);
+    let learn_speed = optional(&mut fields, "learn_speed", &mut problems);
     let cold_bound = text_of(&mut fields, "cold_bound").map(|text| text.parse());
     let cold_bound = valid(cold_bound, &mut problems);
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
@@ -274,6 +278,7 @@
             source,
             memory,
             evacuate_within,
+            learn_speed: learn_speed.unwrap_or(false),
             regions: regions.unwrap_or_default(),
             cold_bound,
             bounds: bounds?,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -513,12 +513,14 @@
         let now = self.now();
         let Some((catalog, _)) = self.config() else { return };
         let domain = self.settings.borrow().domain.clone();
+        let learn_speed = self.settings.borrow().learn_speed;
         let mut balancers = self.balancers.borrow_mut();
         for (name, service) in &catalog.services {
             let Ok(name) = name.parse::<PoolId>() else { continue };
             let servers: Vec<Member> =
                 members.iter().filter(|member| member.service == name).cloned().collect();
             let balancer = balancers.entry(name).or_insert_with(|| Balancer::new(domain.clone()));
+            balancer.set_learns_speed(learn_speed);
             balancer.set_servers(now, service.engine, &servers);
         }
         let listed = |limited: &members::Instance| {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -8,6 +8,8 @@
     units::{Build, ServerId},
 };
 
+use crate::engine_speed::Speed;
+
 /// A request to be placed.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest<'a> {
@@ -15,6 +17,8 @@
     pub prompt: Option<&'a Prompt>,
     /// The longest acceptable wait for the first event or the response.
     pub max_wait: Duration,
+    /// The longest time between events that its caller tolerates, if it is a stream that has such a target.
+    pub target_gap: Option<Duration>,
     /// The priority for engines: 0 is the most urgent, 9 the least.
     pub urgency: u8,
     /// The only software version that may run it, if it goes on with what a server generated.
@@ -44,8 +48,14 @@
     pub since: Instant,
     /// The expected time until the first event; zero on plain servers.
     pub expected_wait: Duration,
+    /// The expected time between events; zero on plain servers.
+    pub expected_gap: Duration,
+    /// Requests that were known to run there, itself included.
+    pub running: u32,
     /// The expected prefill time in milliseconds.
     pub prefill_ms: f64,
+    /// The factors of the engine that the expectations are based on.
+    pub speed: Speed,
     /// The priority for the engine: 0 is the most urgent, 9 the least.
     pub urgency: u8,
     /// Whether its prompt is short, see `server_state::MAX_LIGHT_PREFILL_MS`.
--- a/examples/load/decide/policy.rs
+++ b/examples/load/decide/policy.rs
@@ -13,6 +13,7 @@
 };
 use wasabi_policy::{
     balancer::{Balancer, End, Placement, PlacementRequest, Refusal},
+    engine_speed::EventGap,
     load_report::{LoadReport, PendingReport},
     reservation, wait_limit,
 };
@@ -42,6 +43,9 @@
     ) -> Verdict;
     /// Called when the first event of a request has reached its caller.
     fn first_event(&mut self, now: f64, number: usize, request: &Request);
+    /// Called with the time between two events of a request once another one has followed, so that the
+    /// last event, which may have fewer tokens, is left out; so is the first one.
+    fn event_gap(&mut self, now: f64, number: usize, request: &Request, gap_ms: f64);
     /// Called when a request has ended; `whole` tells whether its answer was complete.
     fn ended(&mut self, now: f64, number: usize, request: &Request, whole: bool);
     /// Called at a fixed interval; hosts may exchange announcements.
@@ -104,6 +108,8 @@
 
     fn first_event(&mut self, _: f64, _: usize, _: &Request) {}
 
+    fn event_gap(&mut self, _: f64, _: usize, _: &Request, _: f64) {}
+
     fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
         self.running.end(number);
     }
@@ -153,8 +159,8 @@
             order: reservation::reservation_order(id),
             light: *light,
         });
-        let reserved =
-            reservation::reserved_engines(engines, self.scenario.engine_parameters.slots as u32);
+        let slots = self.scenario.engine_parameters.slots as u32;
+        let reserved = reservation::reserved_engines(engines, slots);
         reserved.into_iter().cloned().collect()
     }
 }
@@ -193,6 +199,8 @@
 
     fn first_event(&mut self, _: f64, _: usize, _: &Request) {}
 
+    fn event_gap(&mut self, _: f64, _: usize, _: &Request, _: f64) {}
+
     fn ended(&mut self, _: f64, number: usize, _: &Request, _: bool) {
         self.short_streams.end(number);
     }
@@ -257,6 +265,7 @@
         let mut names = Vec::new();
         for number in 0..scenario.hosts {
             let mut balancer = Balancer::new(domain(scenario, number)?);
+            balancer.set_learns_speed(true);
             balancer.set_servers(start, Some(engine), &members);
             balancer.set_host_count(scenario.hosts);
             balancers.push(balancer);
@@ -334,6 +343,7 @@
         let ask = PlacementRequest {
             prompt: Some(&request.prompt),
             max_wait: limit,
+            target_gap: Some(Duration::from_secs_f64(class.max_gap_ms / 1e3)),
             urgency: wait_limit::urgency(None, class.rank),
             build: None,
             excluded: &[],
@@ -365,6 +375,13 @@
         }
     }
 
+    fn event_gap(&mut self, now: f64, number: usize, request: &Request, gap_ms: f64) {
+        let (from, to) = (self.instant_at(now - gap_ms), self.instant_at(now));
+        if let Some((place, _)) = &self.placements[number] {
+            self.balancers[request.host].record_gaps(to, place, &[EventGap { from, to }]);
+        }
+    }
+
     fn ended(&mut self, now: f64, number: usize, request: &Request, whole: bool) {
         let instant = self.instant_at(now);
         if let Some((place, _)) = self.placements[number].take() {
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -60,6 +60,8 @@
     let parsed = gateway_settings::parse(&text).and_then(|settings| {
         Ok(gateway_settings::Settings {
             memory: settings.memory.or(memory?),
+            learn_speed: settings.learn_speed
+                || env::var(names::LEARN_SPEED_VARIABLE).is_ok_and(|text| text == "true"),
             evacuate_within: settings.evacuate_within.or(evacuate_within?),
             regions: match settings.regions.is_empty() {
                 true => regions?.unwrap_or_default(),
