--- a/crates/gateway/src/send/overload.rs
+++ b/crates/gateway/src/send/overload.rs
@@ -19,7 +19,7 @@
     inbound: &AdmittedRequest,
     history: &SendHistory,
 ) -> Limit {
-    let request = request(inbound, history).filter(|_| !inbound.continues());
+    let request = request(state, inbound, history).filter(|_| !inbound.continues());
     let Some(request) = request else { return Limit::NONE };
     with_control(state, now, inbound, |control| control.limit(now, &request))
 }
@@ -33,7 +33,7 @@
     placement: &Placement,
     balancer: &Balancer,
 ) {
-    let Some(request) = request(inbound, history) else { return };
+    let Some(request) = request(state, inbound, history) else { return };
     with_control(state, now, inbound, |control| {
         control.record_placed(now, &request, placement, balancer);
     });
@@ -50,7 +50,7 @@
     limit: &Limit,
     (expected, time_left): (Duration, Duration),
 ) -> Option<Duration> {
-    let request = request(inbound, history)?;
+    let request = request(state, inbound, history)?;
     let admission = &inbound.admission;
     let times = (time_left, admission.route.timeout);
     let offer = with_control(state, now, inbound, |control| {
@@ -81,8 +81,15 @@
 }
 
 /// Returns what decisions on the first placement of a stream depend on; `None` for other requests
-/// and placements.
-fn request<'a>(inbound: &'a AdmittedRequest, history: &SendHistory) -> Option<Request<'a>> {
+/// and placements, and unless the settings ask for it.
+fn request<'a>(
+    state: &State,
+    inbound: &'a AdmittedRequest,
+    history: &SendHistory,
+) -> Option<Request<'a>> {
+    if !state.settings.borrow().share_capacity {
+        return None;
+    }
     let admission = &inbound.admission;
     let is_first = history.placements == 0 && history.possible_runs == 0;
     let prompt = inbound.head.prompt.as_ref();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,6 +45,9 @@
     pub evacuate_within: Option<Duration>,
     /// Whether the speed of each backend server is learned.
     pub learn_speed: bool,
+    /// Whether workspaces share capacity when a service is short of it, and refused callers get promised
+    /// return times.
+    pub share_capacity: bool,
     /// The region of each failure domain, for requests that only servers of some regions may run.
     pub regions: BTreeMap<Domain, Region>,
     /// How far the rate of a cold server may be exceeded, if the platform says.
@@ -224,6 +227,7 @@
             self.evacuate_within.is_some() && self.evacuate_within != old.evacuate_within,
         );
         keep("learn_speed", self.learn_speed && !old.learn_speed);
+        keep("share_capacity", self.share_capacity && !old.share_capacity);
         keep("regions", !self.regions.is_empty() && self.regions != old.regions);
         keep("cold_bound", self.cold_bound.is_some() && self.cold_bound != old.cold_bound);
         keep("bounds.lease_ms", self.bounds.lease_ms != old.bounds.lease_ms);
@@ -258,6 +262,7 @@
     let evacuate_within = valid(evacuate_within, &mut problems);
     let regions = optional(&mut fields, "regions", &mut problems);
     let learn_speed = optional(&mut fields, "learn_speed", &mut problems);
+    let share_capacity = optional(&mut fields, "share_capacity", &mut problems);
     let cold_bound = text_of(&mut fields, "cold_bound").map(|text| text.parse());
     let cold_bound = valid(cold_bound, &mut problems);
     let bounds: Option<Bounds> = required(&mut fields, "bounds", &mut problems);
@@ -279,6 +284,7 @@
             memory,
             evacuate_within,
             learn_speed: learn_speed.unwrap_or(false),
+            share_capacity: share_capacity.unwrap_or(false),
             regions: regions.unwrap_or_default(),
             cold_bound,
             bounds: bounds?,
--- a/src/bin/wasabirouter/main.rs
+++ b/src/bin/wasabirouter/main.rs
@@ -62,6 +62,8 @@
             memory: settings.memory.or(memory?),
             learn_speed: settings.learn_speed
                 || env::var(names::LEARN_SPEED_VARIABLE).is_ok_and(|text| text == "true"),
+            share_capacity: settings.share_capacity
+                || env::var(names::SHARE_CAPACITY_VARIABLE).is_ok_and(|text| text == "true"),
             evacuate_within: settings.evacuate_within.or(evacuate_within?),
             regions: match settings.regions.is_empty() {
                 true => regions?.unwrap_or_default(),
