--- a/review/stand-2/src/lib.rs
+++ b/review/stand-2/src/lib.rs
@@ -1,5 +1,8 @@
 //! What the scripts of this review share: hosts started as the deploy file does it, and the record.
 
+pub mod engine;
+pub mod unframed;
+
 use std::{
     fs,
     io::Write as _,
