--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/release/wasabirouter ] && [ -x target/review-2/release/restored-versions ] || exit 2
-exec timeout 110 target/review-2/release/restored-versions review/6/record.txt
+timeout 110 target/review-2/release/restored-versions review/6/record.txt
+code=$?
+[ $code -le 1 ] || code=2
+exit $code
