Write the records of versions and streams again after a restore of the store

Callers saw events of two software versions in one stream (ORDER): the store came back from a copy made before a release, and after a later loss of all hosts streams that nobody remembered went on at the only version that the record of versions still had.

Cause: a host compared the listed versions with its own copy of the record, and only a change of the list of servers ended that copy; a restore changes the record and not the list. The copy of stream-origins/HOST had the same fault. A host that starts also left the stored streams unread if the record came before the list. If all hosts are lost with the restore, nobody is left to write the record again, and nothing in it says that it is an older copy.

Change: share::stored keeps a copy with the era and time of its call and does not use versions of an older era; share::version_store adds what the host knew to a restored record, states the era in it, and reads it again after 15 s at the latest. An older copy proves nothing to a host that starts. Streams that are taken up wait for both the record and the list, and the stored streams are read once several versions are known.

--- a/crates/belief/src/version_record.rs
+++ b/crates/belief/src/version_record.rs
@@ -10,7 +10,7 @@
 
 use wasabi_core::{
     data,
-    units::{Build, PoolId},
+    units::{Build, Era, PoolId},
 };
 
 use crate::origins::{Origin, VERSION_RETENTION};
@@ -19,6 +19,10 @@
     /// The record.
     #[derive(Default)]
     pub struct Record {
+        /// The latest era of the store in which this was known to hold all versions; `None` if builds that do
+        /// not state it wrote the record, or the store states no eras.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub era: Option<Era>,
         /// By service and version, when the version was found to be gone, in milliseconds since 1970;
         /// `None` while servers of it are listed.
         pub services: BTreeMap<PoolId, BTreeMap<Build, Option<u64>>>,
@@ -35,10 +39,35 @@
         origins.collect()
     }
 
+    /// Returns whether a store of era `current` may have lost versions that this lacks: it was restored, and
+    /// nobody who knows them has written the record since.
+    pub fn is_older_copy(&self, current: Option<Era>) -> bool {
+        self.era.is_some() && self.era < current
+    }
+
+    /// Adds the versions of `other` that this lacks and that have not been gone for long; returns whether there
+    /// were any.
+    pub fn add_missing(&mut self, other: &Self, now_ms: u64) -> bool {
+        let mut added = false;
+        for (service, builds) in &other.services {
+            let is_recent = |gone_ms: &Option<u64>| {
+                gone_ms.is_none_or(|gone_ms| age(gone_ms, now_ms) < VERSION_RETENTION)
+            };
+            for (build, gone_ms) in builds.iter().filter(|(_, gone_ms)| is_recent(gone_ms)) {
+                let known = self.services.entry(service.clone()).or_default();
+                if !known.contains_key(build) {
+                    known.insert(build.clone(), *gone_ms);
+                    added = true;
+                }
+            }
+        }
+        added
+    }
+
     /// Returns the record as it should be at `now_ms`, when exactly these are listed. Versions that have
     /// been gone for long are dropped.
     pub fn updated(&self, listed: &BTreeSet<Origin>, now_ms: u64) -> Self {
-        let mut updated = Self::default();
+        let mut updated = Self { era: self.era, ..Self::default() };
         for (service, builds) in &self.services {
             for (build, gone_ms) in builds {
                 let gone_ms = gone_ms.unwrap_or(now_ms);
--- /dev/null
+++ b/crates/belief/tests/version_record.rs
@@ -0,0 +1,47 @@
+//! The record of the versions that were in service.
+
+use std::collections::BTreeSet;
+
+use wasabi_belief::{origins::Origin, version_record::Record};
+use wasabi_core::units::Era;
+
+const NOW_MS: u64 = 1_800_000_000_000;
+
+fn origin(build: &str) -> Origin {
+    Origin { service: "s".parse().expect("a name"), build: build.parse().expect("a version") }
+}
+
+/// A record with these versions as listed at `NOW_MS`.
+fn record(era: u64, builds: &[&str]) -> Record {
+    let listed: BTreeSet<Origin> = builds.iter().map(|build| origin(build)).collect();
+    Record { era: Some(Era(era)), ..Record::default() }.updated(&listed, NOW_MS)
+}
+
+#[test]
+fn a_record_of_a_former_era_may_lack_versions() {
+    let record = record(4, &["v1"]);
+    assert!(!record.is_older_copy(Some(Era(4))) && !record.is_older_copy(None));
+    assert!(record.is_older_copy(Some(Era(5))));
+    assert!(!Record::default().is_older_copy(Some(Era(5))), "whoever wrote it states no era");
+}
+
+#[test]
+fn what_a_restored_record_lacks_is_added_and_the_rest_stays() {
+    let known = record(4, &["v1", "v2", "v3"]).updated(&BTreeSet::from([origin("v2")]), NOW_MS);
+    let mut restored = record(4, &["v1"]);
+    assert!(restored.add_missing(&known, NOW_MS + 1_000));
+    assert_eq!(restored.present(), BTreeSet::from([origin("v1"), origin("v2")]));
+    assert_eq!(restored.ages(NOW_MS).count(), 3, "v3 went a second ago");
+    assert!(!restored.add_missing(&known, NOW_MS + 1_000));
+    let mut later = record(4, &["v2"]);
+    assert!(!later.add_missing(&known, NOW_MS + 3_600_000), "v1 and v3 went an hour ago");
+}
+
+/// Older builds write the record without the field.
+#[test]
+fn a_record_without_an_era_is_read_and_written_as_before() {
+    let text = r#"{"services":{"s":{"v1":null}}}"#;
+    let record: Record = serde_json::from_str(text).expect("a record");
+    assert_eq!(record.era, None);
+    assert_eq!(serde_json::to_string(&record).expect("it is encoded"), text);
+}
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -171,7 +171,7 @@
 
 /// Returns the newest window that ended at least [`SETTLE_TIME`] ago.
 fn newest_settled(state: &State) -> Option<Window> {
-    let now_ms = state.time_of_day.borrow().now_ms(state.now());
+    let now_ms = state.now_ms();
     let settled = now_ms.checked_sub(SETTLE_TIME.as_millis() as u64)?;
     Some(Window((settled / state.usage_window_ms()).checked_sub(1)?))
 }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -16,7 +16,9 @@
 pub mod peer_fetch;
 pub mod refresh;
 pub mod restore;
+pub mod stored;
 pub mod survey;
+pub mod version_store;
 
 /// Sends and receives announcements until the process ends.
 pub async fn run(state: Rc<State>, socket: UdpSocket) {
--- a/crates/gateway/src/share/restore.rs
+++ b/crates/gateway/src/share/restore.rs
@@ -21,6 +21,12 @@
         self.give_up_older_era(former, era, "store");
     }
 
+    /// Returns the latest era of the store that this host knows, with the last answer taken in.
+    pub fn store_era(&self) -> Option<Era> {
+        self.check_era();
+        self.era.borrow().known().map(|known| known.era)
+    }
+
     /// Takes in what a peer knows of the store's era.
     pub fn merge_era(&self, theirs: era::Known) {
         let now = self.now();
@@ -52,7 +58,7 @@
     pub fn era_covers(&self, window: Window, delay: Duration) -> bool {
         let Some(known) = self.era.borrow().known() else { return true };
         let age = self.now().saturating_duration_since(known.since);
-        let now_ms = self.time_of_day.borrow().now_ms(self.now());
+        let now_ms = self.now_ms();
         let written_ms = (window.0 + 1) * self.usage_window_ms() + delay.as_millis() as u64;
         now_ms.saturating_sub(age.as_millis() as u64) < written_ms
     }
--- a/crates/gateway/src/share/survey.rs
+++ b/crates/gateway/src/share/survey.rs
@@ -14,7 +14,7 @@
 use wasabi_core::errors::{self, Result};
 
 use crate::{
-    share::{origin_store, refresh::read_servers},
+    share::{refresh::read_servers, version_store},
     state::State,
 };
 
@@ -71,7 +71,7 @@
 
 async fn read(state: &State, sent: Instant) -> Result<()> {
     let members = read_servers(state, READ_TIMEOUT);
-    let versions = origin_store::read_versions(state);
+    let versions = version_store::read(state);
     let (members, versions) = tokio::join!(members, versions);
     let (members, versions) = (members?, versions?);
     state.check_era();
@@ -79,6 +79,6 @@
         return Err(errors::unavailable("the store was restored a moment ago"));
     }
     state.offer_servers(members, sent, "store");
-    origin_store::apply_versions(state, &versions);
+    version_store::apply(state, &versions);
     Ok(())
 }
--- /dev/null
+++ b/crates/gateway/src/share/version_store.rs
@@ -0,0 +1,152 @@
+//! The record of the versions that were in service, in case all hosts end at the same moment.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use rand::Rng as _;
+use wasabi_belief::{
+    origins::{Origin, VERSION_RETENTION},
+    version_record::Record,
+};
+use wasabi_core::{errors::Result, units::Era};
+
+use crate::{share::stored::Stored, state::State};
+
+/// The object kind of the record; with [`NAME`] it identifies it.
+const KIND: &str = "stream-versions";
+const NAME: &str = "services";
+/// The range of the random delay, for each live host, before a change of the versions is written. Hosts
+/// that come later find it done.
+const CHANGE_SPREAD_PER_HOST: Duration = Duration::from_millis(10);
+/// A version that has not been listed for this long is recorded as gone.
+const GONE_AFTER: Duration = Duration::from_secs(3);
+/// The record is read again when the copy is older: another writer may have changed it.
+const MAX_COPY_AGE: Duration = Duration::from_secs(15);
+
+/// The record of versions, kept current by this host.
+pub struct Versions {
+    stored: Stored<Record>,
+    /// The versions that this host has found or had recorded: what the record must not lack.
+    known: Record,
+    /// Until when versions may have been in service that neither the record nor this host knows.
+    incomplete_until: Option<Instant>,
+    /// Since when a version of the record is not listed.
+    missing_since: Option<Instant>,
+    /// The digest of the list of servers that the record agreed with.
+    agreed: Option<u64>,
+}
+
+impl Versions {
+    /// Reads the record for a host that starts.
+    pub async fn read(state: &State) -> Result<Self> {
+        let mut stored = Stored::new(KIND, NAME);
+        stored.read(state).await?;
+        let known: Record = stored.value().cloned().unwrap_or_default();
+        apply(state, &known);
+        let is_older_copy = known.is_older_copy(state.store_era());
+        let inherited = known.ages(state.now_ms()).map(|(origin, _)| origin);
+        // An older copy may lack versions at which streams have begun.
+        state.inherited_versions.replace((!is_older_copy).then(|| inherited.collect()));
+        let incomplete_until = is_older_copy.then(|| state.now() + VERSION_RETENTION);
+        Ok(Self { stored, known, incomplete_until, missing_since: None, agreed: None })
+    }
+
+    /// Writes the record if it is not what it should be. A version is recorded as gone only once it has been
+    /// missing for a while, since hosts learn of a change at different times.
+    pub async fn update(&mut self, state: &State) -> Result<()> {
+        let digest = state.servers.borrow().digest_age(state.now()).map(|(digest, _)| digest);
+        let is_current =
+            self.stored.is_current(state, MAX_COPY_AGE) && self.unstated_era(state).is_none();
+        if is_current && digest.is_some() && digest == self.agreed {
+            return Ok(());
+        }
+        self.agreed = None;
+        let present = self.present();
+        if is_current && self.expected(state, &present).is_none() {
+            self.agreed = digest.filter(|_| self.missing_since.is_none());
+            return Ok(());
+        }
+        let spread = CHANGE_SPREAD_PER_HOST * state.live_hosts() as u32;
+        tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
+        self.stored.read(state).await?;
+        if let Some(next) = self.next(state) {
+            self.stored.write(state, next).await?;
+        }
+        if let Some(value) = self.stored.value() {
+            self.known = value.clone();
+        }
+        state.set_recorded_versions(self.present());
+        Ok(())
+    }
+
+    /// Returns whether all versions that this host knows are recorded as listed.
+    pub fn include_listed(&self, state: &State) -> bool {
+        let listed = state.listed_versions();
+        !listed.is_empty() && listed.is_subset(&self.present())
+    }
+
+    /// The versions that are recorded as listed, as this host last wrote or read them.
+    fn present(&self) -> BTreeSet<Origin> {
+        self.stored.value().map(Record::present).unwrap_or_default()
+    }
+
+    /// Returns the record to write in place of the one that was read; `None` if that may stay.
+    fn next(&mut self, state: &State) -> Option<Record> {
+        let now_ms = state.now_ms();
+        let mut record = self.stored.value().cloned().unwrap_or_default();
+        let lacked_some = record.add_missing(&self.known, now_ms);
+        let (present, era) = (record.present(), self.unstated_era(state));
+        let expected = self.expected(state, &present);
+        if expected.is_none() && !lacked_some && era.is_none() {
+            return None;
+        }
+        record.era = era.or(record.era);
+        Some(record.updated(&expected.unwrap_or(present), now_ms))
+    }
+
+    /// Returns the store's era if the record does not state it and this host knows that the store lacks no
+    /// versions: it has not been restored a moment ago, and this host did not start with an older copy.
+    fn unstated_era(&self, state: &State) -> Option<Era> {
+        let era = state.store_era()?;
+        let now = state.now();
+        let is_complete = self.incomplete_until.is_none_or(|until| now >= until)
+            && state.era.borrow().is_settled(now);
+        let stated = self.stored.value().and_then(|record| record.era);
+        (is_complete && stated != Some(era)).then_some(era)
+    }
+
+    /// Returns what should be recorded as listed, if that is not `recorded`.
+    fn expected(&mut self, state: &State, recorded: &BTreeSet<Origin>) -> Option<BTreeSet<Origin>> {
+        let listed = state.listed_versions();
+        // An empty list: nothing is known of the servers yet.
+        if recorded.is_subset(&listed) || listed.is_empty() {
+            self.missing_since = None;
+            return (!listed.is_empty() && listed != *recorded).then_some(listed);
+        }
+        let now = state.now();
+        let since = *self.missing_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= GONE_AFTER {
+            return Some(listed);
+        }
+        let all: BTreeSet<Origin> = recorded.union(&listed).cloned().collect();
+        (all != *recorded).then_some(all)
+    }
+}
+
+/// Reads the record of versions.
+pub async fn read(state: &State) -> Result<Record> {
+    let mut stored = Stored::new(KIND, NAME);
+    stored.read(state).await?;
+    Ok(stored.value().cloned().unwrap_or_default())
+}
+
+/// Takes over the versions that a record has.
+pub fn apply(state: &State, record: &Record) {
+    let now = state.now();
+    for (origin, age) in record.ages(state.now_ms()) {
+        state.origins.borrow_mut().record_listed_before(now, origin, age);
+    }
+    state.set_recorded_versions(record.present());
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -220,6 +220,11 @@
         self.clock.now()
     }
 
+    /// Returns the time of day as the fleet agrees on it, in milliseconds since 1970.
+    pub fn now_ms(&self) -> u64 {
+        self.time_of_day.borrow().now_ms(self.now())
+    }
+
     /// Returns the configuration in force and how long ago it was last proven current.
     pub fn config(&self) -> Option<(Arc<Catalog>, Duration)> {
         let view = self.config.borrow();
@@ -429,7 +434,7 @@
 
     /// Whether this process ran from the beginning of a usage window on.
     pub fn ran_since_start_of(&self, window: Window) -> bool {
-        let now_ms = self.time_of_day.borrow().now_ms(self.now());
+        let now_ms = self.now_ms();
         let uptime = self.now().saturating_duration_since(self.started_at);
         now_ms.saturating_sub(uptime.as_millis() as u64) <= window.0 * self.usage_window_ms()
     }
@@ -471,7 +476,7 @@
 
     /// Returns the current usage window by the agreed time of day.
     pub fn usage_window(&self) -> Window {
-        Window(self.time_of_day.borrow().now_ms(self.now()) / self.usage_window_ms())
+        Window(self.now_ms() / self.usage_window_ms())
     }
 
     /// Returns the length of a usage window in milliseconds, at least 1.
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -39,6 +39,8 @@
 #[derive(Default)]
 struct Inner {
     fault: Fault,
+    /// A kind whose reads are answered late, and by how much.
+    late_reads: Option<(String, Duration)>,
     revision: u64,
     /// Objects by kind and name, each with the revision of its last write.
     objects: BTreeMap<(String, String), (u64, Value)>,
@@ -75,6 +77,11 @@
         self.inner.lock().fault = fault;
     }
 
+    /// Answers reads of objects of `kind` after `delay` from now on, and no others.
+    pub fn set_late_reads(&self, kind: &str, delay: Duration) {
+        self.inner.lock().late_reads = Some((kind.to_string(), delay));
+    }
+
     /// Writes an object directly, in place of an operator or a server: faults do not apply, and
     /// [`Self::history`] does not include it.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
@@ -142,10 +149,18 @@
         arrivals.into_iter().filter(|(at, _)| *at >= from).collect()
     }
 
+    /// Returns by how much the answer to a call is late.
+    fn delay(&self, request: &ReceivedRequest) -> Duration {
+        let inner = self.inner.lock();
+        let late = inner.late_reads.as_ref().filter(|(kind, _)| {
+            *request.method() == Method::GET && object_path(request).0 == *kind
+        });
+        late.map_or(Duration::ZERO, |(_, delay)| *delay)
+    }
+
     fn execute(&self, request: &ReceivedRequest) -> BoxResponse {
         let mut inner = self.inner.lock();
-        let path = request.uri().path().trim_start_matches("/api/objects/").to_string();
-        let (kind, name) = path.split_once('/').unwrap_or((path.as_str(), ""));
+        let (kind, name) = object_path(request);
         match (request.method(), name) {
             (&Method::GET, "") => inner.list(kind),
             (&Method::GET, name) => {
@@ -177,6 +192,12 @@
     }
 }
 
+/// Returns the kind in the path of a call and the name, which is empty if there is none.
+fn object_path(request: &ReceivedRequest) -> (&str, &str) {
+    let path = request.uri().path().trim_start_matches("/api/objects/");
+    path.split_once('/').unwrap_or((path, ""))
+}
+
 impl Inner {
     fn restore(&mut self, backup: &Backup) -> Vec<(String, String, Value)> {
         let present = std::mem::replace(&mut self.objects, backup.objects.clone());
@@ -253,6 +274,7 @@
                 inner.arrivals.push((Instant::now(), request.method() != Method::GET));
                 inner.fault
             };
+            tokio::time::sleep(self.delay(&request)).await;
             let mut response = self.clone().respond(&request, fault).await?;
             let era = HeaderValue::from(self.inner.lock().era);
             response.headers_mut().insert("store-era", era);
