Record a version as gone only from a list that was read after it went

Cause: a version that was missing in a host's list for 3 s was recorded as gone, however old the list was. A host that gets no list but reaches the record could so take a version out that other hosts use; they compare their lists with their own copies, so nobody put it back, and after a loss of all hosts streams that began there could go on elsewhere.

Change: the list must have been complete 3 s after the first one without the version (version_record::Comparison, which runs without a network).

a_version_is_gone_only_once_a_later_list_lacks_it fails with the former condition, and passes now.

--- a/crates/belief/src/version_record.rs
+++ b/crates/belief/src/version_record.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use wasabi_core::{
@@ -15,6 +15,10 @@
 
 use crate::origins::{Origin, VERSION_RETENTION};
 
+/// A version that has not been listed for this long is recorded as gone: hosts learn of a change at different
+/// times.
+const GONE_AFTER: Duration = Duration::from_secs(3);
+
 data! {
     /// The record.
     #[derive(Default)]
@@ -95,6 +99,51 @@
     }
 }
 
+/// The versions of a list of servers.
+pub struct Listed {
+    /// The versions.
+    pub versions: BTreeSet<Origin>,
+    /// When the list was last known to be complete.
+    pub confirmed_at: Instant,
+}
+
+/// Compares the record with the lists of servers over time.
+#[derive(Debug, Default)]
+pub struct Comparison {
+    /// Since when a version of the record is not listed.
+    missing_since: Option<Instant>,
+}
+
+impl Comparison {
+    /// Returns what should be recorded as listed, if that is not `recorded`. A version is left out only if it is
+    /// missing in a list that was complete [`GONE_AFTER`] after the first one without it: an older list shows
+    /// nothing of the time since.
+    pub fn expected(
+        &mut self,
+        now: Instant,
+        listed: &Listed,
+        recorded: &BTreeSet<Origin>,
+    ) -> Option<BTreeSet<Origin>> {
+        let versions = &listed.versions;
+        // An empty list: nothing is known of the servers yet.
+        if recorded.is_subset(versions) || versions.is_empty() {
+            self.missing_since = None;
+            return (!versions.is_empty() && versions != recorded).then(|| versions.clone());
+        }
+        let since = *self.missing_since.get_or_insert(now);
+        if listed.confirmed_at.saturating_duration_since(since) >= GONE_AFTER {
+            return Some(versions.clone());
+        }
+        let all: BTreeSet<Origin> = recorded.union(versions).cloned().collect();
+        (all != *recorded).then_some(all)
+    }
+
+    /// Whether all versions of the record were listed when they were last compared.
+    pub fn has_all(&self) -> bool {
+        self.missing_since.is_none()
+    }
+}
+
 /// Clocks differ, so a time in the future counts as now.
 fn age(since_ms: u64, now_ms: u64) -> Duration {
     Duration::from_millis(now_ms.saturating_sub(since_ms))
--- a/crates/belief/tests/version_record.rs
+++ b/crates/belief/tests/version_record.rs
@@ -1,8 +1,14 @@
 //! The record of the versions that were in service.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
-use wasabi_belief::{origins::Origin, version_record::Record};
+use wasabi_belief::{
+    origins::Origin,
+    version_record::{Comparison, Listed, Record},
+};
 use wasabi_core::units::Era;
 
 const NOW_MS: u64 = 1_800_000_000_000;
@@ -45,3 +51,19 @@
     assert_eq!(record.era, None);
     assert_eq!(serde_json::to_string(&record).expect("it is encoded"), text);
 }
+
+/// Guards against a host with an old list that reaches the store and records a version as gone which others use.
+#[test]
+fn a_version_is_gone_only_once_a_later_list_lacks_it() {
+    let start = Instant::now();
+    let (old, both) =
+        (BTreeSet::from([origin("v1")]), BTreeSet::from([origin("v1"), origin("v2")]));
+    let listed = |confirmed_at| Listed { versions: old.clone(), confirmed_at };
+    let mut comparison = Comparison::default();
+    for seconds in [0, 4, 60] {
+        let now = start + Duration::from_secs(seconds);
+        assert_eq!(comparison.expected(now, &listed(start), &both), None, "after {seconds} s");
+    }
+    let now = start + Duration::from_secs(61);
+    assert_eq!(comparison.expected(now, &listed(now), &both), Some(old));
+}
--- a/crates/gateway/src/share/version_store.rs
+++ b/crates/gateway/src/share/version_store.rs
@@ -8,7 +8,7 @@
 use rand::Rng as _;
 use wasabi_belief::{
     origins::{Origin, VERSION_RETENTION},
-    version_record::Record,
+    version_record::{Comparison, Listed, Record},
 };
 use wasabi_core::{errors::Result, units::Era};
 
@@ -20,8 +20,6 @@
 /// The range of the random delay, for each live host, before a change of the versions is written. Hosts
 /// that come later find it done.
 const CHANGE_SPREAD_PER_HOST: Duration = Duration::from_millis(10);
-/// A version that has not been listed for this long is recorded as gone.
-const GONE_AFTER: Duration = Duration::from_secs(3);
 /// The record is read again when the copy is older: another writer may have changed it.
 const MAX_COPY_AGE: Duration = Duration::from_secs(15);
 
@@ -32,8 +30,7 @@
     known: Record,
     /// Until when versions may have been in service that neither the record nor this host knows.
     incomplete_until: Option<Instant>,
-    /// Since when a version of the record is not listed.
-    missing_since: Option<Instant>,
+    comparison: Comparison,
     /// The digest of the list of servers that the record agreed with.
     agreed: Option<u64>,
 }
@@ -50,11 +47,16 @@
         // An older copy may lack versions at which streams have begun.
         state.inherited_versions.replace((!is_older_copy).then(|| inherited.collect()));
         let incomplete_until = is_older_copy.then(|| state.now() + VERSION_RETENTION);
-        Ok(Self { stored, known, incomplete_until, missing_since: None, agreed: None })
+        Ok(Self {
+            stored,
+            known,
+            incomplete_until,
+            comparison: Comparison::default(),
+            agreed: None,
+        })
     }
 
-    /// Writes the record if it is not what it should be. A version is recorded as gone only once it has been
-    /// missing for a while, since hosts learn of a change at different times.
+    /// Writes the record if it is not what it should be.
     pub async fn update(&mut self, state: &State) -> Result<()> {
         let digest = state.servers.borrow().digest_age(state.now()).map(|(digest, _)| digest);
         let is_current =
@@ -65,7 +67,7 @@
         self.agreed = None;
         let present = self.present();
         if is_current && self.expected(state, &present).is_none() {
-            self.agreed = digest.filter(|_| self.missing_since.is_none());
+            self.agreed = digest.filter(|_| self.comparison.has_all());
             return Ok(());
         }
         let spread = CHANGE_SPREAD_PER_HOST * state.live_hosts() as u32;
@@ -119,19 +121,11 @@
 
     /// Returns what should be recorded as listed, if that is not `recorded`.
     fn expected(&mut self, state: &State, recorded: &BTreeSet<Origin>) -> Option<BTreeSet<Origin>> {
-        let listed = state.listed_versions();
-        // An empty list: nothing is known of the servers yet.
-        if recorded.is_subset(&listed) || listed.is_empty() {
-            self.missing_since = None;
-            return (!listed.is_empty() && listed != *recorded).then_some(listed);
-        }
         let now = state.now();
-        let since = *self.missing_since.get_or_insert(now);
-        if now.saturating_duration_since(since) >= GONE_AFTER {
-            return Some(listed);
-        }
-        let all: BTreeSet<Origin> = recorded.union(&listed).cloned().collect();
-        (all != *recorded).then_some(all)
+        let (_, age) = state.servers.borrow().digest_age(now)?;
+        let confirmed_at = now.checked_sub(age).unwrap_or(now);
+        let listed = Listed { versions: state.listed_versions(), confirmed_at };
+        self.comparison.expected(now, &listed, recorded)
     }
 }
 
