Take an entry with a server's address for no proof that the server has ended

Callers lost all answers that end with their connections (LOST) while another entry bore the address of their server, be it one of another writer and another service or that of the server's former process.

Cause: members::View::is_replaced took any entry with the id or the address for the process that had followed, and the server, which would have said that it lives, was not asked.

Change: the server is always asked, and what its process says decides. If it does not say, only an entry of its service that did not start earlier counts. Servers that lapse in an outage follow the same rule.

--- a/crates/answer/src/evidence.rs
+++ b/crates/answer/src/evidence.rs
@@ -19,6 +19,8 @@
     Open,
     /// It has answered over a new connection, or reset one: it resets those above the number that it serves.
     Accepted,
+    /// As `Accepted`, but the process did not say whether it is the one that was asked before.
+    Unidentified,
     /// It refuses connections: its process has ended.
     Refused,
     /// Another process has its id or its address, so it has ended.
@@ -47,7 +49,7 @@
     /// Errors: `ServerGone`, or `EndUnconfirmed` if nothing is known.
     pub fn check(self) -> Result<(), Broken> {
         match self {
-            Self::Open | Self::Accepted => Ok(()),
+            Self::Open | Self::Accepted | Self::Unidentified => Ok(()),
             Self::Refused | Self::Replaced => Err(Broken::ServerGone),
             Self::Unanswered => Err(Broken::EndUnconfirmed),
         }
@@ -58,6 +60,7 @@
         match self {
             Self::Open => "open",
             Self::Accepted => "accepted",
+            Self::Unidentified => "unidentified",
             Self::Refused => "refused",
             Self::Replaced => "replaced",
             Self::Unanswered => "unanswered",
--- a/crates/belief/src/members.rs
+++ b/crates/belief/src/members.rs
@@ -179,13 +179,10 @@
             && !self.ended.contains_key(&instance)
     }
 
-    /// Whether another instance has the id or the address of this one, so it has ended.
+    /// Whether this instance has ended: the process that followed it has said so, or is listed.
     pub fn is_replaced(&self, member: &Member) -> bool {
-        if self.ended.contains_key(&instance(member)) {
-            return true;
-        }
-        let mut others = self.listed.values().filter(|m| instance(m) != instance(member));
-        others.any(|other| other.id == member.id || other.address == member.address)
+        self.ended.contains_key(&instance(member))
+            || self.listed.values().any(|other| follows(other, member))
     }
 
     /// The servers of the last list, without lapsed ones.
@@ -225,8 +222,7 @@
             }
         }
         self.lapsed.retain(|id, (_, until)| !fresh.contains_key(id) && now < *until);
-        // An address belongs to one server at a time: a listed server supersedes a lapsed one.
-        self.lapsed.retain(|_, (m, _)| fresh.values().all(|other| other.address != m.address));
+        self.lapsed.retain(|_, (m, _)| !fresh.values().any(|other| follows(other, m)));
         // Hosts of builds that know no restrictions agree on the digest while there are none.
         self.digest = match restrictions.is_empty() {
             true => digest(&fresh),
@@ -291,6 +287,16 @@
     instances.insert(instance, now);
 }
 
+/// Whether an entry is that of the process that came after `member`. An entry that only shares the address proves
+/// nothing: it may be another writer's, that of the process before, or an older copy.
+fn follows(other: &Member, member: &Member) -> bool {
+    let same_place = other.id == member.id || other.address == member.address;
+    same_place
+        && instance(other) != instance(member)
+        && other.service == member.service
+        && other.born_ms >= member.born_ms
+}
+
 /// The instance that a member announces.
 pub fn instance(member: &Member) -> Instance {
     (member.id.clone(), member.born_ms)
--- a/crates/belief/tests/beliefs.rs
+++ b/crates/belief/tests/beliefs.rs
@@ -153,6 +153,31 @@
     assert_eq!(view.get().iter().map(|m| m.phase).collect::<Vec<_>>(), [Phase::Draining]);
 }
 
+/// Guards against an entry of another writer, of a former process, or of an older copy of the store that ends the
+/// answers of the server at the same address.
+#[test]
+fn an_entry_proves_the_end_only_of_an_earlier_process_of_its_service() {
+    let start = Instant::now();
+    let own = Member { born_ms: 5, ..member("a", 1) };
+    let other_service =
+        |born_ms| Member { born_ms, service: "t".parse().expect("a name"), ..member("b", 1) };
+    let former = Member { born_ms: 4, ..member("b", 1) };
+    let older_copy = Member { born_ms: 4, ..own.clone() };
+    for entry in [other_service(4), other_service(6), former, older_copy] {
+        let mut view = members::View::default();
+        view.offer(start, vec![own.clone()], start);
+        let back = start + SECOND * 8;
+        view.offer(back, vec![entry.clone()], back);
+        assert!(!view.is_replaced(&own), "{entry:?}");
+        let is_kept = entry.id == own.id || view.get().contains(&own);
+        assert!(is_kept, "lapsed, but not superseded by {entry:?}");
+    }
+    let next = Member { born_ms: 6, ..member("b", 1) };
+    let mut view = members::View::default();
+    view.offer(start, vec![own.clone(), next], start);
+    assert!(view.is_replaced(&own));
+}
+
 fn host(name: &str) -> HostId {
     name.parse().expect("a name")
 }
--- a/crates/gateway/src/send/closed_end.rs
+++ b/crates/gateway/src/send/closed_end.rs
@@ -44,14 +44,14 @@
 ) -> Evidence {
     let member = &guard.placement.member;
     tokio::time::sleep(SETTLING_TIME).await;
-    let is_replaced = || state.servers.borrow().is_replaced(member);
-    if is_replaced() {
-        return Evidence::Replaced;
-    }
     let source = state.settings.borrow().source;
     // A server that gets no more requests needs no idle connection.
     let takes_work = state.servers.borrow().takes_work(member);
     let keep_alive = if takes_work { keep_alive } else { Some(Duration::ZERO) };
     let evidence = connection.find_evidence(state.now(), member, keep_alive, source).await;
-    if is_replaced() { Evidence::Replaced } else { evidence }
+    match evidence {
+        // An entry proves less than what the process says of itself.
+        Evidence::Unidentified if state.servers.borrow().is_replaced(member) => Evidence::Replaced,
+        evidence => evidence,
+    }
 }
--- a/crates/gateway/src/send/connection_pool.rs
+++ b/crates/gateway/src/send/connection_pool.rs
@@ -218,22 +218,27 @@
             self.pool.record_closed(&self.key);
         }
         let connected = connect(member, source).await;
-        let evidence = Evidence::of_connecting(connected.as_ref());
+        let evidence = match Evidence::of_connecting(connected.as_ref()) {
+            Evidence::Accepted => Evidence::Unidentified,
+            other => other,
+        };
         let Some(Ok(mut connection)) = connected else { return evidence };
-        match ask(&mut connection, member).await {
-            None => Evidence::Unanswered,
+        let evidence = match ask(&mut connection, member).await {
+            None => return Evidence::Unanswered,
             // A server resets connections above the number that it serves.
-            Some(Err(_)) => evidence,
-            Some(Ok(Some(born_ms))) if member.born_ms > 0 && born_ms != member.born_ms => {
-                Evidence::Replaced
-            }
-            Some(Ok(_)) => {
-                self.connection = Some(connection);
-                self.opened = Opened { at: now, identity: Identity::Unasked };
-                self.release(now, keep_alive);
-                evidence
+            Some(Err(_)) => return evidence,
+            Some(Ok(Some(born_ms))) if member.born_ms > 0 => {
+                if born_ms != member.born_ms {
+                    return Evidence::Replaced;
+                }
+                Evidence::Accepted
             }
-        }
+            Some(Ok(_)) => evidence,
+        };
+        self.connection = Some(connection);
+        self.opened = Opened { at: now, identity: Identity::Unasked };
+        self.release(now, keep_alive);
+        evidence
     }
 }
 
