--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -14,7 +14,8 @@
     let nested = |levels: usize| [vec![b'['; levels], vec![b']'; levels]].concat();
     let entry = |field: &str, value: &str| {
         let mut entry = json!({"service": "app", "address": "127.0.0.1:9", "zone": "d1",
-            "version": "v1", "slots": 8, "state": "ready", "sequence": 1, "born": 1});
+            "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+            "born": 1});
         entry[field] = json!("@");
         entry.to_string().replace("\"@\"", value).into_bytes()
     };
--- a/tests/shared_addresses.rs
+++ b/tests/shared_addresses.rs
@@ -15,23 +15,29 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
 const EVENTS: &str = "content-type: text/event-stream\r\n";
 const WHOLE: &str = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n";
+/// Requests at the same time.
 const REQUESTS: usize = 8;
+/// Requests one after the other.
+const REQUESTS_IN_TURN: usize = 200;
 
-/// Starts a server that answers what names `x1` or nobody, and turns all else away, as the platform's servers do.
-/// Its answers end with their connections.
-fn start_server() -> anyhow::Result<Server> {
-    Server::start(|mut stream, _| {
+/// Starts the server `id`, which turns away what names another one, as the platform's servers do.
+fn start_server(id: &'static str, framing: Framing) -> anyhow::Result<Server> {
+    Server::start(move |mut stream, _| {
         loop {
             let head = scripted::read_head(&mut stream)?;
             if head.is_empty() {
                 return Ok(());
             }
-            if scripted::header(&head, "expect-instance") == "x1" {
-                let answer = scripted::framed(&head, Framing::Close, EVENTS, WHOLE);
-                return stream.write_all(answer.as_bytes());
+            if scripted::header(&head, "expect-instance") == id {
+                let answer = scripted::framed(&head, framing, EVENTS, WHOLE);
+                stream.write_all(answer.as_bytes())?;
+                if framing == Framing::Close {
+                    return Ok(());
+                }
+            } else {
+                let extra = "not-executed: 1\r\ncontent-length: 0\r\n";
+                stream.write_all(scripted::signed(&head, 421, extra).as_bytes())?;
             }
-            let extra = "not-executed: 1\r\ncontent-length: 0\r\n";
-            stream.write_all(scripted::signed(&head, 421, extra).as_bytes())?;
         }
     })
 }
@@ -65,7 +71,7 @@
     for (service, path) in [("llm", "/long/x"), ("app", "/write/x"), ("app", "/read/x")] {
         for born in [BORN - 1, BORN, BORN + 1] {
             let rig = Rig::start(PROGRAM)?;
-            let server = start_server()?;
+            let server = start_server("x1", Framing::Close)?;
             rig.replace_servers(service, server.address);
             rig.store.put("servers", "inventory-1", entry("inventory", server.address, born));
             let gateway = rig.start_gateway("g1")?;
@@ -80,7 +86,7 @@
 #[test]
 fn answers_are_whole_beside_the_former_entry_of_their_server() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
-    let server = start_server()?;
+    let server = start_server("x1", Framing::Close)?;
     rig.replace_servers("llm", server.address);
     let gateway = rig.start_repeating_gateway("g1")?;
     rig.store.put("servers", "w1", entry("llm", server.address, BORN - 1));
@@ -88,3 +94,47 @@
     assert_eq!(count_whole(&gateway, "/long/x")?, REQUESTS);
     Ok(())
 }
+
+/// A rig with three servers of `app`.
+fn start_servers() -> anyhow::Result<(Rig, Vec<Server>)> {
+    let rig = Rig::start(PROGRAM)?;
+    ["p1", "p2"].iter().for_each(|id| rig.store.remove("servers", id));
+    let mut servers = Vec::new();
+    for id in ["x1", "x2", "x3"] {
+        let server = start_server(id, Framing::Length)?;
+        rig.store.put("servers", id, entry("app", server.address, BORN));
+        servers.push(server);
+    }
+    Ok((rig, servers))
+}
+
+/// Returns how many requests that come one after the other, unsafe and safe ones in turn, are served.
+fn count_served(gateway: &Gateway) -> anyhow::Result<usize> {
+    let mut served = 0;
+    for number in 0..REQUESTS_IN_TURN {
+        let (method, path) =
+            if number % 2 == 0 { ("POST", "/write/x") } else { ("GET", "/read/x") };
+        let request = Request::new(method, path, &format!("t{number}"));
+        served += usize::from(request.send(gateway.addresses.callers)?.status == 200);
+    }
+    Ok(served)
+}
+
+/// Guards against entries that lack a field and are placed at: each request went there first, until no budget to
+/// repeat was left.
+#[test]
+fn a_service_goes_on_beside_entries_without_all_fields_at_the_addresses_of_its_servers()
+-> anyhow::Result<()> {
+    for field in ["version", "born", "cold_remaining_ms", "sequence"] {
+        let (rig, servers) = start_servers()?;
+        for (number, server) in servers.iter().enumerate() {
+            let mut entry = entry("app", server.address, BORN);
+            entry.as_object_mut().expect("an object").remove(field);
+            rig.store.put("servers", &format!("app-{number}"), entry);
+        }
+        let gateway = rig.start_gateway("g1")?;
+        assert_eq!(count_served(&gateway)?, REQUESTS_IN_TURN, "without {field}");
+        assert!(!gateway.log_lines("stored object left unread").is_empty(), "without {field}");
+    }
+    Ok(())
+}
