--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -1,8 +1,8 @@
 //! Servers whose bytes have no end, in a head or a body, and are no answer.
 
 use std::{
-    io::Write as _,
-    net::SocketAddr,
+    io::{self, Write as _},
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -54,10 +54,24 @@
 
 impl Flood {
     fn start(begin: &'static str, part: &'static str, pause: Duration) -> anyhow::Result<Self> {
+        Self::start_with(begin, part, pause, scripted::read_head)
+    }
+
+    /// A server that also floods whoever asks for its report.
+    fn start_all(begin: &'static str, part: &'static str) -> anyhow::Result<Self> {
+        Self::start_with(begin, part, Duration::ZERO, scripted::read_any_head)
+    }
+
+    fn start_with(
+        begin: &'static str,
+        part: &'static str,
+        pause: Duration,
+        read_head: fn(&mut TcpStream) -> io::Result<String>,
+    ) -> anyhow::Result<Self> {
         let open = Arc::new(AtomicUsize::new(0));
         let counted = open.clone();
         let server = Server::start(move |mut stream, _| {
-            let head = scripted::read_head(&mut stream)?;
+            let head = read_head(&mut stream)?;
             if head.is_empty() {
                 return Ok(());
             }
@@ -101,10 +115,15 @@
 
 /// Checks that requests to a service whose only server floods end in time, as failures, and within
 /// the memory of a host.
-fn assert_ends(service: &str, method: &str, path: &str) -> anyhow::Result<()> {
+fn assert_ends(
+    service: &str,
+    method: &str,
+    path: &str,
+    start: impl Fn(&'static str, &'static str) -> anyhow::Result<Flood>,
+) -> anyhow::Result<()> {
     for (name, begin, part) in FLOODS {
         let rig = Rig::start(PROGRAM)?;
-        let flood = Flood::start(begin, part, Duration::ZERO)?;
+        let flood = start(begin, part)?;
         rig.replace_servers(service, flood.server.address);
         let gateway = rig.start_gateway("g1")?;
         let to = gateway.addresses.callers;
@@ -125,12 +144,18 @@
 
 #[test]
 fn plain_requests_end_when_a_server_sends_bytes_without_end() -> anyhow::Result<()> {
-    assert_ends("app", "GET", "/read/x")
+    assert_ends("app", "GET", "/read/x", |begin, part| Flood::start(begin, part, Duration::ZERO))
 }
 
 #[test]
 fn streams_end_when_a_server_sends_bytes_without_end() -> anyhow::Result<()> {
-    assert_ends("llm", "POST", "/chat/x")
+    assert_ends("llm", "POST", "/chat/x", |begin, part| Flood::start(begin, part, Duration::ZERO))
+}
+
+/// Guards against the report of a server, which hosts ask for before streams, read as if it were a large answer.
+#[test]
+fn streams_end_when_a_server_reports_bytes_without_end() -> anyhow::Result<()> {
+    assert_ends("llm", "POST", "/chat/x", Flood::start_all)
 }
 
 /// Each byte counts as a sign of life of the connection, but not of progress.
--- a/tests/stand/src/scripted.rs
+++ b/tests/stand/src/scripted.rs
@@ -76,15 +76,7 @@
 /// As [`read_head`], for a server that was born at `born`.
 pub fn read_head_of(stream: &mut TcpStream, born: u64) -> std::io::Result<String> {
     loop {
-        let mut head = Vec::new();
-        let mut byte = [0; 1];
-        while !head.ends_with(b"\r\n\r\n") {
-            if stream.read(&mut byte)? == 0 {
-                return Ok(String::new());
-            }
-            head.push(byte[0]);
-        }
-        let head = String::from_utf8_lossy(&head).into_owned();
+        let head = read_any_head(stream)?;
         if !head.starts_with(&format!("GET {REPORT_PATH} ")) {
             return Ok(head);
         }
@@ -94,6 +86,19 @@
     }
 }
 
+/// As [`read_head`], but requests for the report are returned, too.
+pub fn read_any_head(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte)? == 0 {
+            return Ok(String::new());
+        }
+        head.push(byte[0]);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
 /// Returns the report of a server that was born at `born`.
 pub fn report(born: u64) -> String {
     format!(r#"{{"stage":"both","sequence":2,"queued":0,"running":1,"born":{born}}}"#)
