--- a/crates/gateway/src/receive/buffers.rs
+++ b/crates/gateway/src/receive/buffers.rs
@@ -2,9 +2,9 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use crate::send::cause;
 
@@ -69,20 +69,27 @@
     }
 }
 
-/// Reads a body to its end; returns it with the memory that it takes, or the cause of the failure.
+/// Reads a body to its end; returns it with the memory that it takes, or the cause of the failure. What the buffer can
+/// hold counts, not only what it holds.
 pub async fn collect(
     memory: &Memory,
     mut body: Incoming,
 ) -> Result<(Bytes, Reservation), &'static str> {
     let mut reservation = memory.reserve();
-    let mut buffer = BytesMut::new();
+    let most = body.size_hint().exact().map_or(MAX_RESPONSE_BYTES, |length| length as usize);
+    let mut buffer: Vec<u8> = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| cause::ANSWER_BROKE_OFF)?;
         let Ok(data) = frame.into_data() else { continue };
-        if !reservation.resize(buffer.len() + data.len()) {
-            return Err(cause::TOO_LARGE);
+        let length = buffer.len() + data.len();
+        if length > buffer.capacity() {
+            let capacity = (2 * buffer.capacity()).min(most).max(length);
+            if !reservation.resize(capacity) {
+                return Err(cause::TOO_LARGE);
+            }
+            buffer.reserve_exact(capacity - buffer.len());
         }
         buffer.extend_from_slice(&data);
     }
-    Ok((buffer.freeze(), reservation))
+    Ok((Bytes::from(buffer), reservation))
 }
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -11,11 +11,13 @@
     time::{Duration, Instant},
 };
 
+use serde_json::json;
 use wasabi_stand::{
     caller::Request,
     gateway::{Gateway, wait_for},
     rig::Rig,
     scripted::{self, Server},
+    server,
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_wasabirouter");
@@ -158,6 +160,62 @@
     assert_ends("llm", "POST", "/chat/x", Flood::start_all)
 }
 
+/// Guards against limits that hold for each service, or for answers and bodies by themselves, and not for all together.
+#[test]
+fn several_services_without_end_beside_large_bodies_stay_within_the_memory() -> anyhow::Result<()> {
+    const SERVICES: [&str; 3] = ["app", "app2", "app3"];
+    const CALLERS_OF_EACH: usize = 100;
+    const BODIES: usize = 24;
+    let rig = Rig::start(PROGRAM)?;
+    let mut floods = Vec::new();
+    rig.configure(2, |config| {
+        for service in &SERVICES[1..] {
+            let mut route = config["routes"][3].clone();
+            route["name"] = json!(format!("r-{service}"));
+            route["path_prefix"] = json!(format!("/{service}/"));
+            route["service"] = json!(service);
+            let mut entry = config["services"][1].clone();
+            entry["name"] = json!(service);
+            config["routes"].as_array_mut().expect("a list").push(route);
+            config["services"].as_array_mut().expect("a list").push(entry);
+        }
+    });
+    for service in SERVICES {
+        let flood = Flood::start("{signed}\r\n", "xxxxxxxx", Duration::ZERO)?;
+        let entry = server::store_object(service, flood.server.address, "ready");
+        if service == SERVICES[0] {
+            rig.replace_servers(service, flood.server.address);
+        } else {
+            rig.store.put("servers", &format!("y-{service}"), entry);
+        }
+        floods.push(flood);
+    }
+    let gateway = rig.start_gateway("g1")?;
+    let to = gateway.addresses.callers;
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let ask = |number: usize| {
+            let path = ["/read/x", "/app2/x", "/app3/x"][number % 3];
+            let request = Request::new("GET", path, &format!("f{number}"));
+            let request = Request { deadline: DEADLINE, ..request };
+            scope.spawn(move || request.send(to).map_or(0, |response| response.status))
+        };
+        let upload = |number: usize| {
+            let request = Request::new("POST", "/long/x", &format!("b{number}"));
+            let request = Request { deadline: DEADLINE, body: vec![b'x'; 1_000_000], ..request };
+            scope.spawn(move || request.send(to).map_or(0, |response| response.status))
+        };
+        let mut calls: Vec<_> = (0..CALLERS_OF_EACH * SERVICES.len()).map(ask).collect();
+        calls.extend((0..BODIES).map(upload));
+        calls.into_iter().map(|call| call.join().expect("no panic")).collect()
+    });
+    let resident = gateway.peak_resident_bytes()?;
+    assert!(resident < HOST_MEMORY_BYTES, "{} MB; {statuses:?}", resident >> 20);
+    assert_alive(&gateway);
+    let served = Request::new("POST", "/chat/x", "after").send(to)?;
+    assert!(served.status == 200 && served.complete, "{served:?}");
+    Ok(())
+}
+
 /// Each byte counts as a sign of life of the connection, but not of progress.
 #[test]
 fn a_stream_of_single_bytes_without_an_event_moves_to_another_server() -> anyhow::Result<()> {
@@ -165,7 +223,7 @@
     let begin = "{signed}transfer-encoding: chunked\r\n\r\n";
     let drip = Flood::start(begin, "1\r\nx\r\n", Duration::from_millis(100))?;
     rig.store.remove("servers", "e1");
-    let entry = wasabi_stand::server::store_object("llm", drip.server.address, "ready");
+    let entry = server::store_object("llm", drip.server.address, "ready");
     rig.store.put("servers", "x1", entry);
     let gateway = rig.start_repeating_gateway("g1")?;
     let mut moved = 0;
