Let versions that went long ago decide nothing about streams of lost hosts

Callers could not take up streams (503, 1206) after all hosts were lost as a release began, if any release had ended before (LOST).

Cause: hosts that start took all versions of the record for those at which streams may have begun, however long ago they went.

Change: what had been gone for VERSION_RETENTION when the host started is left out. The record is judged when a stream is taken up, since the clock of a host that starts is not yet checked.

--- a/crates/belief/src/version_record.rs
+++ b/crates/belief/src/version_record.rs
@@ -88,6 +88,16 @@
         updated
     }
 
+    /// Returns the versions of a service at which a stream may have begun that is taken up at `now_ms` or later:
+    /// one that had gone for long by then has none.
+    pub fn recent_builds(&self, service: &PoolId, now_ms: u64) -> BTreeSet<Build> {
+        let recent = self.ages(now_ms).filter(|(_, age)| *age < VERSION_RETENTION);
+        recent
+            .filter(|(origin, _)| origin.service == *service)
+            .map(|(origin, _)| origin.build)
+            .collect()
+    }
+
     /// Returns how long ago servers of each version may last have been listed.
     pub fn ages(&self, now_ms: u64) -> impl Iterator<Item = (Origin, Duration)> {
         self.services.iter().flat_map(move |(service, builds)| {
--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -190,11 +190,14 @@
     Finding { origin, source, ..finding }
 }
 
-/// Returns the versions of a service that had been recorded when this host started.
+/// Returns the versions of a service that had been recorded when this host started, but for those that had gone for
+/// longer than streams last.
 fn inherited_builds(state: &State, service: &PoolId) -> Option<BTreeSet<Build>> {
+    // The clock of a host that starts is not checked against others yet, so the record is judged later.
+    let uptime = state.now().saturating_duration_since(state.started_at);
+    let started_ms = state.now_ms().saturating_sub(uptime.as_millis() as u64);
     let inherited = state.inherited_versions.borrow();
-    let of_service = inherited.as_ref()?.iter().filter(|origin| origin.service == *service);
-    Some(of_service.map(|origin| origin.build.clone()).collect())
+    Some(inherited.as_ref()?.recent_builds(service, started_ms))
 }
 
 impl Finding {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
     link, members,
     origins::{self, Origin, StreamId},
     peers::Peers,
+    version_record,
 };
 use wasabi_core::{
     catalog::Catalog,
@@ -74,9 +75,9 @@
     pub limits: RefCell<stated_limits::View>,
     /// Whether what earlier hosts have stored of versions and streams has been read.
     pub stored_origins_read: Cell<bool>,
-    /// The versions that the record had when this host first read it, before it added any: all streams of hosts
-    /// that had ended by then began there. `None` until it is read.
-    pub inherited_versions: RefCell<Option<BTreeSet<Origin>>>,
+    /// The record of versions when this host first read it, before it added any: all streams of hosts that had
+    /// ended by then began at one of these. `None` until it is read, and if it may have lost some.
+    pub inherited_versions: RefCell<Option<version_record::Record>>,
     /// The versions that the record has as listed, as this host last read or wrote it.
     pub recorded_versions: RefCell<BTreeSet<Origin>>,
     /// The versions that are listed and not recorded yet.
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -6,10 +6,10 @@
     net::SocketAddr,
     sync::Arc,
     thread::{self, JoinHandle},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use serde_json::json;
+use serde_json::{Value, json};
 use wasabi_stand::{
     caller::{Request, Response},
     gateway::{self, Gateway, wait_for},
@@ -179,7 +179,26 @@
 
 #[test]
 fn streams_go_on_after_all_hosts_were_killed_and_a_release_began_meanwhile() -> anyhow::Result<()> {
+    assert_taken_up_after_loss_of_all_hosts(None)
+}
+
+/// Guards against a version of the record that went long ago and is taken for one at which streams may have begun.
+#[test]
+fn streams_go_on_after_all_hosts_were_killed_though_the_record_has_a_version_that_went_long_ago()
+-> anyhow::Result<()> {
+    let gone = SystemTime::now().duration_since(UNIX_EPOCH)? - Duration::from_secs(60);
+    let builds = json!({"v0": gone.as_millis() as u64, "v1": null});
+    let services = json!({"llm": builds, "app": {"v1": null}});
+    assert_taken_up_after_loss_of_all_hosts(Some(json!({"era": 0, "services": services})))
+}
+
+/// Plays a loss of all hosts and a release that begins before they are back; `record` is the record of
+/// versions when they first start.
+fn assert_taken_up_after_loss_of_all_hosts(record: Option<Value>) -> anyhow::Result<()> {
     let mut rig = Rig::start(PROGRAM)?;
+    if let Some(record) = record {
+        rig.store.put("stream-versions", "services", record);
+    }
     let mut hosts = vec![rig.start_gateway("g1")?, rig.start_gateway("g2")?];
     let engines = || rig.servers.iter().filter(|(server, _)| server.streams);
     engines().for_each(|(server, _)| server.set_behavior(Some(Behavior::BreakAfter(3))));
