Find on start that the store holds an older copy

Callers were served with a key that had been taken away (CONFIG) after the store was restored while all hosts were down.

Cause: a process that starts took the first era that it read for settled. If all hosts had ended, nobody knew of the restore.

A start without a restore reads nothing more.

a_withdrawal_that_the_store_lost_while_all_hosts_were_down_is_not_undone, before: the key is served from the first answer on.

--- a/crates/belief/src/era.rs
+++ b/crates/belief/src/era.rs
@@ -15,7 +15,7 @@
     pub era: Era,
     /// The earliest time at which any host is known to have seen it.
     pub since: Instant,
-    /// Whether a host saw the restore that began it, and has not just started in it.
+    /// Whether a host saw the restore that began it, or found contents of an older era when it started.
     pub restored: bool,
 }
 
@@ -47,6 +47,14 @@
         Some(former)
     }
 
+    /// Records that the store holds what was written in an older era: it was restored, and no host that saw that
+    /// has written since.
+    pub fn record_older_copy(&mut self) {
+        if let Some(known) = &mut self.0 {
+            known.restored = true;
+        }
+    }
+
     /// The latest era.
     pub fn known(&self) -> Option<Known> {
         self.0
--- a/crates/gateway/src/share/restore.rs
+++ b/crates/gateway/src/share/restore.rs
@@ -41,6 +41,18 @@
         self.give_up_older_era(former, theirs.era, "peer");
     }
 
+    /// Takes in that the store holds an older copy, as a host that starts finds it. What it has read proves
+    /// nothing until the operator has had the time to write again.
+    pub fn on_older_copy_found(&self) {
+        let now = self.now();
+        let was_settled = self.era.borrow().is_settled(now);
+        self.era.borrow_mut().record_older_copy();
+        if was_settled && !self.era.borrow().is_settled(now) {
+            warn!(era = self.store_era().map_or(0, |era| era.0); "store holds an older copy");
+            self.config.borrow_mut().drop_proof();
+        }
+    }
+
     /// If there was a former era, gives up everything that rests on its contents; `source` is for the
     /// log.
     fn give_up_older_era(&self, former: Option<Era>, era: Era, source: &str) {
--- a/crates/gateway/src/share/version_store.rs
+++ b/crates/gateway/src/share/version_store.rs
@@ -43,6 +43,9 @@
         let known: Record = stored.value().cloned().unwrap_or_default();
         apply(state, &known);
         let is_older_copy = known.is_older_copy(state.store_era());
+        if is_older_copy {
+            state.on_older_copy_found();
+        }
         // An older copy may lack versions at which streams have begun.
         state.inherited_versions.replace((!is_older_copy).then(|| known.clone()));
         let incomplete_until = is_older_copy.then(|| state.now() + VERSION_RETENTION);
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -272,6 +272,46 @@
     Ok(())
 }
 
+/// Nobody is left who has seen the restore; the record of versions tells that the store holds an older copy.
+#[test]
+fn a_withdrawal_that_the_store_lost_while_all_hosts_were_down_is_not_undone() -> anyhow::Result<()>
+{
+    let rig = Rig::start(PROGRAM)?;
+    let mut hosts = two_hosts(&rig)?;
+    wait_for("the record", || {
+        let record = rig.store.get("stream-versions", "services").unwrap_or_default();
+        record["era"] == 0 && record["services"]["llm"]["v1"].is_null()
+    })?;
+    let backup = rig.store.backup();
+    rig.configure(7, |config| {
+        config["tenants"][0]["api_keys"] = serde_json::json!(["k1b"]);
+    });
+    hosts.values_mut().for_each(Gateway::kill);
+    let others = rig.store.restore(&backup);
+    let places: Vec<_> = hosts.into_values().map(|host| host.addresses).collect();
+    let again: Vec<Gateway> = ["g1", "g2"]
+        .into_iter()
+        .zip(places)
+        .map(|(name, at)| rig.launch(name, rig.store_address, at))
+        .collect::<anyhow::Result<_>>()?;
+    let send = |host: &Gateway, id: String, key: &str| {
+        let request = Request { key: Some(key.to_string()), ..Request::new("GET", "/read/x", &id) };
+        request.send(host.addresses.callers).map_or(0, |response| response.status)
+    };
+    let mut answers = Vec::new();
+    for number in 0..100 {
+        answers.extend(again.iter().map(|host| send(host, format!("h{number}"), "k1")));
+        thread::sleep(Duration::from_millis(10));
+    }
+    rig.store.rewrite(others);
+    wait_for("the other key", || {
+        again.iter().all(|host| send(host, "other".to_string(), "k1b") == 200)
+    })?;
+    answers.extend(again.iter().map(|host| send(host, "last".to_string(), "k1")));
+    assert!(!answers.contains(&200), "a withdrawn key was accepted: {answers:?}");
+    Ok(())
+}
+
 #[test]
 fn wasabictl_shows_the_era_of_the_store_that_each_host_knows() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
