Look at the record of versions only with a list, and keep what is known of it over a conflict

Cause: a host without a list of servers read the record again every 20 ms if it did not state the store's era, and would have written an empty one; after a conflict with another write all versions counted as not recorded for 250 ms, so that streams could begin at one that was not.

Change: without a list nothing is compared; a conflict leaves what was known as it is.

tests/versions, restored_versions and entries pass. No test shows the two cases.

--- a/crates/gateway/src/share/version_store.rs
+++ b/crates/gateway/src/share/version_store.rs
@@ -60,16 +60,17 @@
 
     /// Writes the record if it is not what it should be.
     pub async fn update(&mut self, state: &State) -> Result<()> {
-        let digest = state.servers.borrow().digest_age(state.now()).map(|(digest, _)| digest);
+        let list = state.servers.borrow().digest_age(state.now());
+        let Some((digest, _)) = list else { return Ok(()) };
         let is_current =
             self.stored.is_current(state, MAX_COPY_AGE) && self.unstated_era(state).is_none();
-        if is_current && digest.is_some() && digest == self.agreed {
+        if is_current && self.agreed == Some(digest) {
             return Ok(());
         }
         self.agreed = None;
         let present = self.present();
         if is_current && self.expected(state, &present).is_none() {
-            self.agreed = digest.filter(|_| self.comparison.has_all());
+            self.agreed = self.comparison.has_all().then_some(digest);
             return Ok(());
         }
         let spread = CHANGE_SPREAD_PER_HOST * state.live_hosts() as u32;
@@ -78,10 +79,11 @@
         if let Some(next) = self.next(state) {
             self.stored.write(state, next).await?;
         }
+        // Not known after a conflict with another write.
         if let Some(value) = self.stored.value() {
             self.known = value.clone();
+            state.set_recorded_versions(value.present());
         }
-        state.set_recorded_versions(self.present());
         Ok(())
     }
 
