Take servers into the balancers while the configuration is not proven

Callers were refused by a host («no server takes work», 1301) until the list of servers changed, after it had started with a store that was restored while all hosts were down and that answered slowly.

Change: balancers follow the list whatever the proof; requests are still refused while there is none.

hosts_serve_after_an_unseen_restore_though_the_servers_are_read_late times out before, and passes now.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -517,7 +517,8 @@
     fn refresh_balancers(&self) {
         let members = self.servers.borrow().get();
         let now = self.now();
-        let Some((catalog, _)) = self.config() else { return };
+        // Also while the configuration is not proven: the servers are not looked at again when it is.
+        let Some(catalog) = self.config.borrow().get() else { return };
         let domain = self.settings.borrow().domain.clone();
         let learn_speed = self.settings.borrow().learn_speed;
         let mut balancers = self.balancers.borrow_mut();
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -312,6 +312,29 @@
     Ok(())
 }
 
+/// Guards against a list of servers that comes while the configuration proves nothing, and is not used later either.
+#[test]
+fn hosts_serve_after_an_unseen_restore_though_the_servers_are_read_late() -> anyhow::Result<()> {
+    const LATE: [(&str, Duration); 2] =
+        [("stream-versions", Duration::from_millis(150)), ("servers", Duration::from_millis(300))];
+    let rig = Rig::start(PROGRAM)?;
+    let mut hosts = two_hosts(&rig)?;
+    wait_for("the record", || {
+        rig.store.get("stream-versions", "services").unwrap_or_default()["era"] == 0
+    })?;
+    hosts.values_mut().for_each(Gateway::kill);
+    restore(&rig, &rig.store.backup());
+    LATE.iter().for_each(|(kind, delay)| rig.store.set_late_reads(kind, *delay));
+    for (name, host) in std::mem::take(&mut hosts) {
+        let again = rig.launch(&name, rig.store_address, host.addresses)?;
+        wait_for("an answer", || {
+            let response = Request::new("GET", "/read/x", &name).send(again.addresses.callers);
+            response.is_ok_and(|response| response.status == 200)
+        })?;
+    }
+    Ok(())
+}
+
 #[test]
 fn wasabictl_shows_the_era_of_the_store_that_each_host_knows() -> anyhow::Result<()> {
     let rig = Rig::start(PROGRAM)?;
--- a/tests/stand/src/store.rs
+++ b/tests/stand/src/store.rs
@@ -39,8 +39,8 @@
 #[derive(Default)]
 struct Inner {
     fault: Fault,
-    /// A kind whose reads are answered late, and by how much.
-    late_reads: Option<(String, Duration)>,
+    /// The kinds whose reads are answered late, and by how much.
+    late_reads: BTreeMap<String, Duration>,
     revision: u64,
     /// Objects by kind and name, each with the revision of its last write.
     objects: BTreeMap<(String, String), (u64, Value)>,
@@ -77,9 +77,9 @@
         self.inner.lock().fault = fault;
     }
 
-    /// Answers reads of objects of `kind` after `delay` from now on, and no others.
+    /// Answers reads of objects of `kind` after `delay` from now on.
     pub fn set_late_reads(&self, kind: &str, delay: Duration) {
-        self.inner.lock().late_reads = Some((kind.to_string(), delay));
+        self.inner.lock().late_reads.insert(kind.to_string(), delay);
     }
 
     /// Writes an object directly, in place of an operator or a server: faults do not apply, and
@@ -151,11 +151,11 @@
 
     /// Returns by how much the answer to a call is late.
     fn delay(&self, request: &ReceivedRequest) -> Duration {
-        let inner = self.inner.lock();
-        let late = inner.late_reads.as_ref().filter(|(kind, _)| {
-            *request.method() == Method::GET && object_path(request).0 == *kind
-        });
-        late.map_or(Duration::ZERO, |(_, delay)| *delay)
+        if request.method() != Method::GET {
+            return Duration::ZERO;
+        }
+        let late = self.inner.lock().late_reads.get(object_path(request).0).copied();
+        late.unwrap_or_default()
     }
 
     fn execute(&self, request: &ReceivedRequest) -> BoxResponse {
