--- a/crates/gateway/src/send/attempt.rs
+++ b/crates/gateway/src/send/attempt.rs
@@ -210,8 +210,8 @@
     }
 }
 
-/// Takes an entry at whose address another server answers out of placement: for a while, or for good if that
-/// server says that its process is another one.
+/// Takes an entry at whose address another server answers out of placement: for a while, or for good if the process
+/// there started at another time or no longer listens.
 fn record_misdirected(state: &Rc<State>, guard: &PlacementGuard) {
     let (now, spread) = (state.now(), rand::rng().random());
     guard.with_balancer(|balancer, placement| balancer.record_misdirected(now, placement, spread));
