Review case 12: a key that was taken away is served by hosts that start while the store is away

Tried: power loss of all hosts and of the store, which comes back 1.5 s later from a copy 6 s old, when the hosts have started already; the operator writes again 1 s later.

--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -124,7 +124,7 @@
                 world.store.restore(&copy);
             }
         }
-        world.configure();
+        world.configure(7, r#""key-one","key-one-b""#);
         world.wait_until(7_200);
         world.start_all()?;
     }
@@ -368,3 +368,64 @@
     );
     Ok((held, seen))
 }
+
+/// CONFIG: hosts start while the store is away, and it comes back from a copy in which a key is not taken away yet.
+pub fn restored_key(trouble: bool, record: &Record) -> Outcome {
+    const REVOKE: u64 = 5_000;
+    const HOSTS: u8 = 6;
+    let mut world = World::start(record)?;
+    let _servers = world.plain_servers(3)?;
+    world.start_gateways(HOSTS, false)?;
+    world.wait_until(3_000);
+    record.add("the copy of the store is made");
+    let copy = world.store.copy();
+    world.wait_until(3_300);
+    let withdraw = |world: &World| world.configure(8, r#""key-one-b""#);
+    withdraw(&world);
+    let acknowledged = record.now();
+    record.add("key-one is taken away");
+    let hosts = world.callers();
+    let history = |name: &'static str, key: &'static str| {
+        move |number: usize| Call {
+            id: format!("{name}{number}"),
+            method: "GET",
+            path: format!("/history/{name}{number}"),
+            key: Some(key),
+            deadline_ms: 3_000,
+            ..Call::default()
+        }
+    };
+    let taken = send_each(record, &hosts, (5_500, 14_000, 10), history("taken", "key-one"));
+    let kept = send_each(record, &hosts, (5_500, 16_000, 50), history("kept", "key-two"));
+    world.wait_until(7_500);
+    if trouble {
+        record.add("power is lost: all hosts, the store");
+        world.kill_gateways();
+        world.store.set_mode(Mode::Silent);
+        world.wait_until(7_900);
+        for gateway in &mut world.gateways {
+            gateway.start().map_err(text)?;
+        }
+        world.wait_until(9_000);
+        match left_out("restore") {
+            true => world.store.set_mode(Mode::Up),
+            false => {
+                record.add("the store is back from the copy");
+                world.store.restore(&copy);
+            }
+        }
+        world.wait_until(10_000);
+        record.add("the operator writes again");
+        withdraw(&world);
+    }
+    let all = join(vec![taken, kept]);
+    let (ran, sent) = begun(&all[0], acknowledged + REVOKE + 1, 14_000);
+    let (served, of_served) = begun(&all[1], 13_000, 16_000);
+    if served * 2 < of_served {
+        return Err(format!("{served} of {of_served} requests with another key served at the end"));
+    }
+    let seen = format!(
+        "of {sent} requests with the key that were sent later than revoke_ms after the acknowledgement, {ran} ran; with another key {served} of {of_served} at the end"
+    );
+    Ok((ran == 0, seen))
+}
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -37,6 +37,7 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "restored-versions" => cases::restored_versions(trouble, &record),
+        "restored-key" => cases::restored_key(trouble, &record),
         "shared-part" => cases::shared_part(trouble, &record),
         "idle-peers" => cases::idle_peers(trouble, &record),
         "streams-in-outage" => cases::streams_in_outage(trouble, &record),
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -133,11 +133,12 @@
     fn serve(&self, mut connection: Connection) {
         while let Ok(request) = connection.request() {
             thread::sleep(ANSWER_TIME);
-            while self.inner.lock().unwrap().mode == Mode::Silent {
-                thread::sleep(Duration::from_millis(20));
-                if connection.is_closed() || self.inner.lock().unwrap().mode != Mode::Silent {
-                    return;
+            if self.inner.lock().unwrap().mode == Mode::Silent {
+                // This connection brings nothing further, also when the store is back.
+                while !connection.is_closed() {
+                    thread::sleep(Duration::from_millis(20));
                 }
+                return;
             }
             if self.inner.lock().unwrap().mode == Mode::Away {
                 return;
--- a/review/stand-3/world.rs
+++ b/review/stand-3/world.rs
@@ -46,12 +46,12 @@
             platform: platform::start().map_err(text)?,
             folder,
         };
-        world.configure();
+        world.configure(7, r#""key-one","key-one-b""#);
         Ok(world)
     }
 
-    /// Writes the configuration, as the operator does.
-    pub fn configure(&self) {
+    /// Writes the configuration, as the operator does; `keys` are those of the first tenant.
+    pub fn configure(&self, version: u64, keys: &str) {
         let route = |name: &str,
                      kind: &str,
                      service: &str,
@@ -72,11 +72,11 @@
             route("history", "safe", APP, 1_500, 2, ""),
         ];
         let config = format!(
-            r#"{{"version":7,"routes":[{}],"services":[
+            r#"{{"version":{version},"routes":[{}],"services":[
             {{"name":"{LLM}","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity_tokens":278703,"stride":6}}}},
             {{"name":"{APP}","health_path":"/health","max_connections":96,"protocol":"h1","tls":false}}],
             "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},
-            "tenants":[{{"name":"t1","api_keys":["key-one"],"priority":1}},{{"name":"t2","api_keys":["key-two"],"priority":1}}]}}"#,
+            "tenants":[{{"name":"t1","api_keys":[{keys}],"priority":1}},{{"name":"t2","api_keys":["key-two"],"priority":1}}]}}"#,
             routes.join(",")
         );
         if let Some(config) = Json::parse(config.as_bytes()) {
