Review: cases 11, 13, 14 and 15 kept inside the limits, and claims with their bounds

Case 13 sends its first requests when the hosts are in touch, and case 14 counts one in 50 of all first tries.

--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -29,9 +29,11 @@
     answer: Answer,
 }
 
-/// The prompt of a stream: a part that all share, one of its session, and one of its own.
+/// The prompt of a stream: a part that all share, one of its session, and one of its own. Every second one is long; the
+/// sheet's go up to 3,310 tokens.
 fn prompt(number: usize) -> String {
-    format!("5c1e07a2:119,{:x}:79,{:x}:628", 0xd000_0000 + number, 0xe000_0000 + number)
+    let own = if number % 2 == 0 { 628 } else { 3_000 };
+    format!("5c1e07a2:119,{:x}:79,{:x}:{own}", 0xd000_0000 + number, 0xe000_0000 + number)
 }
 
 /// Opens a stream, and takes it up again after a second each time while it is not complete and there is time: at
@@ -94,15 +96,15 @@
 /// ORDER: the store comes back from an older copy while all hosts are down, and the engines of the newest version
 /// are gone.
 pub fn restored_versions(trouble: bool, record: &Record) -> Outcome {
-    const STREAMS: usize = 24;
+    const STREAMS: usize = 60;
     let mut world = World::start(record)?;
-    let _old = world.engines(3, "v1", 40, 200, None)?;
+    let _old = world.engines(7, "v1", 40, 200, None)?;
     world.start_gateways(3, false)?;
     world.wait_until(3_000);
     record.add("the copy of the store is made");
     let copy = world.store.copy();
     world.wait_until(3_200);
-    let new = world.engines(3, "v2", 40, 200, None)?;
+    let new = world.engines(2, "v2", 40, 200, None)?;
     world.wait_until(4_700);
     let hosts = world.callers();
     let clients = (0..STREAMS)
@@ -189,7 +191,7 @@
             resumes: None,
         }
     };
-    let t0 = record.now() + 500;
+    let t0 = record.now() + CONTACT + 500;
     let end = t0 + 20_000;
     let before = send_each(
         record,
@@ -289,7 +291,7 @@
     }
     let is_less = own * of_rest * 3 < rest * of_own * 2;
     let failed = of_own - own;
-    let held = !(is_less && failed > 10 + of_own / 50);
+    let held = !(is_less && failed * 50 > 10 * 50 + of_own + of_rest);
     let seen = format!(
         "first tries served from contact_ms after the cut began: {own} of {of_own} at the host that is cut off, {rest} of {of_rest} at the others"
     );
