--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -176,7 +176,8 @@
 /// answered. The versions must have been read after the caller took the stream up: what this host knows may be
 /// older than the stream.
 async fn conclude(state: &Rc<State>, inbound: &AdmittedRequest, finding: Finding) -> Finding {
-    if !survey::wait_since(state, inbound.arrived).await {
+    // That no other version is known proves nothing while the record may lack some.
+    if !survey::wait_since(state, inbound.arrived).await || state.may_lack_versions() {
         return Finding { builds: BTreeSet::new(), ..finding };
     }
     let (service, mut finding) = (&inbound.admission.service, finding);
--- a/crates/gateway/src/share/version_store.rs
+++ b/crates/gateway/src/share/version_store.rs
@@ -82,7 +82,7 @@
         // Not known after a conflict with another write.
         if let Some(value) = self.stored.value() {
             self.known = value.clone();
-            state.set_recorded_versions(value.present());
+            state.set_version_record(value.clone());
         }
         Ok(())
     }
@@ -146,5 +146,5 @@
     for (origin, age) in record.ages(state.now_ms()) {
         state.origins.borrow_mut().record_listed_before(now, origin, age);
     }
-    state.set_recorded_versions(record.present());
+    state.set_version_record(record.clone());
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -78,8 +78,8 @@
     /// The record of versions when this host first read it, before it added any: all streams of hosts that had
     /// ended by then began at one of these. `None` until it is read, and if it may have lost some.
     pub inherited_versions: RefCell<Option<version_record::Record>>,
-    /// The versions that the record has as listed, as this host last read or wrote it.
-    pub recorded_versions: RefCell<BTreeSet<Origin>>,
+    /// The record of versions, as this host last read or wrote it.
+    pub version_record: RefCell<version_record::Record>,
     /// The versions that are listed and not recorded yet.
     pub unrecorded_versions: RefCell<BTreeSet<Origin>>,
     /// Reads of the servers and the versions in service that requests wait for.
@@ -168,7 +168,7 @@
             stored_origins_read: Cell::new(false),
             versions_recorded: Cell::new(false),
             inherited_versions: RefCell::default(),
-            recorded_versions: RefCell::default(),
+            version_record: RefCell::default(),
             unrecorded_versions: RefCell::default(),
             survey: Survey::default(),
             link: RefCell::default(),
@@ -308,15 +308,23 @@
         origins.collect()
     }
 
-    /// Records which versions the record has as listed.
-    pub fn set_recorded_versions(&self, recorded: BTreeSet<Origin>) {
-        *self.recorded_versions.borrow_mut() = recorded;
+    /// Takes in the record of versions, as the store has it now.
+    pub fn set_version_record(&self, record: version_record::Record) {
+        *self.version_record.borrow_mut() = record;
         self.update_unrecorded_versions();
     }
 
+    /// Returns whether the record of versions may lack some that were in service: the store was restored, and no host
+    /// that knows them has written them again.
+    pub fn may_lack_versions(&self) -> bool {
+        let era = self.store_era();
+        self.version_record.borrow().is_older_copy(era)
+    }
+
     fn update_unrecorded_versions(&self) {
         let listed = self.listed_versions();
-        let unrecorded = listed.difference(&self.recorded_versions.borrow()).cloned().collect();
+        let recorded = self.version_record.borrow().present();
+        let unrecorded = listed.difference(&recorded).cloned().collect();
         *self.unrecorded_versions.borrow_mut() = unrecorded;
     }
 
--- a/tests/restored_versions.rs
+++ b/tests/restored_versions.rs
@@ -215,3 +215,23 @@
     assert_eq!(outcome.joined, 0, "{outcome:?}");
     Ok(())
 }
+
+/// Guards against taking the only version that is listed for the one at which all streams began: the record, an older
+/// copy, lacks the other one, and so does the list, since its engines were lost at the same moment.
+#[test]
+fn streams_of_a_version_that_a_restored_store_never_had_do_not_go_on_at_the_one_that_is_left()
+-> anyhow::Result<()> {
+    let mut release = Release::start()?;
+    let streams = release.begin_streams("s");
+    release.kill_hosts();
+    for id in ["f1", "f2"] {
+        release.rig.store.remove("servers", id);
+    }
+    release.restore();
+    release.start_hosts_again()?;
+    // Before that, hosts conclude nothing after any restore.
+    thread::sleep(CONTACT);
+    let outcome = release.take_up(streams)?;
+    assert_eq!(outcome.joined, 0, "{outcome:?}");
+    Ok(())
+}
--- a/tests/stand/src/rig.rs
+++ b/tests/stand/src/rig.rs
@@ -139,7 +139,11 @@
             arrivals.iter().any(|arrival| arrival.ran && attempts.contains(&arrival.id.as_str()))
         };
         let servers = self.servers.iter().filter(|(server, _)| ran(server));
-        let entries = servers.filter_map(|(server, _)| self.store.get("servers", &server.id));
+        let entries = servers.map(|(server, address)| {
+            // A server that is lost has no entry.
+            let listed = self.store.get("servers", &server.id);
+            listed.unwrap_or_else(|| server.store_object(*address, "ready"))
+        });
         entries.map(|entry| entry["version"].as_str().unwrap_or_default().to_string()).collect()
     }
 
