--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -303,9 +303,9 @@
         let now = self.clock.now();
         let mut inner = self.inner.lock();
         for change in inner.quarantine.refresh(now) {
-            let (feature, crashes) = (change.feature.to_string(), change.quarantine);
+            let (features, crashes) = (change.features.to_string(), change.quarantine);
             let crashes = crashes.map_or(0, |quarantine| quarantine.crashes);
-            warn!(feature = feature.as_str(), crashes = crashes; "quarantine changed");
+            warn!(features = features.as_str(), crashes = crashes; "quarantine changed");
         }
         inner.quarantine.check(now, features).map_or(Ok(()), |refusal| Err(refusal.error()))
     }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -142,7 +142,8 @@
     metrics::gauge!("wasabi_cold_servers").set(state.servers.borrow().cold_count() as f64);
     metrics::gauge!("wasabi_evacuated_domains")
         .set(state.servers.borrow().evacuated().len() as f64);
-    let quarantined = state.quarantine.borrow().quarantined().count();
+    let quarantined: usize =
+        state.quarantine.borrow().quarantined().map(|(features, _)| features.len()).sum();
     metrics::gauge!("wasabi_quarantined_features").set(quarantined as f64);
     let held = state.lease.borrow().fence(now).is_some();
     metrics::gauge!("wasabi_duties_held").set(f64::from(u8::from(held)));
@@ -209,8 +210,8 @@
     let quarantine = state.quarantine.borrow();
     let quarantine: Vec<Value> = quarantine
         .quarantined()
-        .map(|(feature, quarantine)| {
-            json!({"feature": feature.to_string(), "crashes": quarantine.crashes,
+        .map(|(features, quarantine)| {
+            json!({"features": features.to_string(), "crashes": quarantine.crashes,
                 "last_ms": quarantine.age(now).as_millis() as u64})
         })
         .collect();
--- a/crates/gateway/src/send/quarantine.rs
+++ b/crates/gateway/src/send/quarantine.rs
@@ -172,16 +172,16 @@
     fn refresh_quarantine(&self) {
         let now = self.now();
         for change in self.quarantine.borrow_mut().refresh(now) {
-            let feature = change.feature.to_string();
-            let feature = feature.as_str();
+            let features = change.features.to_string();
+            let features = features.as_str();
             match change.quarantine {
                 Some(quarantine) => {
-                    warn!(feature = feature, crashes = quarantine.crashes,
+                    warn!(features = features, crashes = quarantine.crashes,
                         last_ms = quarantine.age(now).as_millis() as u64;
                         "requests that crash servers quarantined");
                     metrics::counter!("wasabi_gateway_quarantines_total").increment(1);
                 }
-                None => info!(feature = feature; "quarantine ended"),
+                None => info!(features = features; "quarantine ended"),
             }
         }
     }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -3,7 +3,8 @@
 //! A run that its server breaks off is evidence against each feature of its request, and one that ends
 //! well clears them all. Servers crash for other reasons too, so each crash is put down to the feature that
 //! explains the most crashes; a feature that explains several is quarantined, and requests with it are
-//! refused. After a while a single request is let through again.
+//! refused. Features that always came together are quarantined together: a request with some of them only is sent,
+//! and its run narrows down the cause. After a while a single request is let through again.
 
 mod evidence;
 mod judge;
@@ -18,7 +19,9 @@
     units::PoolId,
 };
 
-pub use evidence::{BrokenRun, ControlReport, Evidence, Feature, ProofReport, RunReport};
+pub use evidence::{
+    BrokenRun, Combination, ControlReport, Evidence, Feature, ProofReport, RunReport,
+};
 use evidence::{Controls, Proofs};
 
 /// A server that has generated for this long does not crash for the request that it runs: those that
@@ -27,8 +30,8 @@
 /// The least time from the last crash until a request with a quarantined feature is let through; twice
 /// that on the host that waits longest.
 pub const QUARANTINE: Duration = Duration::from_secs(300);
-/// The same for a feature that is not alone in explaining its crashes, or whose crashes may have been an
-/// outage: they are of one moment, or the service ran nothing well meanwhile.
+/// The same if different requests explain the crashes equally well, or if they may have been an outage: they are
+/// of one moment, or the service ran nothing well meanwhile.
 pub const PROVISIONAL_QUARANTINE: Duration = Duration::from_secs(5);
 /// How many times longer the host that waits longest then waits than the first one.
 const PROVISIONAL_SPREAD: f64 = 10.0;
@@ -52,18 +55,18 @@
 /// of a large fleet are apart.
 const CONTROL_REPORT_AGE: Duration = Duration::from_secs(2);
 
-/// Why a feature is quarantined.
+/// Why features are quarantined.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quarantine {
-    /// The crashes that it explains. Those of one moment count once if runs with it have ended well
+    /// The crashes that each of them explains. Those of one moment count once if runs with it have ended well
     /// before: with a feature that many requests have, an outage breaks runs on many servers.
     pub crashes: usize,
     /// The moments of these crashes.
     moments: usize,
-    /// Whether the service ran requests without the feature well between the first crash and the last:
-    /// else it may have broken off everything.
+    /// Whether the service ran requests without them well between the first crash and the last: else it may
+    /// have broken off everything.
     controlled: bool,
-    /// Whether features of other requests explain the crashes as well.
+    /// Whether other requests explain the crashes as well.
     ambiguous: bool,
     /// When the first of the crashes was.
     first: Instant,
@@ -71,21 +74,21 @@
     last: Instant,
 }
 
-/// A feature whose quarantine began or ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// Features whose quarantine began or ended.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Change {
-    /// The feature.
-    pub feature: Feature,
+    /// The features.
+    pub features: Combination,
     /// The quarantine; `None` if it ended.
     pub quarantine: Option<Quarantine>,
 }
 
 /// Why a request may not be sent.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Refusal {
-    /// The quarantined feature that it has.
-    pub feature: Feature,
-    /// The crashes that the feature explains.
+    /// The quarantined features that it has.
+    pub features: Combination,
+    /// The crashes that they explain.
     pub crashes: usize,
     /// How long the quarantine lasts on this host.
     pub wait: Duration,
@@ -94,12 +97,12 @@
 impl Refusal {
     /// Returns the error for the caller.
     pub fn error(&self) -> Error {
-        let detail = format!("{} crashes are put down to {}", self.crashes, self.feature);
+        let detail = format!("{} crashes are put down to {}", self.crashes, self.features);
         Error::new(Code::Quarantined, detail).retry_after(self.wait)
     }
 }
 
-/// What this host knows of runs that broke off, and the features that are quarantined for it.
+/// What this host knows of runs that broke off, and what is quarantined for it.
 #[derive(Debug, Default)]
 pub struct View {
     /// From 0 to 1: how long this host waits after a quarantine, so that hosts try one after the other.
@@ -109,14 +112,14 @@
     proofs: Proofs,
     /// Runs that ended well since servers of a service have crashed.
     controls: BTreeMap<PoolId, Controls>,
-    quarantined: BTreeMap<Feature, Quarantine>,
-    /// When a request with a quarantined feature was last let through.
+    quarantined: BTreeMap<Combination, Quarantine>,
+    /// When a request with each quarantined feature was last let through.
     probes: BTreeMap<Feature, Instant>,
     /// Whether anything has changed since the crashes were last put down to features.
     stale: bool,
     /// When the crashes were last put down to features.
     judged_at: Option<Instant>,
-    /// When a feature that explains enough crashes will have settled.
+    /// When features that explain enough crashes will have settled.
     settled_at: Option<Instant>,
     announcements: Announcements,
 }
@@ -201,7 +204,8 @@
         }
     }
 
-    /// Puts the crashes that are known down to features; returns whose quarantine has begun or ended.
+    /// Puts the crashes that are known down to features; returns whose quarantine has begun or ended. One that is
+    /// narrowed down ends, and that of fewer features begins.
     pub fn refresh(&mut self, now: Instant) -> Vec<Change> {
         let due = self.judged_at.is_none_or(|at| now >= at + MIN_JUDGE_INTERVAL);
         if !(self.stale && due) && self.settled_at.is_none_or(|at| now < at) {
@@ -211,54 +215,59 @@
         self.forget(now);
         let (quarantined, settled_at) = self.judge(now);
         self.settled_at = settled_at;
-        for run in &mut self.runs {
-            let controlled =
-                |feature| quarantined.get(feature).is_some_and(|known| known.controlled);
-            run.controlled |= run.features.iter().any(controlled);
+        let controlled = quarantined.iter().filter(|(_, quarantine)| quarantine.controlled);
+        for (features, _) in controlled {
+            let having = self.runs.iter_mut().filter(|run| features.is_in(&run.features));
+            having.for_each(|run| run.controlled = true);
         }
-        let ended = self.quarantined.keys().filter(|feature| !quarantined.contains_key(feature));
-        let ended = ended.map(|feature| Change { feature: *feature, quarantine: None });
+        let ended = self.quarantined.keys().filter(|features| !quarantined.contains_key(features));
+        let ended = ended.map(|features| Change { features: features.clone(), quarantine: None });
         let begun =
-            quarantined.iter().filter(|(feature, _)| !self.quarantined.contains_key(feature));
-        let begun = begun.map(|(feature, quarantine)| Change {
-            feature: *feature,
+            quarantined.iter().filter(|(features, _)| !self.quarantined.contains_key(features));
+        let begun = begun.map(|(features, quarantine)| Change {
+            features: features.clone(),
             quarantine: Some(*quarantine),
         });
         let changes = ended.chain(begun).collect();
         self.probes.retain(|feature, at| {
-            quarantined.get(feature).is_some_and(|quarantine| quarantine.last < *at)
+            quarantined
+                .iter()
+                .any(|(features, quarantine)| features.contains(*feature) && quarantine.last < *at)
         });
         self.quarantined = quarantined;
         changes
     }
 
-    /// Returns why a request with these features may not be sent, if one of them is quarantined. Once the
-    /// quarantine is over, a single request may be sent at a time.
+    /// Returns why a request with these features may not be sent, if all features of a quarantine are among them.
+    /// Once the quarantine is over, a single request may be sent at a time.
     ///
     /// Call [`Self::refresh`] before, and [`Self::record_sent`] if the request is sent.
     pub fn check(&self, now: Instant, features: &[Feature]) -> Option<Refusal> {
-        features.iter().find_map(|feature| {
-            let quarantine = self.quarantined.get(feature)?;
-            let until = quarantine.last + quarantine.length(self.spread);
-            let probe = self.probes.get(feature).map(|at| *at + PROBE_TIMEOUT);
-            let until = probe.map_or(until, |probe| probe.max(until));
-            let wait = until.saturating_duration_since(now);
-            let refusal = Refusal { feature: *feature, crashes: quarantine.crashes, wait };
-            (!wait.is_zero()).then_some(refusal)
-        })
+        let having = self.quarantined.iter().filter(|(quarantined, _)| quarantined.is_in(features));
+        having
+            .filter_map(|(quarantined, quarantine)| {
+                let until = quarantine.last + quarantine.length(self.spread);
+                // None was sent if a feature of it was not.
+                let probes = quarantined.features().map(|feature| self.probes.get(&feature));
+                let probe = probes.min().flatten().map(|at| *at + PROBE_TIMEOUT);
+                let until = probe.map_or(until, |probe| probe.max(until));
+                let wait = until.saturating_duration_since(now);
+                let (features, crashes) = (quarantined.clone(), quarantine.crashes);
+                (!wait.is_zero()).then_some(Refusal { features, crashes, wait })
+            })
+            .next()
     }
 
     /// Records that a request with these features is sent: until its outcome is known, no other one with
-    /// a feature whose quarantine is just over may be sent.
+    /// features whose quarantine is just over may be sent.
     pub fn record_sent(&mut self, now: Instant, features: &[Feature]) {
-        for feature in features.iter().filter(|feature| self.quarantined.contains_key(feature)) {
-            self.probes.insert(*feature, now);
-        }
+        let having = self.quarantined.keys().filter(|quarantined| quarantined.is_in(features));
+        self.probes.extend(having.flat_map(Combination::features).map(|feature| (feature, now)));
     }
 
-    /// The quarantined features.
-    pub fn quarantined(&self) -> impl Iterator<Item = (Feature, &Quarantine)> {
-        self.quarantined.iter().map(|(feature, quarantine)| (*feature, quarantine))
+    /// The quarantined combinations of features.
+    pub fn quarantined(&self) -> impl Iterator<Item = (&Combination, &Quarantine)> {
+        self.quarantined.iter()
     }
 
     /// Returns the next part of the evidence to announce to all hosts: what this host found lately, and in
@@ -369,11 +378,23 @@
     }
 
     fn is_quarantined(&self, run: &BrokenRun) -> bool {
-        run.features.iter().any(|feature| self.quarantined.contains_key(feature))
+        self.quarantined.keys().any(|features| features.is_in(&run.features))
     }
 }
 
 impl Quarantine {
+    /// Returns what both state.
+    fn weaker(self, other: Self) -> Self {
+        Self {
+            crashes: self.crashes.min(other.crashes),
+            moments: self.moments.min(other.moments),
+            controlled: self.controlled && other.controlled,
+            ambiguous: self.ambiguous || other.ambiguous,
+            first: self.first.max(other.first),
+            last: self.last.min(other.last),
+        }
+    }
+
     /// How long it lasts on a host with this `spread`, from 0 to 1.
     fn length(&self, spread: f64) -> Duration {
         if self.ambiguous || !self.controlled || self.moments < 2 {
--- a/crates/policy/src/quarantine/evidence.rs
+++ b/crates/policy/src/quarantine/evidence.rs
@@ -1,7 +1,7 @@
 //! What is known of runs that servers broke off and of runs that ended well.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     fmt,
     hash::{DefaultHasher, Hash, Hasher as _},
     time::{Duration, Instant},
@@ -18,6 +18,10 @@
 const CONTROL_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_CONTROLS: usize = 256;
 
+/// Features that requests have together, in an order of their own. Displayed joined by `+`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Combination(BTreeSet<Feature>);
+
 data! {
     /// Something that requests for a service may have in common, as a hash.
     #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
@@ -123,6 +127,49 @@
     }
 }
 
+impl Combination {
+    /// Whether there are no features.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The number of features.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether a feature is one of these.
+    pub fn contains(&self, feature: Feature) -> bool {
+        self.0.contains(&feature)
+    }
+
+    /// Whether all of them are among the features of a request.
+    pub fn is_in(&self, features: &[Feature]) -> bool {
+        self.0.iter().all(|feature| features.contains(feature))
+    }
+
+    /// The features.
+    pub fn features(&self) -> impl Iterator<Item = Feature> {
+        self.0.iter().copied()
+    }
+}
+
+impl FromIterator<Feature> for Combination {
+    fn from_iter<T: IntoIterator<Item = Feature>>(features: T) -> Self {
+        Self(features.into_iter().collect())
+    }
+}
+
+impl fmt::Display for Combination {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, feature) in self.0.iter().enumerate() {
+            f.write_str(if index > 0 { "+" } else { "" })?;
+            feature.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
 impl fmt::Display for Feature {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/policy/src/quarantine/judge.rs
+++ b/crates/policy/src/quarantine/judge.rs
@@ -1,14 +1,14 @@
-//! To which feature of requests each crash of a server is put down.
+//! To which features of requests each crash of a server is put down.
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
 use wasabi_core::units::{PoolId, ServerId};
 
-use super::{BrokenRun, Feature, Quarantine, View};
+use super::{BrokenRun, Combination, Feature, Quarantine, View};
 
 /// Crashes that a feature must explain if no run with it has ended well. Chance alone rarely repeats a
 /// crash for the same feature; the users' contracts count on a decision after three.
@@ -23,7 +23,7 @@
 const SIMULTANEOUS: Duration = Duration::from_millis(200);
 /// A run that breaks off this long after a crash of its server belongs to another one.
 const CRASH_SPREAD: Duration = Duration::from_millis(2_000);
-/// The most features of different requests that are quarantined for the same crashes.
+/// The most combinations, those of different requests, that are quarantined for the same crashes.
 const MAX_EQUAL: usize = 3;
 
 /// The end of one server, with what may have caused it.
@@ -33,18 +33,21 @@
     controlled: bool,
     server: &'a ServerId,
     ended: Instant,
-    /// The features of its broken runs that are not cleared: when the last run with each was sent, and its
-    /// position in the request.
-    suspects: BTreeMap<Feature, (Instant, usize)>,
+    /// The features of its broken runs that are not cleared, and when the last run with each was sent.
+    suspects: BTreeMap<Feature, Instant>,
 }
 
 impl View {
-    /// Puts each crash down to the feature that explains the most of those not yet explained. Returns the
-    /// features that explain enough, and when the next one will have settled.
+    /// Puts each crash down to the features that explain the most of those not yet explained. Returns the
+    /// combinations that explain enough, and when the next one will have settled.
     ///
-    /// Crashes that features of a few different requests explain equally well are put down to each of
-    /// them for a while; those of many to none, as in an outage.
-    pub(super) fn judge(&self, now: Instant) -> (BTreeMap<Feature, Quarantine>, Option<Instant>) {
+    /// Features of the same requests that explain crashes equally well cannot be told apart: one of them is the
+    /// cause, so only requests that have all of them are sure to have it. Crashes that a few different requests
+    /// explain equally well are put down to each of them for a while; those of many to none, as in an outage.
+    pub(super) fn judge(
+        &self,
+        now: Instant,
+    ) -> (BTreeMap<Combination, Quarantine>, Option<Instant>) {
         let crashes = self.crashes();
         let mut explained = vec![false; crashes.len()];
         let suspected = suspected_in(&crashes);
@@ -56,7 +59,7 @@
                 let own = indexes.iter().copied().filter(|index| !explained[*index]);
                 let own: Vec<&Crash<'_>> = own.map(|index| &crashes[index]).collect();
                 let unproven = self.proofs.get(*feature).is_none();
-                let (quarantine, position) = explained_by(*feature, unproven, &own)?;
+                let quarantine = explained_by(*feature, unproven, &own)?;
                 let controls = self.controls.get(own[0].service);
                 let Quarantine { first, last, .. } = quarantine;
                 let controlled = own.iter().any(|crash| crash.controlled)
@@ -69,52 +72,56 @@
                 let quarantine = Quarantine { controlled, ..quarantine };
                 let needed = if unproven { MIN_CRASHES } else { MIN_CRASHES_OF_PROVEN };
                 let rank = (quarantine.crashes, unproven);
-                (quarantine.crashes >= needed).then_some((rank, position, *feature, quarantine))
+                (quarantine.crashes >= needed).then_some((rank, *feature, quarantine))
             });
             let explaining: Vec<_> = explaining.collect();
             let Some(most) = explaining.iter().map(|(rank, ..)| *rank).max() else { break };
-            let mut best: Vec<_> =
-                explaining.into_iter().filter(|(rank, ..)| *rank == most).collect();
-            // Parts in front are shared by more requests.
-            best.sort_by_key(|(_, position, ..)| Reverse(*position));
-            // One of each request.
-            let mut blamed: Vec<(Feature, Quarantine)> = Vec::new();
-            for (_, _, feature, quarantine) in &best {
-                if blamed.len() > MAX_EQUAL {
-                    break;
-                }
-                if blamed.iter().all(|(other, _)| !self.occur_together(*feature, *other)) {
-                    blamed.push((*feature, *quarantine));
-                }
-            }
-            let ambiguous = blamed.len() > 1;
-            if blamed.len() > MAX_EQUAL {
-                blamed.clear();
-            } else {
-                best.retain(|(_, _, feature, _)| blamed.iter().any(|(kept, _)| kept == feature));
-            }
-            for (feature, quarantine) in blamed {
+            let best: BTreeMap<Feature, Quarantine> = explaining
+                .into_iter()
+                .filter(|(rank, ..)| *rank == most)
+                .map(|(_, feature, quarantine)| (feature, quarantine))
+                .collect();
+            let combinations = self.combinations(&best);
+            let ambiguous = combinations.len() > 1;
+            for combination in combinations.iter().filter(|_| combinations.len() <= MAX_EQUAL) {
+                let explaining = combination.features().filter_map(|feature| best.get(&feature));
+                let Some(quarantine) = explaining.copied().reduce(Quarantine::weaker) else {
+                    continue;
+                };
                 let settled = quarantine.first + SETTLING;
                 if settled <= now {
-                    quarantined.insert(feature, Quarantine { ambiguous, ..quarantine });
+                    let quarantine = Quarantine { ambiguous, ..quarantine };
+                    quarantined.insert(combination.clone(), quarantine);
                 } else {
                     settled_at = Some(settled_at.map_or(settled, |at| at.min(settled)));
                 }
             }
-            for index in
-                best.iter().filter_map(|(_, _, feature, _)| suspected.get(feature)).flatten()
-            {
+            for index in best.keys().filter_map(|feature| suspected.get(feature)).flatten() {
                 explained[*index] = true;
             }
         }
         (quarantined, settled_at)
     }
 
-    /// Whether a broken run has both features.
-    fn occur_together(&self, one: Feature, other: Feature) -> bool {
-        let has_both =
-            |run: &BrokenRun| run.features.contains(&one) && run.features.contains(&other);
-        one == other || self.runs.iter().any(has_both)
+    /// Returns the combinations of these features that broken runs have, without those that are part of another
+    /// one; more than [`MAX_EQUAL`] are not told apart.
+    fn combinations(&self, features: &BTreeMap<Feature, Quarantine>) -> Vec<Combination> {
+        let of_run = |run: &BrokenRun| -> Combination {
+            run.features.iter().filter(|feature| features.contains_key(feature)).copied().collect()
+        };
+        let all: BTreeSet<Combination> = self.runs.iter().map(of_run).collect();
+        let mut all: Vec<Combination> = all.into_iter().filter(|one| !one.is_empty()).collect();
+        all.sort_by_key(|one| Reverse(one.len()));
+        let mut largest: Vec<Combination> = Vec::new();
+        for one in all {
+            if largest.len() > MAX_EQUAL {
+                break;
+            }
+            if !largest.iter().any(|other| one.features().all(|f| other.contains(f))) {
+                largest.push(one);
+            }
+        }
+        largest
     }
 
     /// Returns the crashes by time, each with the features that may have caused it.
@@ -127,10 +134,9 @@
                 |crash: &&mut Crash<'_>| *crash.server == run.server && run.sent < crash.ended;
             let recent = |crash: &&mut Crash<'_>| run.ended < crash.ended + CRASH_SPREAD;
             let known = crashes.iter_mut().rev().take_while(recent).find(same);
-            let suspects = run.features.iter().enumerate();
-            let suspects =
-                suspects.filter(|(_, feature)| !self.proofs.clears(**feature, run.ended));
-            let suspects = suspects.map(|(position, feature)| (*feature, (run.sent, position)));
+            let suspects = run.features.iter();
+            let suspects = suspects.filter(|feature| !self.proofs.clears(**feature, run.ended));
+            let suspects = suspects.map(|feature| (*feature, run.sent));
             match known {
                 Some(crash) => {
                     crash.controlled |= run.controlled;
@@ -178,16 +184,11 @@
     suspected
 }
 
-/// Returns the crashes that a feature may have caused, and its position in the last of the requests. Those
-/// of one moment count each only if it is `unproven`.
-fn explained_by(
-    feature: Feature,
-    unproven: bool,
-    crashes: &[&Crash<'_>],
-) -> Option<(Quarantine, usize)> {
-    let mut explained: Option<(Quarantine, usize)> = None;
+/// Returns the crashes that a feature may have caused. Those of one moment count each only if it is `unproven`.
+fn explained_by(feature: Feature, unproven: bool, crashes: &[&Crash<'_>]) -> Option<Quarantine> {
+    let mut explained: Option<Quarantine> = None;
     for crash in crashes {
-        let Some((sent, position)) = crash.suspects.get(&feature) else { continue };
+        let Some(sent) = crash.suspects.get(&feature) else { continue };
         let (first, last) = (crash.ended, crash.ended);
         let quarantine = match explained {
             None => Quarantine {
@@ -198,7 +199,7 @@
                 first,
                 last,
             },
-            Some((before, _)) => {
+            Some(before) => {
                 let separate = crash.ended >= before.last + SIMULTANEOUS || *sent >= before.last;
                 Quarantine {
                     crashes: before.crashes + usize::from(separate || unproven),
@@ -208,7 +209,7 @@
                 }
             }
         };
-        explained = Some((quarantine, *position));
+        explained = Some(quarantine);
     }
     explained
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use quickcheck::quickcheck;
 use wasabi_core::units::PoolId;
 use wasabi_policy::quarantine::{
-    BrokenRun, Evidence, Feature, PROVISIONAL_QUARANTINE, QUARANTINE, View,
+    BrokenRun, Combination, Evidence, Feature, PROVISIONAL_QUARANTINE, QUARANTINE, View,
 };
 
 const SETTLED: Duration = Duration::from_millis(1_000);
@@ -56,12 +56,12 @@
     Instant::now() + QUARANTINE * 10
 }
 
-/// Three crashes, 500 ms apart, of runs with the parts 1, 2 and 9; the part 1 is proven in between.
+/// Three crashes, 500 ms apart, of runs with the parts 1, 2 and 9; the parts 1 and 2 are proven in between.
 fn three_crashes(view: &mut View, start: Instant) -> Instant {
     for crash in 0..3 {
         let ended = start + ms(500) * crash;
         view.record_broken(broken(&format!("s{crash}"), ended, ms(100), &[1, 2, 9]));
-        view.record_sound(ended + ms(50), &service(), &parts(&[1, 3]));
+        view.record_sound(ended + ms(50), &service(), &parts(&[1, 2, 3]));
         view.record_broken(broken(
             &format!("s{crash}"),
             ended,
@@ -238,7 +238,10 @@
     view.record_sound(last + ms(20), &service(), &parts(&[1, 2, 9]));
     let changes = view.refresh(last + ms(20));
     assert_eq!(changes.len(), 1);
-    assert_eq!((changes[0].feature, changes[0].quarantine), (part(9), None));
+    assert_eq!(
+        (&changes[0].features, changes[0].quarantine),
+        (&Combination::from_iter([part(9)]), None)
+    );
     assert!(!refused(&mut view, last + ms(20), 9));
 }
 
@@ -332,6 +335,102 @@
     assert!(view.all_evidence(last, usize::MAX).runs.len() <= 512);
 }
 
+/// Three crashes, 500 ms apart, of requests with these parts; a part of other requests is proven in between.
+fn crashes_of(view: &mut View, start: Instant, ids: &[u64]) -> Instant {
+    for crash in 0..3 {
+        let ended = start + ms(500) * crash;
+        view.record_broken(broken(&format!("s{crash}"), ended, ms(100), ids));
+        view.record_sound(ended + ms(50), &service(), &parts(&[7]));
+    }
+    start + ms(1_000)
+}
+
+fn any_refused(view: &mut View, now: Instant, ids: &[u64]) -> bool {
+    view.refresh(now);
+    view.check(now, &parts(ids)).is_some()
+}
+
+/// Guards against taking one of several parts that always came together for the cause: it may be another one, and sound
+/// requests that share the first were refused for minutes.
+#[test]
+fn parts_that_always_crashed_servers_together_are_refused_only_together() {
+    for sound in [1, 2, 3] {
+        let (mut view, start) = (View::new(0.0), start());
+        let last = crashes_of(&mut view, start, &[1, 2, 3]);
+        assert!(any_refused(&mut view, last, &[1, 2, 3, 50]), "one of the three is the cause");
+        assert!(!any_refused(&mut view, last, &[sound, 50]));
+        view.record_sound(last + ms(50), &service(), &parts(&[sound, 50]));
+        let now = last + ms(50);
+        let rest: Vec<u64> = [1, 2, 3].into_iter().filter(|id| *id != sound).collect();
+        assert!(any_refused(&mut view, now, &[rest[0], rest[1], 60]), "without {sound}");
+        assert!(!any_refused(&mut view, now, &[sound, rest[0]]));
+        view.record_sound(now, &service(), &parts(&[rest[0]]));
+        let now = now + ms(50);
+        assert!(any_refused(&mut view, now, &[rest[1]]), "only {} is left", rest[1]);
+        assert!(any_refused(&mut view, last + QUARANTINE - ms(1), &[rest[1]]));
+    }
+}
+
+/// Guards against a narrow quarantine that lets requests with the fatal part through for long: each crash without one of
+/// the others takes that one out.
+#[test]
+fn a_crash_without_one_of_the_parts_narrows_the_quarantine_to_the_others() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = crashes_of(&mut view, start, &[1, 2, 3]);
+    assert!(!any_refused(&mut view, last, &[2, 3]));
+    view.record_broken(broken("s8", last + ms(100), ms(50), &[2, 3]));
+    let now = last + ms(100);
+    assert!(any_refused(&mut view, now, &[2, 3]), "also without 1");
+    assert!(!any_refused(&mut view, now, &[1, 2]));
+    view.record_broken(broken("s9", now + ms(100), ms(50), &[1, 2]));
+    let now = now + ms(100);
+    assert!(any_refused(&mut view, now, &[2]), "only 2 is in all of them");
+    assert!(!any_refused(&mut view, now, &[1, 3]));
+}
+
+/// Hosts that know different crashes agree once they have told each other, and a host that starts learns it too.
+#[test]
+fn parts_that_crash_servers_together_are_refused_alike_by_hosts_that_know_different_crashes() {
+    let start = start();
+    let mut views: Vec<View> = (0..3).map(|_| View::new(0.0)).collect();
+    for (crash, view) in (0..).zip(&mut views) {
+        let ended = start + ms(500) * crash;
+        view.record_broken(broken(&format!("s{crash}"), ended, ms(100), &[1, 9, 20]));
+    }
+    let now = start + ms(1_500);
+    let told: Vec<Evidence> = views.iter_mut().map(|view| view.next_evidence(now)).collect();
+    for view in &mut views {
+        told.iter().for_each(|evidence| view.merge(now, evidence.clone(), Some(now)));
+        assert!(any_refused(view, now, &[1, 9, 20]));
+        assert!(!any_refused(view, now, &[1, 30, 20]));
+    }
+    let now = now + ms(50);
+    views[0].record_sound(now, &service(), &parts(&[1, 30, 20]));
+    let proof = views[0].next_evidence(now);
+    views[1].merge(now, proof, Some(now));
+    assert!(any_refused(&mut views[1], now, &[1, 9, 40]), "9 alone is left");
+    let mut late = View::new(0.0);
+    for _ in 0..6 {
+        late.merge(now, views[1].next_evidence(now), Some(now));
+    }
+    assert!(any_refused(&mut late, now, &[9]));
+    assert!(!any_refused(&mut late, now, &[1, 20]));
+}
+
+/// Once the quarantine of several parts is over, one request with all of them is sent at a time.
+#[test]
+fn a_quarantine_of_several_parts_lets_one_request_through_and_stays_narrowed() {
+    let (mut view, start) = (View::new(0.0), start());
+    let last = crashes_of(&mut view, start, &[1, 2]);
+    let over = last + QUARANTINE;
+    assert!(any_refused(&mut view, over - ms(1), &[1, 2]));
+    assert!(!any_refused(&mut view, over, &[1, 2]));
+    view.record_sent(over, &parts(&[1, 2]));
+    assert!(any_refused(&mut view, over + ms(1), &[1, 2]), "no other one meanwhile");
+    view.record_sound(over + ms(2), &service(), &parts(&[1]));
+    assert!(any_refused(&mut view, over + ms(50), &[2]), "the outcome is not known yet");
+}
+
 quickcheck! {
     /// Runs of a few shared parts on servers that crash at random, while every request ends well within
     /// 800 ms elsewhere: no part is ever refused.
--- a/crates/policy/tests/quarantine_play.rs
+++ b/crates/policy/tests/quarantine_play.rs
@@ -16,6 +16,10 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// After this time callers send a request again that has failed.
 const RETURN_DELAY: Duration = Duration::from_millis(500);
+/// Requests that crash servers come from this time on.
+const FATAL_FROM: Duration = Duration::from_secs(6);
+/// From this time on sound requests share the further parts of those that crash servers.
+const TEMPLATE_FROM: Duration = Duration::from_secs(9);
 /// The servers to which one try of a request may be sent.
 const MAX_SENDS: usize = 3;
 
@@ -43,6 +47,9 @@
     broken_for: Duration,
     /// The share of sound requests that are all the same one, as of callers that poll.
     polled: f64,
+    /// Further parts that all requests with the fatal part have, and the share of them that each has lost by chance;
+    /// from [`TEMPLATE_FROM`] on, a third of the sound requests have them too.
+    companions: (u64, f64),
 }
 
 /// A service of three plain servers, one host and one copy at a time.
@@ -58,6 +65,7 @@
     other_crashes: (0.0, 0.0),
     broken_for: Duration::ZERO,
     polled: 0.0,
+    companions: (0, 0.0),
 };
 
 /// A service of engines.
@@ -122,6 +130,11 @@
             if fatal && !play.alike {
                 features.insert(1, part(9));
             }
+            let (companions, lost) = play.companions;
+            if fatal || (now > start + TEMPLATE_FROM && rng.random_bool(1.0 / 3.0)) {
+                let kept = (0..companions).filter(|_| !fatal || !rng.random_bool(lost));
+                features.extend(kept.map(|id| part(20 + id)));
+            }
             features.push(Feature::request(&service, own));
             let host = rng.random_range(0..play.hosts);
             let (server, sends) = (usize::MAX, 0);
@@ -131,9 +144,7 @@
             next += 1;
             arriving.push(arrive(&mut rng, false, next));
         }
-        if now > start + Duration::from_secs(6)
-            && rng.random_bool(play.fatal_rate * STEP.as_secs_f64())
-        {
+        if now > start + FATAL_FROM && rng.random_bool(play.fatal_rate * STEP.as_secs_f64()) {
             for _ in 0..rng.random_range(1..=play.copies) {
                 next += 1;
                 arriving.push(arrive(&mut rng, true, next));
@@ -306,3 +317,13 @@
 fn hosts_that_hear_of_each_other_late() {
     assert_kept(Play { period: PERIODS[1], ..LARGE });
 }
+
+/// Guards against blaming a part that the fatal one always came with, for which sound requests were refused.
+#[test]
+fn sound_requests_that_share_all_other_parts_of_those_that_crash_servers_are_not_refused() {
+    for companions in [(1, 0.0), (2, 0.3), (4, 0.7)] {
+        assert_kept(Play { companions, ..LARGE });
+    }
+    assert_kept(Play { companions: (4, 0.3), period: PERIODS[1], ..LARGE });
+    assert_kept(Play { companions: (2, 0.3), other_crashes: (0.02, 0.5), ..LARGE });
+}
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -347,3 +347,38 @@
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
     Ok(())
 }
+
+/// Guards against blaming the part behind the fatal one, which all requests of a template have: sound requests with
+/// another part in the place of the fatal one were refused for minutes.
+#[test]
+fn sound_prompts_begin_that_share_all_parts_but_the_one_that_crashes_servers() -> anyhow::Result<()>
+{
+    let (rig, gateways) = rig_with_hosts()?;
+    set_fatal_part(&rig);
+    let start = Instant::now();
+    let end = start + CONTACT * 4;
+    let late = |label: &str, number: usize, middle: &str| {
+        prompt("/long/x", &format!("{label}{number}"), &["a1", middle, "e1", "e2"])
+    };
+    let sound = thread::scope(|scope| {
+        scope.spawn(|| {
+            send_each(&gateways, Duration::from_millis(400), end, |n| late("fatal", n, FATAL_PART))
+        });
+        scope.spawn(|| {
+            send_each(&gateways, Duration::from_millis(100), end, |n| {
+                prompt("/long/x", &format!("other{n}"), &["c1", "c2"])
+            })
+        });
+        // The template is new, so nothing has shown that its parts are sound.
+        thread::sleep(CONTACT);
+        send_each(&gateways, Duration::from_millis(100), end, |n| late("sound", n, "d1"))
+    });
+    assert!(crashes(&rig).len() >= 3, "the servers crash");
+    let known = crashes(&rig).into_iter().take(PART_CRASHES).max().expect("a crash");
+    assert_half_begin(&sound, known + CONTACT * 2);
+    let after = known + CONTACT;
+    let late = rig.servers.iter().flat_map(|(server, _)| server.arrivals());
+    let late = late.filter(|arrival| arrival.at > after && has_fatal_part(arrival)).count();
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} requests with the fatal part reached servers");
+    Ok(())
+}
