--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -1,22 +1,27 @@
 //! Soak test of real gateways, with faults of the systems around them that are drawn from seeds.
 //!
 //! Usage: `cargo run --release --example soak -- [--seed N] [--seeds COUNT] [--steps COUNT]
-//! [--jobs COUNT] [--older PROGRAM]`. A step injects a fault and lasts 0.7 s. Build the program first with
+//! [--jobs COUNT] [--older PROGRAM] [--logs FOLDER]`. A step injects a fault and lasts 0.7 s. Build the program first with
 //! `cargo build --release`. With an older program hosts run either, and are replaced by the other one.
 #![forbid(unsafe_code)]
 
 use std::{
+    fmt::Write as _,
+    fs,
+    path::Path,
     sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     thread,
 };
 
 use anyhow::{Context as _, ensure};
-use wasabi_stand::soak::{self, Programs};
+use wasabi_stand::soak::{self, Outcome, Programs};
 
 use flags::Soak;
 
 /// The command line.
 mod flags {
+    use std::path::PathBuf;
+
     xflags::xflags! {
         /// Runs a soak test per seed and prints the results.
         cmd soak {
@@ -30,6 +35,8 @@
             optional --jobs jobs: usize
             /// An older program, as `.ci/older-build` builds it.
             optional --older older: String
+            /// The folder for the logs of seeds that fail.
+            optional --logs logs: PathBuf
         }
     }
 }
@@ -60,8 +67,10 @@
                     if seed >= end {
                         return;
                     }
-                    failed
-                        .fetch_add(usize::from(!run_seed(programs, seed, steps)), Ordering::SeqCst);
+                    failed.fetch_add(
+                        usize::from(!run_seed(programs, seed, steps, flags.logs.as_deref())),
+                        Ordering::SeqCst,
+                    );
                 }
             });
         }
@@ -72,7 +81,7 @@
 }
 
 /// Runs a seed and prints the result; returns whether all properties held.
-fn run_seed(programs: Programs<'_>, seed: u64, steps: usize) -> bool {
+fn run_seed(programs: Programs<'_>, seed: u64, steps: usize, logs: Option<&Path>) -> bool {
     match soak::run(programs, seed, steps) {
         Ok(outcome) => {
             let (made, served) = outcome.requests;
@@ -84,6 +93,10 @@
             );
             if !outcome.violations.is_empty() {
                 outcome.trace.iter().for_each(|line| println!("  {seed}: {line}"));
+                let path = logs.map(|logs| logs.join(format!("{seed}.log")));
+                if let Some(Err(e)) = path.map(|path| write_logs(&path, &outcome)) {
+                    println!("seed {seed}: logs not written: {e}");
+                }
             }
             outcome.violations.is_empty()
         }
@@ -93,3 +106,15 @@
         }
     }
 }
+
+/// Writes the log lines of all hosts, each with the number of its host and process.
+fn write_logs(path: &Path, outcome: &Outcome) -> std::io::Result<()> {
+    let mut text = String::new();
+    for (process, (host, lines)) in outcome.logs.iter().enumerate() {
+        for line in lines {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "g{host} {process} {line}");
+        }
+    }
+    fs::write(path, text)
+}
--- a/tests/stand/src/soak.rs
+++ b/tests/stand/src/soak.rs
@@ -21,7 +21,7 @@
 
 use parking_lot::Mutex;
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use self::{builds::Builds, calls::SentRequest, faults::ActiveFault};
 use crate::{
@@ -63,6 +63,8 @@
     pub requests: (usize, usize),
     /// The number of starts of today's program, and of the older one.
     pub starts: (usize, usize),
+    /// If a guarantee was violated, what each host's processes have logged, with the number of the host, by start.
+    pub logs: Vec<(usize, Vec<Value>)>,
 }
 
 struct Run {
@@ -111,6 +113,10 @@
         run.outcome.violations.push(e.to_string());
     }
     run.check_guarantees(&sent_requests);
+    (0..GATEWAYS).for_each(|g| run.keep_log(g));
+    if run.outcome.violations.is_empty() {
+        run.outcome.logs.clear();
+    }
     Ok(run.outcome)
 }
 
@@ -206,7 +212,12 @@
         });
     }
 
+    fn keep_log(&mut self, g: usize) {
+        self.outcome.logs.push((g, self.gateways[g].lines()));
+    }
+
     fn restart(&mut self, g: usize) -> anyhow::Result<()> {
+        self.keep_log(g);
         let addresses = self.gateways[g].addresses;
         self.rig.duties_address = self.duty_proxies[g].address;
         self.gateways[g] = self.launch(g, self.store_proxies[g].address, addresses)?;
