--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -20,7 +20,7 @@
 };
 
 pub use evidence::{
-    BrokenRun, Combination, ControlReport, Evidence, Feature, ProofReport, RunReport,
+    BrokenRun, Combination, ControlReport, Evidence, Feature, ProofReport, RunReport, process_name,
 };
 use evidence::{Controls, Proofs};
 
--- a/crates/policy/src/quarantine/judge.rs
+++ b/crates/policy/src/quarantine/judge.rs
@@ -8,7 +8,7 @@
 
 use wasabi_core::units::{PoolId, ServerId};
 
-use super::{BrokenRun, Combination, Feature, Quarantine, View};
+use super::{BrokenRun, Combination, Feature, Quarantine, View, evidence};
 
 /// Crashes that a feature must explain if no run with it has ended well. Chance alone rarely repeats a
 /// crash for the same feature; the users' contracts count on a decision after three.
@@ -31,8 +31,9 @@
     service: &'a PoolId,
     /// Whether one of its broken runs is known to be, see [`BrokenRun::controlled`].
     controlled: bool,
-    server: &'a ServerId,
     ended: Instant,
+    /// Whether its process took a run later, so that it had not ended.
+    refuted: bool,
     /// The features of its broken runs that are not cleared, and when the last run with each was sent.
     suspects: BTreeMap<Feature, Instant>,
 }
@@ -129,28 +130,43 @@
         let mut runs: Vec<&BrokenRun> = self.runs.iter().collect();
         runs.sort_by_key(|run| run.ended);
         let mut crashes: Vec<Crash<'_>> = Vec::new();
+        let mut latest: BTreeMap<&ServerId, usize> = BTreeMap::new();
         for run in runs {
-            let same =
-                |crash: &&mut Crash<'_>| *crash.server == run.server && run.sent < crash.ended;
-            let recent = |crash: &&mut Crash<'_>| run.ended < crash.ended + CRASH_SPREAD;
-            let known = crashes.iter_mut().rev().take_while(recent).find(same);
+            let is_process = evidence::names_process(&run.server);
+            if is_process
+                && let Some(index) = latest.get(&run.server)
+                && run.sent >= crashes[*index].ended
+            {
+                // A process that took another run had not crashed before.
+                crashes[*index].refuted = true;
+            }
+            let is_same = |crash: &Crash<'_>| {
+                let is_near = run.ended < crash.ended + CRASH_SPREAD;
+                run.sent < crash.ended && (is_process || is_near)
+            };
+            let index = latest.get(&run.server).copied().filter(|index| is_same(&crashes[*index]));
             let suspects = run.features.iter();
             let suspects = suspects.filter(|feature| !self.proofs.clears(**feature, run.ended));
             let suspects = suspects.map(|feature| (*feature, run.sent));
-            match known {
-                Some(crash) => {
+            match index {
+                Some(index) => {
+                    let crash = &mut crashes[index];
                     crash.controlled |= run.controlled;
                     crash.suspects.extend(suspects);
                 }
-                None => crashes.push(Crash {
-                    controlled: run.controlled,
-                    service: &run.service,
-                    server: &run.server,
-                    ended: run.ended,
-                    suspects: suspects.collect(),
-                }),
+                None => {
+                    latest.insert(&run.server, crashes.len());
+                    crashes.push(Crash {
+                        controlled: run.controlled,
+                        service: &run.service,
+                        ended: run.ended,
+                        refuted: false,
+                        suspects: suspects.collect(),
+                    });
+                }
             }
         }
+        crashes.retain(|crash| !crash.refuted);
         crashes
     }
 }
