Begin streams at a new version once all servers of the former ones leave

Cause: new versions were held back while a server of another one was listed, also one that takes no work any more.

Change: they are held back while a server of another version takes work. One that leaves never does again, so nothing that began at the new version is sent there later.

--- a/crates/gateway/src/send/placement.rs
+++ b/crates/gateway/src/send/placement.rs
@@ -7,12 +7,10 @@
 
 use log::info;
 use rand::Rng as _;
-use wasabi_belief::{
-    members,
-    origins::{self, Origin},
-};
+use wasabi_belief::{members, origins};
 use wasabi_core::{
     errors::{Code, Error, Ran, Result},
+    member::{Member, Phase},
     units::{Build, Domain, RequestRate, ServerId},
 };
 use wasabi_policy::{
@@ -197,7 +195,7 @@
 
 /// Returns the versions at which a stream must not begin that may be taken up later: those that are not recorded, so
 /// that hosts that start do not know of them, and, for most streams, those that a restore of the store may take out
-/// of the record. They are used if no server of another version is listed.
+/// of the record. They are used if all servers of other versions leave or have left.
 fn withheld_versions(
     state: &State,
     inbound: &AdmittedRequest,
@@ -215,10 +213,17 @@
         let record = state.version_record.borrow();
         withheld.extend(record.unestablished(&admission.service, state.now_ms()).cloned());
     }
-    let offers_other =
-        |listed: &Origin| listed.service == admission.service && !withheld.contains(&listed.build);
-    let is_other_listed = !withheld.is_empty() && state.listed_versions().iter().any(offers_other);
-    if is_other_listed { withheld } else { Vec::new() }
+    if withheld.is_empty() {
+        return withheld;
+    }
+    // One that leaves never takes work again, so nothing goes on there later either.
+    let is_other = |member: &Member| {
+        member.service == admission.service
+            && member.phase == Phase::Ready
+            && !withheld.contains(&member.build)
+    };
+    let has_other = state.servers.borrow().get().iter().any(is_other);
+    if has_other { withheld } else { Vec::new() }
 }
 
 /// Returns a placement on another server for a request that is stuck; `None` if it has to stay.
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -232,6 +232,34 @@
     Ok(())
 }
 
+/// Guards against holding streams back from the only version that takes work: most of them keep to versions that have been
+/// in service for some time, and all of its servers leave within that time.
+#[test]
+fn streams_begin_at_a_new_version_as_soon_as_all_servers_of_the_former_one_leave()
+-> anyhow::Result<()> {
+    let mut rig = Rig::start(PROGRAM)?;
+    let host = rig.start_gateway("g1")?;
+    rig.add_engines(&[("f1", "v2"), ("f2", "v2")])?;
+    for id in ["e1", "e2"] {
+        let mut entry = rig.store.get("servers", id).expect("the server is listed");
+        entry["state"] = json!("draining");
+        rig.store.put("servers", id, entry);
+    }
+    let recorded = || {
+        let record = rig.store.get("stream-versions", "services").unwrap_or_default();
+        record["services"]["llm"].get("v2").is_some_and(Value::is_null)
+    };
+    wait_for("the record of the new version", recorded)?;
+    thread::sleep(Duration::from_secs(1));
+    for number in 0..STREAMS {
+        let (id, path) = (format!("s{number}"), format!("/chat/{number}"));
+        let response = Request::new("POST", &path, &id).send(host.addresses.callers)?;
+        assert_eq!((response.status, response.complete), (200, true), "{id}: {response:?}");
+        assert_eq!(rig.versions_of(&[&id]), BTreeSet::from(["v2".to_string()]));
+    }
+    Ok(())
+}
+
 /// Two hosts, each with a store of its own and a link between them.
 struct Pair {
     rig: Rig,
