Let streams go on at the only established version when hosts come back one after the other

Seen: all hosts are lost, a release begins, one host is back a second before the other: 0 of 24 streams that were taken up went on, while new ones began.

Cause: a host takes the record of versions that it finds for that of the hosts which were lost. The first one that is back has recorded the new version by then, so the second one finds two and concludes nothing.

Change: a stream that nobody remembers and that keeps to established versions began at the only one there is, with a whole record too, if one of that version's servers has taken work since the newer version came.

--- a/crates/belief/src/version_record.rs
+++ b/crates/belief/src/version_record.rs
@@ -129,6 +129,12 @@
         builds.filter(move |build| !self.is_established(service, build, now_ms))
     }
 
+    /// Returns when the first version of a service was recorded that is not established yet.
+    pub fn first_unestablished_ms(&self, service: &PoolId, now_ms: u64) -> Option<u64> {
+        let builds = self.unestablished(service, now_ms);
+        builds.filter_map(|build| self.recorded_ms(service, build)).min()
+    }
+
     /// Returns the version at which each stream began that keeps to established versions and that is taken up at
     /// `now_ms`, if there is one, and the stream's host had ended before `ended_ms`. Holds for an older copy too:
     /// what that lacks was not established.
--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -173,32 +173,29 @@
 
 /// Concludes where a stream began that nobody remembers: at the only version of the service that has been seen
 /// lately, or at the only one that had been recorded when the present hosts started, if all of them have
-/// answered. The versions must have been read after the caller took the stream up: what this host knows may be
+/// answered, or at the only established one if the stream keeps to those. The versions must have been read after the caller took the stream up: what this host knows may be
 /// older than the stream.
 async fn conclude(state: &Rc<State>, inbound: &AdmittedRequest, finding: Finding) -> Finding {
     if !survey::wait_since(state, inbound.arrived).await {
         return Finding { builds: BTreeSet::new(), ..finding };
     }
     let (service, mut finding) = (&inbound.admission.service, finding);
-    // That no other version is known proves nothing while the record may lack some.
-    if state.may_lack_versions() {
-        let keeps = inbound.stream_id().is_some_and(origins::keeps_to_established);
-        let build = keeps.then(|| state.sole_established_version(service)).flatten();
-        let origin = build.map(|build| Origin { service: service.clone(), build });
-        return Finding {
-            origin,
-            source: "established version",
-            builds: BTreeSet::new(),
-            ..finding
-        };
-    }
     finding.builds.extend(state.recent_builds(service));
-    let sole = finding.builds.first().filter(|_| finding.builds.len() == 1).cloned();
-    let (build, source) = match sole {
-        Some(build) => (Some(build), "sole version"),
-        None => (finding.build_of_ended_hosts(state), "ended hosts"),
-    };
+    // That no other version is known proves nothing while the record may lack some.
+    let is_whole = !state.may_lack_versions();
+    let sole = finding.builds.first().filter(|_| is_whole && finding.builds.len() == 1).cloned();
+    let inherited = || finding.build_of_ended_hosts(state).filter(|_| is_whole);
+    let keeps = inbound.stream_id().is_some_and(origins::keeps_to_established);
+    let established = || state.sole_established_version(service).filter(|_| keeps);
+    let found = sole.map(|build| (build, "sole version"));
+    let found = found.or_else(|| inherited().map(|build| (build, "ended hosts")));
+    let found = found.or_else(|| established().map(|build| (build, "established version")));
+    let (build, source) = found.unzip();
+    let source = source.unwrap_or_default();
     let origin = build.map(|build| Origin { service: service.clone(), build });
+    if !is_whole {
+        finding.builds.clear();
+    }
     Finding { origin, source, ..finding }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,7 +24,7 @@
 };
 use wasabi_core::{
     catalog::Catalog,
-    member::{Listing, Member},
+    member::{Listing, Member, Phase},
     objects::{DutyInterface, MetadataStore},
     time::Clock,
     units::{Build, Domain, HostId, Incarnation, PoolId, ServerId, Window, WorkspaceId},
@@ -324,16 +324,30 @@
         self.version_record.borrow().is_older_copy(era)
     }
 
-    /// Returns the version of a service at which streams of hosts that have ended began, if they keep to established
-    /// versions and there is only one. Needs no whole record.
+    /// Returns the version of a service at which streams that nobody remembers began, if they keep to established
+    /// versions and there is only one. Needs no whole record: if that may lack versions, the hosts of such streams had
+    /// ended when this era of the store began.
     pub fn sole_established_version(&self, service: &PoolId) -> Option<Build> {
         if !self.all_keep_to_established.get() {
             return None;
         }
-        let era_age = self.now().saturating_duration_since(self.era.borrow().known()?.since);
         let now_ms = self.now_ms();
-        let era_since_ms = now_ms.saturating_sub(era_age.as_millis() as u64);
-        self.version_record.borrow().sole_established(service, era_since_ms, now_ms)
+        let mut ended_ms = now_ms;
+        if self.may_lack_versions() {
+            let era_age = self.now().saturating_duration_since(self.era.borrow().known()?.since);
+            ended_ms = now_ms.saturating_sub(era_age.as_millis() as u64);
+        }
+        let record = self.version_record.borrow();
+        let sole = record.sole_established(service, ended_ms, now_ms)?;
+        // Streams were kept to it only while a server of it took work, as this one has done since a newer version came.
+        let newer_ms = record.first_unestablished_ms(service, now_ms).unwrap_or(u64::MAX);
+        let has_stayed = |member: &Member| {
+            member.service == *service
+                && member.build == sole
+                && member.phase == Phase::Ready
+                && member.born_ms < newer_ms
+        };
+        self.servers.borrow().get().iter().any(has_stayed).then_some(sole)
     }
 
     fn update_unrecorded_versions(&self) {
