--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,7 +24,7 @@
 };
 use wasabi_core::{
     catalog::Catalog,
-    member::{Listing, Member, Phase},
+    member::{Listing, Member},
     objects::{DutyInterface, MetadataStore},
     time::Clock,
     units::{Build, Domain, HostId, Incarnation, PoolId, ServerId, Window, WorkspaceId},
@@ -304,59 +304,6 @@
         }
     }
 
-    /// Returns the services and versions of the listed servers.
-    pub fn listed_versions(&self) -> BTreeSet<Origin> {
-        let members = self.servers.borrow().get();
-        let origins = members.into_iter().map(|m| Origin { service: m.service, build: m.build });
-        origins.collect()
-    }
-
-    /// Takes in the record of versions, as the store has it now.
-    pub fn set_version_record(&self, record: version_record::Record) {
-        *self.version_record.borrow_mut() = record;
-        self.update_unrecorded_versions();
-    }
-
-    /// Returns whether the record of versions may lack some that were in service: the store was restored, and no host
-    /// that knows them has written them again.
-    pub fn may_lack_versions(&self) -> bool {
-        let era = self.store_era();
-        self.version_record.borrow().is_older_copy(era)
-    }
-
-    /// Returns the version of a service at which streams that nobody remembers began, if they keep to established
-    /// versions and there is only one. Needs no whole record: if that may lack versions, the hosts of such streams had
-    /// ended when this era of the store began.
-    pub fn sole_established_version(&self, service: &PoolId) -> Option<Build> {
-        if !self.all_keep_to_established.get() {
-            return None;
-        }
-        let now_ms = self.now_ms();
-        let mut ended_ms = now_ms;
-        if self.may_lack_versions() {
-            let era_age = self.now().saturating_duration_since(self.era.borrow().known()?.since);
-            ended_ms = now_ms.saturating_sub(era_age.as_millis() as u64);
-        }
-        let record = self.version_record.borrow();
-        let sole = record.sole_established(service, ended_ms, now_ms)?;
-        // Streams were kept to it only while a server of it took work, as this one has done since a newer version came.
-        let newer_ms = record.first_unestablished_ms(service, now_ms).unwrap_or(u64::MAX);
-        let has_stayed = |member: &Member| {
-            member.service == *service
-                && member.build == sole
-                && member.phase == Phase::Ready
-                && member.born_ms < newer_ms
-        };
-        self.servers.borrow().get().iter().any(has_stayed).then_some(sole)
-    }
-
-    fn update_unrecorded_versions(&self) {
-        let listed = self.listed_versions();
-        let recorded = self.version_record.borrow().present();
-        let unrecorded = listed.difference(&recorded).cloned().collect();
-        *self.unrecorded_versions.borrow_mut() = unrecorded;
-    }
-
     /// Returns the versions of a service's software at which a stream that goes on may have begun.
     pub fn recent_builds(&self, service: &PoolId) -> BTreeSet<Build> {
         self.record_builds();
