Do not take a late report of a crash for a run that the process took after it

Seen: by reading, then in a test of policy/tests/quarantine: a fatal request crashes three processes, and a peer tells 80 ms later of another run that each of them broke off; the fatal request is not refused.

Cause: times in a report are ages, so they seem later by the time that the report was on its way. A run that was sent shortly before the crash seemed to be sent after it, and refuted it.

Change: a run refutes the crash of its process only if it was sent 200 ms later; before that it belongs to it.

Comments of the versions are put right, too."

--- a/crates/belief/src/origins.rs
+++ b/crates/belief/src/origins.rs
@@ -87,7 +87,7 @@
 }
 
 /// Returns whether a stream may begin only at versions that no restore of the store takes out of the record, while
-/// servers of one are listed. Follows from the id alone, so it tells hosts that start where such a stream began. The
+/// servers of one take work. Follows from the id alone, so it tells hosts that start where such a stream began. The
 /// others use new versions from the start.
 pub fn keeps_to_established(stream: StreamId) -> bool {
     !stream.is_multiple_of(FREE_STREAMS)
--- a/crates/belief/src/version_record.rs
+++ b/crates/belief/src/version_record.rs
@@ -135,8 +135,8 @@
         builds.filter_map(|build| self.recorded_ms(service, build)).min()
     }
 
-    /// Returns the version at which each stream began that keeps to established versions and that is taken up at
-    /// `now_ms`, if there is one, and the stream's host had ended before `ended_ms`. Holds for an older copy too:
+    /// Returns the version at which each stream began that keeps to established versions, was begun by a host that
+    /// had ended by `ended_ms`, and is taken up at `now_ms`; `None` if there are several. Holds for an older copy too:
     /// what that lacks was not established.
     pub fn sole_established(&self, service: &PoolId, ended_ms: u64, now_ms: u64) -> Option<Build> {
         let recent = self.recent_builds(service, now_ms).into_iter();
--- a/crates/gateway/src/send/origin.rs
+++ b/crates/gateway/src/send/origin.rs
@@ -173,8 +173,8 @@
 
 /// Concludes where a stream began that nobody remembers: at the only version of the service that has been seen
 /// lately, or at the only one that had been recorded when the present hosts started, if all of them have
-/// answered, or at the only established one if the stream keeps to those. The versions must have been read after the caller took the stream up: what this host knows may be
-/// older than the stream.
+/// answered, or at the only established one if the stream keeps to those. The versions must have been read after
+/// the caller took the stream up: what this host knows may be older than the stream.
 async fn conclude(state: &Rc<State>, inbound: &AdmittedRequest, finding: Finding) -> Finding {
     if !survey::wait_since(state, inbound.arrived).await {
         return Finding { builds: BTreeSet::new(), ..finding };
--- a/crates/policy/src/quarantine/judge.rs
+++ b/crates/policy/src/quarantine/judge.rs
@@ -23,6 +23,8 @@
 const SIMULTANEOUS: Duration = Duration::from_millis(200);
 /// A run that breaks off this long after a crash of its server belongs to another one.
 const CRASH_SPREAD: Duration = Duration::from_millis(2_000);
+/// How long the report of a peer may be on its way; what it tells of seems to be later by that.
+const REPORT_DELAY: Duration = Duration::from_millis(200);
 /// The most combinations, those of different requests, that are quarantined for the same crashes.
 const MAX_EQUAL: usize = 3;
 
@@ -133,18 +135,19 @@
         let mut latest: BTreeMap<&ServerId, usize> = BTreeMap::new();
         for run in runs {
             let is_process = evidence::names_process(&run.server);
-            if is_process
-                && let Some(index) = latest.get(&run.server)
-                && run.sent >= crashes[*index].ended
-            {
+            let before = latest.get(&run.server).copied();
+            let is_same = |index: &usize| {
+                let ended = crashes[*index].ended;
+                match is_process {
+                    true => run.sent < ended + REPORT_DELAY,
+                    false => run.sent < ended && run.ended < ended + CRASH_SPREAD,
+                }
+            };
+            let index = before.filter(is_same);
+            if let Some(before) = before.filter(|_| is_process && index.is_none()) {
                 // A process that took another run had not crashed before.
-                crashes[*index].refuted = true;
+                crashes[before].refuted = true;
             }
-            let is_same = |crash: &Crash<'_>| {
-                let is_near = run.ended < crash.ended + CRASH_SPREAD;
-                run.sent < crash.ended && (is_process || is_near)
-            };
-            let index = latest.get(&run.server).copied().filter(|index| is_same(&crashes[*index]));
             let suspects = run.features.iter();
             let suspects = suspects.filter(|feature| !self.proofs.clears(**feature, run.ended));
             let suspects = suspects.map(|feature| (*feature, run.sent));
