Take back that a later run refutes the crash of its process

Cause: a feature is quarantined 1 s after the first of its crashes at the earliest. Each refuted crash makes the first one a later one, so while servers that crash are back at once no quarantine settles.

--- a/crates/gateway/src/send/quarantine.rs
+++ b/crates/gateway/src/send/quarantine.rs
@@ -9,7 +9,7 @@
 use wasabi_answer::{broken::Broken, evidence::SETTLING_TIME};
 use wasabi_belief::members;
 use wasabi_core::{call::Framing, member::Member};
-use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal, process_name};
+use wasabi_policy::quarantine::{BrokenRun, Evidence, Feature, Refusal};
 
 use crate::{
     guard::PlacementGuard,
@@ -116,17 +116,16 @@
         if !may_be_crash(cause, framing) {
             return;
         }
-        let member = guard.placement.member.clone();
         let run = BrokenRun {
             id: rand::random(),
-            service: member.service.clone(),
-            server: process_name(&member.id, member.born_ms),
+            service: guard.placement.member.service.clone(),
+            server: guard.placement.member.id.clone(),
             sent: guard.placement.since,
             ended: self.now(),
             features: features.to_vec(),
             controlled: false,
         };
-        let run = SuspectedRun { run, member };
+        let run = SuspectedRun { run, member: guard.placement.member.clone() };
         // The run itself may be the first sign of a cut; a second server need not fail for that.
         if self.link.borrow_mut().await_verdict() {
             push_bounded(&self.suspected_runs.on_suspected_link, run);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -20,7 +20,7 @@
 };
 
 pub use evidence::{
-    BrokenRun, Combination, ControlReport, Evidence, Feature, ProofReport, RunReport, process_name,
+    BrokenRun, Combination, ControlReport, Evidence, Feature, ProofReport, RunReport,
 };
 use evidence::{Controls, Proofs};
 
--- a/crates/policy/src/quarantine/evidence.rs
+++ b/crates/policy/src/quarantine/evidence.rs
@@ -14,8 +14,6 @@
 
 /// Proofs of sound features are kept in two generations of this size.
 const MAX_PROOFS: usize = 8_192;
-/// The digits of the start in the name of a process; enough until the year 2286.
-const START_DIGITS: usize = 13;
 /// The least time between two runs that are kept as controls, and how many of a service are kept.
 const CONTROL_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_CONTROLS: usize = 256;
@@ -78,21 +76,6 @@
     }
 }
 
-/// Returns a name for the process of a server that started at `born_ms`, in milliseconds since 1970, so that several
-/// crashes can be told from one: a process crashes once. If the start is not known (0), returns the name of the server.
-pub fn process_name(server: &ServerId, born_ms: u64) -> ServerId {
-    let name = format!("{server}:{born_ms:0width$}", width = START_DIGITS);
-    // A name that is too long stands for all processes of the server.
-    let name = name.parse().ok().filter(|_| born_ms > 0);
-    name.unwrap_or_else(|| server.clone())
-}
-
-/// Whether a name is one of a process. Hosts of older builds name the server alone.
-pub(super) fn names_process(name: &ServerId) -> bool {
-    let start = name.as_str().rsplit_once(':').map_or("", |(_, start)| start);
-    start.len() == START_DIGITS && start.bytes().all(|byte| byte.is_ascii_digit())
-}
-
 /// A run that its server broke off before it was known to be sound.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BrokenRun {
@@ -100,7 +83,7 @@
     pub id: u64,
     /// The service that ran it.
     pub service: PoolId,
-    /// The server, or its process if that is known, see [`process_name`].
+    /// The server.
     pub server: ServerId,
     /// When the request was sent to the server.
     pub sent: Instant,
