--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -247,7 +247,7 @@
         having
             .filter_map(|(quarantined, quarantine)| {
                 let until = quarantine.last + quarantine.length(self.spread);
-                // None was sent if a feature of it was not.
+                // A request with all of the features was let through only if one with each was.
                 let probes = quarantined.features().map(|feature| self.probes.get(&feature));
                 let probe = probes.min().flatten().map(|at| *at + PROBE_TIMEOUT);
                 let until = probe.map_or(until, |probe| probe.max(until));
@@ -383,7 +383,7 @@
 }
 
 impl Quarantine {
-    /// Returns what both state.
+    /// Returns what the evidence against either of two features of a combination supports.
     fn weaker(self, other: Self) -> Self {
         Self {
             crashes: self.crashes.min(other.crashes),
--- a/crates/policy/src/quarantine/evidence.rs
+++ b/crates/policy/src/quarantine/evidence.rs
@@ -18,7 +18,7 @@
 const CONTROL_INTERVAL: Duration = Duration::from_millis(50);
 const MAX_CONTROLS: usize = 256;
 
-/// Features that requests have together, in an order of their own. Displayed joined by `+`.
+/// Features that requests have together. Displayed joined by `+`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Combination(BTreeSet<Feature>);
 
--- a/crates/policy/src/quarantine/judge.rs
+++ b/crates/policy/src/quarantine/judge.rs
@@ -104,7 +104,7 @@
     }
 
     /// Returns the combinations of these features that broken runs have, without those that are part of another
-    /// one; more than [`MAX_EQUAL`] are not told apart.
+    /// one. Stops once there are more than [`MAX_EQUAL`].
     fn combinations(&self, features: &BTreeMap<Feature, Quarantine>) -> Vec<Combination> {
         let of_run = |run: &BrokenRun| -> Combination {
             run.features.iter().filter(|feature| features.contains_key(feature)).copied().collect()
